--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,4 @@
+//! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
+
+pub mod fake_store;
+pub mod token;
--- /dev/null
+++ b/src/counters.rs
@@ -0,0 +1,164 @@
+//! Every metric of the system. `docs/METRICS.md` holds the same table; a test compares the two.
+
+use prometheus::{Encoder, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder};
+
+/// Kind of a metric.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MetricKind {
+    /// Only rises.
+    Counter,
+    /// Rises and falls.
+    Gauge,
+}
+
+/// One row of the metric table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MetricRow {
+    /// Name as scraped.
+    pub name: &'static str,
+    /// Kind of the metric.
+    pub kind: MetricKind,
+    /// Names of its labels.
+    pub labels: &'static [&'static str],
+    /// One sentence for people.
+    pub help: &'static str,
+}
+
+macro_rules! metrics {
+    ($($variant:ident = $name:literal, $kind:ident, [$($label:literal),*], $help:literal;)*) => {
+        /// A metric of the table.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+        pub enum MetricName {
+            $(#[doc = $help] $variant,)*
+        }
+
+        impl MetricName {
+            /// Every metric, in the order of the table.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// The row of this metric in the table.
+            pub fn row(self) -> MetricRow {
+                match self {
+                    $(Self::$variant => MetricRow {
+                        name: $name,
+                        kind: MetricKind::$kind,
+                        labels: &[$($label),*],
+                        help: $help,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+metrics! {
+    Requests = "jacinthrock_requests_total", Counter, ["service", "outcome"], "Requests that ended, by service and outcome.";
+    Refusals = "jacinthrock_refusals_total", Counter, ["code"], "Requests refused, by result code.";
+    Retries = "jacinthrock_retries_total", Counter, ["reason"], "Attempts and calls made again, by reason.";
+    OpenRequests = "jacinthrock_open_requests", Gauge, [], "Requests in flight.";
+    OpenConnections = "jacinthrock_open_connections", Gauge, [], "Caller connections that are open.";
+    Tokens = "jacinthrock_tokens_total", Counter, ["kind"], "Tokens from endpoints: accepted, duplicate or stray.";
+    Attempts = "jacinthrock_attempts_total", Counter, ["end"], "Attempts at answers, by how they ended.";
+    Ejections = "jacinthrock_ejections_total", Counter, ["reason"], "Endpoints taken out of the choice, by reason.";
+    ConfigRevision = "jacinthrock_config_revision", Gauge, [], "Configuration revision in force.";
+    ConfigChanges = "jacinthrock_config_changes_total", Counter, ["source"], "Configuration revisions taken, by source.";
+    ConfigRejected = "jacinthrock_config_rejected_total", Counter, ["code"], "Configuration revisions that failed their checks, by result code.";
+    StoreCalls = "jacinthrock_store_calls_total", Counter, ["call", "result"], "Calls to the platform's store, by call and result.";
+    LedgerClaims = "jacinthrock_ledger_claims_total", Counter, ["verdict"], "Claims on idempotency keys, by verdict.";
+    LedgerWrites = "jacinthrock_ledger_writes_total", Counter, ["result"], "Group commits of the ledger, by result.";
+    PeerExchanges = "jacinthrock_peer_exchanges_total", Counter, ["result"], "Exchanges with peers, by result.";
+    PeerBytes = "jacinthrock_peer_bytes_total", Counter, ["direction"], "Bytes of exchanges with peers, by direction.";
+    LivePeers = "jacinthrock_live_peers", Gauge, [], "Other hosts heard lately.";
+    LeaseHeld = "jacinthrock_lease_held", Gauge, [], "1 while this controller holds the lease.";
+    LeaseChanges = "jacinthrock_lease_changes_total", Counter, ["change"], "Changes of the controller's lease on this host.";
+    Orders = "jacinthrock_orders_total", Counter, ["result"], "Orders to endpoints, by result.";
+    AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
+}
+
+enum MetricVec {
+    Counter(IntCounterVec),
+    Gauge(IntGaugeVec),
+}
+
+/// Holds every metric of the table; nothing else can be counted.
+///
+/// ```
+/// use jacinthrock::{CounterRegistry, MetricName};
+///
+/// let registry = CounterRegistry::new();
+/// registry.count(MetricName::Retries, &["not_sent"]);
+/// assert_eq!(registry.value(MetricName::Retries, &["not_sent"]), 1);
+/// ```
+pub struct CounterRegistry {
+    registry: Registry,
+    vecs: Vec<MetricVec>,
+}
+
+impl Default for CounterRegistry {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl CounterRegistry {
+    /// Registers every metric of the table.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let vecs = MetricName::ALL.iter().map(|name| register(&registry, name.row())).collect();
+        Self { registry, vecs }
+    }
+
+    /// Adds one to a counter.
+    pub fn count(&self, name: MetricName, labels: &[&str]) {
+        self.add(name, labels, 1);
+    }
+
+    /// Adds to a counter or gauge; only a gauge takes a negative amount.
+    pub fn add(&self, name: MetricName, labels: &[&str], amount: i64) {
+        match &self.vecs[name as usize] {
+            MetricVec::Counter(vec) => vec.with_label_values(labels).inc_by(amount.max(0) as u64),
+            MetricVec::Gauge(vec) => vec.with_label_values(labels).add(amount),
+        }
+    }
+
+    /// Sets a gauge.
+    pub fn set(&self, name: MetricName, labels: &[&str], value: i64) {
+        if let MetricVec::Gauge(vec) = &self.vecs[name as usize] {
+            vec.with_label_values(labels).set(value);
+        }
+    }
+
+    /// Reads one value, for status pages and tests.
+    pub fn value(&self, name: MetricName, labels: &[&str]) -> i64 {
+        match &self.vecs[name as usize] {
+            MetricVec::Counter(vec) => vec.with_label_values(labels).get() as i64,
+            MetricVec::Gauge(vec) => vec.with_label_values(labels).get(),
+        }
+    }
+
+    /// Every metric in the text format that Prometheus scrapes.
+    pub fn render(&self) -> String {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        if encoded.is_err() {
+            return String::new();
+        }
+        String::from_utf8(buffer).unwrap_or_default()
+    }
+}
+
+fn register(registry: &Registry, row: MetricRow) -> MetricVec {
+    let opts = Opts::new(row.name, row.help);
+    match row.kind {
+        MetricKind::Counter => {
+            let vec = IntCounterVec::new(opts, row.labels).expect("table rows are valid");
+            registry.register(Box::new(vec.clone())).expect("table rows are unique");
+            MetricVec::Counter(vec)
+        }
+        MetricKind::Gauge => {
+            let vec = IntGaugeVec::new(opts, row.labels).expect("table rows are valid");
+            registry.register(Box::new(vec.clone())).expect("table rows are unique");
+            MetricVec::Gauge(vec)
+        }
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,37 @@
+//! A router for model pipelines spread over mixed accelerators.
+//!
+//! The library holds the decisions and the daemons; the programs in `src/main.rs` and `src/bin`
+//! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
+
+mod codes;
+mod counters;
+mod declaration;
+mod effective;
+mod endpoint;
+mod ids;
+mod outcome;
+mod peer;
+mod picker;
+mod platform;
+
+pub use codes::{CodeRow, ResultCode};
+pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
+pub use declaration::{
+    CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration,
+    NodeKind, NodeSettings, OperationDeclaration, PlainDeclaration,
+};
+pub use effective::{EffectiveConfig, EffectiveCustomer, EffectiveService, ServiceTarget};
+pub use endpoint::{
+    CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
+    GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
+};
+pub use ids::{
+    AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
+    Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
+};
+pub use outcome::CallOutcome;
+pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
+pub use picker::EndpointPicker;
+pub use platform::{
+    MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
+};
