Callers' port, operators' port, settings and result tables

Cause: the daemons need their ports before they can be wired. hyper serves callers, since rouille holds streams back and bounds neither head nor connections; rouille serves operators. Conclusion: parts compile; the gateway that joins them follows.

--- /dev/null
+++ b/src/bin/jacinthrock-controller.rs
@@ -0,0 +1,7 @@
+//! Places models on endpoints while it holds the lease.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jacinthrock::run_controller()
+}
--- /dev/null
+++ b/src/bin/jacinthrock-router.rs
@@ -0,0 +1,7 @@
+//! Routes callers' requests to endpoints.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    jacinthrock::run_router()
+}
--- /dev/null
+++ b/src/callers.rs
@@ -0,0 +1,133 @@
+//! The callers' port: connections, their limits and their graceful end.
+
+use futures::future::LocalBoxFuture;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+
+use crate::codes::ResultCode;
+use crate::config::CallerLimits;
+use crate::counters::{CounterRegistry, MetricName};
+use crate::refusal::AnswerBody;
+
+/// Wait after a failed accept, such as one for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers callers' requests.
+pub(crate) trait CallerHandler {
+    /// Answers one request; a refusal is an answer too.
+    fn handle(&self, request: Request<Incoming>) -> LocalBoxFuture<'_, Response<AnswerBody>>;
+}
+
+/// Serves the callers' port.
+pub(crate) struct CallerServer {
+    limits: CallerLimits,
+    handler: Rc<dyn CallerHandler>,
+    counters: Rc<CounterRegistry>,
+    open: Rc<OpenConnections>,
+}
+
+#[derive(Default)]
+struct OpenConnections {
+    count: Cell<usize>,
+    closed: Notify,
+}
+
+/// Counts a connection for as long as it lives.
+struct ConnectionPermit {
+    open: Rc<OpenConnections>,
+    counters: Rc<CounterRegistry>,
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        self.open.count.set(self.open.count.get() - 1);
+        self.counters.add(MetricName::OpenConnections, &[], -1);
+        self.open.closed.notify_waiters();
+    }
+}
+
+impl CallerServer {
+    /// A server that hands each request to `handler`.
+    pub(crate) fn new(
+        limits: CallerLimits,
+        handler: Rc<dyn CallerHandler>,
+        counters: Rc<CounterRegistry>,
+    ) -> Self {
+        Self { limits, handler, counters, open: Rc::default() }
+    }
+
+    /// Accepts connections until `stop` is true; open ones then end after their request.
+    pub(crate) async fn run(&self, listener: TcpListener, mut stop: watch::Receiver<bool>) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stop.wait_for(|&stop| stop) => return,
+            };
+            match accepted {
+                Ok((stream, _)) => self.admit(stream, stop.clone()),
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            }
+        }
+    }
+
+    /// Waits until every connection has ended.
+    pub(crate) async fn wait_closed(&self) {
+        loop {
+            let closed = self.open.closed.notified();
+            if self.open.count.get() == 0 {
+                return;
+            }
+            closed.await;
+        }
+    }
+
+    fn admit(&self, stream: TcpStream, stop: watch::Receiver<bool>) {
+        if self.open.count.get() >= self.limits.connections {
+            self.counters.count(MetricName::Refusals, &[ResultCode::TooManyConnections.name()]);
+            return;
+        }
+        self.open.count.set(self.open.count.get() + 1);
+        self.counters.add(MetricName::OpenConnections, &[], 1);
+        let permit = ConnectionPermit { open: self.open.clone(), counters: self.counters.clone() };
+        let _ = stream.set_nodelay(true);
+        let handler = self.handler.clone();
+        let limits = self.limits.clone();
+        tokio::task::spawn_local(async move {
+            serve_connection(stream, handler, limits, stop).await;
+            drop(permit);
+        });
+    }
+}
+
+async fn serve_connection(
+    stream: TcpStream,
+    handler: Rc<dyn CallerHandler>,
+    limits: CallerLimits,
+    mut stop: watch::Receiver<bool>,
+) {
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.request_timeout)
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stop.wait_for(|&stop| stop) => connection.as_mut().graceful_shutdown(),
+    }
+    let _ = connection.await;
+}
--- /dev/null
+++ b/src/chat.rs
@@ -0,0 +1,265 @@
+//! Chat completions in the shape that common client libraries speak.
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::TokenPosition;
+
+/// Body of `POST /v1/chat/completions`; fields that are not listed are ignored.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub(crate) struct ChatRequest {
+    pub(crate) model: Box<str>,
+    pub(crate) messages: Vec<ChatMessage>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    n: Option<u32>,
+}
+
+/// One message of a chat.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub(crate) struct ChatMessage {
+    role: Box<str>,
+    content: ChatContent,
+}
+
+/// Content of a message: text, or parts of which only text is taken.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(untagged)]
+enum ChatContent {
+    Text(Box<str>),
+    Parts(Vec<ChatPart>),
+}
+
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum ChatPart {
+    Text { text: Box<str> },
+}
+
+impl ChatRequest {
+    /// Reads a request; the error says what is wrong with it.
+    pub(crate) fn parse(body: &[u8]) -> Result<Self, Box<str>> {
+        let request: Self =
+            serde_json::from_slice(body).map_err(|error| Box::<str>::from(error.to_string()))?;
+        if request.messages.is_empty() {
+            return Err("messages is empty".into());
+        }
+        if request.n.unwrap_or(1) != 1 {
+            return Err("n is not 1".into());
+        }
+        if request.asked_tokens() == Some(0) {
+            return Err("max_tokens is 0".into());
+        }
+        Ok(request)
+    }
+
+    /// Text that the answer continues.
+    pub(crate) fn prompt(&self) -> Box<str> {
+        let lines: Vec<_> = self.messages.iter().map(ChatMessage::line).collect();
+        lines.join("\n").into()
+    }
+
+    /// Length of the answer, at most `limit`.
+    pub(crate) fn length(&self, limit: u32) -> TokenPosition {
+        self.asked_tokens().unwrap_or(limit).min(limit)
+    }
+
+    fn asked_tokens(&self) -> Option<u32> {
+        self.max_completion_tokens.or(self.max_tokens)
+    }
+}
+
+impl ChatMessage {
+    fn line(&self) -> String {
+        format!("{}: {}", self.role, self.content.text())
+    }
+}
+
+impl ChatContent {
+    fn text(&self) -> String {
+        match self {
+            Self::Text(text) => text.to_string(),
+            Self::Parts(parts) => {
+                parts.iter().map(|ChatPart::Text { text }| &**text).collect::<Vec<_>>().concat()
+            }
+        }
+    }
+}
+
+/// Names an answer in each of its parts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ChatLabel {
+    /// Identifier of the answer.
+    pub(crate) id: Box<str>,
+    /// Model as the caller named it.
+    pub(crate) model: Box<str>,
+    /// Time at which the answer began, in seconds since 1970.
+    pub(crate) created: u64,
+}
+
+/// Proof that an answer is whole: its length and the digest over its tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub(crate) struct AnswerSeal {
+    /// Length of the answer, in tokens.
+    pub(crate) length: TokenPosition,
+    /// SHA-256 over the tokens as little-endian bytes, in hexadecimal.
+    pub(crate) digest: Box<str>,
+}
+
+#[derive(Serialize)]
+struct ChatChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [ChunkChoice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    jacinthrock: Option<&'a AnswerSeal>,
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    delta: ChunkDelta<'a>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct ChunkDelta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+#[derive(Serialize)]
+struct ChatWhole<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    model: &'a str,
+    choices: [WholeChoice; 1],
+    usage: ChatUsage,
+    jacinthrock: &'a AnswerSeal,
+}
+
+#[derive(Serialize)]
+struct WholeChoice {
+    index: u32,
+    message: WholeMessage,
+    finish_reason: &'static str,
+}
+
+#[derive(Serialize)]
+struct WholeMessage {
+    role: &'static str,
+    content: String,
+}
+
+#[derive(Serialize)]
+struct ChatUsage {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+#[derive(Serialize)]
+struct ModelList<'a> {
+    object: &'static str,
+    data: Vec<ModelEntry<'a>>,
+}
+
+#[derive(Serialize)]
+struct ModelEntry<'a> {
+    id: &'a str,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+/// Every answer ends because it has its whole length.
+const FINISH_REASON: &str = "length";
+
+/// Last event of a whole stream.
+pub(crate) const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+impl ChatLabel {
+    /// Event that carries one token; the first names the role as well.
+    pub(crate) fn token_event(&self, position: TokenPosition, token: u64) -> Vec<u8> {
+        let text = token_text(token);
+        let role = (position == 0).then_some("assistant");
+        let delta = ChunkDelta { role, content: Some(&text) };
+        self.chunk(delta, None, None)
+    }
+
+    /// Event that ends a whole answer.
+    pub(crate) fn end_event(&self, seal: &AnswerSeal) -> Vec<u8> {
+        let delta = ChunkDelta { role: None, content: None };
+        self.chunk(delta, Some(FINISH_REASON), Some(seal))
+    }
+
+    /// The whole answer in one body.
+    pub(crate) fn whole(&self, prompt: &str, tokens: &[u64], seal: &AnswerSeal) -> Vec<u8> {
+        let prompt_tokens = prompt.split_whitespace().count() as u32;
+        let completion_tokens = tokens.len() as u32;
+        let whole = ChatWhole {
+            id: &self.id,
+            object: "chat.completion",
+            created: self.created,
+            model: &self.model,
+            choices: [WholeChoice {
+                index: 0,
+                message: WholeMessage {
+                    role: "assistant",
+                    content: tokens.iter().map(|&token| token_text(token)).collect(),
+                },
+                finish_reason: FINISH_REASON,
+            }],
+            usage: ChatUsage {
+                prompt_tokens,
+                completion_tokens,
+                total_tokens: prompt_tokens + completion_tokens,
+            },
+            jacinthrock: seal,
+        };
+        serde_json::to_vec(&whole).expect("an answer has only plain fields")
+    }
+
+    fn chunk(
+        &self,
+        delta: ChunkDelta<'_>,
+        finish_reason: Option<&'static str>,
+        seal: Option<&AnswerSeal>,
+    ) -> Vec<u8> {
+        let chunk = ChatChunk {
+            id: &self.id,
+            object: "chat.completion.chunk",
+            created: self.created,
+            model: &self.model,
+            choices: [ChunkChoice { index: 0, delta, finish_reason }],
+            jacinthrock: seal,
+        };
+        event(&serde_json::to_vec(&chunk).expect("a chunk has only plain fields"))
+    }
+}
+
+/// A server-sent event with the given data.
+pub(crate) fn event(data: &[u8]) -> Vec<u8> {
+    [b"data: ", data, b"\n\n"].concat()
+}
+
+/// Body of `GET /v1/models`.
+pub(crate) fn model_list<'a>(names: impl Iterator<Item = &'a str>) -> Vec<u8> {
+    let entry = |id| ModelEntry { id, object: "model", created: 0, owned_by: "jacinthrock" };
+    let list = ModelList { object: "list", data: names.map(entry).collect() };
+    serde_json::to_vec(&list).expect("a list has only plain fields")
+}
+
+/// Text of a token: 16 hexadecimal digits and a space.
+fn token_text(token: u64) -> String {
+    format!("{token:016x} ")
+}
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -75,6 +75,7 @@
     AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
 }
 
+#[derive(Clone)]
 enum MetricVec {
     Counter(IntCounterVec),
     Gauge(IntGaugeVec),
@@ -89,6 +90,7 @@
 /// registry.count(MetricName::Retries, &["not_sent"]);
 /// assert_eq!(registry.value(MetricName::Retries, &["not_sent"]), 1);
 /// ```
+#[derive(Clone)]
 pub struct CounterRegistry {
     registry: Registry,
     vecs: Vec<MetricVec>,
--- /dev/null
+++ b/src/keys.rs
@@ -0,0 +1,42 @@
+//! Bearer keys: which customer a request comes from.
+
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+
+use crate::effective::EffectiveConfig;
+use crate::ids::{ConfigRevision, CustomerName};
+
+/// Customers by the hash of their bearer keys, for one revision of the configuration.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct KeyIndex {
+    revision: ConfigRevision,
+    customers: BTreeMap<Box<str>, CustomerName>,
+}
+
+impl KeyIndex {
+    /// Indexes the keys of every customer.
+    pub(crate) fn new(config: &EffectiveConfig) -> Self {
+        let entry = |hash: &Box<str>, name: &CustomerName| (hash.clone(), name.clone());
+        let customers = config
+            .customers
+            .values()
+            .flat_map(|customer| customer.key_hashes.iter().map(|hash| entry(hash, &customer.name)))
+            .collect();
+        Self { revision: config.revision, customers }
+    }
+
+    /// Revision that the index was made from.
+    pub(crate) fn revision(&self) -> ConfigRevision {
+        self.revision
+    }
+
+    /// Finds the customer that holds a key.
+    pub(crate) fn customer(&self, key: &str) -> Option<&CustomerName> {
+        self.customers.get(&*hex(&Sha256::digest(key.as_bytes())))
+    }
+}
+
+/// Bytes as lower-case hexadecimal digits.
+pub(crate) fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,18 +3,27 @@
 //! The library holds the decisions and the daemons; the programs in `src/main.rs` and `src/bin`
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
+mod callers;
+mod chat;
 mod codes;
+mod config;
 mod counters;
 mod declaration;
 mod effective;
 mod endpoint;
+mod engine_http;
+mod flags;
 mod ids;
+mod logs;
+mod operator;
 mod outcome;
 mod peer;
 mod picker;
 mod platform;
+mod refusal;
 
 pub use codes::{CodeRow, ResultCode};
+pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
 pub use declaration::{
     CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration,
@@ -25,6 +34,7 @@
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
+pub use engine_http::HttpCaller;
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
--- /dev/null
+++ b/src/logs.rs
@@ -0,0 +1,24 @@
+//! Structured logs: one JSON object a line on standard error.
+
+use logforth::append::Stderr;
+use logforth::layout::JsonLayout;
+use logforth::record::{Level, LevelFilter};
+
+/// Starts logging at the given level; a second start in one process has no effect.
+pub(crate) fn start(level: log::LevelFilter) {
+    let filter = match level {
+        log::LevelFilter::Off => LevelFilter::Off,
+        log::LevelFilter::Error => LevelFilter::MoreSevereEqual(Level::Error),
+        log::LevelFilter::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
+        log::LevelFilter::Info => LevelFilter::MoreSevereEqual(Level::Info),
+        log::LevelFilter::Debug | log::LevelFilter::Trace => {
+            LevelFilter::MoreSevereEqual(Level::Debug)
+        }
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| {
+            let stderr = Stderr::default().with_layout(JsonLayout::default());
+            dispatch.filter(filter).append(stderr)
+        })
+        .apply();
+}
