--- a/src/codes.rs
+++ b/src/codes.rs
@@ -86,6 +86,7 @@
     ClaimUnknown = 4002, "claim_unknown", 409, false, "The outcome under this key is unknown; it is never sent again.";
     LedgerUnavailable = 4003, "ledger_unavailable", 503, true, "The claim could not be recorded, so the call was not sent.";
     LedgerFull = 4004, "ledger_full", 503, true, "The ledger shard holds as many records as it may.";
+    AnswerNotKept = 4005, "answer_not_kept", 409, false, "The call under this key ran; its answer was too large to keep.";
     // 5xxx: the platform's store.
     StoreUnavailable = 5001, "store_unavailable", 0, true, "The platform's store did not answer.";
     StoreConflict = 5002, "store_conflict", 0, false, "The object has another version than expected.";
--- /dev/null
+++ b/src/ledger/record.rs
@@ -0,0 +1,159 @@
+//! What the ledger keeps about one idempotency key.
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use std::fmt::Write as _;
+use std::time::Duration;
+
+use crate::endpoint::{PlainCall, PlainReply};
+use crate::ids::{CustomerName, HostName, Incarnation};
+use crate::ledger::key::ClaimKey;
+
+/// Bytes of the digest that a fingerprint keeps.
+const FINGERPRINT_BYTES: usize = 16;
+
+/// Digest of a request; the same key with another fingerprint is refused.
+pub type RequestFingerprint = Box<str>;
+
+/// A process that claims keys: one run of a router on a host.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ClaimHolder {
+    /// Host of the process.
+    pub host: HostName,
+    /// Run of the process on the host.
+    pub incarnation: Incarnation,
+}
+
+/// Identity of one claim; no two claims share it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct ClaimId {
+    #[serde(flatten)]
+    pub(crate) holder: ClaimHolder,
+    pub(crate) sequence: u64,
+}
+
+/// Proof of a granted claim: whoever has it may send the call once.
+#[derive(Debug, PartialEq, Eq)]
+pub struct ClaimTicket {
+    pub(crate) key: ClaimKey,
+    pub(crate) customer: CustomerName,
+    pub(crate) claim: ClaimId,
+}
+
+/// How a claimed call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimSettlement {
+    /// The call ran, with this answer.
+    Done(PlainReply),
+    /// The call did not run and never will under this claim; the key may be claimed again.
+    NotRun,
+    /// The call may have run.
+    Unknown,
+}
+
+/// State of a record.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "state", rename_all = "kebab-case")]
+pub enum RecordState {
+    /// A holder may be running the call.
+    Claimed,
+    /// The call ran.
+    Done {
+        /// HTTP status of the answer.
+        status: u16,
+        /// Content type of the answer.
+        content_type: Box<str>,
+        /// Body of the answer; absent where it was too large to keep.
+        body: Option<StoredBody>,
+    },
+    /// The call may have run; the key is never sent again.
+    Unknown,
+    /// The call did not run; the key may be claimed again.
+    NotRun,
+}
+
+/// Body of a stored answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum StoredBody {
+    /// A body in UTF-8.
+    Text(Box<str>),
+    /// Any other body, in hexadecimal.
+    Hex(Box<str>),
+}
+
+/// A record of a page.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    pub(crate) fingerprint: RequestFingerprint,
+    #[serde(flatten)]
+    pub(crate) claim: ClaimId,
+    pub(crate) deadline_ms: u64,
+    #[serde(flatten)]
+    pub(crate) state: RecordState,
+}
+
+impl ClaimRecord {
+    /// State of the record.
+    pub fn state(&self) -> &RecordState {
+        &self.state
+    }
+
+    pub(crate) fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+}
+
+impl StoredBody {
+    pub(crate) fn from_bytes(bytes: &[u8]) -> Self {
+        match std::str::from_utf8(bytes) {
+            Ok(text) => Self::Text(text.into()),
+            Err(_) => Self::Hex(hexadecimal(bytes)),
+        }
+    }
+
+    pub(crate) fn to_bytes(&self) -> Option<Box<[u8]>> {
+        match self {
+            Self::Text(text) => Some(text.as_bytes().into()),
+            Self::Hex(text) => bytes_of(text),
+        }
+    }
+}
+
+impl RecordState {
+    pub(crate) fn from_settlement(settlement: &ClaimSettlement, max_answer_bytes: usize) -> Self {
+        match settlement {
+            ClaimSettlement::Done(reply) => Self::Done {
+                status: reply.status,
+                content_type: reply.content_type.clone(),
+                body: (reply.body.len() <= max_answer_bytes)
+                    .then(|| StoredBody::from_bytes(&reply.body)),
+            },
+            ClaimSettlement::NotRun => Self::NotRun,
+            ClaimSettlement::Unknown => Self::Unknown,
+        }
+    }
+}
+
+/// Computes the fingerprint of a request to a service.
+pub(crate) fn fingerprint(service: &str, call: &PlainCall) -> RequestFingerprint {
+    let mut hasher = Sha256::new();
+    for part in [service.as_bytes(), call.method.as_bytes(), call.path.as_bytes(), &call.body] {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hexadecimal(&hasher.finalize()[..FINGERPRINT_BYTES])
+}
+
+fn hexadecimal(bytes: &[u8]) -> Box<str> {
+    let mut text = String::with_capacity(bytes.len() * 2);
+    for byte in bytes {
+        let _ = write!(text, "{byte:02x}");
+    }
+    text.into()
+}
+
+fn bytes_of(text: &str) -> Option<Box<[u8]>> {
+    let pairs = text.as_bytes().chunks(2);
+    pairs.map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()).collect()
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,9 +9,11 @@
 mod effective;
 mod endpoint;
 mod ids;
+mod ledger;
 mod outcome;
 mod peer;
 mod picker;
+mod plain;
 mod platform;
 
 pub use codes::{CodeRow, ResultCode};
@@ -29,9 +31,16 @@
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
+pub use ledger::{
+    ClaimHolder, ClaimKey, ClaimRecord, ClaimRequest, ClaimSettlement, ClaimTicket, ClaimVerdict,
+    ExpiryReport, HolderLiveness, IntentAnswer, IntentId, LedgerError, LedgerFloor, LedgerGuard,
+    LedgerOptions, LedgerPage, LedgerService, PageAction, PageEvent, PageIntent, PageLedger,
+    PageStep, RecordState, RequestFingerprint, StoredBody,
+};
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
+pub use plain::{PlainContext, PlainDriver, PlainGuard, PlainOptions, PlainRequest, PlainResult};
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
--- /dev/null
+++ b/src/plain.rs
@@ -0,0 +1,356 @@
+//! Calls to plain services: retries where they are safe, and one run where they are not.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::codes::ResultCode;
+use crate::counters::{CounterRegistry, MetricName};
+use crate::declaration::EndpointDeclaration;
+use crate::endpoint::{CallFailure, EndpointCaller, PlainCall, PlainReply};
+use crate::ids::{CustomerName, EndpointName, ServiceName};
+use crate::ledger::{
+    ClaimRequest, ClaimSettlement, ClaimTicket, ClaimVerdict, LedgerService, fingerprint,
+};
+use crate::outcome::CallOutcome;
+use crate::picker::EndpointPicker;
+
+/// Header that carries the idempotency key to the endpoint.
+const KEY_HEADER: &str = "idempotency-key";
+/// Wait that a caller is given when no endpoint took the call.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+/// Shortest time that an attempt of an idempotent call is given, unless the deadline is nearer.
+const SHORTEST_ATTEMPT: Duration = Duration::from_millis(100);
+
+/// Protection of plain calls that a test switches off to show that its checker notices.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PlainGuard {
+    /// Takes a call that broke after it was sent for unknown, instead of not run.
+    BrokenIsUnknown,
+    /// Sends only under a granted claim, instead of also when the ledger can't be reached.
+    ClaimBeforeSend,
+}
+
+/// Times of plain calls.
+#[derive(Clone, Debug)]
+pub struct PlainOptions {
+    /// Longest time that a caller waits until its call is recorded as not run.
+    pub settle_wait: Duration,
+    /// Protection that is switched off; only for tests.
+    pub disabled: Option<PlainGuard>,
+}
+
+impl Default for PlainOptions {
+    fn default() -> Self {
+        Self { settle_wait: Duration::from_millis(250), disabled: None }
+    }
+}
+
+/// A caller's request to a plain service.
+#[derive(Clone, Debug)]
+pub struct PlainRequest {
+    /// Service that is called.
+    pub service: ServiceName,
+    /// Customer that calls.
+    pub customer: CustomerName,
+    /// Whether the call may be repeated.
+    pub idempotent: bool,
+    /// The caller's `Idempotency-Key`; a non-idempotent call needs one.
+    pub key: Option<Box<str>>,
+    /// Call to send on; its timeout is set for each attempt.
+    pub call: PlainCall,
+    /// Time after which the caller no longer waits.
+    pub deadline: Instant,
+    /// This host's wall clock, since the Unix epoch; only to refuse keys by age.
+    pub unix_now: Duration,
+}
+
+/// What a call needs besides the request.
+#[derive(Clone)]
+pub struct PlainContext {
+    /// Chooses the service's endpoints.
+    pub picker: Rc<dyn EndpointPicker>,
+    /// Takes one retry from the budget, if any is left.
+    pub may_retry: Rc<dyn Fn() -> bool>,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlainResult {
+    /// What is known about whether the call ran.
+    pub outcome: CallOutcome,
+    /// The service's answer, where there is one.
+    pub reply: Option<PlainReply>,
+    /// Why there is no answer.
+    pub code: Option<ResultCode>,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl PlainResult {
+    fn done(reply: PlainReply) -> Self {
+        Self { outcome: CallOutcome::Done, reply: Some(reply), code: None, retry_after: None }
+    }
+
+    fn failed(outcome: CallOutcome, code: ResultCode, retry_after: Option<Duration>) -> Self {
+        Self { outcome, reply: None, code: Some(code), retry_after }
+    }
+}
+
+/// What is known about earlier attempts when no further one is made.
+struct AttemptsEnd {
+    code: ResultCode,
+    broken: bool,
+}
+
+/// Runs calls to plain services; clones share their state.
+#[derive(Clone)]
+pub struct PlainDriver {
+    caller: Rc<dyn EndpointCaller>,
+    ledger: LedgerService,
+    counters: Rc<CounterRegistry>,
+    options: PlainOptions,
+}
+
+impl PlainDriver {
+    /// Makes a driver that sends through `caller` and claims keys in `ledger`.
+    pub fn new(
+        caller: Rc<dyn EndpointCaller>,
+        ledger: LedgerService,
+        counters: Rc<CounterRegistry>,
+        options: PlainOptions,
+    ) -> Self {
+        Self { caller, ledger, counters, options }
+    }
+
+    /// Runs one call.
+    ///
+    /// A non-idempotent call goes on when this future is dropped: a caller that goes away must
+    /// not leave it half-way.
+    pub async fn run(&self, request: PlainRequest, context: PlainContext) -> PlainResult {
+        if request.idempotent {
+            return self.run_idempotent(&request, &context).await;
+        }
+        let Some(key) = request.key.clone() else {
+            let code = ResultCode::IdempotencyKeyMissing;
+            return PlainResult::failed(CallOutcome::NotRun, code, None);
+        };
+        let driver = self.clone();
+        let task =
+            tokio::task::spawn_local(
+                async move { driver.run_claimed(&key, request, &context).await },
+            );
+        task.await.unwrap_or_else(|_| {
+            PlainResult::failed(CallOutcome::Unknown, ResultCode::EndpointFailed, None)
+        })
+    }
+
+    async fn run_idempotent(&self, request: &PlainRequest, context: &PlainContext) -> PlainResult {
+        match self.attempt_all(request, context).await {
+            Ok(reply) => PlainResult::done(reply),
+            Err(end) if end.broken => {
+                PlainResult::failed(CallOutcome::Unknown, end.code, Some(NO_ENDPOINT_RETRY))
+            }
+            Err(end) => PlainResult::failed(CallOutcome::NotRun, end.code, Some(NO_ENDPOINT_RETRY)),
+        }
+    }
+
+    async fn run_claimed(
+        &self,
+        key: &str,
+        mut request: PlainRequest,
+        context: &PlainContext,
+    ) -> PlainResult {
+        let claim = ClaimRequest {
+            key,
+            fingerprint: fingerprint(&request.service, &request.call),
+            customer: request.customer.clone(),
+            deadline: request.deadline.saturating_duration_since(Instant::now()),
+        };
+        pass_key_on(&mut request.call, key);
+        match self.ledger.claim(claim, request.unix_now).await {
+            ClaimVerdict::Granted(ticket) => self.run_granted(ticket, &request, context).await,
+            ClaimVerdict::Finished(reply) => PlainResult::done(reply),
+            ClaimVerdict::Refused { code, retry_after } => {
+                if code == ResultCode::LedgerUnavailable
+                    && self.options.disabled == Some(PlainGuard::ClaimBeforeSend)
+                {
+                    return self.run_idempotent(&request, context).await;
+                }
+                PlainResult::failed(refusal_outcome(code), code, retry_after)
+            }
+        }
+    }
+
+    async fn run_granted(
+        &self,
+        ticket: ClaimTicket,
+        request: &PlainRequest,
+        context: &PlainContext,
+    ) -> PlainResult {
+        match self.attempt_all(request, context).await {
+            Ok(reply) => {
+                self.ledger.settle_later(ticket, ClaimSettlement::Done(reply.clone()));
+                PlainResult::done(reply)
+            }
+            Err(end) if end.broken => {
+                self.ledger.settle_later(ticket, ClaimSettlement::Unknown);
+                PlainResult::failed(CallOutcome::Unknown, end.code, None)
+            }
+            Err(end) => {
+                // Settled before the answer, so that the caller's next try finds the key free.
+                let settle = self.settle_not_run(ticket);
+                let _ = tokio::time::timeout(self.options.settle_wait, settle).await;
+                PlainResult::failed(CallOutcome::NotRun, end.code, Some(NO_ENDPOINT_RETRY))
+            }
+        }
+    }
+
+    async fn settle_not_run(&self, ticket: ClaimTicket) {
+        let ledger = self.ledger.clone();
+        let task = tokio::task::spawn_local(async move {
+            let _ = ledger.settle(ticket, ClaimSettlement::NotRun).await;
+        });
+        let _ = task.await;
+    }
+
+    /// Tries endpoints until one answers or no further attempt is safe.
+    async fn attempt_all(
+        &self,
+        request: &PlainRequest,
+        context: &PlainContext,
+    ) -> Result<PlainReply, AttemptsEnd> {
+        let mut tried = BTreeSet::new();
+        let mut end = AttemptsEnd { code: ResultCode::NoEndpoint, broken: false };
+        loop {
+            // Checked right before each send: the host may have been paused since the claim.
+            if Instant::now() >= request.deadline {
+                return Err(AttemptsEnd { code: ResultCode::DeadlinePassed, ..end });
+            }
+            let Some(endpoint) = context.picker.pick(&tried) else {
+                return Err(end);
+            };
+            if !tried.is_empty() && !(context.may_retry)() {
+                return Err(end.without_budget());
+            }
+            tried.insert(endpoint.name.clone());
+            let failure = match self.attempt(request, context, &endpoint).await {
+                Ok(reply) => return Ok(reply),
+                Err(failure) => failure,
+            };
+            end.learn(&failure, request.deadline, self.options.disabled);
+            if end.broken && !request.idempotent {
+                return Err(end);
+            }
+            self.counters.count(MetricName::Retries, &[failure_label(&failure)]);
+        }
+    }
+
+    async fn attempt(
+        &self,
+        request: &PlainRequest,
+        context: &PlainContext,
+        endpoint: &EndpointDeclaration,
+    ) -> Result<PlainReply, CallFailure> {
+        let started = Instant::now();
+        let timeout = attempt_timeout(request, started);
+        let call = PlainCall { timeout, ..request.call.clone() };
+        let mut attempt = AttemptNotice::start(context.picker.clone(), endpoint.name.clone());
+        let reply = self.caller.call(&endpoint.address, call);
+        let result = match tokio::time::timeout(timeout, reply).await {
+            Ok(result) => result,
+            Err(_) => Err(CallFailure::Broken("no answer in time".into())),
+        };
+        attempt.finish(result.as_ref().err());
+        result
+    }
+}
+
+/// Tells the picker about an attempt, also where its future is dropped.
+struct AttemptNotice {
+    picker: Rc<dyn EndpointPicker>,
+    endpoint: EndpointName,
+    started: Instant,
+    finished: bool,
+}
+
+impl AttemptNotice {
+    fn start(picker: Rc<dyn EndpointPicker>, endpoint: EndpointName) -> Self {
+        picker.started(&endpoint);
+        Self { picker, endpoint, started: Instant::now(), finished: false }
+    }
+
+    fn finish(&mut self, failure: Option<&CallFailure>) {
+        self.finished = true;
+        self.picker.finished(&self.endpoint, self.started.elapsed(), failure);
+    }
+}
+
+impl Drop for AttemptNotice {
+    fn drop(&mut self) {
+        if !self.finished {
+            self.finish(None);
+        }
+    }
+}
+
+impl AttemptsEnd {
+    fn learn(&mut self, failure: &CallFailure, deadline: Instant, disabled: Option<PlainGuard>) {
+        match failure {
+            CallFailure::NotSent(_) if !self.broken => self.code = ResultCode::NoEndpoint,
+            CallFailure::Refused { .. } if !self.broken => self.code = ResultCode::EndpointRefused,
+            CallFailure::NotSent(_) | CallFailure::Refused { .. } => {}
+            CallFailure::Broken(_) => {
+                self.broken = disabled != Some(PlainGuard::BrokenIsUnknown);
+                self.code = ResultCode::EndpointFailed;
+                if Instant::now() >= deadline {
+                    self.code = ResultCode::DeadlinePassed;
+                }
+            }
+        }
+    }
+
+    fn without_budget(self) -> Self {
+        if self.broken {
+            return self;
+        }
+        Self { code: ResultCode::RetryBudgetSpent, ..self }
+    }
+}
+
+/// What a caller may believe about the key's call when the ledger refuses the request.
+///
+/// A request under a key that was claimed before sends nothing, but the earlier one may have run:
+/// a caller that took the answer for not run would book again under another key.
+fn refusal_outcome(code: ResultCode) -> CallOutcome {
+    match code {
+        ResultCode::AnswerNotKept => CallOutcome::Done,
+        ResultCode::ClaimInFlight
+        | ResultCode::ClaimUnknown
+        | ResultCode::IdempotencyKeyExpired => CallOutcome::Unknown,
+        _ => CallOutcome::NotRun,
+    }
+}
+
+/// Half of the time left for a call that may be tried again, else all of it.
+fn attempt_timeout(request: &PlainRequest, now: Instant) -> Duration {
+    let left = request.deadline.saturating_duration_since(now);
+    if !request.idempotent {
+        return left;
+    }
+    (left / 2).max(SHORTEST_ATTEMPT).min(left)
+}
+
+fn pass_key_on(call: &mut PlainCall, key: &str) {
+    call.headers.retain(|(name, _)| &**name != KEY_HEADER);
+    call.headers.push((KEY_HEADER.into(), key.into()));
+}
+
+fn failure_label(failure: &CallFailure) -> &'static str {
+    match failure {
+        CallFailure::NotSent(_) => "not_sent",
+        CallFailure::Refused { .. } => "refused",
+        CallFailure::Broken(_) => "broken",
+    }
+}
