--- /dev/null
+++ b/src/chain.rs
@@ -0,0 +1,280 @@
+//! Choice of a chain: endpoints whose layer ranges cover the model once, in order, at least cost.
+//!
+//! The planner walks the layer boundaries in order and keeps, for each pair of boundary and
+//! failure domain, the cheapest way to reach it. With N endpoints of a model and D failure
+//! domains a choice takes O(N log N + N * D) steps and O(N) memory; the number of chains, which
+//! grows as a power of the number of stages, plays no part.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::endpoint::RouteStage;
+use crate::ids::{DomainName, EndpointName, LayerIndex};
+use crate::link::LinkTable;
+
+/// How a chain is chosen; all but the first are baselines for measurements.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ChainPolicy {
+    /// Least cost over stages and links, of two random endpoints for each range and domain.
+    #[default]
+    LeastCost,
+    /// A random endpoint at each boundary.
+    Random,
+    /// The endpoints of each boundary in turn.
+    RoundRobin,
+    /// The endpoint with the fewest requests of this router in flight.
+    LeastInFlight,
+    /// The less loaded of two random endpoints.
+    TwoChoices,
+}
+
+/// An endpoint that may serve as a stage.
+#[derive(Clone, Debug)]
+pub struct StageCandidate {
+    /// Name of the endpoint.
+    pub endpoint: EndpointName,
+    /// IP address and port.
+    pub address: Box<str>,
+    /// Failure domain that the endpoint is in.
+    pub domain: DomainName,
+    /// First layer that it reports.
+    pub first_layer: LayerIndex,
+    /// Last layer that it reports.
+    pub last_layer: LayerIndex,
+    /// Seconds that a token is expected to take in it.
+    pub seconds: f64,
+    /// Seconds added to the cost to steer away from it.
+    pub penalty: f64,
+    /// Requests of this router in flight at it.
+    pub in_flight: u32,
+    /// Requests of all routers at it, as far as known.
+    pub load: f64,
+}
+
+/// A chain that covers every layer once.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlannedChain {
+    /// Stages in the order of their layers.
+    pub stages: Vec<RouteStage>,
+    /// Failure domains of the stages.
+    pub domains: Vec<DomainName>,
+    /// Time that a token is expected to take through the chain.
+    pub token_time: Duration,
+}
+
+/// Chooses chains; holds the random numbers that keep routers from herding.
+pub struct ChainPlanner {
+    policy: ChainPolicy,
+    rng: ChaCha8Rng,
+    turn: usize,
+}
+
+#[derive(Clone, Copy)]
+struct Reach<'a> {
+    cost: f64,
+    seconds: f64,
+    candidate: &'a StageCandidate,
+    previous: Option<usize>,
+}
+
+impl ChainPlanner {
+    /// A planner whose choices depend only on the seed and on what it is asked.
+    pub fn new(policy: ChainPolicy, seed: u64) -> Self {
+        Self { policy, rng: ChaCha8Rng::seed_from_u64(seed), turn: 0 }
+    }
+
+    /// Chooses a chain over layers 0 to `layers - 1`, or none where the candidates leave a gap.
+    ///
+    /// ```
+    /// use jacinthrock::{ChainPlanner, ChainPolicy, LinkTable};
+    ///
+    /// let mut planner = ChainPlanner::new(ChainPolicy::LeastCost, 1);
+    /// assert_eq!(planner.plan(24, &[], &LinkTable::default()), None);
+    /// ```
+    pub fn plan(
+        &mut self,
+        layers: LayerIndex,
+        candidates: &[StageCandidate],
+        links: &LinkTable,
+    ) -> Option<PlannedChain> {
+        if self.policy == ChainPolicy::LeastCost {
+            let drawn = self.draw_candidates(candidates);
+            return cheapest_chain(layers, &drawn, links);
+        }
+        self.walk(layers, candidates, links)
+    }
+
+    /// A random factor from 0.5 to 1.5, to spread what would else come at once.
+    pub(crate) fn jitter(&mut self) -> f64 {
+        self.rng.random_range(0.5..1.5)
+    }
+
+    /// A random index below `options`, which is not 0.
+    pub(crate) fn draw(&mut self, options: usize) -> usize {
+        self.rng.random_range(0..options)
+    }
+
+    /// Keeps the cheaper of two random endpoints for each range and failure domain.
+    fn draw_candidates<'a>(&mut self, candidates: &'a [StageCandidate]) -> Vec<&'a StageCandidate> {
+        let mut groups: BTreeMap<(LayerIndex, LayerIndex, &str), Vec<&StageCandidate>> =
+            BTreeMap::new();
+        for candidate in candidates {
+            let key = (candidate.first_layer, candidate.last_layer, &*candidate.domain);
+            groups.entry(key).or_default().push(candidate);
+        }
+        groups.into_values().map(|group| self.better_of_two(&group, stage_cost)).collect()
+    }
+
+    fn better_of_two<'a>(
+        &mut self,
+        group: &[&'a StageCandidate],
+        cost: impl Fn(&StageCandidate) -> f64,
+    ) -> &'a StageCandidate {
+        let first = self.rng.random_range(0..group.len());
+        if group.len() == 1 {
+            return group[first];
+        }
+        let step = self.rng.random_range(1..group.len());
+        let second = (first + step) % group.len();
+        if cost(group[second]) < cost(group[first]) { group[second] } else { group[first] }
+    }
+
+    /// Chooses stage by stage, for the baselines.
+    fn walk(
+        &mut self,
+        layers: LayerIndex,
+        candidates: &[StageCandidate],
+        links: &LinkTable,
+    ) -> Option<PlannedChain> {
+        let finishing = finishing_boundaries(layers, candidates);
+        let mut chain: Vec<&StageCandidate> = Vec::new();
+        let mut boundary = 0;
+        self.turn = self.turn.wrapping_add(1);
+        while boundary < layers {
+            let fits = |candidate: &&StageCandidate| {
+                candidate.first_layer == boundary && finishing.contains(&(candidate.last_layer + 1))
+            };
+            let mut options: Vec<_> = candidates.iter().filter(fits).collect();
+            let lowest = options.iter().map(|option| option.penalty).reduce(f64::min)?;
+            options.retain(|option| option.penalty <= lowest);
+            let chosen = self.choose(&options);
+            boundary = chosen.last_layer + 1;
+            chain.push(chosen);
+        }
+        Some(planned(&chain, links))
+    }
+
+    fn choose<'a>(&mut self, options: &[&'a StageCandidate]) -> &'a StageCandidate {
+        match self.policy {
+            ChainPolicy::RoundRobin => options[self.turn % options.len()],
+            ChainPolicy::LeastInFlight => {
+                let start = self.rng.random_range(0..options.len());
+                let rotated = options[start..].iter().chain(&options[..start]);
+                rotated.min_by_key(|option| option.in_flight).expect("options are not empty")
+            }
+            ChainPolicy::TwoChoices => self.better_of_two(options, |option| option.load),
+            _ => options[self.rng.random_range(0..options.len())],
+        }
+    }
+}
+
+fn stage_cost(candidate: &StageCandidate) -> f64 {
+    candidate.seconds + candidate.penalty
+}
+
+fn finishing_boundaries(layers: LayerIndex, candidates: &[StageCandidate]) -> BTreeSet<LayerIndex> {
+    let mut finishing = BTreeSet::from([layers]);
+    let mut ordered: Vec<_> = candidates.iter().collect();
+    ordered.sort_by_key(|candidate| std::cmp::Reverse(candidate.first_layer));
+    for candidate in ordered {
+        if finishing.contains(&(candidate.last_layer + 1)) {
+            finishing.insert(candidate.first_layer);
+        }
+    }
+    finishing
+}
+
+fn cheapest_chain(
+    layers: LayerIndex,
+    candidates: &[&StageCandidate],
+    links: &LinkTable,
+) -> Option<PlannedChain> {
+    let mut ordered = candidates.to_vec();
+    ordered.sort_by_key(|candidate| candidate.first_layer);
+    let mut reaches: Vec<Reach> = Vec::with_capacity(ordered.len());
+    let mut best: BTreeMap<(LayerIndex, &str), usize> = BTreeMap::new();
+    for candidate in ordered {
+        let Some(reach) = extend(candidate, &reaches, &best, links) else {
+            continue;
+        };
+        let key = (candidate.last_layer + 1, &*candidate.domain);
+        if best.get(&key).is_some_and(|other| reaches[*other].cost <= reach.cost) {
+            continue;
+        }
+        best.insert(key, reaches.len());
+        reaches.push(reach);
+    }
+    let ends = best.iter().filter(|((boundary, _), _)| *boundary == layers);
+    let end =
+        ends.min_by(|left, right| reaches[*left.1].cost.total_cmp(&reaches[*right.1].cost))?;
+    Some(planned(&backtrack(&reaches, *end.1), links))
+}
+
+/// The cheapest way to a candidate, over the failure domains that reach its first layer.
+fn extend<'a>(
+    candidate: &'a StageCandidate,
+    reaches: &[Reach<'a>],
+    best: &BTreeMap<(LayerIndex, &'a str), usize>,
+    links: &LinkTable,
+) -> Option<Reach<'a>> {
+    if candidate.last_layer < candidate.first_layer {
+        return None;
+    }
+    let own = stage_cost(candidate);
+    if candidate.first_layer == 0 {
+        return Some(Reach { cost: own, seconds: candidate.seconds, candidate, previous: None });
+    }
+    let boundary = candidate.first_layer;
+    let before = best.range((boundary, "")..).take_while(|((reached, _), _)| *reached == boundary);
+    let ways = before.map(|((_, domain), index)| {
+        let link = links.seconds(domain, &candidate.domain);
+        let previous = &reaches[*index];
+        Reach {
+            cost: previous.cost + link + own,
+            seconds: previous.seconds + link + candidate.seconds,
+            candidate,
+            previous: Some(*index),
+        }
+    });
+    ways.min_by(|left, right| left.cost.total_cmp(&right.cost))
+}
+
+fn backtrack<'a>(reaches: &[Reach<'a>], end: usize) -> Vec<&'a StageCandidate> {
+    let mut chain = Vec::new();
+    let mut next = Some(end);
+    while let Some(index) = next {
+        chain.push(reaches[index].candidate);
+        next = reaches[index].previous;
+    }
+    chain.reverse();
+    chain
+}
+
+fn planned(chain: &[&StageCandidate], links: &LinkTable) -> PlannedChain {
+    let stages = chain.iter().map(|candidate| RouteStage {
+        endpoint: candidate.endpoint.clone(),
+        address: candidate.address.clone(),
+        first_layer: candidate.first_layer,
+        last_layer: candidate.last_layer,
+    });
+    let hops = chain.windows(2).map(|pair| links.seconds(&pair[0].domain, &pair[1].domain));
+    let seconds = chain.iter().map(|candidate| candidate.seconds).sum::<f64>() + hops.sum::<f64>();
+    PlannedChain {
+        stages: stages.collect(),
+        domains: chain.iter().map(|candidate| candidate.domain.clone()).collect(),
+        token_time: Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)),
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,628 @@
+//! A router's view of every endpoint: reports, own requests in flight, health and leaving.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+use crate::counters::{CounterRegistry, MetricName};
+use crate::declaration::{EndpointDeclaration, ModelDeclaration};
+use crate::effective::{EffectiveConfig, ServiceTarget};
+use crate::ejection::{EjectionOptions, EjectionTable, EndpointHealth};
+use crate::endpoint::{CallFailure, EngineStatus};
+use crate::ids::{ConfigRevision, DomainName, EndpointName, LayerIndex, ServiceName};
+use crate::link::LinkTable;
+use crate::prefix::PrefixMemory;
+
+/// Seconds that a token takes in a stage of which nothing was observed yet.
+const UNOBSERVED_STAGE_SECONDS: f64 = 0.02;
+
+/// Least seconds that a stage is taken to need for a token.
+const LEAST_STAGE_SECONDS: f64 = 0.000_1;
+
+/// Share of each error that one observed token corrects.
+const LEARNING_RATE: f64 = 0.05;
+
+/// Share of the time of a stage that a cached prefix is taken to save.
+const PREFIX_SAVING: f64 = 0.15;
+
+/// Seconds of penalty for each strike since the last success.
+const STRIKE_PENALTY_SECONDS: f64 = 0.05;
+
+/// Seconds of penalty for each failure of an endpoint in this request.
+const AVOIDED_ENDPOINT_SECONDS: f64 = 100.0;
+
+/// Seconds of penalty for each failure in the failure domain in this request.
+const AVOIDED_DOMAIN_SECONDS: f64 = 0.05;
+
+/// Seconds that a stage which still holds the request's KV cache is taken to save.
+const KV_HELD_SECONDS: f64 = 0.02;
+
+/// Time after an endpoint's own refusal in which no report of it clears the refusal.
+const REFUSAL_HOLD: Duration = Duration::from_secs(1);
+
+/// Time after which an endpoint that gives no reports is tried again after its refusal.
+const REFUSAL_RETRY: Duration = Duration::from_secs(30);
+
+/// Seconds that a call to a plain service takes of which nothing was observed yet.
+const UNOBSERVED_CALL_SECONDS: f64 = 0.005;
+
+/// Weight of the newest call in the smoothed latency of a plain service.
+const CALL_SMOOTHING: f64 = 0.1;
+
+/// Options of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetOptions {
+    /// How chains are chosen.
+    pub policy: ChainPolicy,
+    /// Seed of the random choices; differs on each host.
+    pub seed: u64,
+    /// Thresholds of ejection.
+    pub ejection: EjectionOptions,
+    /// Shortest time between two polls of one endpoint.
+    pub poll_interval: Duration,
+    /// Longest rate of polls over all endpoints, in polls a second.
+    pub polls_per_second: u32,
+    /// Whether routes use only endpoints that report the declared version.
+    pub match_version: bool,
+}
+
+impl Default for FleetOptions {
+    fn default() -> Self {
+        Self {
+            policy: ChainPolicy::default(),
+            seed: 0,
+            ejection: EjectionOptions::default(),
+            poll_interval: Duration::from_millis(500),
+            polls_per_second: 100,
+            match_version: true,
+        }
+    }
+}
+
+/// Who said that an endpoint is leaving.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LeavingSource {
+    /// The platform's list of hosts.
+    PlatformList,
+    /// The controller's drain mark.
+    DrainMark,
+}
+
+/// What a chain is needed for.
+#[derive(Clone, Debug)]
+pub struct ChainDemand<'a> {
+    /// Model to run.
+    pub model: &'a ModelDeclaration,
+    /// Text that the answer continues.
+    pub prompt: &'a str,
+    /// Endpoints and domains that failed in this request.
+    pub avoid: &'a AvoidSet,
+}
+
+/// Failures of one request so far.
+#[derive(Clone, Debug, Default)]
+pub struct AvoidSet {
+    endpoints: BTreeMap<EndpointName, u32>,
+    domains: BTreeMap<DomainName, u32>,
+    holders: BTreeSet<EndpointName>,
+}
+
+/// Failures of one endpoint in one request after which the request does not use it again.
+const EXCLUDING_FAILURES: u32 = 2;
+
+impl AvoidSet {
+    /// Steers away from an endpoint; with `certain` it is not used again for this request.
+    pub(crate) fn avoid(&mut self, endpoint: &str, certain: bool) {
+        let weight = if certain { EXCLUDING_FAILURES } else { 1 };
+        *self.endpoints.entry(endpoint.into()).or_default() += weight;
+        self.holders.remove(endpoint);
+    }
+
+    /// Steers away from a failure domain.
+    pub(crate) fn avoid_domain(&mut self, domain: &str) {
+        *self.domains.entry(domain.into()).or_default() += 1;
+    }
+
+    /// Forgets the uncertain failures, once the answer has made progress.
+    pub(crate) fn forgive(&mut self) {
+        self.endpoints.retain(|_, failures| *failures >= EXCLUDING_FAILURES);
+        self.domains.clear();
+    }
+
+    /// Notes the endpoints that still hold the request's KV cache.
+    pub(crate) fn hold(&mut self, holders: BTreeSet<EndpointName>) {
+        self.holders = holders;
+    }
+
+    fn excludes(&self, endpoint: &str) -> bool {
+        self.endpoints.get(endpoint).is_some_and(|failures| *failures >= EXCLUDING_FAILURES)
+    }
+
+    fn penalty(&self, endpoint: &str, domain: &str) -> f64 {
+        let own = f64::from(self.endpoints.get(endpoint).copied().unwrap_or(0));
+        if self.holders.contains(endpoint) {
+            return own * AVOIDED_ENDPOINT_SECONDS - KV_HELD_SECONDS;
+        }
+        let shared = f64::from(self.domains.get(domain).copied().unwrap_or(0));
+        own * AVOIDED_ENDPOINT_SECONDS + shared * AVOIDED_DOMAIN_SECONDS
+    }
+}
+
+struct EndpointState {
+    declaration: EndpointDeclaration,
+    service: ServiceName,
+    is_engine: bool,
+    slots: f64,
+    report: Option<EngineStatus>,
+    others: f64,
+    in_flight: u32,
+    seconds: f64,
+    leaving: BTreeSet<LeavingSource>,
+    refused_at: Option<Instant>,
+    last_alive: Option<Instant>,
+    last_strike: Option<Instant>,
+    next_poll: Option<Instant>,
+}
+
+impl EndpointState {
+    fn load(&self) -> f64 {
+        self.others + f64::from(self.in_flight)
+    }
+
+    fn crowding(&self) -> f64 {
+        1.0 + self.load() / self.slots
+    }
+
+    /// Whether the endpoint gave a sign of life after its last strike; plain ones give none.
+    fn has_answered(&self) -> bool {
+        !self.is_engine || self.last_alive > self.last_strike
+    }
+
+    fn is_leaving(&self, now: Instant) -> bool {
+        let refuses = self.refused_at.is_some_and(|at| self.is_engine || now < at + REFUSAL_RETRY);
+        refuses || !self.leaving.is_empty()
+    }
+}
+
+/// Decision core of [`EndpointFleet`].
+pub(crate) struct FleetState {
+    options: FleetOptions,
+    revision: ConfigRevision,
+    endpoints: BTreeMap<EndpointName, EndpointState>,
+    links: LinkTable,
+    ejections: EjectionTable,
+    planner: ChainPlanner,
+    prefixes: PrefixMemory,
+    counters: Rc<CounterRegistry>,
+}
+
+/// A router's view of the endpoints of the configuration in force.
+///
+/// Cheap to clone; the clones share one state and stay on one thread.
+///
+/// ```
+/// use jacinthrock::{CounterRegistry, EffectiveConfig, EndpointFleet, FleetOptions};
+/// use std::rc::Rc;
+/// use tokio::time::Instant;
+///
+/// let fleet = EndpointFleet::new(FleetOptions::default(), Rc::new(CounterRegistry::new()));
+/// fleet.apply_config(&EffectiveConfig::default());
+/// assert!(fleet.status_targets(Instant::now()).is_empty());
+/// ```
+#[derive(Clone)]
+pub struct EndpointFleet {
+    state: Rc<RefCell<FleetState>>,
+}
+
+/// Requests of this router in flight at some endpoints; dropping it ends them.
+pub struct FlightGuard {
+    state: Rc<RefCell<FleetState>>,
+    endpoints: Vec<EndpointName>,
+}
+
+impl Drop for FlightGuard {
+    fn drop(&mut self) {
+        let mut state = self.state.borrow_mut();
+        for endpoint in &self.endpoints {
+            state.end_flight(endpoint);
+        }
+    }
+}
+
+impl EndpointFleet {
+    /// A fleet without endpoints.
+    pub fn new(options: FleetOptions, counters: Rc<CounterRegistry>) -> Self {
+        Self { state: Rc::new(RefCell::new(FleetState::new(options, counters))) }
+    }
+
+    /// Takes the endpoints and links of a configuration; an older revision has no effect.
+    pub fn apply_config(&self, config: &EffectiveConfig) {
+        self.state.borrow_mut().apply_config(config);
+    }
+
+    /// Takes an engine's report; its load lags behind.
+    pub fn observe_status(&self, now: Instant, status: EngineStatus) {
+        self.state.borrow_mut().observe_status(now, status);
+    }
+
+    /// Takes a failed call to an endpoint.
+    pub fn observe_failure(&self, now: Instant, endpoint: &str, failure: &CallFailure) {
+        self.state.borrow_mut().observe_failure(now, endpoint, failure);
+    }
+
+    /// Takes or withdraws one source's word that an endpoint is leaving.
+    pub fn mark_leaving(&self, endpoint: &str, source: LeavingSource, leaving: bool) {
+        self.state.borrow_mut().mark_leaving(endpoint, source, leaving);
+    }
+
+    /// Engines to poll now, by name and address; each is due again after its interval.
+    pub fn status_targets(&self, now: Instant) -> Vec<(EndpointName, Box<str>)> {
+        self.state.borrow_mut().status_targets(now)
+    }
+
+    /// Chooses a chain for a request, or none where no chain is left.
+    pub fn plan(&self, now: Instant, demand: &ChainDemand<'_>) -> Option<PlannedChain> {
+        self.state.borrow_mut().plan(now, demand)
+    }
+
+    /// Counts a request in flight at some endpoints until the guard is dropped.
+    pub fn start_flight(&self, endpoints: impl IntoIterator<Item = EndpointName>) -> FlightGuard {
+        let endpoints: Vec<_> = endpoints.into_iter().collect();
+        let mut state = self.state.borrow_mut();
+        for endpoint in &endpoints {
+            state.start_flight(endpoint);
+        }
+        FlightGuard { state: self.state.clone(), endpoints }
+    }
+
+    /// Requests of this router in flight at an endpoint.
+    pub fn in_flight(&self, endpoint: &str) -> u32 {
+        self.with(|state| state.endpoints.get(endpoint).map_or(0, |known| known.in_flight))
+    }
+
+    /// How an endpoint stands in the choice.
+    pub fn health(&self, now: Instant, endpoint: &str) -> EndpointHealth {
+        self.with(|state| state.ejections.health(now, endpoint))
+    }
+
+    /// Tells whether any source says that the endpoint is leaving.
+    pub fn is_leaving(&self, now: Instant, endpoint: &str) -> bool {
+        self.with(|state| state.endpoints.get(endpoint).is_some_and(|known| known.is_leaving(now)))
+    }
+
+    /// Seconds that a token is taken to need in a stage without other requests.
+    pub fn stage_seconds(&self, endpoint: &str) -> Option<f64> {
+        self.with(|state| state.endpoints.get(endpoint).map(|known| known.seconds))
+    }
+
+    pub(crate) fn with<T>(&self, action: impl FnOnce(&mut FleetState) -> T) -> T {
+        action(&mut self.state.borrow_mut())
+    }
+}
+
+impl FleetState {
+    fn new(options: FleetOptions, counters: Rc<CounterRegistry>) -> Self {
+        Self {
+            revision: 0,
+            endpoints: BTreeMap::new(),
+            links: LinkTable::default(),
+            ejections: EjectionTable::new(options.ejection.clone()),
+            planner: ChainPlanner::new(options.policy, options.seed),
+            prefixes: PrefixMemory::default(),
+            options,
+            counters,
+        }
+    }
+
+    fn apply_config(&mut self, config: &EffectiveConfig) {
+        if config.revision < self.revision {
+            return;
+        }
+        self.revision = config.revision;
+        self.links.declare(&config.links);
+        let mut earlier = std::mem::take(&mut self.endpoints);
+        for service in config.services.values() {
+            let (endpoints, slots, is_engine) = match &service.target {
+                ServiceTarget::Model(model) => (&model.endpoints, model.endpoint_slots, true),
+                ServiceTarget::Plain(plain) => (&plain.endpoints, plain.endpoint_slots, false),
+            };
+            for declaration in endpoints {
+                let known = earlier.remove(&declaration.name);
+                let mut state = known.unwrap_or_else(|| fresh_state(declaration, is_engine));
+                state.declaration = declaration.clone();
+                state.service = service.name.clone();
+                state.slots = f64::from(slots.max(1));
+                if !is_engine {
+                    self.ejections.place(&declaration.name, &service.name);
+                }
+                self.endpoints.insert(declaration.name.clone(), state);
+            }
+        }
+        for endpoint in earlier.keys() {
+            self.ejections.remove(endpoint);
+        }
+    }
+
+    fn observe_status(&mut self, now: Instant, status: EngineStatus) {
+        let Some(known) = self.endpoints.get_mut(&status.endpoint) else {
+            return;
+        };
+        // The report already counts what this router sent before it.
+        let reported = f64::from(status.running) + f64::from(status.waiting);
+        known.others = (reported - f64::from(known.in_flight)).max(0.0);
+        known.last_alive = Some(now);
+        if status.leaving {
+            known.refused_at = Some(now);
+        } else if known.refused_at.is_some_and(|at| now >= at + REFUSAL_HOLD) {
+            known.refused_at = None;
+        }
+        let pool = format!("{}/{}-{}", known.service, status.first_layer, status.last_layer);
+        self.ejections.place(&status.endpoint, &pool);
+        known.report = Some(status);
+    }
+
+    fn observe_failure(&mut self, now: Instant, endpoint: &str, failure: &CallFailure) {
+        match failure {
+            CallFailure::NotSent(_) => self.strike(now, endpoint, 2, "not_sent"),
+            CallFailure::Broken(_) => self.strike(now, endpoint, 1, "broken"),
+            CallFailure::Refused { leaving: true, .. } => self.refuse(now, endpoint),
+            CallFailure::Refused { leaving: false, .. } => {}
+        }
+    }
+
+    fn refuse(&mut self, now: Instant, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.refused_at = Some(now);
+        }
+    }
+
+    pub(crate) fn strike(&mut self, now: Instant, endpoint: &str, weight: u32, reason: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.last_strike = Some(now);
+        }
+        if self.ejections.strike(now, endpoint, weight) {
+            self.counters.count(MetricName::Ejections, &[reason]);
+        }
+    }
+
+    /// Forgets an engine's report, which its own stage report has contradicted.
+    pub(crate) fn distrust_report(&mut self, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.report = None;
+        }
+    }
+
+    /// Takes an endpoint's answer of any kind as a sign of life and health.
+    pub(crate) fn succeed(&mut self, now: Instant, endpoint: &str) {
+        self.ejections.succeed(endpoint);
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.last_alive = Some(now);
+        }
+    }
+
+    pub(crate) fn was_alive_since(&self, since: Instant, endpoint: &str) -> bool {
+        let known = self.endpoints.get(endpoint);
+        known.and_then(|known| known.last_alive).is_some_and(|at| at >= since)
+    }
+
+    pub(crate) fn jitter(&mut self) -> f64 {
+        self.planner.jitter()
+    }
+
+    fn mark_leaving(&mut self, endpoint: &str, source: LeavingSource, leaving: bool) {
+        let Some(known) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        if leaving {
+            known.leaving.insert(source);
+        } else {
+            known.leaving.remove(&source);
+        }
+    }
+
+    fn status_targets(&mut self, now: Instant) -> Vec<(EndpointName, Box<str>)> {
+        let engines = self.endpoints.values().filter(|known| known.is_engine).count() as u32;
+        let paced = Duration::from_secs(1) * engines / self.options.polls_per_second.max(1);
+        let interval = self.options.poll_interval.max(paced);
+        let mut targets = Vec::new();
+        for (name, known) in &mut self.endpoints {
+            if !known.is_engine || known.next_poll.is_some_and(|at| now < at) {
+                continue;
+            }
+            known.next_poll = Some(now + interval.mul_f64(self.planner.jitter()));
+            targets.push((name.clone(), known.declaration.address.clone()));
+        }
+        targets
+    }
+
+    fn start_flight(&mut self, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.in_flight += 1;
+        }
+    }
+
+    fn end_flight(&mut self, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+
+    fn plan(&mut self, now: Instant, demand: &ChainDemand<'_>) -> Option<PlannedChain> {
+        let layers = demand.model.layers;
+        let healthy = self.candidates(now, demand, false);
+        let chain = self.planner.plan(layers, &healthy, &self.links);
+        let chain = chain.or_else(|| {
+            let every = self.candidates(now, demand, true);
+            self.planner.plan(layers, &every, &self.links)
+        })?;
+        let endpoints = chain.stages.iter().map(|stage| stage.endpoint.clone());
+        self.prefixes.remember(now, &demand.model.name, demand.prompt, endpoints);
+        Some(chain)
+    }
+
+    fn candidates(
+        &self,
+        now: Instant,
+        demand: &ChainDemand<'_>,
+        with_ejected: bool,
+    ) -> Vec<StageCandidate> {
+        let held = self.prefixes.holders(now, &demand.model.name, demand.prompt);
+        let mut candidates = Vec::new();
+        for declaration in &demand.model.endpoints {
+            let Some(known) = self.endpoints.get(&declaration.name) else {
+                continue;
+            };
+            let Some((first, last)) = self.usable_range(demand.model, known) else {
+                continue;
+            };
+            if known.is_leaving(now) || demand.avoid.excludes(&declaration.name) {
+                continue;
+            }
+            if !with_ejected && !self.takes_work(now, known) {
+                continue;
+            }
+            let saving = if held.contains(&*declaration.name) { PREFIX_SAVING } else { 0.0 };
+            let strikes = f64::from(self.ejections.strikes(&declaration.name).min(20));
+            let avoided = demand.avoid.penalty(&declaration.name, &declaration.domain);
+            candidates.push(StageCandidate {
+                endpoint: declaration.name.clone(),
+                address: declaration.address.clone(),
+                domain: declaration.domain.clone(),
+                first_layer: first,
+                last_layer: last,
+                seconds: known.seconds * known.crowding(),
+                penalty: avoided + strikes * STRIKE_PENALTY_SECONDS - saving * known.seconds,
+                in_flight: known.in_flight,
+                load: known.load(),
+            });
+        }
+        candidates
+    }
+
+    /// Layers that an engine reports, where it reports the declared model and version.
+    fn usable_range(
+        &self,
+        model: &ModelDeclaration,
+        known: &EndpointState,
+    ) -> Option<(LayerIndex, LayerIndex)> {
+        let report = known.report.as_ref()?;
+        if report.model != model.name {
+            return None;
+        }
+        if self.options.match_version && report.version != model.version {
+            return None;
+        }
+        let fits = report.first_layer <= report.last_layer && report.last_layer < model.layers;
+        fits.then_some((report.first_layer, report.last_layer))
+    }
+
+    fn takes_work(&self, now: Instant, known: &EndpointState) -> bool {
+        match self.ejections.health(now, &known.declaration.name) {
+            EndpointHealth::Healthy => true,
+            EndpointHealth::Probing => known.in_flight == 0 && known.has_answered(),
+            EndpointHealth::Ejected => false,
+        }
+    }
+
+    /// Learns from the time between two tokens of a chain.
+    pub(crate) fn observe_token(&mut self, now: Instant, chain: &PlannedChain, elapsed: Duration) {
+        let error = elapsed.as_secs_f64() - self.predicted_seconds(chain);
+        let parts = (2 * chain.stages.len()).saturating_sub(1).max(1) as f64;
+        for pair in chain.domains.windows(2) {
+            self.links.correct(&pair[0], &pair[1], error / parts);
+        }
+        for stage in &chain.stages {
+            self.succeed(now, &stage.endpoint);
+            let Some(known) = self.endpoints.get_mut(&stage.endpoint) else {
+                continue;
+            };
+            let crowding = known.crowding();
+            let change = LEARNING_RATE * error / parts / crowding;
+            known.seconds = (known.seconds + change).max(LEAST_STAGE_SECONDS);
+        }
+    }
+
+    fn predicted_seconds(&self, chain: &PlannedChain) -> f64 {
+        let stages = chain.stages.iter().filter_map(|stage| self.endpoints.get(&stage.endpoint));
+        let hops = chain.domains.windows(2).map(|pair| self.links.seconds(&pair[0], &pair[1]));
+        stages.map(|known| known.seconds * known.crowding()).sum::<f64>() + hops.sum::<f64>()
+    }
+
+    /// Endpoints of a plain service that take calls, ejected ones left out unless none else is left.
+    pub(crate) fn plain_candidates(
+        &self,
+        now: Instant,
+        service: &str,
+        tried: &BTreeSet<EndpointName>,
+    ) -> Vec<(EndpointDeclaration, f64)> {
+        let fits = |known: &&EndpointState| {
+            *known.service == *service
+                && !known.is_engine
+                && !known.is_leaving(now)
+                && !tried.contains(&known.declaration.name)
+        };
+        let open: Vec<_> = self.endpoints.values().filter(fits).collect();
+        let healthy = open.iter().filter(|known| self.takes_work(now, known));
+        let mut chosen: Vec<_> = healthy.copied().collect();
+        if chosen.is_empty() {
+            chosen = open;
+        }
+        let cost = |known: &EndpointState| known.seconds * known.crowding();
+        chosen.into_iter().map(|known| (known.declaration.clone(), cost(known))).collect()
+    }
+
+    pub(crate) fn domain(&self, endpoint: &str) -> Option<DomainName> {
+        self.endpoints.get(endpoint).map(|known| known.declaration.domain.clone())
+    }
+
+    pub(crate) fn address(&self, endpoint: &str) -> Option<Box<str>> {
+        self.endpoints.get(endpoint).map(|known| known.declaration.address.clone())
+    }
+
+    pub(crate) fn draw(&mut self, options: usize) -> usize {
+        self.planner.draw(options)
+    }
+
+    pub(crate) fn begin_call(&mut self, endpoint: &str) {
+        self.start_flight(endpoint);
+    }
+
+    pub(crate) fn finish_call(
+        &mut self,
+        now: Instant,
+        endpoint: &str,
+        elapsed: Duration,
+        failure: Option<&CallFailure>,
+    ) {
+        self.end_flight(endpoint);
+        if let Some(failure) = failure {
+            self.observe_failure(now, endpoint, failure);
+            return;
+        }
+        self.succeed(now, endpoint);
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.seconds += CALL_SMOOTHING * (elapsed.as_secs_f64() - known.seconds);
+        }
+    }
+}
+
+fn fresh_state(declaration: &EndpointDeclaration, is_engine: bool) -> EndpointState {
+    EndpointState {
+        declaration: declaration.clone(),
+        service: "".into(),
+        is_engine,
+        slots: 1.0,
+        report: None,
+        others: 0.0,
+        in_flight: 0,
+        seconds: if is_engine { UNOBSERVED_STAGE_SECONDS } else { UNOBSERVED_CALL_SECONDS },
+        leaving: BTreeSet::new(),
+        refused_at: None,
+        last_alive: None,
+        last_strike: None,
+        next_poll: None,
+    }
+}
--- /dev/null
+++ b/src/prefix.rs
@@ -0,0 +1,75 @@
+//! Memory of which endpoints lately served a prompt's beginning, and so likely hold it cached.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::ids::EndpointName;
+
+/// Length of the prompt's beginning that is compared, in bytes.
+const PREFIX_BYTES: usize = 256;
+
+/// Time for which a served prefix is taken to stay cached.
+const PREFIX_LIFETIME: Duration = Duration::from_secs(60);
+
+/// Prefixes that are remembered at most.
+const PREFIX_COUNT: usize = 1024;
+
+/// Endpoints that are remembered for one prefix at most.
+const HOLDER_COUNT: usize = 8;
+
+type PrefixKey = (Box<str>, Box<[u8]>);
+
+/// Endpoints that lately served each prefix.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixMemory {
+    holders: BTreeMap<PrefixKey, BTreeMap<EndpointName, Instant>>,
+}
+
+impl PrefixMemory {
+    /// Notes that endpoints were sent a prompt.
+    pub(crate) fn remember(
+        &mut self,
+        now: Instant,
+        model: &str,
+        prompt: &str,
+        endpoints: impl IntoIterator<Item = EndpointName>,
+    ) {
+        let key = prefix_key(model, prompt);
+        if !self.holders.contains_key(&key) && self.holders.len() >= PREFIX_COUNT {
+            self.forget_old(now);
+        }
+        let holders = self.holders.entry(key).or_default();
+        for endpoint in endpoints {
+            holders.insert(endpoint, now);
+        }
+        while holders.len() > HOLDER_COUNT {
+            let oldest = holders.iter().min_by_key(|(_, at)| **at).map(|(name, _)| name.clone());
+            holders.remove(&oldest.expect("holders are not empty"));
+        }
+    }
+
+    /// Endpoints that likely hold the prompt's beginning.
+    pub(crate) fn holders(&self, now: Instant, model: &str, prompt: &str) -> BTreeSet<&str> {
+        let Some(holders) = self.holders.get(&prefix_key(model, prompt)) else {
+            return BTreeSet::new();
+        };
+        let fresh = holders.iter().filter(|(_, at)| now < **at + PREFIX_LIFETIME);
+        fresh.map(|(name, _)| &**name).collect()
+    }
+
+    fn forget_old(&mut self, now: Instant) {
+        let is_fresh = |holders: &BTreeMap<EndpointName, Instant>| {
+            holders.values().any(|at| now < *at + PREFIX_LIFETIME)
+        };
+        self.holders.retain(|_, holders| is_fresh(holders));
+        if self.holders.len() >= PREFIX_COUNT {
+            self.holders.clear();
+        }
+    }
+}
+
+fn prefix_key(model: &str, prompt: &str) -> PrefixKey {
+    let length = prompt.len().min(PREFIX_BYTES);
+    (model.into(), prompt.as_bytes()[..length].into())
+}
--- /dev/null
+++ b/src/probe.rs
@@ -0,0 +1,124 @@
+//! Questions to engines whether they live, shared by all answers that wait for them.
+
+use futures::FutureExt;
+use futures::future::{LocalBoxFuture, Shared};
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+use crate::endpoint::{CallFailure, EndpointCaller};
+use crate::fleet::EndpointFleet;
+use crate::ids::EndpointName;
+
+/// Strikes of an engine that does not answer while its tokens are overdue.
+const FROZEN_WEIGHT: u32 = 2;
+
+type ProbeFuture = Shared<LocalBoxFuture<'static, bool>>;
+
+/// Asks engines for their state; at most one question to each is open.
+#[derive(Clone)]
+pub(crate) struct StatusProber {
+    fleet: EndpointFleet,
+    caller: Rc<dyn EndpointCaller>,
+    timeout: Duration,
+    open: Rc<RefCell<BTreeMap<EndpointName, ProbeFuture>>>,
+}
+
+impl StatusProber {
+    pub(crate) fn new(
+        fleet: EndpointFleet,
+        caller: Rc<dyn EndpointCaller>,
+        timeout: Duration,
+    ) -> Self {
+        Self { fleet, caller, timeout, open: Rc::default() }
+    }
+
+    /// Waits until one of the endpoints fails to answer, and names it; never ends if all answer.
+    pub(crate) async fn first_silent(
+        &self,
+        endpoints: Vec<(EndpointName, Box<str>)>,
+    ) -> EndpointName {
+        let probes = endpoints.into_iter().map(|(endpoint, address)| {
+            let probe = self.probe(&endpoint, &address);
+            async move {
+                if probe.await {
+                    futures::future::pending::<()>().await;
+                }
+                endpoint
+            }
+            .boxed_local()
+        });
+        let probes: Vec<_> = probes.collect();
+        if probes.is_empty() {
+            return futures::future::pending().await;
+        }
+        futures::future::select_all(probes).await.0
+    }
+
+    fn probe(&self, endpoint: &str, address: &str) -> ProbeFuture {
+        if let Some(probe) = self.open.borrow().get(endpoint) {
+            return probe.clone();
+        }
+        let prober = self.clone();
+        let (name, address): (EndpointName, Box<str>) = (endpoint.into(), address.into());
+        let probe = async move { prober.ask(&name, &address).await }.boxed_local().shared();
+        self.open.borrow_mut().insert(endpoint.into(), probe.clone());
+        tokio::task::spawn_local(probe.clone());
+        probe
+    }
+
+    async fn ask(&self, endpoint: &str, address: &str) -> bool {
+        let asked = self.caller.status(address, self.timeout);
+        let reply = tokio::time::timeout(self.timeout, asked).await;
+        let now = Instant::now();
+        self.open.borrow_mut().remove(endpoint);
+        match reply {
+            Ok(Ok(status)) if *status.endpoint == *endpoint => {
+                self.fleet.observe_status(now, status);
+                true
+            }
+            _ => {
+                self.fleet.with(|state| state.strike(now, endpoint, FROZEN_WEIGHT, "frozen"));
+                false
+            }
+        }
+    }
+}
+
+/// Time between two looks at which engines are due for a poll.
+const POLL_TICK: Duration = Duration::from_millis(50);
+
+/// Polls the engines of a fleet for ever; each poll that fails counts against its engine.
+///
+/// Runs inside a `LocalSet`.
+pub async fn poll_engines(fleet: EndpointFleet, caller: Rc<dyn EndpointCaller>, timeout: Duration) {
+    loop {
+        for (endpoint, address) in fleet.status_targets(Instant::now()) {
+            let poll = poll_engine(fleet.clone(), caller.clone(), endpoint, address, timeout);
+            tokio::task::spawn_local(poll);
+        }
+        tokio::time::sleep(POLL_TICK).await;
+    }
+}
+
+async fn poll_engine(
+    fleet: EndpointFleet,
+    caller: Rc<dyn EndpointCaller>,
+    endpoint: EndpointName,
+    address: Box<str>,
+    timeout: Duration,
+) {
+    let asked = caller.status(&address, timeout);
+    let reply = tokio::time::timeout(timeout, asked).await;
+    let now = Instant::now();
+    match reply {
+        Ok(Ok(status)) => fleet.observe_status(now, status),
+        Ok(Err(failure)) => fleet.observe_failure(now, &endpoint, &failure),
+        Err(_) => {
+            let failure = CallFailure::Broken("status timed out".into());
+            fleet.observe_failure(now, &endpoint, &failure);
+        }
+    }
+}
