--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,11 +5,17 @@
 
 mod callers;
 mod chat;
+mod answer;
+mod attempt;
+mod chain;
+mod choice;
 mod codes;
 mod config;
 mod counters;
 mod declaration;
+mod driver;
 mod effective;
+mod ejection;
 mod endpoint;
 mod engine_http;
 mod flags;
@@ -17,13 +23,22 @@
 mod logs;
 mod operator;
 mod ledger;
+mod fleet;
+mod ids;
+mod link;
 mod outcome;
 mod peer;
 mod picker;
 mod plain;
 mod platform;
 mod refusal;
+mod prefix;
+mod probe;
 
+pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
+pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
+pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+pub use choice::PlainPicker;
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
@@ -31,12 +46,15 @@
     CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration,
     NodeKind, NodeSettings, OperationDeclaration, PlainDeclaration,
 };
+pub use driver::{AnswerDriver, AnswerOrder, AnswerResult, DriverOptions};
 pub use effective::{EffectiveConfig, EffectiveCustomer, EffectiveService, ServiceTarget};
+pub use ejection::{EjectionOptions, EjectionTable, EndpointHealth};
 pub use endpoint::{
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
 pub use engine_http::HttpCaller;
+pub use fleet::{AvoidSet, ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
@@ -47,6 +65,7 @@
     LedgerOptions, LedgerPage, LedgerService, PageAction, PageEvent, PageIntent, PageLedger,
     PageStep, RecordState, RequestFingerprint, StoredBody,
 };
+pub use link::LinkTable;
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
@@ -54,3 +73,4 @@
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
+pub use probe::poll_engines;
