Admission gate, fair queue and retry budget

Requests start by priority class, then by weighted start-time fair queueing among customers. Deadlines that can't be made are refused at once, with a retry time spread over the drain rate. Retries are bounded to a fraction of first attempts for each customer and endpoint.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! The library holds the decisions and the daemons; the programs in `src/main.rs` and `src/bin`
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
+mod admission;
+mod budget;
 mod codes;
 mod counters;
 mod declaration;
@@ -13,7 +15,13 @@
 mod peer;
 mod picker;
 mod platform;
+mod queue;
 
+pub use admission::{
+    AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
+    GateEvent, GateOptions, ServiceLoad,
+};
+pub use budget::{BudgetOptions, BudgetRefusals, RetryBudget};
 pub use codes::{CodeRow, ResultCode};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
 pub use declaration::{
@@ -35,3 +43,4 @@
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
+pub use queue::TicketNumber;
