--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,12 +10,15 @@
 mod declaration;
 mod effective;
 mod endpoint;
+mod gossip;
 mod ids;
+mod membership;
 mod outcome;
 mod peer;
 mod picker;
 mod platform;
 mod queue;
+mod quota;
 
 pub use admission::{
     AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
@@ -33,10 +36,15 @@
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
+pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
+pub use membership::{
+    HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
+    MemberTable, NameHash, name_hash,
+};
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
@@ -44,3 +52,4 @@
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
 pub use queue::TicketNumber;
+pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
