--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,8 @@
 mod attempt;
 mod chain;
 mod choice;
+mod admission;
+mod budget;
 mod codes;
 mod config;
 mod counters;
@@ -26,6 +28,9 @@
 mod fleet;
 mod ids;
 mod link;
+mod gossip;
+mod ids;
+mod membership;
 mod outcome;
 mod peer;
 mod picker;
@@ -39,6 +44,14 @@
 pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
 pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
 pub use choice::PlainPicker;
+mod queue;
+mod quota;
+
+pub use admission::{
+    AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
+    GateEvent, GateOptions, ServiceLoad,
+};
+pub use budget::{BudgetOptions, BudgetRefusals, RetryBudget};
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
@@ -55,6 +68,7 @@
 };
 pub use engine_http::HttpCaller;
 pub use fleet::{AvoidSet, ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource};
+pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
@@ -66,6 +80,10 @@
     PageStep, RecordState, RequestFingerprint, StoredBody,
 };
 pub use link::LinkTable;
+pub use membership::{
+    HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
+    MemberTable, NameHash, name_hash,
+};
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
@@ -74,3 +92,5 @@
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
 pub use probe::poll_engines;
+pub use queue::TicketNumber;
+pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
