Stand-ins for the platform's object API and a plain service

The platform stand-in gives versions, conditional updates, watches with a bounded history and limits on calls; the service stand-in runs each call that it gets and records it by idempotency key, so that a doubled call shows. Both lose replies after the effect on request.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,7 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
 pub mod fake_store;
+pub mod http;
+pub mod platform;
+pub mod service;
 pub mod token;
