--- /dev/null
+++ b/crates/standins/src/engine/control.rs
@@ -0,0 +1,59 @@
+//! Faults that a test injects into an engine.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use tokio::time::Instant;
+
+use jacinthrock::TokenPosition;
+
+/// Faults in force; a call to `/control/faults` replaces them all.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct EngineFaults {
+    /// Time for which every step stands still, from now, in milliseconds.
+    pub freeze_ms: u64,
+    /// Additional time of each token, in microseconds.
+    pub extra_us_per_token: u64,
+    /// Position at which the stage fails, once.
+    pub fail_at_position: Option<TokenPosition>,
+    /// Version that the stage reports in place of its own.
+    pub lie_version: Option<Box<str>>,
+}
+
+/// Faults with the time since when they are in force.
+pub(crate) struct FaultState {
+    faults: EngineFaults,
+    frozen_until: Instant,
+}
+
+impl FaultState {
+    pub(crate) fn new(now: Instant) -> Self {
+        Self { faults: EngineFaults::default(), frozen_until: now }
+    }
+
+    pub(crate) fn set(&mut self, faults: EngineFaults, now: Instant) {
+        self.frozen_until = now + Duration::from_millis(faults.freeze_ms);
+        self.faults = faults;
+    }
+
+    pub(crate) fn frozen_until(&self) -> Instant {
+        self.frozen_until
+    }
+
+    pub(crate) fn extra(&self) -> Duration {
+        Duration::from_micros(self.faults.extra_us_per_token)
+    }
+
+    pub(crate) fn reported_version<'a>(&'a self, version: &'a str) -> &'a str {
+        self.faults.lie_version.as_deref().unwrap_or(version)
+    }
+
+    /// Whether the stage fails at a position; it fails once.
+    pub(crate) fn takes_failure(&mut self, position: TokenPosition) -> bool {
+        let fails = self.faults.fail_at_position == Some(position);
+        if fails {
+            self.faults.fail_at_position = None;
+        }
+        fails
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
+pub mod engine;
 pub mod fake_store;
 pub mod http;
 pub mod platform;
