--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,8 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
+pub mod engine;
 pub mod fake_store;
+pub mod http;
+pub mod platform;
+pub mod service;
 pub mod token;
