--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,14 +3,14 @@
 //! The library holds the decisions and the daemons; the programs in `src/main.rs` and `src/bin`
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
-mod callers;
-mod chat;
+mod admission;
 mod answer;
 mod attempt;
+mod budget;
+mod callers;
 mod chain;
+mod chat;
 mod choice;
-mod admission;
-mod budget;
 mod codes;
 mod config;
 mod counters;
@@ -21,37 +21,34 @@
 mod endpoint;
 mod engine_http;
 mod flags;
-mod ids;
-mod logs;
-mod operator;
-mod ledger;
 mod fleet;
-mod ids;
-mod link;
 mod gossip;
 mod ids;
+mod ledger;
+mod link;
+mod logs;
 mod membership;
+mod operator;
 mod outcome;
 mod peer;
 mod picker;
 mod plain;
 mod platform;
-mod refusal;
 mod prefix;
 mod probe;
-
-pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
-pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
-pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
-pub use choice::PlainPicker;
 mod queue;
 mod quota;
+mod refusal;
 
 pub use admission::{
     AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
     GateEvent, GateOptions, ServiceLoad,
 };
+pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
+pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
 pub use budget::{BudgetOptions, BudgetRefusals, RetryBudget};
+pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+pub use choice::PlainPicker;
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
--- /dev/null
+++ b/src/quotas.rs
@@ -0,0 +1,48 @@
+//! Customers' limits on this host.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use crate::ids::CustomerName;
+
+/// Keeps customers' limits.
+pub(crate) trait QuotaTaker {
+    /// Takes a place for one request, or gives the time until there may be one.
+    fn try_take(&self, customer: &str) -> Result<(), Duration>;
+
+    /// Gives the place back.
+    fn release(&self, customer: &str);
+}
+
+/// Hands out places within customers' limits. Clones share them.
+#[derive(Clone)]
+pub(crate) struct QuotaDesk {
+    taker: Rc<dyn QuotaTaker>,
+}
+
+/// A place within a customer's limits; dropping it gives it back.
+#[must_use]
+pub(crate) struct QuotaPass {
+    taker: Rc<dyn QuotaTaker>,
+    customer: CustomerName,
+}
+
+impl Drop for QuotaPass {
+    fn drop(&mut self) {
+        self.taker.release(&self.customer);
+    }
+}
+
+impl QuotaDesk {
+    /// A desk that asks `taker`.
+    pub(crate) fn new(taker: Rc<dyn QuotaTaker>) -> Self {
+        Self { taker }
+    }
+
+    /// Takes a place for one request, or gives the time until there may be one.
+    pub(crate) fn take(&self, customer: &str) -> Result<QuotaPass, Duration> {
+        self.taker.try_take(customer)?;
+        Ok(QuotaPass { taker: self.taker.clone(), customer: customer.into() })
+    }
+}
