Declaration tree, platform client and conditional commits

Declarations were types only. One table of fields now drives parsing, ranges, defaults and documents, so that every fault is reported in one go with file, node and field. serde's own unknown-field check was ruled out: it stops at the first fault.

History stands in the root object, so that the record of a change is written by the conditional update that makes it.

A commit whose reply is lost is sent again with the same base version and settled by its identifier.

--- a/src/codes.rs
+++ b/src/codes.rs
@@ -99,6 +99,15 @@
     DeclarationRange = 6004, "declaration_range", 0, false, "The value is out of range.";
     DeclarationDuplicate = 6005, "declaration_duplicate", 0, false, "The name is declared twice.";
     DeclarationIncomplete = 6006, "declaration_incomplete", 0, false, "A required value is neither set nor inherited.";
+    DeclarationUnknownField = 6007, "declaration_unknown_field", 0, false, "The field is not known.";
+    DeclarationUnreadable = 6008, "declaration_unreadable", 0, false, "The file could not be read.";
+    ConfigCorrupt = 6101, "config_corrupt", 0, false, "The root object's value is not of the declared shape.";
+    ConfigConflict = 6102, "config_conflict", 0, false, "Another change was accepted since the base revision.";
+    ConfigUnsettled = 6103, "config_unsettled", 0, false, "The outcome of the commit is unknown.";
+    ConfigLagging = 6104, "config_lagging", 0, true, "The revision is accepted but not yet in force on every host.";
+    ConfigMissing = 6105, "config_missing", 0, false, "No configuration has been accepted yet.";
+    HostUnreachable = 6106, "host_unreachable", 0, true, "The host's operator port did not answer.";
+    NameUnknown = 6107, "name_unknown", 0, false, "No node, host or endpoint has the name.";
     // 7xxx: process start.
     SettingInvalid = 7001, "setting_invalid", 0, false, "A flag or environment variable has an invalid value.";
     SettingMissing = 7002, "setting_missing", 0, false, "A required flag or environment variable is not set.";
--- a/src/declaration.rs
+++ b/src/declaration.rs
@@ -131,7 +131,7 @@
     /// Failure domain that the endpoint is in.
     pub domain: DomainName,
     /// Kind of accelerator; empty for a plain service.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "str::is_empty")]
     pub accelerator: Box<str>,
     /// Whether the endpoint refuses an order with an old fence.
     #[serde(default)]
--- /dev/null
+++ b/src/inherit.rs
@@ -0,0 +1,172 @@
+//! Inheritance: a node's settings are its own, else its parent's, else the defaults.
+
+use serde_json::{Map, Value};
+use std::time::Duration;
+
+use crate::declaration::{NodeDeclaration, NodeKind, NodeSettings};
+use crate::effective::{EffectiveConfig, EffectiveCustomer, EffectiveService, ServiceTarget};
+use crate::ids::ConfigRevision;
+use crate::shape::SETTING_FIELDS;
+use crate::tree::{DeclarationTree, SourcedValue};
+
+/// Source reported for a setting that no node sets.
+const DEFAULT_SOURCE: &str = "default";
+
+/// Resolves a tree that has passed its checks.
+pub(crate) fn resolve_tree(tree: &DeclarationTree, revision: ConfigRevision) -> EffectiveConfig {
+    let mut config = EffectiveConfig { revision, ..EffectiveConfig::default() };
+    for declared in tree.nodes() {
+        let node = &declared.node;
+        let settings = resolve_settings(tree, node);
+        match node.kind {
+            NodeKind::Group => config.links.extend(node.links.iter().cloned()),
+            NodeKind::Service => {
+                if let Some(service) = resolve_service(node, &settings) {
+                    config.services.insert(node.name.clone(), service);
+                }
+            }
+            NodeKind::Customer => {
+                if let Some(customer) = resolve_customer(node, &settings) {
+                    config.customers.insert(node.name.clone(), customer);
+                }
+            }
+        }
+    }
+    config
+}
+
+/// Each setting with the node that it comes from, then the node's own fields.
+pub(crate) fn sourced_values(tree: &DeclarationTree, name: &str) -> Option<Vec<SourcedValue>> {
+    let node = tree.node(name)?;
+    let mut values = sourced_settings(tree, node);
+    for (field, value) in node_fields(node) {
+        if !field.starts_with("settings.") {
+            values.push(SourcedValue { field, value, source: node.name.clone() });
+        }
+    }
+    Some(values)
+}
+
+/// Every field of a node by its path; items of lists by their names.
+pub(crate) fn node_fields(node: &NodeDeclaration) -> Vec<(Box<str>, Value)> {
+    let value = serde_json::to_value(node).expect("declarations hold only JSON types");
+    let mut fields = Vec::new();
+    flatten("", value, &mut fields);
+    fields
+}
+
+fn flatten(path: &str, value: Value, fields: &mut Vec<(Box<str>, Value)>) {
+    match value {
+        Value::Object(table) => {
+            for (name, value) in table {
+                let path = if path.is_empty() { name } else { format!("{path}.{name}") };
+                flatten(&path, value, fields);
+            }
+        }
+        Value::Array(items) => {
+            for item in items {
+                let path = format!("{path}[{}]", item_key(&item));
+                flatten(&path, item, fields);
+            }
+        }
+        scalar => fields.push((path.into(), scalar)),
+    }
+}
+
+/// What tells an item of a list from the others, whatever their order.
+fn item_key(item: &Value) -> String {
+    let text = |field: &str| item.get(field).and_then(Value::as_str);
+    if let Some(name) = text("name") {
+        return name.to_owned();
+    }
+    if let (Some(method), Some(path)) = (text("method"), text("path")) {
+        return format!("{method} {path}");
+    }
+    if let Some(between) = item.get("between").and_then(Value::as_array) {
+        let names: Vec<&str> = between.iter().filter_map(Value::as_str).collect();
+        return names.join(" to ");
+    }
+    item.as_str().map_or_else(|| item.to_string(), str::to_owned)
+}
+
+fn sourced_settings(tree: &DeclarationTree, node: &NodeDeclaration) -> Vec<SourcedValue> {
+    let mut missing: Vec<&str> = SETTING_FIELDS.iter().map(|row| row.name).collect();
+    let mut found = Vec::new();
+    for ancestor in ancestry(tree, node) {
+        let own = settings_map(&ancestor.settings);
+        missing.retain(|name| {
+            let Some(value) = own.get(*name) else { return true };
+            let source = ancestor.name.clone();
+            found.push(SourcedValue { field: (*name).into(), value: value.clone(), source });
+            false
+        });
+    }
+    for row in SETTING_FIELDS.iter().filter(|row| missing.contains(&row.name)) {
+        let value = default_value(row.default.unwrap_or_default());
+        found.push(SourcedValue { field: row.name.into(), value, source: DEFAULT_SOURCE.into() });
+    }
+    found.sort_by_key(|value| SETTING_FIELDS.iter().position(|row| row.name == &*value.field));
+    found
+}
+
+/// The node and its ancestors, nearest first; ends where a cycle would start.
+fn ancestry<'a>(tree: &'a DeclarationTree, node: &'a NodeDeclaration) -> Vec<&'a NodeDeclaration> {
+    let mut line = vec![node];
+    let mut parent = node.parent.as_deref();
+    while let Some(node) = parent.and_then(|name| tree.node(name)) {
+        if line.len() > tree.nodes().len() {
+            break;
+        }
+        line.push(node);
+        parent = node.parent.as_deref();
+    }
+    line
+}
+
+fn settings_map(settings: &NodeSettings) -> Map<String, Value> {
+    match serde_json::to_value(settings) {
+        Ok(Value::Object(map)) => map,
+        _ => Map::new(),
+    }
+}
+
+fn default_value(text: &str) -> Value {
+    text.parse::<u64>().map_or_else(|_| Value::from(text), Value::from)
+}
+
+/// Every setting of a node, with no field left out.
+fn resolve_settings(tree: &DeclarationTree, node: &NodeDeclaration) -> NodeSettings {
+    let values = sourced_settings(tree, node);
+    let map: Map<String, Value> =
+        values.into_iter().map(|value| (value.field.into(), value.value)).collect();
+    serde_json::from_value(Value::Object(map)).expect("checked settings and defaults have a type")
+}
+
+fn resolve_service(node: &NodeDeclaration, settings: &NodeSettings) -> Option<EffectiveService> {
+    let target = match (&node.model, &node.plain) {
+        (Some(model), _) => ServiceTarget::Model(model.clone()),
+        (None, Some(plain)) => ServiceTarget::Plain(plain.clone()),
+        (None, None) => return None,
+    };
+    Some(EffectiveService {
+        name: node.name.clone(),
+        priority: settings.priority?,
+        deadline: Duration::from_millis(settings.deadline_ms?),
+        token_gap: Duration::from_millis(settings.token_gap_ms?),
+        max_tokens: settings.max_tokens?,
+        queue_length: settings.queue_length?,
+        target,
+    })
+}
+
+fn resolve_customer(node: &NodeDeclaration, settings: &NodeSettings) -> Option<EffectiveCustomer> {
+    let customer = node.customer.as_ref()?;
+    Some(EffectiveCustomer {
+        name: node.name.clone(),
+        key_hashes: customer.key_hashes.iter().cloned().collect(),
+        services: customer.services.iter().cloned().collect(),
+        concurrent_requests: settings.concurrent_requests?,
+        requests_per_second: settings.requests_per_second?,
+        share: settings.share?,
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,16 +3,24 @@
 //! The library holds the decisions and the daemons; the programs in `src/main.rs` and `src/bin`
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
+mod check;
 mod codes;
 mod counters;
 mod declaration;
 mod effective;
 mod endpoint;
 mod ids;
+mod inherit;
 mod outcome;
 mod peer;
 mod picker;
+mod plan;
 mod platform;
+mod publish;
+mod revision;
+mod shape;
+mod store_http;
+mod tree;
 
 pub use codes::{CodeRow, ResultCode};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
@@ -32,6 +40,17 @@
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
+pub use plan::{ConfigPlan, FieldChange, StrandedUse};
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
+pub use publish::{
+    AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError, PublishOptions, RaceHandling,
+    RacingChange,
+};
+pub use revision::{
+    ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
+};
+pub use shape::{DeclarationField, declaration_fields};
+pub use store_http::{HttpStore, HttpStoreOptions};
+pub use tree::{DeclarationError, DeclarationTree, DeclaredNode, MAX_TREE_BYTES, SourcedValue};
