--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,6 +11,7 @@
 mod chain;
 mod chat;
 mod choice;
+mod check;
 mod codes;
 mod config;
 mod counters;
@@ -39,6 +40,17 @@
 mod queue;
 mod quota;
 mod refusal;
+mod inherit;
+mod outcome;
+mod peer;
+mod picker;
+mod plan;
+mod platform;
+mod publish;
+mod revision;
+mod shape;
+mod store_http;
+mod tree;
 
 pub use admission::{
     AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
@@ -91,3 +103,17 @@
 pub use probe::poll_engines;
 pub use queue::TicketNumber;
 pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
+pub use plan::{ConfigPlan, FieldChange, StrandedUse};
+pub use platform::{
+    MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
+};
+pub use publish::{
+    AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError, PublishOptions, RaceHandling,
+    RacingChange,
+};
+pub use revision::{
+    ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
+};
+pub use shape::{DeclarationField, declaration_fields};
+pub use store_http::{HttpStore, HttpStoreOptions};
+pub use tree::{DeclarationError, DeclarationTree, DeclaredNode, MAX_TREE_BYTES, SourcedValue};
