--- /dev/null
+++ b/crates/standins/src/caller.rs
@@ -0,0 +1,250 @@
+//! A caller as the entry hosts meet it: streams answers and makes plain calls.
+
+use serde::Serialize;
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::time::{Duration, Instant};
+
+/// Longest wait for a router's reply to start.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Longest time of a whole body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Idle connections kept to one router.
+const IDLE_CONNECTIONS: usize = 32;
+
+const DATA_PREFIX: &str = "data: ";
+const DONE_MARK: &str = "[DONE]";
+
+/// A question to a model service.
+#[derive(Clone, Debug)]
+pub struct ChatCall<'a> {
+    /// Address of the router.
+    pub router: &'a str,
+    /// Bearer key of the customer.
+    pub key: &'a str,
+    /// Name of the service.
+    pub service: &'a str,
+    /// The user's message.
+    pub question: &'a str,
+    /// Length of the answer, in tokens.
+    pub max_tokens: u32,
+}
+
+/// A call to a plain service.
+#[derive(Clone, Debug)]
+pub struct ServiceCall<'a> {
+    /// Address of the router.
+    pub router: &'a str,
+    /// Bearer key of the customer.
+    pub key: &'a str,
+    /// HTTP method: `GET` or `POST`.
+    pub method: &'a str,
+    /// Path with the service's prefix.
+    pub path: &'a str,
+    /// Value of `Idempotency-Key`; empty for none.
+    pub idempotency_key: &'a str,
+    /// Body of a `POST`.
+    pub body: &'a str,
+}
+
+/// A refusal that the router put into words.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Refusal {
+    /// HTTP status; 200 where the refusal came inside a stream.
+    pub status: u16,
+    /// Numbered result code; 0 where none was given.
+    pub code: u16,
+    /// `not-run`, `unknown`, or empty where none was given.
+    pub outcome: Box<str>,
+    /// Time after which to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// How a call ended at one router.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub enum CallEnd {
+    /// The whole answer came.
+    Whole,
+    /// The router refused or failed the call in words.
+    Refused(Refusal),
+    /// The connection could not be made.
+    NotReached,
+    /// The connection broke or the stream ended early.
+    Cut,
+}
+
+/// Tokens that came, with the times at which they came.
+#[derive(Clone, Debug)]
+pub struct ChatAnswer {
+    /// Values of the tokens.
+    pub tokens: Vec<u64>,
+    /// Times at which the tokens came.
+    pub times: Vec<Instant>,
+    /// Identifier that the router gave the answer; empty where none came.
+    pub id: Box<str>,
+    /// How the call ended.
+    pub end: CallEnd,
+}
+
+/// Reply to a plain call.
+#[derive(Clone, Debug)]
+pub struct ServiceAnswer {
+    /// Body of the reply.
+    pub body: Box<str>,
+    /// How the call ended.
+    pub end: CallEnd,
+}
+
+/// Client of the routers; keeps its connections alive.
+#[derive(Clone)]
+pub struct RouterCaller {
+    agent: ureq::Agent,
+}
+
+impl Default for RouterCaller {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl RouterCaller {
+    /// A client without connections.
+    pub fn new() -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_recv_response(Some(REPLY_TIMEOUT))
+            .timeout_recv_body(Some(BODY_TIMEOUT))
+            .max_idle_connections(8 * IDLE_CONNECTIONS)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS)
+            .build();
+        Self { agent: config.into() }
+    }
+
+    /// Streams an answer to its end.
+    pub fn ask(&self, call: &ChatCall<'_>) -> ChatAnswer {
+        let body = json!({
+            "model": call.service,
+            "messages": [{ "role": "user", "content": call.question }],
+            "stream": true,
+            "max_tokens": call.max_tokens,
+        });
+        let url = format!("http://{}/v1/chat/completions", call.router);
+        let request = self.agent.post(&url).header("Authorization", format!("Bearer {}", call.key));
+        let mut answer = ChatAnswer {
+            tokens: Vec::new(),
+            times: Vec::new(),
+            id: Box::default(),
+            end: CallEnd::Cut,
+        };
+        answer.end = match request.send_json(&body) {
+            Ok(response) if response.status().is_success() => read_stream(response, &mut answer),
+            Ok(response) => CallEnd::Refused(read_refusal(response)),
+            Err(error) => failure_end(&error),
+        };
+        answer
+    }
+
+    /// Makes a plain call.
+    pub fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer {
+        let url = format!("http://{}{}", call.router, call.path);
+        let bearer = format!("Bearer {}", call.key);
+        let result = if call.method == "GET" {
+            self.agent.get(&url).header("Authorization", bearer).call()
+        } else {
+            let request = self.agent.post(&url).header("Authorization", bearer);
+            let request = request.header("Content-Type", "application/json");
+            match call.idempotency_key {
+                "" => request.send(call.body),
+                key => request.header("Idempotency-Key", key).send(call.body),
+            }
+        };
+        match result {
+            Ok(response) if response.status().is_success() => read_body(response),
+            Ok(response) => ServiceAnswer {
+                body: Box::default(),
+                end: CallEnd::Refused(read_refusal(response)),
+            },
+            Err(error) => ServiceAnswer { body: Box::default(), end: failure_end(&error) },
+        }
+    }
+}
+
+/// Prompt that the router makes of a single user message.
+pub fn prompt_of(question: &str) -> Box<str> {
+    format!("user: {question}").into()
+}
+
+fn failure_end(error: &ureq::Error) -> CallEnd {
+    match error {
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => CallEnd::NotReached,
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            CallEnd::NotReached
+        }
+        _ => CallEnd::Cut,
+    }
+}
+
+fn read_body(mut response: ureq::http::Response<ureq::Body>) -> ServiceAnswer {
+    match response.body_mut().read_to_string() {
+        Ok(body) => ServiceAnswer { body: body.into(), end: CallEnd::Whole },
+        Err(_) => ServiceAnswer { body: Box::default(), end: CallEnd::Cut },
+    }
+}
+
+fn read_stream(response: ureq::http::Response<ureq::Body>, answer: &mut ChatAnswer) -> CallEnd {
+    let reader = BufReader::new(response.into_body().into_reader());
+    for line in reader.lines() {
+        let Ok(line) = line else {
+            return CallEnd::Cut;
+        };
+        let Some(data) = line.strip_prefix(DATA_PREFIX) else {
+            continue;
+        };
+        if data == DONE_MARK {
+            return CallEnd::Whole;
+        }
+        let Ok(chunk) = serde_json::from_str::<Value>(data) else {
+            return CallEnd::Cut;
+        };
+        if chunk.get("error").is_some() {
+            return CallEnd::Refused(refusal_of(&chunk["error"], 200, None));
+        }
+        if !read_chunk(&chunk, answer) {
+            return CallEnd::Cut;
+        }
+    }
+    CallEnd::Cut
+}
+
+fn read_chunk(chunk: &Value, answer: &mut ChatAnswer) -> bool {
+    if let Some(id) = chunk["id"].as_str() {
+        answer.id = id.into();
+    }
+    let text = chunk["choices"][0]["delta"]["content"].as_str().unwrap_or("");
+    for word in text.split_whitespace() {
+        let Ok(token) = u64::from_str_radix(word, 16) else {
+            return false;
+        };
+        answer.tokens.push(token);
+        answer.times.push(Instant::now());
+    }
+    true
+}
+
+fn read_refusal(mut response: ureq::http::Response<ureq::Body>) -> Refusal {
+    let status = response.status().as_u16();
+    let retry_after = response.headers().get("retry-after");
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
+    let body = response.body_mut().read_to_string().unwrap_or_default();
+    let problem = serde_json::from_str(&body).unwrap_or(Value::Null);
+    refusal_of(&problem, status, retry_after.map(Duration::from_secs))
+}
+
+fn refusal_of(problem: &Value, status: u16, retry_after: Option<Duration>) -> Refusal {
+    let code = &problem["code"];
+    let code = code.as_u64().or_else(|| code.as_str()?.parse().ok()).unwrap_or(0);
+    let outcome = problem["outcome"].as_str().unwrap_or("").into();
+    Refusal { status, code: code as u16, outcome, retry_after }
+}
--- /dev/null
+++ b/crates/standins/src/fleet.rs
@@ -0,0 +1,9 @@
+//! A whole system on loopback: stand-ins, routers, controllers and their declarations.
+
+mod plan;
+mod running;
+mod tree;
+
+pub use plan::{ChainPlan, CustomerPlan, FleetPlan, ModelPlan, PlainPlan};
+pub use running::{EngineProcess, RouterProcess, RunningFleet, ServiceProcess};
+pub use tree::declaration_tree;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,10 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
+pub mod caller;
 pub mod engine;
 pub mod fake_store;
+pub mod fleet;
+pub mod harness;
 pub mod http;
 pub mod platform;
 pub mod service;
