Load tool and demo over a fleet on loopback

Arrivals come at their times whatever became of earlier calls, so that a stall shows in the latencies. Callers sit behind a balancer that looks at readyz and retry cut calls at another router; answers are recomputed token by token and the services' own records are compared with what callers were told.

--- /dev/null
+++ b/crates/standins/src/bin/jacinthrock-demo.rs
@@ -0,0 +1,89 @@
+//! Runs the whole system on embedded stand-ins, breaks parts of it and checks every outcome.
+
+use jacinthrock_standins::load::{
+    FaultKind, RunError, RunOptions, RunReport, built_in, check_layers, render_text,
+    router_ended_well, run_fleet,
+};
+use std::path::Path;
+use std::process::ExitCode;
+use std::time::Duration;
+
+const DEFAULT_SEED: u64 = 1;
+const DEFAULT_RATE: f64 = 18.0;
+const DEFAULT_SECONDS: u64 = 20;
+
+mod flags {
+    xflags::xflags! {
+        /// Runs the system on stand-ins, breaks parts of it and checks every outcome.
+        cmd jacinthrock-demo {
+            /// Seed of the calls (default 1).
+            optional --seed number: u64
+            /// Calls in a second (default 18).
+            optional --rate count: f64
+            /// Length of the run, in seconds (default 20).
+            optional --seconds seconds: u64
+            /// Directory for logs and declarations, kept; a temporary one otherwise.
+            optional --dir path: std::path::PathBuf
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::JacinthrockDemo::from_env_or_exit();
+    let temporary = flags.dir.is_none();
+    let own_dir = format!("jacinthrock-demo-{}", std::process::id());
+    let dir = flags.dir.clone().unwrap_or_else(|| std::env::temp_dir().join(own_dir));
+    match run(&flags, &dir) {
+        Ok(true) => {
+            if temporary {
+                // A directory that stays behind does no harm.
+                let _ = std::fs::remove_dir_all(&dir);
+            }
+            ExitCode::SUCCESS
+        }
+        Ok(false) => {
+            println!("logs are in {}", dir.display());
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("{error}\nlogs are in {}", dir.display());
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(flags: &flags::JacinthrockDemo, dir: &Path) -> Result<bool, RunError> {
+    let options = RunOptions {
+        scenario: built_in("demo").expect("the demo is built in"),
+        seed: flags.seed.unwrap_or(DEFAULT_SEED),
+        rate: flags.rate.unwrap_or(DEFAULT_RATE),
+        length: Duration::from_secs(flags.seconds.unwrap_or(DEFAULT_SECONDS)),
+    };
+    println!("starting the system on loopback and running calls for {:?}", options.length);
+    let (report, mut fleet) = run_fleet(options, dir)?;
+    println!("{} processes ran\n", fleet.harness.process_count());
+    print!("{}", render_text(&report));
+    let layers = check_layers(&fleet.engines);
+    println!(
+        "  tokens in the engines' records {}, with a layer run twice {}, engines unread {}",
+        layers.tokens, layers.run_twice, layers.unread_engines
+    );
+    let mut holds = report.checks.holds() && layers.run_twice == 0;
+    for index in stopped_routers(&report) {
+        let ended_well = router_ended_well(&mut fleet, index);
+        let cut = report.cut_tries.get(&index).copied().unwrap_or(0);
+        let exit = if ended_well { "with code 0" } else { "badly" };
+        println!("  router {} was asked to stop: cut off {cut}, ended {exit}", index + 1);
+        holds &= ended_well && cut == 0;
+    }
+    println!("\n{}", if holds { "every check holds" } else { "A CHECK FAILED" });
+    Ok(holds)
+}
+
+fn stopped_routers(report: &RunReport) -> Vec<usize> {
+    let stopped = |kind: &FaultKind| match kind {
+        FaultKind::StopRouter { index } => Some(*index),
+        _ => None,
+    };
+    report.scenario.faults.iter().filter_map(|fault| stopped(&fault.kind)).collect()
+}
--- /dev/null
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -0,0 +1,146 @@
+//! Drives load against a fleet on stand-ins or a running system, and reports.
+
+use jacinthrock_standins::load::{
+    LoadScenario, RunError, RunOptions, RunReport, built_in, render_text, run_fleet, run_target,
+    write_plots,
+};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+const REPORT_FILE: &str = "report.json";
+const TEXT_FILE: &str = "report.txt";
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Load and experiment tool.
+        cmd jacinthrock-load {
+            /// Runs a scenario.
+            cmd run {
+                /// Built-in scenario (demo, lasitaide, oficina) or path of a TOML file.
+                required --scenario name: String
+                /// Seed of the calls (default 1).
+                optional --seed number: u64
+                /// Calls in a second, of all kinds, outside of bursts.
+                required --rate count: f64
+                /// Length of the run, in seconds.
+                required --seconds seconds: u64
+                /// Directory for the report, plots and logs.
+                required --out path: PathBuf
+                /// Address of a router that already runs; may be given more than once.
+                repeated --target address: String
+            }
+            /// Repeats the run of a report with the same scenario, seed, rate and length.
+            cmd repeat {
+                /// Directory of the report.
+                required report: PathBuf
+                /// Directory for the new report, plots and logs.
+                required --out path: PathBuf
+            }
+            /// Writes the text and the plots of a report again.
+            cmd report {
+                /// Directory of the report.
+                required dir: PathBuf
+            }
+            /// Prints a built-in scenario as TOML.
+            cmd scenario {
+                /// Name of the scenario.
+                required name: String
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::JacinthrockLoad::from_env_or_exit();
+    let result = match flags.subcommand {
+        flags::JacinthrockLoadCmd::Run(run) => run_command(run),
+        flags::JacinthrockLoadCmd::Repeat(repeat) => repeat_command(&repeat),
+        flags::JacinthrockLoadCmd::Report(report) => report_command(&report.dir),
+        flags::JacinthrockLoadCmd::Scenario(scenario) => scenario_command(&scenario.name),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run_command(run: flags::Run) -> Result<bool, RunError> {
+    let options = RunOptions {
+        scenario: load_scenario(&run.scenario)?,
+        seed: run.seed.unwrap_or(1),
+        rate: run.rate,
+        length: Duration::from_secs(run.seconds),
+    };
+    let routers = run.target.iter().map(|url| url.trim_start_matches("http://").into()).collect();
+    run_options(options, routers, &run.out)
+}
+
+fn repeat_command(repeat: &flags::Repeat) -> Result<bool, RunError> {
+    let report = read_report(&repeat.report)?;
+    let options = RunOptions {
+        scenario: report.scenario,
+        seed: report.seed,
+        rate: report.rate,
+        length: Duration::from_secs(report.seconds),
+    };
+    run_options(options, Vec::new(), &repeat.out)
+}
+
+fn run_options(options: RunOptions, routers: Vec<Box<str>>, out: &Path) -> Result<bool, RunError> {
+    std::fs::create_dir_all(out).map_err(|error| report_error(out, &error.to_string()))?;
+    let report = match routers.is_empty() {
+        true => run_fleet(options, out)?.0,
+        false => run_target(options, routers),
+    };
+    let file = out.join(REPORT_FILE);
+    let json = serde_json::to_string_pretty(&report).expect("reports serialize");
+    std::fs::write(&file, json).map_err(|error| report_error(&file, &error.to_string()))?;
+    render(&report, out)?;
+    Ok(report.checks.holds())
+}
+
+fn report_command(dir: &Path) -> Result<bool, RunError> {
+    let report = read_report(dir)?;
+    render(&report, dir)?;
+    Ok(report.checks.holds())
+}
+
+fn scenario_command(name: &str) -> Result<bool, RunError> {
+    let scenario = load_scenario(name)?;
+    println!("{}", toml::to_string_pretty(&scenario).expect("scenarios serialize"));
+    Ok(true)
+}
+
+fn render(report: &RunReport, dir: &Path) -> Result<(), RunError> {
+    let text = render_text(report);
+    print!("{text}");
+    let file = dir.join(TEXT_FILE);
+    std::fs::write(&file, text).map_err(|error| report_error(&file, &error.to_string()))?;
+    write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
+}
+
+fn load_scenario(name: &str) -> Result<LoadScenario, RunError> {
+    if let Some(scenario) = built_in(name) {
+        return Ok(scenario);
+    }
+    let text = std::fs::read_to_string(name).map_err(|_| RunError::Scenario(name.into()))?;
+    toml::from_str(&text).map_err(|error| report_error(Path::new(name), &error.to_string()))
+}
+
+fn read_report(dir: &Path) -> Result<RunReport, RunError> {
+    let file: PathBuf = dir.join(REPORT_FILE);
+    let json = std::fs::read_to_string(&file);
+    let json = json.map_err(|error| report_error(&file, &error.to_string()))?;
+    serde_json::from_str(&json).map_err(|error| report_error(&file, &error.to_string()))
+}
+
+fn report_error(path: &Path, reason: &str) -> RunError {
+    RunError::Report { path: path.display().to_string().into(), reason: reason.into() }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod harness;
 pub mod http;
+pub mod load;
 pub mod platform;
 pub mod service;
 pub mod token;
--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,28 @@
+//! Open-loop load, faults on a timeline, checks and reports.
+
+mod arrival;
+mod balancer;
+mod check;
+mod driver;
+mod faults;
+mod layers;
+mod plot;
+mod recovery;
+mod report;
+mod run;
+mod sample;
+mod scenario;
+mod text;
+
+pub use arrival::{CallArrival, call_arrivals};
+pub use check::{CheckReport, check_runs};
+pub use driver::{LoadDriver, LoadTarget};
+pub use faults::{FaultKind, FaultPlan};
+pub use layers::{LayerReport, check_layers};
+pub use plot::write_plots;
+pub use recovery::{RecoveryReport, recovery_report};
+pub use report::{LatencyReport, RunReport, SecondReport};
+pub use run::{RunError, RunOptions, router_ended_well, run_fleet, run_target};
+pub use sample::{CallResult, CallSample, CallTry};
+pub use scenario::{BurstPlan, CallKind, LoadScenario, MixPlan, built_in};
+pub use text::render_text;
--- /dev/null
+++ b/crates/standins/src/load/arrival.rs
@@ -0,0 +1,98 @@
+//! Arrivals of calls: a Poisson process with bursts, decided by a seed alone.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+use super::scenario::{BurstPlan, CallKind, LoadScenario};
+use crate::fleet::CustomerPlan;
+
+const WORDS: [&str; 12] = [
+    "kiln", "glass", "heat", "bench", "colour", "rod", "pipe", "cane", "visitor", "studio",
+    "feast", "bulletin",
+];
+
+/// A call that comes at its time whatever became of the earlier ones.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CallArrival {
+    /// Number of the call.
+    pub index: u32,
+    /// Time of the call.
+    pub at: Duration,
+    /// Kind of the call.
+    pub kind: CallKind,
+    /// Path prefix of a plain service.
+    pub prefix: Box<str>,
+    /// Index of the customer.
+    pub customer: usize,
+    /// Question, or body of a plain call.
+    pub text: Box<str>,
+    /// Length of the answer, in tokens.
+    pub tokens: u32,
+    /// Number by which the balancer chooses a router.
+    pub router_draw: usize,
+}
+
+/// Every call of a run, in the order of their times.
+pub fn call_arrivals(
+    scenario: &LoadScenario,
+    seed: u64,
+    rate: f64,
+    length: Duration,
+) -> Vec<CallArrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let current = rate * burst_factor(&scenario.bursts, at);
+        let uniform: f64 = rng.random();
+        at += -(1.0 - uniform).ln() / current;
+        if at >= length.as_secs_f64() {
+            return arrivals;
+        }
+        arrivals.push(draw(scenario, &mut rng, arrivals.len() as u32, at));
+    }
+}
+
+fn draw(scenario: &LoadScenario, rng: &mut ChaCha8Rng, index: u32, at: f64) -> CallArrival {
+    let entry = &scenario.mix[weighted(rng, scenario.mix.iter().map(|entry| entry.weight))];
+    let weights = scenario.fleet.customers.iter().map(|customer: &CustomerPlan| customer.weight);
+    let customer = weighted(rng, weights);
+    let words = rng.random_range(entry.words[0]..=entry.words[1]);
+    CallArrival {
+        index,
+        at: Duration::from_secs_f64(at),
+        kind: entry.kind,
+        prefix: entry.prefix.clone(),
+        customer,
+        text: question(rng, index, words),
+        tokens: rng.random_range(entry.tokens[0]..=entry.tokens[1]),
+        router_draw: rng.random_range(0..1 << 16),
+    }
+}
+
+fn question(rng: &mut ChaCha8Rng, index: u32, words: u32) -> Box<str> {
+    let mut text = format!("call {index}");
+    for _ in 0..words {
+        text.push(' ');
+        text.push_str(WORDS[rng.random_range(0..WORDS.len())]);
+    }
+    text.into()
+}
+
+fn weighted(rng: &mut ChaCha8Rng, weights: impl Iterator<Item = u32> + Clone) -> usize {
+    let total: u32 = weights.clone().sum();
+    let mut left = rng.random_range(0..total.max(1));
+    for (index, weight) in weights.enumerate() {
+        if left < weight {
+            return index;
+        }
+        left -= weight;
+    }
+    0
+}
+
+fn burst_factor(bursts: &[BurstPlan], at: f64) -> f64 {
+    let within = |burst: &&BurstPlan| at >= burst.from_s && at < burst.from_s + burst.for_s;
+    bursts.iter().filter(within).map(|burst| burst.factor).fold(1.0, f64::max)
+}
--- /dev/null
+++ b/crates/standins/src/load/check.rs
@@ -0,0 +1,83 @@
+//! Checks what the services ran against what the callers were told.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+use super::sample::{CallResult, CallSample};
+use super::scenario::CallKind;
+use crate::fleet::ServiceProcess;
+use crate::service::ServiceRecord;
+
+/// Result of the checks; every count but the first ones should be 0.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CheckReport {
+    /// Answers that were recomputed token by token.
+    pub answers_checked: u32,
+    /// Keys that the services ran.
+    pub keys_run: u32,
+    /// Calls whose outcome the router said to be unknown.
+    pub unknown: u32,
+    /// Answers that were wrong.
+    pub wrong_answers: u32,
+    /// Keys that ran more than once.
+    pub run_twice: u32,
+    /// Calls that were acknowledged and did not run.
+    pub acknowledged_not_run: u32,
+    /// Calls that were said not to have run and did.
+    pub refused_but_run: u32,
+    /// Services whose records could not be read.
+    pub unread_services: u32,
+}
+
+impl CheckReport {
+    /// Whether no promise was broken.
+    pub fn holds(&self) -> bool {
+        self.wrong_answers == 0
+            && self.run_twice == 0
+            && self.acknowledged_not_run == 0
+            && self.refused_but_run == 0
+            && self.unread_services == 0
+    }
+}
+
+/// Checks samples against the services' own records.
+pub fn check_runs(samples: &[CallSample], services: &[ServiceProcess]) -> CheckReport {
+    let mut report = CheckReport::default();
+    let mut runs: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    for service in services {
+        let Some(records) = read_records(&service.address) else {
+            report.unread_services += 1;
+            continue;
+        };
+        for record in records.into_iter().filter(|record| !record.key.is_empty()) {
+            *runs.entry(record.key).or_default() += record.times_run;
+        }
+    }
+    report.keys_run = runs.len() as u32;
+    report.run_twice = runs.values().filter(|&&times| times > 1).count() as u32;
+    for sample in samples {
+        check_sample(sample, &runs, &mut report);
+    }
+    report
+}
+
+fn check_sample(sample: &CallSample, runs: &BTreeMap<Box<str>, u32>, report: &mut CheckReport) {
+    let count = |counted: bool| u32::from(counted);
+    report.unknown += count(sample.result == CallResult::Unknown);
+    report.wrong_answers += count(sample.result == CallResult::Wrong);
+    if sample.kind == CallKind::Answer {
+        report.answers_checked += count(sample.result == CallResult::Whole);
+    }
+    if sample.kind == CallKind::Run {
+        let ran = runs.contains_key(&sample.key);
+        report.acknowledged_not_run += count(sample.result == CallResult::Whole && !ran);
+        report.refused_but_run += count(sample.claims_not_run() && ran);
+    }
+}
+
+fn read_records(address: &str) -> Option<Vec<ServiceRecord>> {
+    let url = format!("http://{address}/control/records");
+    let mut response = ureq::get(&url).call().ok()?;
+    let body = response.body_mut().with_config().limit(u64::MAX).read_to_vec().ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/standins/src/load/faults.rs
@@ -0,0 +1,157 @@
+//! Faults on a run's timeline.
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use std::time::Duration;
+
+use crate::fleet::RunningFleet;
+use crate::harness::ProcessSignal;
+
+/// A fault at a time of the run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FaultPlan {
+    /// Time, in seconds.
+    pub at_s: f64,
+    /// What happens.
+    #[serde(flatten)]
+    pub kind: FaultKind,
+}
+
+/// What a fault does. Indexes count the fleet's processes of the kind, from 0.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "fault", rename_all = "kebab-case")]
+pub enum FaultKind {
+    /// Kills an engine.
+    KillEngine {
+        /// Index of the engine.
+        index: usize,
+    },
+    /// Freezes an engine until `WakeEngine`.
+    FreezeEngine {
+        /// Index of the engine.
+        index: usize,
+    },
+    /// Wakes a frozen engine.
+    WakeEngine {
+        /// Index of the engine.
+        index: usize,
+    },
+    /// Slows an engine down.
+    SlowEngine {
+        /// Index of the engine.
+        index: usize,
+        /// Additional time of each token, in microseconds.
+        extra_us: u64,
+    },
+    /// Kills a router.
+    KillRouter {
+        /// Index of the router.
+        index: usize,
+    },
+    /// Asks a router to shut down.
+    StopRouter {
+        /// Index of the router.
+        index: usize,
+    },
+    /// Freezes a router until `WakeRouter`.
+    FreezeRouter {
+        /// Index of the router.
+        index: usize,
+    },
+    /// Wakes a frozen router.
+    WakeRouter {
+        /// Index of the router.
+        index: usize,
+    },
+    /// Kills a controller.
+    KillController {
+        /// Index of the controller.
+        index: usize,
+    },
+    /// Takes the platform down, or brings it back.
+    Platform {
+        /// Whether it is down from now on.
+        down: bool,
+    },
+    /// Loses the replies of the platform's next writes, which take effect.
+    LoseWriteReplies {
+        /// Number of writes.
+        count: u32,
+    },
+    /// Loses the replies of a plain endpoint's next calls, which run.
+    LoseServiceReplies {
+        /// Index of the endpoint.
+        index: usize,
+        /// Number of calls.
+        count: u32,
+    },
+    /// Kills every engine of a failure domain.
+    KillDomain {
+        /// Name of the failure domain.
+        domain: Box<str>,
+    },
+}
+
+impl FaultPlan {
+    /// Time of the fault.
+    pub fn at(&self) -> Duration {
+        Duration::from_secs_f64(self.at_s)
+    }
+
+    /// Brings the fault about; a fault on a process that is gone does nothing.
+    pub fn apply(&self, fleet: &mut RunningFleet) {
+        match &self.kind {
+            FaultKind::KillEngine { index } => signal_engine(fleet, *index, ProcessSignal::Kill),
+            FaultKind::FreezeEngine { index } => {
+                signal_engine(fleet, *index, ProcessSignal::Freeze);
+            }
+            FaultKind::WakeEngine { index } => signal_engine(fleet, *index, ProcessSignal::Wake),
+            FaultKind::SlowEngine { index, extra_us } => {
+                let address = fleet.engines[*index].address.clone();
+                post(&address, &json!({ "extra_us_per_token": extra_us }));
+            }
+            FaultKind::KillRouter { index } => signal_router(fleet, *index, ProcessSignal::Kill),
+            FaultKind::StopRouter { index } => {
+                signal_router(fleet, *index, ProcessSignal::Terminate);
+            }
+            FaultKind::FreezeRouter { index } => {
+                signal_router(fleet, *index, ProcessSignal::Freeze);
+            }
+            FaultKind::WakeRouter { index } => signal_router(fleet, *index, ProcessSignal::Wake),
+            FaultKind::KillController { index } => {
+                let name = fleet.controllers[*index].clone();
+                fleet.harness.signal(&name, ProcessSignal::Kill);
+            }
+            FaultKind::Platform { down } => post(&fleet.platform, &json!({ "down": down })),
+            FaultKind::LoseWriteReplies { count } => {
+                post(&fleet.platform, &json!({ "lose_replies": count }));
+            }
+            FaultKind::LoseServiceReplies { index, count } => {
+                let address = fleet.services[*index].address.clone();
+                post(&address, &json!({ "drop_reply_next": count }));
+            }
+            FaultKind::KillDomain { domain } => kill_domain(fleet, domain),
+        }
+    }
+}
+
+fn signal_engine(fleet: &mut RunningFleet, index: usize, signal: ProcessSignal) {
+    let name = fleet.engines[index].name.clone();
+    fleet.harness.signal(&name, signal);
+}
+
+fn signal_router(fleet: &mut RunningFleet, index: usize, signal: ProcessSignal) {
+    let name = fleet.routers[index].name.clone();
+    fleet.harness.signal(&name, signal);
+}
+
+fn kill_domain(fleet: &mut RunningFleet, domain: &str) {
+    for engine in fleet.engines.clone().iter().filter(|engine| *engine.domain == *domain) {
+        fleet.harness.signal(&engine.name, ProcessSignal::Kill);
+    }
+}
+
+fn post(address: &str, faults: &serde_json::Value) {
+    // A stand-in that is gone can't be made to fail further.
+    let _ = ureq::post(format!("http://{address}/control/faults")).send_json(faults);
+}
--- /dev/null
+++ b/crates/standins/src/load/layers.rs
@@ -0,0 +1,53 @@
+//! Checks from the engines' own records that no layer ran twice for a token.
+
+use jacinthrock::{AttemptNumber, LayerIndex, RequestId, TokenPosition};
+use std::collections::BTreeMap;
+
+use crate::engine::EngineRecords;
+use crate::fleet::EngineProcess;
+
+/// What the engines' records say.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LayerReport {
+    /// Tokens with records, over all attempts.
+    pub tokens: u32,
+    /// Tokens for which a layer ran twice in one attempt.
+    pub run_twice: u32,
+    /// Engines whose records could not be read, such as killed ones.
+    pub unread_engines: u32,
+}
+
+type TokenKey = (RequestId, AttemptNumber, TokenPosition);
+type LayerRange = (LayerIndex, LayerIndex);
+
+/// Reads every engine's records and compares the layers that ran for each token.
+pub fn check_layers(engines: &[EngineProcess]) -> LayerReport {
+    let mut report = LayerReport::default();
+    let mut tokens: BTreeMap<TokenKey, Vec<LayerRange>> = BTreeMap::new();
+    for engine in engines {
+        let Some(records) = read_records(&engine.address) else {
+            report.unread_engines += 1;
+            continue;
+        };
+        for run in records.runs {
+            let ranges = tokens.entry((run.request, run.attempt, run.position)).or_default();
+            ranges.push((run.first_layer, run.last_layer));
+        }
+    }
+    report.tokens = tokens.len() as u32;
+    report.run_twice = tokens.into_values().filter(|ranges| overlaps(ranges)).count() as u32;
+    report
+}
+
+/// Whether two of the ranges share a layer.
+fn overlaps(ranges: &[LayerRange]) -> bool {
+    let mut ranges = ranges.to_vec();
+    ranges.sort();
+    ranges.windows(2).any(|pair| pair[1].0 <= pair[0].1)
+}
+
+fn read_records(address: &str) -> Option<EngineRecords> {
+    let mut response = ureq::get(format!("http://{address}/control/records")).call().ok()?;
+    let body = response.body_mut().with_config().limit(u64::MAX).read_to_vec().ok()?;
+    serde_json::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/standins/src/load/recovery.rs
@@ -0,0 +1,71 @@
+//! Time from a fault to the next token.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+use super::faults::FaultPlan;
+use super::sample::{CallResult, CallSample};
+use super::scenario::CallKind;
+
+/// A gap between tokens is an interruption from so many times the stream's median gap.
+const INTERRUPTION_FACTOR: u32 = 4;
+
+/// Shortest gap that counts as an interruption.
+const SHORTEST_INTERRUPTION: Duration = Duration::from_millis(50);
+
+/// What a fault did to the answers that were being streamed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecoveryReport {
+    /// The fault.
+    pub fault: FaultPlan,
+    /// Answers that were being streamed.
+    pub streaming: u32,
+    /// Those whose tokens stopped for longer than usual.
+    pub interrupted: u32,
+    /// Those that did not become whole.
+    pub lost: u32,
+    /// Time from the fault to the next token of the interrupted ones, in milliseconds: the
+    /// median, 95th and 99th percentile and the longest.
+    pub next_token_ms: [f64; 4],
+}
+
+/// Finds out what a fault did.
+pub fn recovery_report(fault: &FaultPlan, samples: &[CallSample]) -> RecoveryReport {
+    let at = fault.at();
+    let streaming: Vec<&CallSample> = samples.iter().filter(|it| is_streaming(it, at)).collect();
+    let mut waits: Vec<Duration> =
+        streaming.iter().filter_map(|sample| interruption(sample, at)).collect();
+    waits.sort();
+    let lost = streaming.iter().filter(|sample| sample.result != CallResult::Whole).count();
+    RecoveryReport {
+        fault: fault.clone(),
+        streaming: streaming.len() as u32,
+        interrupted: waits.len() as u32,
+        lost: lost as u32,
+        next_token_ms: [0.5, 0.95, 0.99, 1.0].map(|rank| percentile_ms(&waits, rank)),
+    }
+}
+
+fn is_streaming(sample: &CallSample, at: Duration) -> bool {
+    let started = sample.token_times.first().is_some_and(|&first| first <= at);
+    sample.kind == CallKind::Answer && started && sample.ended > at
+}
+
+/// Time from the fault to the next token, where the gap is longer than the stream's usual one.
+fn interruption(sample: &CallSample, at: Duration) -> Option<Duration> {
+    let times = &sample.token_times;
+    let next = times.partition_point(|&time| time <= at);
+    let (before, after) = (*times.get(next.checked_sub(1)?)?, *times.get(next)?);
+    let mut gaps: Vec<Duration> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    gaps.sort();
+    let usual = gaps[gaps.len() / 2] * INTERRUPTION_FACTOR;
+    (after - before > usual.max(SHORTEST_INTERRUPTION)).then(|| after - at)
+}
+
+fn percentile_ms(sorted: &[Duration], rank: f64) -> f64 {
+    let Some(last) = sorted.len().checked_sub(1) else {
+        return 0.0;
+    };
+    let index = (rank * sorted.len() as f64).ceil() as usize;
+    sorted[index.saturating_sub(1).min(last)].as_secs_f64() * 1e3
+}
--- /dev/null
+++ b/crates/standins/src/load/report.rs
@@ -0,0 +1,227 @@
+//! The report of a run: everything needed to repeat it, and what was seen.
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::check::CheckReport;
+use super::recovery::{RecoveryReport, recovery_report};
+use super::sample::{CallResult, CallSample};
+use super::scenario::{CallKind, LoadScenario};
+use crate::caller::CallEnd;
+
+/// Longest latency that the histograms hold, in microseconds.
+const MAX_LATENCY_US: u64 = 600_000_000;
+
+/// Percentiles that the plots show.
+const PLOTTED_PERCENTILES: [f64; 9] = [10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0];
+
+/// Latencies of one sort, in milliseconds.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LatencyReport {
+    /// Number of values.
+    pub count: u64,
+    /// Median.
+    pub p50_ms: f64,
+    /// 95th percentile.
+    pub p95_ms: f64,
+    /// 99th percentile.
+    pub p99_ms: f64,
+    /// Longest.
+    pub worst_ms: f64,
+    /// Percentiles with their latencies, for plots.
+    pub curve: Vec<(f64, f64)>,
+}
+
+/// What happened in one second of the run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct SecondReport {
+    /// Calls that were due.
+    pub due: u32,
+    /// Calls that ended whole.
+    pub whole: u32,
+    /// Calls that ended otherwise.
+    pub failed: u32,
+    /// Tokens that came.
+    pub tokens: u32,
+}
+
+/// Report of a run.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RunReport {
+    /// Scenario, whole.
+    pub scenario: LoadScenario,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Rate of all calls, in a second.
+    pub rate: f64,
+    /// Length, in seconds.
+    pub seconds: u64,
+    /// Calls by kind and result.
+    pub results: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>>,
+    /// Refusals by numbered code, over all tries.
+    pub refusals: BTreeMap<u16, u32>,
+    /// Tries whose connection broke, by index of the router.
+    pub cut_tries: BTreeMap<usize, u32>,
+    /// Tries whose connection could not be made.
+    pub unreached_tries: u32,
+    /// Latencies by name.
+    pub latencies: BTreeMap<Box<str>, LatencyReport>,
+    /// Tokens in a second while calls were due.
+    pub tokens_per_second: f64,
+    /// Tokens in a second that the engines could make at most.
+    pub token_bound: f64,
+    /// Answers in a second that the engines could make at most.
+    pub answer_bound: f64,
+    /// Answers offered in a second.
+    pub answers_offered: f64,
+    /// Answers that became whole, in a second, over the time until the last ended.
+    pub answers_whole: f64,
+    /// What each fault did.
+    pub recoveries: Vec<RecoveryReport>,
+    /// Checks of the promises.
+    pub checks: CheckReport,
+    /// What happened in each second.
+    pub timeline: Vec<SecondReport>,
+}
+
+/// What a run was asked to do.
+#[derive(Clone, Debug)]
+pub(super) struct RunInput {
+    pub(super) scenario: LoadScenario,
+    pub(super) seed: u64,
+    pub(super) rate: f64,
+    pub(super) length: Duration,
+}
+
+impl RunReport {
+    pub(super) fn new(input: RunInput, samples: &[CallSample], checks: CheckReport) -> Self {
+        let RunInput { scenario, seed, rate, length } = input;
+        let (words, tokens) = scenario.mean_answer();
+        let seconds = length.as_secs_f64();
+        let in_time =
+            |sample: &CallSample| sample.token_times.iter().filter(|time| **time <= length).count();
+        let answers = || samples.iter().filter(|sample| sample.kind == CallKind::Answer);
+        let whole = answers().filter(|sample| sample.result == CallResult::Whole);
+        let whole_in_time = whole.filter(|sample| sample.ended <= length).count();
+        let recoveries = scenario.faults.iter().map(|fault| recovery_report(fault, samples));
+        Self {
+            seed,
+            rate,
+            seconds: length.as_secs(),
+            results: results(samples),
+            refusals: refusals(samples),
+            cut_tries: tries_by_router(samples, &CallEnd::Cut),
+            unreached_tries: tries_by_router(samples, &CallEnd::NotReached).values().sum(),
+            latencies: latencies(samples),
+            tokens_per_second: samples.iter().map(in_time).sum::<usize>() as f64 / seconds,
+            token_bound: scenario.fleet.token_bound(),
+            answer_bound: scenario.fleet.answer_bound(words, tokens),
+            answers_offered: answers().count() as f64 / seconds,
+            answers_whole: whole_in_time as f64 / seconds,
+            recoveries: recoveries.collect(),
+            checks,
+            timeline: timeline(samples),
+            scenario,
+        }
+    }
+
+    /// Calls of a kind with a result.
+    pub fn count(&self, kind: CallKind, result: CallResult) -> u32 {
+        let results = self.results.get(&label(kind));
+        results.and_then(|results| results.get(&label(result))).copied().unwrap_or(0)
+    }
+}
+
+/// Name of a unit variant as serde writes it.
+fn label(value: impl Serialize) -> Box<str> {
+    let value = serde_json::to_value(value).expect("unit variants serialize");
+    value.as_str().unwrap_or("").into()
+}
+
+fn results(samples: &[CallSample]) -> BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> {
+    let mut results: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>> = BTreeMap::new();
+    for sample in samples {
+        let kind = results.entry(label(sample.kind)).or_default();
+        *kind.entry(label(sample.result)).or_default() += 1;
+    }
+    results
+}
+
+fn refusals(samples: &[CallSample]) -> BTreeMap<u16, u32> {
+    let mut refusals = BTreeMap::new();
+    for call_try in samples.iter().flat_map(|sample| &sample.tries) {
+        if let CallEnd::Refused(refusal) = &call_try.end {
+            *refusals.entry(refusal.code).or_default() += 1;
+        }
+    }
+    refusals
+}
+
+fn tries_by_router(samples: &[CallSample], end: &CallEnd) -> BTreeMap<usize, u32> {
+    let mut tries = BTreeMap::new();
+    for call_try in samples.iter().flat_map(|sample| &sample.tries) {
+        if call_try.end == *end {
+            *tries.entry(call_try.router).or_default() += 1;
+        }
+    }
+    tries
+}
+
+fn latencies(samples: &[CallSample]) -> BTreeMap<Box<str>, LatencyReport> {
+    let whole = |kind: CallKind| {
+        samples
+            .iter()
+            .filter(move |sample| sample.kind == kind && sample.result == CallResult::Whole)
+    };
+    let gaps = whole(CallKind::Answer)
+        .flat_map(|sample| sample.token_times.windows(2).map(|pair| pair[1] - pair[0]));
+    BTreeMap::from([
+        ("answer first token".into(), latency(first_tokens(whole(CallKind::Answer)))),
+        ("answer token gap".into(), latency(gaps)),
+        ("answer total".into(), latency(whole(CallKind::Answer).map(CallSample::total))),
+        ("run total".into(), latency(whole(CallKind::Run).map(CallSample::total))),
+        ("look-up total".into(), latency(whole(CallKind::LookUp).map(CallSample::total))),
+    ])
+}
+
+fn first_tokens<'a>(
+    samples: impl Iterator<Item = &'a CallSample>,
+) -> impl Iterator<Item = Duration> {
+    samples.filter_map(CallSample::first_token)
+}
+
+fn latency(values: impl Iterator<Item = Duration>) -> LatencyReport {
+    let mut histogram: Histogram<u64> =
+        Histogram::new_with_max(MAX_LATENCY_US, 3).expect("the histogram's bounds are valid");
+    for value in values {
+        histogram.saturating_record(value.as_micros() as u64);
+    }
+    let at = |percentile: f64| histogram.value_at_percentile(percentile) as f64 / 1e3;
+    LatencyReport {
+        count: histogram.len(),
+        p50_ms: at(50.0),
+        p95_ms: at(95.0),
+        p99_ms: at(99.0),
+        worst_ms: histogram.max() as f64 / 1e3,
+        curve: PLOTTED_PERCENTILES.iter().map(|&percentile| (percentile, at(percentile))).collect(),
+    }
+}
+
+fn timeline(samples: &[CallSample]) -> Vec<SecondReport> {
+    let last = samples.iter().map(|sample| sample.ended.as_secs()).max().unwrap_or(0);
+    let mut seconds = vec![SecondReport::default(); last as usize + 1];
+    for sample in samples {
+        seconds[(sample.due.as_secs() as usize).min(last as usize)].due += 1;
+        let end = &mut seconds[sample.ended.as_secs() as usize];
+        match sample.result {
+            CallResult::Whole => end.whole += 1,
+            _ => end.failed += 1,
+        }
+        for time in &sample.token_times {
+            seconds[(time.as_secs() as usize).min(last as usize)].tokens += 1;
+        }
+    }
+    seconds
+}
--- /dev/null
+++ b/crates/standins/src/load/run.rs
@@ -0,0 +1,111 @@
+//! Runs a scenario against a fleet of its own, or against a running system.
+
+use std::path::Path;
+use std::time::Duration;
+
+use super::arrival::{CallArrival, call_arrivals};
+use super::check::check_runs;
+use super::driver::{LoadDriver, LoadTarget};
+use super::report::{RunInput, RunReport};
+use super::scenario::LoadScenario;
+use crate::fleet::RunningFleet;
+use crate::harness::HarnessError;
+
+/// Longest wait for a router that was asked to shut down.
+const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What to run.
+#[derive(Clone, Debug)]
+pub struct RunOptions {
+    /// Scenario.
+    pub scenario: LoadScenario,
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Rate of all calls, in a second.
+    pub rate: f64,
+    /// Length of the arrivals.
+    pub length: Duration,
+}
+
+/// Why a run gave no report.
+#[derive(Debug, thiserror::Error)]
+pub enum RunError {
+    /// A process could not be started or did not become ready.
+    #[error(transparent)]
+    Harness(#[from] HarnessError),
+    /// A report could not be written or read.
+    #[error("report {path}: {reason}")]
+    Report {
+        /// Path of the file.
+        path: Box<str>,
+        /// What failed.
+        reason: Box<str>,
+    },
+    /// The scenario is neither built in nor a readable file.
+    #[error("scenario {0:?} is neither built in nor a readable file")]
+    Scenario(Box<str>),
+}
+
+/// Starts the scenario's fleet, runs the calls and faults, and checks the outcome.
+///
+/// The fleet is returned, still running, for checks of its own.
+pub fn run_fleet(options: RunOptions, dir: &Path) -> Result<(RunReport, RunningFleet), RunError> {
+    let mut fleet = RunningFleet::start(options.scenario.fleet.clone(), dir)?;
+    let operators = fleet.routers.iter().map(|router| router.operator_address.clone());
+    let target = LoadTarget {
+        routers: fleet.router_addresses(),
+        operator_addresses: operators.collect(),
+        plan: fleet.plan.clone(),
+    };
+    let arrivals = arrivals(&options);
+    let mut driver = LoadDriver::new(target);
+    let mut faults = options.scenario.faults.clone();
+    faults.sort_by(|first, second| first.at_s.total_cmp(&second.at_s));
+    let mut faults = faults.into_iter().peekable();
+    for arrival in arrivals {
+        while let Some(fault) = faults.next_if(|fault| fault.at() <= arrival.at) {
+            driver.sleep_until(fault.at());
+            fault.apply(&mut fleet);
+        }
+        driver.sleep_until(arrival.at);
+        driver.send(arrival);
+    }
+    for fault in faults.filter(|fault| fault.at() <= options.length) {
+        driver.sleep_until(fault.at());
+        fault.apply(&mut fleet);
+    }
+    let samples = driver.finish();
+    let checks = check_runs(&samples, &fleet.services);
+    Ok((RunReport::new(input(options), &samples, checks), fleet))
+}
+
+/// Runs the scenario's calls against routers that already run; nothing is started or broken.
+pub fn run_target(mut options: RunOptions, routers: Vec<Box<str>>) -> RunReport {
+    options.scenario.faults.clear();
+    let plan = options.scenario.fleet.clone();
+    let target = LoadTarget { routers, operator_addresses: Vec::new(), plan };
+    let mut driver = LoadDriver::new(target);
+    for arrival in arrivals(&options) {
+        driver.sleep_until(arrival.at);
+        driver.send(arrival);
+    }
+    let samples = driver.finish();
+    let checks = check_runs(&samples, &[]);
+    RunReport::new(input(options), &samples, checks)
+}
+
+/// Waits for a router that was asked to shut down; tells whether it ended with success.
+pub fn router_ended_well(fleet: &mut RunningFleet, index: usize) -> bool {
+    let name = fleet.routers[index].name.clone();
+    let status = fleet.harness.wait_exit(&name, SHUTDOWN_TIMEOUT);
+    status.is_some_and(|status| status.success())
+}
+
+fn arrivals(options: &RunOptions) -> Vec<CallArrival> {
+    call_arrivals(&options.scenario, options.seed, options.rate, options.length)
+}
+
+fn input(options: RunOptions) -> RunInput {
+    let RunOptions { scenario, seed, rate, length } = options;
+    RunInput { scenario, seed, rate, length }
+}
--- /dev/null
+++ b/crates/standins/src/load/scenario.rs
@@ -0,0 +1,273 @@
+//! Scenarios: a fleet, a mix of calls, bursts and faults.
+
+use jacinthrock::{LinkDeclaration, PriorityClass};
+use serde::{Deserialize, Serialize};
+
+use super::faults::{FaultKind, FaultPlan};
+use crate::fleet::{ChainPlan, CustomerPlan, FleetPlan, ModelPlan, PlainPlan};
+
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallKind {
+    /// A streamed answer of the model service.
+    Answer,
+    /// A call of a plain service that may run only once.
+    Run,
+    /// A call of a plain service that may be repeated.
+    LookUp,
+}
+
+/// A kind of call with its part of the load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MixPlan {
+    /// Kind of the call.
+    pub kind: CallKind,
+    /// Part of the load, beside the others' weights.
+    pub weight: u32,
+    /// Path prefix of a plain service; empty for answers.
+    #[serde(default)]
+    pub prefix: Box<str>,
+    /// Fewest and most words of a question.
+    #[serde(default)]
+    pub words: [u32; 2],
+    /// Fewest and most tokens of an answer.
+    #[serde(default)]
+    pub tokens: [u32; 2],
+}
+
+/// A time in which more calls come.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct BurstPlan {
+    /// Start, in seconds.
+    pub from_s: f64,
+    /// Length, in seconds.
+    pub for_s: f64,
+    /// Factor on the rate.
+    pub factor: f64,
+}
+
+/// Everything that makes a run, beside its seed, rate and length.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LoadScenario {
+    /// Name of the scenario.
+    pub name: Box<str>,
+    /// Processes and declarations.
+    pub fleet: FleetPlan,
+    /// Kinds of calls.
+    pub mix: Vec<MixPlan>,
+    /// Bursts.
+    #[serde(default)]
+    pub bursts: Vec<BurstPlan>,
+    /// Faults.
+    #[serde(default)]
+    pub faults: Vec<FaultPlan>,
+}
+
+impl LoadScenario {
+    /// Mean words of a question and tokens of an answer.
+    pub fn mean_answer(&self) -> (f64, f64) {
+        let answers = || self.mix.iter().filter(|entry| entry.kind == CallKind::Answer);
+        let weight: f64 = answers().map(|entry| f64::from(entry.weight)).sum();
+        let mean = |range: fn(&MixPlan) -> [u32; 2]| {
+            let middle = |entry| {
+                let [low, high] = range(entry);
+                f64::from(low + high) / 2.0 * f64::from(entry.weight)
+            };
+            answers().map(middle).sum::<f64>() / weight.max(1.0)
+        };
+        (mean(|entry| entry.words), mean(|entry| entry.tokens))
+    }
+
+    /// Part of the calls that are answers, from 0 to 1.
+    pub fn answer_part(&self) -> f64 {
+        let all: u32 = self.mix.iter().map(|entry| entry.weight).sum();
+        let answers = self.mix.iter().filter(|entry| entry.kind == CallKind::Answer);
+        let answers: u32 = answers.map(|entry| entry.weight).sum();
+        f64::from(answers) / f64::from(all.max(1))
+    }
+}
+
+/// A scenario that needs no file: `demo`, `lasitaide` or `oficina`.
+pub fn built_in(name: &str) -> Option<LoadScenario> {
+    match name {
+        "demo" => Some(demo()),
+        "lasitaide" => Some(lasitaide()),
+        "oficina" => Some(oficina()),
+        _ => None,
+    }
+}
+
+fn demo() -> LoadScenario {
+    let domains = ["d1", "d2"];
+    let model = ModelPlan {
+        layers: 12,
+        chains: vec![chain("a100", 1, 1000, &["d1"]), chain("l40", 1, 1000, &["d2"])],
+        ..guide_model()
+    };
+    let fleet = FleetPlan {
+        root: "lasitaide".into(),
+        routers: 3,
+        controllers: 3,
+        domains: domains.map(Into::into).into(),
+        model,
+        services: vec![
+            plain("bookings", "/bookings", "booking", 1),
+            plain("registry", "/registry", "registry", 1),
+        ],
+        customers: vec![customer("kallo", 3), customer("sulatto", 1), customer("hehku", 1)],
+        links: links(&domains),
+    };
+    let mut mix = guide_mix();
+    mix.push(plain_mix(CallKind::Run, 15, "/registry"));
+    mix.push(plain_mix(CallKind::LookUp, 15, "/registry"));
+    let faults = vec![
+        fault(5.0, FaultKind::KillEngine { index: 1 }),
+        fault(10.0, FaultKind::KillRouter { index: 0 }),
+        fault(15.0, FaultKind::StopRouter { index: 1 }),
+    ];
+    LoadScenario { name: "demo".into(), fleet, mix, bursts: Vec::new(), faults }
+}
+
+fn lasitaide() -> LoadScenario {
+    let domains = ["helsinki", "turku", "tampere"];
+    let fleet = FleetPlan {
+        root: "lasitaide".into(),
+        routers: 7,
+        controllers: 3,
+        domains: domains.map(Into::into).into(),
+        model: ModelPlan { chains: mixed_chains(&domains), ..guide_model() },
+        services: vec![plain("bookings", "/bookings", "booking", 3)],
+        customers: customers("studio"),
+        links: links(&domains),
+    };
+    let bursts = vec![BurstPlan { from_s: 10.0, for_s: 5.0, factor: 2.0 }];
+    LoadScenario { name: "lasitaide".into(), fleet, mix: guide_mix(), bursts, faults: Vec::new() }
+}
+
+fn oficina() -> LoadScenario {
+    let domains = ["centro", "mapocho", "ohiggins"];
+    let model = ModelPlan {
+        service: "draft".into(),
+        name: "draft".into(),
+        version: "v1".into(),
+        priority: PriorityClass::Batch,
+        deadline_ms: 60_000,
+        max_tokens: 600,
+        chains: mixed_chains(&domains),
+        ..guide_model()
+    };
+    let fleet = FleetPlan {
+        root: "oficina".into(),
+        routers: 7,
+        controllers: 3,
+        domains: domains.map(Into::into).into(),
+        model,
+        services: vec![plain("registry", "/registry", "registry", 3)],
+        customers: customers("parish"),
+        links: links(&domains),
+    };
+    let mix = vec![
+        MixPlan { words: [60, 240], tokens: [60, 240], ..plain_mix(CallKind::Answer, 40, "") },
+        plain_mix(CallKind::Run, 30, "/registry"),
+        plain_mix(CallKind::LookUp, 30, "/registry"),
+    ];
+    let bursts = vec![BurstPlan { from_s: 10.0, for_s: 10.0, factor: 3.0 }];
+    LoadScenario { name: "oficina".into(), fleet, mix, bursts, faults: Vec::new() }
+}
+
+fn guide_model() -> ModelPlan {
+    ModelPlan {
+        service: "kiln-guide".into(),
+        name: "guide".into(),
+        version: "v1".into(),
+        layers: 12,
+        stages: 2,
+        slots: 8,
+        prefill_us: 50,
+        kv_import_us: 5,
+        priority: PriorityClass::Guidance,
+        deadline_ms: 15_000,
+        token_gap_ms: 400,
+        max_tokens: 400,
+        chains: Vec::new(),
+    }
+}
+
+fn guide_mix() -> Vec<MixPlan> {
+    vec![
+        MixPlan { words: [10, 60], tokens: [40, 120], ..plain_mix(CallKind::Answer, 40, "") },
+        plain_mix(CallKind::Run, 30, "/bookings"),
+        plain_mix(CallKind::LookUp, 30, "/bookings"),
+    ]
+}
+
+fn plain_mix(kind: CallKind, weight: u32, prefix: &str) -> MixPlan {
+    MixPlan { kind, weight, prefix: prefix.into(), words: [0, 0], tokens: [0, 0] }
+}
+
+fn chain(accelerator: &str, count: u16, layer_us: u64, domains: &[&str]) -> ChainPlan {
+    ChainPlan {
+        accelerator: accelerator.into(),
+        count,
+        layer_us,
+        domains: domains.iter().map(|&domain| domain.into()).collect(),
+        checks_fence: accelerator != "t4",
+    }
+}
+
+fn mixed_chains(domains: &[&str]) -> Vec<ChainPlan> {
+    vec![
+        chain("a100", 8, 1000, domains),
+        chain("l40", 8, 1500, domains),
+        chain("t4", 4, 3000, domains),
+    ]
+}
+
+fn plain(service: &str, prefix: &str, kind: &str, endpoints: u16) -> PlainPlan {
+    PlainPlan {
+        service: service.into(),
+        prefix: prefix.into(),
+        kind: kind.into(),
+        endpoints,
+        work_ms: 5,
+        slots: 32,
+    }
+}
+
+fn customer(name: &str, weight: u32) -> CustomerPlan {
+    CustomerPlan { name: name.into(), weight, concurrent_requests: 400, requests_per_second: 2_000 }
+}
+
+/// Ten customers, of which two are large.
+fn customers(stem: &str) -> Vec<CustomerPlan> {
+    let weight = |number| if number <= 2 { 8 } else { 1 };
+    (1..=10).map(|number| customer(&format!("{stem}-{number}"), weight(number))).collect()
+}
+
+/// Fast links inside a domain, and links between domains of which the last is a hundredth as fast.
+fn links(domains: &[&str]) -> Vec<LinkDeclaration> {
+    let mut links = Vec::new();
+    for (index, first) in domains.iter().enumerate() {
+        for (other, second) in domains.iter().enumerate().skip(index) {
+            let megabits = if index == other {
+                100_000
+            } else if other - index == 1 {
+                10_000
+            } else {
+                1_000
+            };
+            let latency_us = if index == other { 20 } else { 250 };
+            let between = [(*first).into(), (*second).into()];
+            links.push(LinkDeclaration { between, latency_us, megabits });
+        }
+    }
+    links
+}
+
+fn fault(at_s: f64, kind: FaultKind) -> FaultPlan {
+    FaultPlan { at_s, kind }
+}
