--- a/crates/standins/src/bin/jacinthrock-demo.rs
+++ b/crates/standins/src/bin/jacinthrock-demo.rs
@@ -13,6 +13,8 @@
 const DEFAULT_SECONDS: u64 = 20;
 
 mod flags {
+    use std::path::PathBuf;
+
     xflags::xflags! {
         /// Runs the system on stand-ins, breaks parts of it and checks every outcome.
         cmd jacinthrock-demo {
@@ -23,7 +25,7 @@
             /// Length of the run, in seconds (default 20).
             optional --seconds seconds: u64
             /// Directory for logs and declarations, kept; a temporary one otherwise.
-            optional --dir path: std::path::PathBuf
+            optional --dir path: PathBuf
         }
     }
 }
