--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -15,10 +15,10 @@
 mod text;
 
 pub use arrival::{CallArrival, call_arrivals};
-pub use check::{CheckReport, check_runs};
+pub use check::{CheckReport, check_runs, check_samples};
 pub use driver::{LoadDriver, LoadTarget};
 pub use faults::{FaultKind, FaultPlan};
-pub use layers::{LayerReport, check_layers};
+pub use layers::{LayerReport, check_layers, compare_layers};
 pub use plot::write_plots;
 pub use recovery::{RecoveryReport, recovery_report};
 pub use report::{LatencyReport, RunReport, SecondReport};
--- a/crates/standins/src/load/check.rs
+++ b/crates/standins/src/load/check.rs
@@ -40,21 +40,30 @@
     }
 }
 
-/// Checks samples against the services' own records.
+/// Checks samples against the services' own records, which are read over HTTP.
 pub fn check_runs(samples: &[CallSample], services: &[ServiceProcess]) -> CheckReport {
-    let mut report = CheckReport::default();
-    let mut runs: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    let mut records = Vec::new();
+    let mut unread_services = 0;
     for service in services {
-        let Some(records) = read_records(&service.address) else {
-            report.unread_services += 1;
-            continue;
-        };
-        for record in records.into_iter().filter(|record| !record.key.is_empty()) {
-            *runs.entry(record.key).or_default() += record.times_run;
+        match read_records(&service.address) {
+            Some(found) => records.extend(found),
+            None => unread_services += 1,
         }
     }
-    report.keys_run = runs.len() as u32;
-    report.run_twice = runs.values().filter(|&&times| times > 1).count() as u32;
+    CheckReport { unread_services, ..check_samples(samples, &records) }
+}
+
+/// Checks samples against records of the services that could have run them.
+pub fn check_samples(samples: &[CallSample], records: &[ServiceRecord]) -> CheckReport {
+    let mut runs: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    for record in records.iter().filter(|record| !record.key.is_empty()) {
+        *runs.entry(record.key.clone()).or_default() += record.times_run;
+    }
+    let mut report = CheckReport {
+        keys_run: runs.len() as u32,
+        run_twice: runs.values().filter(|&&times| times > 1).count() as u32,
+        ..CheckReport::default()
+    };
     for sample in samples {
         check_sample(sample, &runs, &mut report);
     }
--- a/crates/standins/src/load/layers.rs
+++ b/crates/standins/src/load/layers.rs
@@ -22,21 +22,21 @@
 
 /// Reads every engine's records and compares the layers that ran for each token.
 pub fn check_layers(engines: &[EngineProcess]) -> LayerReport {
-    let mut report = LayerReport::default();
+    let read: Vec<_> = engines.iter().map(|engine| read_records(&engine.address)).collect();
+    let unread_engines = read.iter().filter(|records| records.is_none()).count() as u32;
+    let records: Vec<EngineRecords> = read.into_iter().flatten().collect();
+    LayerReport { unread_engines, ..compare_layers(&records) }
+}
+
+/// Compares the layers that ran for each token.
+pub fn compare_layers(records: &[EngineRecords]) -> LayerReport {
     let mut tokens: BTreeMap<TokenKey, Vec<LayerRange>> = BTreeMap::new();
-    for engine in engines {
-        let Some(records) = read_records(&engine.address) else {
-            report.unread_engines += 1;
-            continue;
-        };
-        for run in records.runs {
-            let ranges = tokens.entry((run.request, run.attempt, run.position)).or_default();
-            ranges.push((run.first_layer, run.last_layer));
-        }
+    for run in records.iter().flat_map(|records| &records.runs) {
+        let key = (run.request.clone(), run.attempt, run.position);
+        tokens.entry(key).or_default().push((run.first_layer, run.last_layer));
     }
-    report.tokens = tokens.len() as u32;
-    report.run_twice = tokens.into_values().filter(|ranges| overlaps(ranges)).count() as u32;
-    report
+    let run_twice = tokens.values().filter(|ranges| overlaps(ranges)).count();
+    LayerReport { tokens: tokens.len() as u32, run_twice: run_twice as u32, unread_engines: 0 }
 }
 
 /// Whether two of the ranges share a layer.
