Router daemon: starts the parts, follows the configuration, drains

Cause: the parts need a process that joins them. Found on the way: the admission service woke itself for ever after the first change of capacity, since its timer event notified the timer's own task; a router with a configuration spun at 100% of a core and never became ready. A test polls the service until it rests; it never did before. Conclusion: a timer event no longer notifies.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -657,6 +657,7 @@
 
 impl ServiceState {
     fn apply(&self, event: GateEvent) {
+        let is_timer = matches!(event, GateEvent::Timer);
         let actions = self.gate.borrow_mut().handle(Instant::now(), event);
         for action in actions {
             self.answer(action);
@@ -665,7 +666,10 @@
             let waiting = self.gate.borrow().waiting_in(class) as i64;
             self.counters.set(MetricName::AdmissionWaiting, &[class_label(class)], waiting);
         }
-        self.changed.notify_one();
+        // The timer's own task looks at the next wake time anyway; waking it would never end.
+        if !is_timer {
+            self.changed.notify_one();
+        }
         if self.gate.borrow().is_idle() {
             self.idle.notify_waiters();
         }
--- a/src/counters.rs
+++ b/src/counters.rs
@@ -61,6 +61,7 @@
     Attempts = "jacinthrock_attempts_total", Counter, ["end"], "Attempts at answers, by how they ended.";
     Ejections = "jacinthrock_ejections_total", Counter, ["reason"], "Endpoints taken out of the choice, by reason.";
     ConfigRevision = "jacinthrock_config_revision", Gauge, [], "Configuration revision in force.";
+    ConfigUnconfirmed = "jacinthrock_config_unconfirmed", Gauge, [], "1 while the platform has not answered lately and the host serves with the revision it has.";
     ConfigChanges = "jacinthrock_config_changes_total", Counter, ["source"], "Configuration revisions taken, by source.";
     ConfigRejected = "jacinthrock_config_rejected_total", Counter, ["code"], "Configuration revisions that failed their checks, by result code.";
     StoreCalls = "jacinthrock_store_calls_total", Counter, ["call", "result"], "Calls to the platform's store, by call and result.";
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,80 @@
+//! Starts a daemon: settings, logs, runtime, exit code.
+
+use std::error::Error;
+use std::process::ExitCode;
+use tokio::task::LocalSet;
+
+use crate::config::{ControllerSettings, RouterSettings, SettingError};
+use crate::flags::JacinthrockRouter;
+use crate::flags::controller::JacinthrockController;
+use crate::{controller, logs, router};
+
+/// Exit code of a daemon that could not start or failed.
+const EXIT_FAILED: u8 = 1;
+/// Exit code of a daemon whose settings are wrong.
+const EXIT_SETTINGS: u8 = 2;
+
+/// Calls that may block at once besides streams: platform, engine states.
+const SPARE_BLOCKING_THREADS: usize = 64;
+
+/// Runs the router; the program's `main` only calls this.
+pub fn run_router() -> ExitCode {
+    let flags = JacinthrockRouter::from_env_or_exit();
+    let check = flags.check;
+    let settings = match RouterSettings::load(flags) {
+        Ok(settings) => settings,
+        Err(error) => return settings_error(&error),
+    };
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    logs::start(settings.log_level);
+    let threads = settings.limits.streams + SPARE_BLOCKING_THREADS;
+    block_on(threads, router::run(settings))
+}
+
+/// Runs the controller; the program's `main` only calls this.
+pub fn run_controller() -> ExitCode {
+    let flags = JacinthrockController::from_env_or_exit();
+    let check = flags.check;
+    let settings = match ControllerSettings::load(flags) {
+        Ok(settings) => settings,
+        Err(error) => return settings_error(&error),
+    };
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    logs::start(settings.log_level);
+    block_on(SPARE_BLOCKING_THREADS, controller::run(settings))
+}
+
+fn block_on<E: Error>(
+    blocking_threads: usize,
+    daemon: impl Future<Output = Result<(), E>>,
+) -> ExitCode {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .max_blocking_threads(blocking_threads)
+        .build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return failure(&error),
+    };
+    let result = runtime.block_on(LocalSet::new().run_until(daemon));
+    // Blocking reads of abandoned calls end by their own timeouts; nothing waits for them.
+    runtime.shutdown_background();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => failure(&error),
+    }
+}
+
+fn settings_error(error: &SettingError) -> ExitCode {
+    eprintln!("error: {error}");
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn failure(error: &dyn Error) -> ExitCode {
+    eprintln!("error: {error}");
+    ExitCode::from(EXIT_FAILED)
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,6 +14,7 @@
 use crate::endpoint::{CallFailure, EngineStatus};
 use crate::ids::{ConfigRevision, DomainName, EndpointName, LayerIndex, ServiceName};
 use crate::link::LinkTable;
+use crate::operator::EndpointLine;
 use crate::prefix::PrefixMemory;
 
 /// Seconds that a token takes in a stage of which nothing was observed yet.
@@ -82,6 +83,15 @@
     }
 }
 
+/// Room at a model's engines, counted in whole chains.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ModelLoad {
+    /// Requests that the engines in use work on at once without slowing down.
+    pub slots: u32,
+    /// Requests at them, of every host.
+    pub running: u32,
+}
+
 /// Who said that an endpoint is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LeavingSource {
@@ -298,6 +308,16 @@
         self.with(|state| state.endpoints.get(endpoint).map(|known| known.seconds))
     }
 
+    /// Room at the engines of a model that are in use.
+    pub fn model_load(&self, now: Instant, model: &ModelDeclaration) -> ModelLoad {
+        self.state.borrow().model_load(now, model)
+    }
+
+    /// Every endpoint with what operators are told about it.
+    pub(crate) fn summary(&self, now: Instant) -> Vec<EndpointLine> {
+        self.state.borrow().summary(now)
+    }
+
     pub(crate) fn with<T>(&self, action: impl FnOnce(&mut FleetState) -> T) -> T {
         action(&mut self.state.borrow_mut())
     }
@@ -438,6 +458,42 @@
         targets
     }
 
+    fn model_load(&self, now: Instant, model: &ModelDeclaration) -> ModelLoad {
+        let mut slots = 0.0;
+        let mut running = 0.0;
+        for declaration in &model.endpoints {
+            let Some(known) = self.endpoints.get(&declaration.name) else {
+                continue;
+            };
+            let Some((first, last)) = self.usable_range(model, known) else {
+                continue;
+            };
+            let ejected = self.ejections.health(now, &declaration.name) == EndpointHealth::Ejected;
+            if ejected || known.is_leaving(now) {
+                continue;
+            }
+            let part = f64::from(last - first + 1) / f64::from(model.layers);
+            slots += known.slots * part;
+            running += known.load() * part;
+        }
+        ModelLoad { slots: slots.round() as u32, running: running.round() as u32 }
+    }
+
+    fn summary(&self, now: Instant) -> Vec<EndpointLine> {
+        let line = |(name, known): (&EndpointName, &EndpointState)| {
+            let health = self.ejections.health(now, name);
+            let state = match health {
+                _ if known.is_leaving(now) => "leaving",
+                _ if known.is_engine && known.report.is_none() => "unreported",
+                EndpointHealth::Healthy => "healthy",
+                EndpointHealth::Probing => "probing",
+                EndpointHealth::Ejected => "ejected",
+            };
+            EndpointLine { endpoint: name.clone(), state: state.into() }
+        };
+        self.endpoints.iter().map(line).collect()
+    }
+
     fn start_flight(&mut self, endpoint: &str) {
         if let Some(known) = self.endpoints.get_mut(endpoint) {
             known.in_flight += 1;
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -114,8 +114,9 @@
     async fn dispatch(&self, request: Request<Incoming>) -> CallResult {
         let Some(config) = (self.parts.config)() else {
             let detail = "The host waits for its first configuration.";
-            return Err(CallRefusal::not_run(ResultCode::NotReady, detail)
-                .retry_after(NOT_READY_RETRY));
+            return Err(
+                CallRefusal::not_run(ResultCode::NotReady, detail).retry_after(NOT_READY_RETRY)
+            );
         };
         let keys = self.key_index(&config);
         let (head, incoming) = request.into_parts();
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -10,7 +10,7 @@
 use crate::ids::{ConfigRevision, HostName, ObjectVersion};
 use crate::membership::{
     DIRECT_FLEET, HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions,
-    MemberRecord, MemberTable, NameHash, name_hash,
+    MemberRecord, MemberTable, NameHash, PeerStatus, name_hash,
 };
 use crate::quota::{DemandReport, QuotaKeeper, QuotaOptions};
 
@@ -354,6 +354,19 @@
         ahead.count() < POLLERS_PER_REGION
     }
 
+    /// Every other host that is known.
+    pub(crate) fn status(&self, now: Instant) -> Vec<PeerStatus> {
+        let one_way: BTreeSet<HostName> = self.table.one_way(now).into_iter().collect();
+        let members = self.table.members();
+        members
+            .map(|member| PeerStatus {
+                record: member.record.clone(),
+                live: self.table.liveness_of(now, member) == MemberLiveness::Live,
+                one_way: one_way.contains(&member.record.host),
+            })
+            .collect()
+    }
+
     fn begin_round(&mut self, now: Instant, elapsed: Duration) -> Vec<HostName> {
         self.last_round = now;
         self.table.own_mut().heartbeat += 1;
@@ -634,10 +647,21 @@
             known.sends_left -= 1;
             chosen.push(known.mark);
         }
+        chosen.extend(self.old_mark());
         chosen
     }
 }
 
+impl GossipCore {
+    /// One mark that was spread before, for hosts that joined since.
+    fn old_mark(&mut self) -> Option<DrainMark> {
+        let spread = |known: &&KnownMark| known.mark.draining && known.sends_left == 0;
+        let marks: Vec<DrainMark> =
+            self.marks.values().filter(spread).map(|known| known.mark).collect();
+        marks.choose(&mut self.rng).copied()
+    }
+}
+
 impl KnownLoad {
     fn report(&self, now: Instant, endpoint: NameHash) -> LoadReport {
         let Self { running, waiting, leaving, read_at, .. } = *self;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,13 +8,16 @@
 mod attempt;
 mod budget;
 mod callers;
+mod capacity;
 mod chain;
 mod chat;
-mod choice;
 mod check;
+mod choice;
 mod codes;
 mod config;
+mod controller;
 mod counters;
+mod daemon;
 mod declaration;
 mod driver;
 mod effective;
@@ -23,8 +26,14 @@
 mod engine_http;
 mod flags;
 mod fleet;
+mod follower;
+mod gateway;
 mod gossip;
 mod ids;
+mod inherit;
+mod intake;
+mod keeper;
+mod keys;
 mod ledger;
 mod link;
 mod logs;
@@ -32,24 +41,30 @@
 mod operator;
 mod outcome;
 mod peer;
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::unimplemented, unreachable_pub, dead_code)]
+mod peer_capnp;
+mod peer_rpc;
+mod peer_service;
 mod picker;
 mod plain;
+mod plan;
 mod platform;
 mod prefix;
 mod probe;
+mod publish;
 mod queue;
 mod quota;
+mod quotas;
 mod refusal;
-mod inherit;
-mod outcome;
-mod peer;
-mod picker;
-mod plan;
-mod platform;
-mod publish;
+mod registration;
+mod retries;
 mod revision;
+mod router;
 mod shape;
+mod signals;
 mod store_http;
+mod streaming;
 mod tree;
 
 pub use admission::{
@@ -59,11 +74,13 @@
 pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
 pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
 pub use budget::{BudgetOptions, BudgetRefusals, RetryBudget};
+pub use capacity::CapacityView;
 pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
 pub use choice::PlainPicker;
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
+pub use daemon::{run_controller, run_router};
 pub use declaration::{
     CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration,
     NodeKind, NodeSettings, OperationDeclaration, PlainDeclaration,
@@ -76,12 +93,19 @@
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
 pub use engine_http::HttpCaller;
-pub use fleet::{AvoidSet, ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource};
+pub use fleet::{
+    AvoidSet, ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource, ModelLoad,
+};
+pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
+pub use keeper::{
+    DomainPlace, KeeperAction, KeeperEvent, KeeperGuard, KeeperOptions, KeeperState,
+    RejectedRevision, RevisionKeeper, RevisionSource,
+};
 pub use ledger::{
     ClaimHolder, ClaimKey, ClaimRecord, ClaimRequest, ClaimSettlement, ClaimTicket, ClaimVerdict,
     ExpiryReport, HolderLiveness, IntentAnswer, IntentId, LedgerError, LedgerFloor, LedgerGuard,
@@ -91,26 +115,27 @@
 pub use link::LinkTable;
 pub use membership::{
     HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
-    MemberTable, NameHash, name_hash,
+    MemberTable, NameHash, PeerStatus, name_hash,
 };
 pub use outcome::CallOutcome;
-pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
+pub use peer::{
+    ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport,
+};
+pub use peer_rpc::{RpcListener, RpcTransport, digest_bytes};
+pub use peer_service::{PeerService, PeerSetup};
 pub use picker::EndpointPicker;
 pub use plain::{PlainContext, PlainDriver, PlainGuard, PlainOptions, PlainRequest, PlainResult};
-pub use platform::{
-    MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
-};
-pub use probe::poll_engines;
-pub use queue::TicketNumber;
-pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
 pub use plan::{ConfigPlan, FieldChange, StrandedUse};
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
+pub use probe::poll_engines;
 pub use publish::{
     AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError, PublishOptions, RaceHandling,
     RacingChange,
 };
+pub use queue::TicketNumber;
+pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
 pub use revision::{
     ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
 };
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -68,6 +68,17 @@
     pub state: HostState,
 }
 
+/// Another host, for status pages.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerStatus {
+    /// What the host says about itself.
+    pub record: MemberRecord,
+    /// Whether it was heard lately.
+    pub live: bool,
+    /// Whether it is heard but doesn't hear this host.
+    pub one_way: bool,
+}
+
 /// How lately a host was heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum MemberLiveness {
--- /dev/null
+++ b/tests/admission_idle.rs
@@ -0,0 +1,42 @@
+//! The admission service sleeps while nothing happens.
+
+use futures::task::ArcWake;
+use jacinthrock::{AdmissionService, CounterRegistry, GateOptions};
+use std::future::Future;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::task::Context;
+use tokio::task::LocalSet;
+
+/// Polls within which a service that has nothing to do must come to rest.
+const POLLS_TO_REST: usize = 50;
+
+#[derive(Default)]
+struct WakeFlag(AtomicBool);
+
+impl ArcWake for WakeFlag {
+    fn wake_by_ref(flag: &Arc<Self>) {
+        flag.0.store(true, Ordering::SeqCst);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_change_of_capacity_does_not_keep_the_service_awake() {
+    let tasks = LocalSet::new();
+    let service = {
+        let _inside = tasks.enter();
+        AdmissionService::start(GateOptions::default(), 1, Arc::new(CounterRegistry::new()))
+    };
+    service.set_capacity("guide", 8);
+    let flag = Arc::new(WakeFlag::default());
+    let waker = futures::task::waker(flag.clone());
+    let mut context = Context::from_waker(&waker);
+    let mut tasks = pin!(tasks);
+    let rested = (0..POLLS_TO_REST).any(|_| {
+        flag.0.store(false, Ordering::SeqCst);
+        let _ = tasks.as_mut().poll(&mut context);
+        !flag.0.load(Ordering::SeqCst)
+    });
+    assert!(rested, "the service still wakes itself after {POLLS_TO_REST} polls");
+}
