--- a/crates/standins/src/fake_store.rs
+++ b/crates/standins/src/fake_store.rs
@@ -46,6 +46,7 @@
     oldest_change: ObjectVersion,
     objects: BTreeMap<Box<str>, StoredObject>,
     changes: Vec<StoreChange>,
+    record: Vec<StoredObject>,
     faults: StoreFaults,
     down: bool,
     rng: ChaCha8Rng,
@@ -79,6 +80,7 @@
             oldest_change: 0,
             objects: BTreeMap::new(),
             changes: Vec::new(),
+            record: Vec::new(),
             faults: StoreFaults::default(),
             down: false,
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -133,6 +135,12 @@
         state.objects.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Every value that an object ever had, in order, past every fault and for checkers.
+    pub fn peek_record(&self, key: &str) -> Vec<StoredObject> {
+        let state = self.core.state.borrow();
+        state.record.iter().filter(|object| &*object.key == key).cloned().collect()
+    }
+
     fn delay(&self) -> Duration {
         let mut state = self.core.state.borrow_mut();
         let longest = state.faults.longest_delay.as_micros() as u64;
@@ -252,6 +260,7 @@
         self.version += 1;
         let object = StoredObject { key: key.clone(), version: self.version, value };
         self.objects.insert(key, object.clone());
+        self.record.push(object.clone());
         self.changes.push(StoreChange::Put(object));
         Ok(self.version)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,8 +9,10 @@
 mod declaration;
 mod effective;
 mod endpoint;
+mod follower;
 mod ids;
 mod inherit;
+mod keeper;
 mod outcome;
 mod peer;
 mod picker;
@@ -33,10 +35,15 @@
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
+pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
+pub use keeper::{
+    DomainPlace, KeeperAction, KeeperEvent, KeeperGuard, KeeperOptions, KeeperState,
+    RejectedRevision, RevisionKeeper, RevisionSource,
+};
 pub use outcome::CallOutcome;
 pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
 pub use picker::EndpointPicker;
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -28,6 +28,13 @@
     /// Hosts that were heard lately, this one left out.
     fn live_hosts(&self) -> Vec<HostName>;
 
+    /// Hosts of a failure domain that were heard lately, this one left out.
+    ///
+    /// A network that knows no failure domains returns every live host.
+    fn live_domain_hosts(&self, _domain: &str) -> Vec<HostName> {
+        self.live_hosts()
+    }
+
     /// Whether this incarnation of a host was heard lately.
     fn is_live(&self, host: &str, incarnation: Incarnation) -> bool;
 
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -8,9 +8,7 @@
 use crate::ids::ConfigRevision;
 use crate::plan::ConfigPlan;
 use crate::platform::{MAX_VALUE_BYTES, PlatformStore, StoreError};
-use crate::revision::{
-    ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument,
-};
+use crate::revision::{ChangeRecord, PastChange, ROOT_KEY, RevisionError, RootDocument};
 use crate::tree::{DeclarationError, DeclarationTree};
 
 /// How a publisher deals with another change since the base revision.
@@ -259,17 +257,16 @@
     base: ConfigRevision,
     change: &ChangeRecord,
 ) -> CommitFate {
-    let changes: Vec<PastChange> = accepted.document.changes(accepted.revision).collect();
-    if let Some(own) = changes.iter().find(|past| past.change.commit == change.commit) {
+    let document = &accepted.document;
+    let mut changes = document.changes(accepted.revision);
+    if let Some(own) = changes.find(|past| past.change.commit == change.commit) {
         return CommitFate::Accepted(own.revision);
     }
-    let reaches_base = changes.iter().any(|past| past.revision <= base);
-    if !reaches_base && changes.len() > HISTORY_LENGTH {
+    let Some(later) = document.changes_since(accepted.revision, base) else {
         return CommitFate::Forgotten;
-    }
+    };
     let own_fields: BTreeSet<&str> = change.fields.iter().map(|field| &**field).collect();
-    let later = changes.into_iter().take_while(|past| past.revision > base);
-    let races = later.map(|past| {
+    let races = later.into_iter().map(|past| {
         let fields = past.change.fields.iter();
         let common = fields.filter(|field| own_fields.contains(&***field)).cloned().collect();
         RacingChange { past, common }
--- a/src/revision.rs
+++ b/src/revision.rs
@@ -31,6 +31,9 @@
     pub author: Box<str>,
     /// Time on the operator's clock, for people only.
     pub time: Box<str>,
+    /// Revision that the change replaced, 0 for the first.
+    #[serde(default)]
+    pub parent_revision: ConfigRevision,
     /// Operator's message.
     pub message: Box<str>,
     /// Changed fields as `node: field`; the rest is only counted.
@@ -72,8 +75,6 @@
     pub format: u32,
     /// The change that made this revision.
     pub change: ChangeRecord,
-    /// Revision that this one replaced, 0 for the first.
-    pub parent_revision: ConfigRevision,
     /// SHA-256 of the tree that this one replaced, in hexadecimal; empty for the first.
     pub parent_digest: Box<str>,
     /// SHA-256 of the tree, in hexadecimal.
@@ -130,10 +131,9 @@
         let past = PastChange { revision, change: self.change.clone() };
         let history = std::iter::once(past).chain(self.history.iter().cloned());
         Self {
-            parent_revision: revision,
             parent_digest: self.digest.clone(),
             history: history.take(HISTORY_LENGTH).collect(),
-            ..Self::first(tree, change)
+            ..Self::first(tree, ChangeRecord { parent_revision: revision, ..change })
         }
     }
 
@@ -175,6 +175,26 @@
         let own = PastChange { revision, change: self.change.clone() };
         std::iter::once(own).chain(self.history.iter().cloned())
     }
+
+    /// Every change after `base`, the latest first, where this one has `revision`.
+    ///
+    /// Returns `None` where the history does not reach back to `base` without a break.
+    pub fn changes_since(
+        &self,
+        revision: ConfigRevision,
+        base: ConfigRevision,
+    ) -> Option<Vec<PastChange>> {
+        let mut found = Vec::new();
+        let mut wanted = revision;
+        for past in self.changes(revision) {
+            if wanted <= base || past.revision != wanted {
+                break;
+            }
+            wanted = past.change.parent_revision;
+            found.push(past);
+        }
+        (wanted == base).then_some(found)
+    }
 }
 
 /// Reads a root object's value, checks its tree and resolves it.
--- a/tests/config_publish.rs
+++ b/tests/config_publish.rs
@@ -65,7 +65,10 @@
     commit(&publisher, base.as_ref(), &tree(2, 1), "beto", "c2").await.expect("nothing races");
     commit(&publisher, base.as_ref(), &tree(1, 9), "carla", "c3").await.expect("it overwrites");
     let accepted = publisher.read().await.expect("the store is up").expect("it has a root");
-    assert_eq!(accepted.document.parent_revision, 1, "the record shows the skipped revision 2");
+    assert_eq!(
+        accepted.document.change.parent_revision, 1,
+        "the record shows the skipped revision 2"
+    );
 }
 
 #[tokio::test(start_paused = true)]
@@ -139,12 +142,31 @@
     }
     let accepted = base.expect("it has a root");
     assert_eq!(accepted.document.history.len(), HISTORY_LENGTH);
-    assert_eq!(accepted.document.history[0].revision, accepted.document.parent_revision);
+    assert_eq!(accepted.document.history[0].revision, accepted.document.change.parent_revision);
     let corrupted = b"{}".as_slice().into();
     store.put(ROOT_KEY, accepted.revision, corrupted).await.expect("the store is up");
     assert_matches!(publisher.read().await, Err(PublishError::Corrupt { .. }));
 }
 
+#[tokio::test(start_paused = true)]
+async fn commit_that_a_hand_written_root_hid_is_unsettled() {
+    let store = FakeStore::new(1);
+    let publisher = publisher(&store, RaceHandling::Refuse);
+    commit(&publisher, None, &tree(1, 1), "anna", "c1").await.expect("nothing races");
+    let base = publisher.read().await.expect("the store is up");
+    store.set_faults(StoreFaults { lost_reply: 1.0, ..StoreFaults::default() });
+    let tree = tree(2, 1);
+    let commit = commit(&publisher, base.as_ref(), &tree, "beto", "c2");
+    let overwrite = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        store.set_faults(StoreFaults::default());
+        let value = RootDocument::first(&tree, change("script", "by-hand")).encode();
+        store.put(ROOT_KEY, 2, value).await.expect("beto's change is revision 2");
+    };
+    let (result, ()) = tokio::join!(commit, overwrite);
+    assert_matches!(result, Err(PublishError::Unsettled { .. }));
+}
+
 #[test]
 fn plan_names_changed_fields_and_stranded_uses() {
     let directory = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/tree");
--- /dev/null
+++ b/tests/support/peer_hub.rs
@@ -0,0 +1,217 @@
+//! A fake network of peers: hosts exchange what they know in pairs, over links that can be cut.
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use jacinthrock::{
+    ConfigFollower, ConfigRevision, ConfigSnapshot, DomainName, HostName, Incarnation, PeerError,
+    PeerNetwork,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time after which a host that is not heard counts as gone.
+const HEARD_FOR: Duration = Duration::from_secs(3);
+/// Longest delay of one message.
+const LONGEST_DELAY: Duration = Duration::from_millis(20);
+
+/// What one host knows of another.
+#[derive(Clone)]
+struct PeerEntry {
+    domain: DomainName,
+    beats: u64,
+    heard: Instant,
+    revision: ConfigRevision,
+}
+
+struct HubState {
+    knowledge: BTreeMap<HostName, BTreeMap<HostName, PeerEntry>>,
+    followers: BTreeMap<HostName, Weak<ConfigFollower>>,
+    cuts: BTreeSet<(HostName, HostName)>,
+    deaf: BTreeSet<HostName>,
+    beats: u64,
+    rng: ChaCha8Rng,
+    exchanges: u64,
+}
+
+/// The network between every host of a test.
+pub(crate) struct PeerHub {
+    state: RefCell<HubState>,
+}
+
+/// One host's side of the network.
+pub(crate) struct HubPeers {
+    hub: Rc<PeerHub>,
+    host: HostName,
+}
+
+impl PeerHub {
+    pub(crate) fn new(seed: u64) -> Rc<Self> {
+        let state = HubState {
+            knowledge: BTreeMap::new(),
+            followers: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            deaf: BTreeSet::new(),
+            beats: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            exchanges: 0,
+        };
+        Rc::new(Self { state: RefCell::new(state) })
+    }
+
+    /// A host starts, or starts again, and knows only itself.
+    pub(crate) fn join(self: &Rc<Self>, host: &str, domain: &str) -> HubPeers {
+        let mut state = self.state.borrow_mut();
+        state.beats += 1;
+        let heard = Instant::now();
+        let entry = PeerEntry { domain: domain.into(), beats: state.beats, heard, revision: 0 };
+        state.knowledge.insert(host.into(), BTreeMap::from([(host.into(), entry)]));
+        HubPeers { hub: self.clone(), host: host.into() }
+    }
+
+    pub(crate) fn attach(&self, host: &str, follower: &Rc<ConfigFollower>) {
+        let mut state = self.state.borrow_mut();
+        state.followers.insert(host.into(), Rc::downgrade(follower));
+    }
+
+    /// Cuts or joins the link between two hosts.
+    pub(crate) fn set_cut(&self, left: &str, right: &str, cut: bool) {
+        let pair = ordered(left, right);
+        let mut state = self.state.borrow_mut();
+        if cut {
+            state.cuts.insert(pair)
+        } else {
+            state.cuts.remove(&pair)
+        };
+    }
+
+    /// A host that is down or frozen answers nobody.
+    pub(crate) fn set_deaf(&self, host: &str, deaf: bool) {
+        let mut state = self.state.borrow_mut();
+        if deaf {
+            state.deaf.insert(host.into())
+        } else {
+            state.deaf.remove(host)
+        };
+    }
+
+    pub(crate) fn exchanges(&self) -> u64 {
+        self.state.borrow().exchanges
+    }
+
+    /// Lets each host exchange with one other, once in each `period`, until dropped.
+    pub(crate) async fn run(&self, period: Duration) {
+        loop {
+            tokio::time::sleep(period).await;
+            self.round();
+        }
+    }
+
+    fn round(&self) {
+        let mut state = self.state.borrow_mut();
+        let hosts: Vec<HostName> = state.knowledge.keys().cloned().collect();
+        for host in &hosts {
+            state.beats += 1;
+            let beats = state.beats;
+            let own = state.knowledge.get_mut(host).and_then(|known| known.get_mut(host));
+            let own = own.expect("a host knows itself");
+            (own.beats, own.heard) = (beats, Instant::now());
+        }
+        for host in &hosts {
+            let partner = hosts[state.rng.random_range(0..hosts.len())].clone();
+            if partner != *host && state.reaches(host, &partner) {
+                state.exchanges += 1;
+                state.exchange(host, &partner);
+            }
+        }
+    }
+}
+
+impl HubState {
+    fn reaches(&self, left: &str, right: &str) -> bool {
+        !self.cuts.contains(&ordered(left, right))
+            && !self.deaf.contains(left)
+            && !self.deaf.contains(right)
+    }
+
+    fn exchange(&mut self, left: &HostName, right: &HostName) {
+        let mut merged = self.knowledge[left].clone();
+        for (host, entry) in &self.knowledge[right] {
+            if merged.get(host).is_none_or(|known| known.beats < entry.beats) {
+                merged.insert(host.clone(), entry.clone());
+            }
+        }
+        self.knowledge.insert(left.clone(), merged.clone());
+        self.knowledge.insert(right.clone(), merged);
+    }
+}
+
+impl HubPeers {
+    fn live_entries<T>(&self, pick: impl Fn(&HostName, &PeerEntry) -> T) -> Vec<T> {
+        let state = self.hub.state.borrow();
+        let now = Instant::now();
+        let live = state.knowledge[&self.host]
+            .iter()
+            .filter(|(host, entry)| **host != self.host && now - entry.heard <= HEARD_FOR);
+        live.map(|(host, entry)| pick(host, entry)).collect()
+    }
+}
+
+impl PeerNetwork for HubPeers {
+    fn live_hosts(&self) -> Vec<HostName> {
+        self.live_entries(|host, _| host.clone())
+    }
+
+    fn live_domain_hosts(&self, domain: &str) -> Vec<HostName> {
+        let entries = self.live_entries(|host, entry| (host.clone(), entry.domain.clone()));
+        entries.into_iter().filter(|entry| &*entry.1 == domain).map(|entry| entry.0).collect()
+    }
+
+    fn is_live(&self, host: &str, _incarnation: Incarnation) -> bool {
+        self.live_hosts().iter().any(|live| &**live == host)
+    }
+
+    fn newest_revision(&self) -> Option<(HostName, ConfigRevision)> {
+        let entries = self.live_entries(|host, entry| (host.clone(), entry.revision));
+        entries.into_iter().filter(|entry| entry.1 > 0).max_by_key(|entry| entry.1)
+    }
+
+    fn announce_revision(&self, revision: ConfigRevision) {
+        let mut state = self.hub.state.borrow_mut();
+        let known = state.knowledge.get_mut(&self.host).expect("the host has joined");
+        known.get_mut(&self.host).expect("a host knows itself").revision = revision;
+    }
+
+    fn fetch_config(&self, host: &str) -> LocalBoxFuture<'_, Result<ConfigSnapshot, PeerError>> {
+        let host: HostName = host.into();
+        async move {
+            let failed = |reason: &str| PeerError { host: host.clone(), reason: reason.into() };
+            tokio::time::sleep(self.hub.delay()).await;
+            if !self.hub.state.borrow().reaches(&self.host, &host) {
+                return Err(failed("unreachable"));
+            }
+            let follower = self.hub.state.borrow().followers.get(&host).and_then(Weak::upgrade);
+            let snapshot = follower.and_then(|follower| follower.snapshot());
+            tokio::time::sleep(self.hub.delay()).await;
+            if !self.hub.state.borrow().reaches(&self.host, &host) {
+                return Err(failed("reply lost"));
+            }
+            snapshot.ok_or_else(|| failed("holds no configuration"))
+        }
+        .boxed_local()
+    }
+}
+
+impl PeerHub {
+    fn delay(&self) -> Duration {
+        self.state.borrow_mut().rng.random_range(Duration::ZERO..=LONGEST_DELAY)
+    }
+}
+
+fn ordered(left: &str, right: &str) -> (HostName, HostName) {
+    if left < right { (left.into(), right.into()) } else { (right.into(), left.into()) }
+}
