--- a/src/keeper.rs
+++ b/src/keeper.rs
@@ -50,7 +50,7 @@
     fn default() -> Self {
         Self {
             watchers_per_domain: 2,
-            poll_spacing: Duration::from_secs(1),
+            poll_spacing: Duration::from_millis(500),
             retry_pause: Duration::from_millis(250),
             longest_pause: Duration::from_secs(1),
             platform_grace: Duration::from_secs(2),
@@ -379,7 +379,8 @@
         self.platform.failures = 0;
     }
 
-    /// Pauses after a failed call; a host that serves and does not watch waits for its next poll.
+    /// Pauses after a failed call. A host that serves and does not watch tries once more and then
+    /// waits for its next poll, so that an outage does not multiply the calls.
     fn pause_platform(&mut self, now: Instant, error: &StoreError) {
         let doubled = self.options.retry_pause * (1 << self.platform.failures.min(8));
         self.platform.failures += 1;
@@ -388,7 +389,7 @@
             _ => doubled,
         };
         self.platform.not_before = now + pause.min(self.options.longest_pause);
-        if !self.serving {
+        if !self.serving || self.platform.failures == 1 {
             self.platform.poll_at = self.platform.not_before;
         }
     }
--- a/src/publish.rs
+++ b/src/publish.rs
@@ -230,22 +230,20 @@
         change: &ChangeRecord,
         may_have_run: bool,
     ) -> Result<ConfigRevision, PublishError> {
+        let unsettled = |cause| PublishError::Unsettled { commit: change.commit.clone(), cause };
         let fate = match self.read().await {
             Ok(Some(accepted)) => commit_fate(&accepted, base, change),
-            Ok(None) => CommitFate::Replaced(Vec::new()),
-            Err(PublishError::Unavailable(cause)) if may_have_run => {
-                return Err(PublishError::Unsettled { commit: change.commit.clone(), cause });
-            }
-            // The conflict proves that nothing was written; only its author stays unknown.
-            Err(PublishError::Unavailable(_)) => CommitFate::Replaced(Vec::new()),
-            Err(error) => return Err(error),
+            Ok(None) => CommitFate::Forgotten,
+            Err(PublishError::Unavailable(cause)) if may_have_run => return Err(unsettled(cause)),
+            // Without a lost reply the conflict proves that nothing was written.
+            Err(_) => CommitFate::Forgotten,
         };
         match fate {
             CommitFate::Accepted(revision) => Ok(revision),
-            CommitFate::Forgotten if may_have_run => Err(PublishError::Unsettled {
-                commit: change.commit.clone(),
-                cause: StoreError::Ambiguous("history no longer reaches the base".into()),
-            }),
+            CommitFate::Forgotten if may_have_run => {
+                let reason = "history does not reach back to the base".into();
+                Err(unsettled(StoreError::Ambiguous(reason)))
+            }
             CommitFate::Forgotten => Err(PublishError::Conflict { base, changes: Vec::new() }),
             CommitFate::Replaced(changes) => Err(PublishError::Conflict { base, changes }),
         }
--- a/tests/config_schedules.rs
+++ b/tests/config_schedules.rs
@@ -104,7 +104,8 @@
 impl Freezer {
     fn set(&self, frozen: bool) {
         self.frozen.set(frozen);
-        if let Some(waker) = self.waker.borrow_mut().take().filter(|_| !frozen) {
+        let waker = self.waker.borrow().clone();
+        if let Some(waker) = waker.filter(|_| !frozen) {
             waker.wake();
         }
     }
@@ -630,8 +631,7 @@
             }
         }
         checker.finish();
-        let failures = world.failures.borrow().clone();
-        failures
+        world.failures.take()
     })
 }
 
--- a/tests/support/peer_hub.rs
+++ b/tests/support/peer_hub.rs
@@ -35,7 +35,6 @@
     deaf: BTreeSet<HostName>,
     beats: u64,
     rng: ChaCha8Rng,
-    exchanges: u64,
 }
 
 /// The network between every host of a test.
@@ -58,7 +57,6 @@
             deaf: BTreeSet::new(),
             beats: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            exchanges: 0,
         };
         Rc::new(Self { state: RefCell::new(state) })
     }
@@ -99,10 +97,6 @@
         };
     }
 
-    pub(crate) fn exchanges(&self) -> u64 {
-        self.state.borrow().exchanges
-    }
-
     /// Lets each host exchange with one other, once in each `period`, until dropped.
     pub(crate) async fn run(&self, period: Duration) {
         loop {
@@ -124,7 +118,6 @@
         for host in &hosts {
             let partner = hosts[state.rng.random_range(0..hosts.len())].clone();
             if partner != *host && state.reaches(host, &partner) {
-                state.exchanges += 1;
                 state.exchange(host, &partner);
             }
         }
