--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -209,7 +209,8 @@
             return CallEnd::Cut;
         };
         if chunk.get("error").is_some() {
-            return CallEnd::Refused(refusal_of(&chunk["error"], 200, None));
+            let problem = if chunk["code"].is_null() { &chunk["error"] } else { &chunk };
+            return CallEnd::Refused(refusal_of(problem, 200, None));
         }
         if !read_chunk(&chunk, answer) {
             return CallEnd::Cut;
--- a/crates/standins/src/fleet/running.rs
+++ b/crates/standins/src/fleet/running.rs
@@ -75,7 +75,7 @@
 impl RunningFleet {
     /// Starts everything, applies the tree and waits until every router is ready.
     pub fn start(plan: FleetPlan, dir: &Path) -> Result<Self, HarnessError> {
-        let mut harness = ProcessHarness::new(&dir.join("logs"))?;
+        let harness = ProcessHarness::beside_this_program(&dir.join("logs"))?;
         let platform = harness.free_address()?;
         let mut fleet = Self {
             harness,
@@ -239,6 +239,7 @@
             let operator_address = self.harness.free_address()?;
             let args = flags(&[
                 ("--name", &format!("host-{}", number + 1)),
+                ("--domain", &self.domain(number)),
                 ("--operator-listen", &operator_address),
                 ("--platform", &self.platform_url()),
             ]);
--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -7,6 +7,7 @@
 use std::net::TcpListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -16,6 +17,12 @@
 /// Number of ports that are tried.
 const PORT_COUNT: u16 = 10_000;
 
+/// Ports that this process has tried, so that two harnesses never choose the same.
+static TRIED_PORTS: AtomicU32 = AtomicU32::new(0);
+
+/// Longest wait for one look at a process.
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Time between two looks at a process.
 const POLL_PERIOD: Duration = Duration::from_millis(10);
 
@@ -74,29 +81,29 @@
     program_dir: PathBuf,
     log_dir: PathBuf,
     children: BTreeMap<Box<str>, Child>,
-    next_port: u16,
 }
 
 impl ProcessHarness {
     /// A harness for the programs beside the running one; logs go to `log_dir`.
-    pub fn new(log_dir: &Path) -> Result<Self, HarnessError> {
+    pub fn beside_this_program(log_dir: &Path) -> Result<Self, HarnessError> {
         let program = std::env::current_exe().map_err(|source| file_error(log_dir, source))?;
-        let program_dir = program.parent().unwrap_or(Path::new(".")).to_path_buf();
+        Self::new(program.parent().unwrap_or(Path::new(".")), log_dir)
+    }
+
+    /// A harness for the programs in `program_dir`; logs go to `log_dir`.
+    pub fn new(program_dir: &Path, log_dir: &Path) -> Result<Self, HarnessError> {
         std::fs::create_dir_all(log_dir).map_err(|source| file_error(log_dir, source))?;
-        let offset = std::process::id().wrapping_mul(97) % u32::from(PORT_COUNT);
         Ok(Self {
-            program_dir,
+            program_dir: program_dir.into(),
             log_dir: log_dir.into(),
             children: BTreeMap::new(),
-            next_port: FIRST_PORT + offset as u16,
         })
     }
 
     /// A loopback address with a port that is free now.
-    pub fn free_address(&mut self) -> Result<Box<str>, HarnessError> {
+    pub fn free_address(&self) -> Result<Box<str>, HarnessError> {
         for _ in 0..PORT_COUNT {
-            let port = self.next_port;
-            self.next_port = FIRST_PORT + (port - FIRST_PORT + 1) % PORT_COUNT;
+            let port = next_port();
             if TcpListener::bind(("127.0.0.1", port)).is_ok() {
                 return Ok(format!("127.0.0.1:{port}").into());
             }
@@ -154,12 +161,14 @@
         url: &str,
         timeout: Duration,
     ) -> Result<(), HarnessError> {
+        let config = ureq::Agent::config_builder().timeout_global(Some(POLL_TIMEOUT)).build();
+        let agent = ureq::Agent::from(config);
         let deadline = Instant::now() + timeout;
         while Instant::now() < deadline {
             if self.exit_status(name).is_some() {
                 break;
             }
-            if ureq::get(url).call().is_ok() {
+            if agent.get(url).call().is_ok() {
                 return Ok(());
             }
             sleep(POLL_PERIOD);
@@ -217,6 +226,13 @@
     }
 }
 
+/// Starts at another port in each process, so that two runs seldom try the same ports.
+fn next_port() -> u16 {
+    let tried = TRIED_PORTS.fetch_add(1, Ordering::Relaxed);
+    let offset = std::process::id().wrapping_mul(97).wrapping_add(tried) % u32::from(PORT_COUNT);
+    FIRST_PORT + offset as u16
+}
+
 fn send(child: &Child, signal: ProcessSignal) {
     let signal = match signal {
         ProcessSignal::Kill => Signal::KILL,
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -13,6 +13,7 @@
 mod sample;
 mod scenario;
 mod text;
+mod usage;
 
 pub use arrival::{CallArrival, call_arrivals};
 pub use check::{CheckReport, check_runs, check_samples};
@@ -26,3 +27,4 @@
 pub use sample::{CallResult, CallSample, CallTry};
 pub use scenario::{BurstPlan, CallKind, LoadScenario, MixPlan, built_in};
 pub use text::render_text;
+pub use usage::{ProcessUsage, UsageReport};
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -9,6 +9,7 @@
 use super::recovery::{RecoveryReport, recovery_report};
 use super::sample::{CallResult, CallSample};
 use super::scenario::{CallKind, LoadScenario};
+use super::usage::UsageReport;
 use crate::caller::CallEnd;
 
 /// Longest latency that the histograms hold, in microseconds.
@@ -84,6 +85,8 @@
     pub checks: CheckReport,
     /// What happened in each second.
     pub timeline: Vec<SecondReport>,
+    /// What the processes cost; empty for a system that ran already.
+    pub usage: UsageReport,
 }
 
 /// What a run was asked to do.
@@ -123,6 +126,7 @@
             recoveries: recoveries.collect(),
             checks,
             timeline: timeline(samples),
+            usage: UsageReport::default(),
             scenario,
         }
     }
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -8,6 +8,7 @@
 use super::driver::{LoadDriver, LoadTarget};
 use super::report::{RunInput, RunReport};
 use super::scenario::LoadScenario;
+use super::usage::{fleet_usage, save_metrics};
 use crate::fleet::RunningFleet;
 use crate::harness::HarnessError;
 
@@ -76,7 +77,10 @@
     }
     let samples = driver.finish();
     let checks = check_runs(&samples, &fleet.services);
-    Ok((RunReport::new(input(options), &samples, checks), fleet))
+    save_metrics(&fleet, dir);
+    let usage = fleet_usage(&fleet);
+    let report = RunReport { usage, ..RunReport::new(input(options), &samples, checks) };
+    Ok((report, fleet))
 }
 
 /// Runs the scenario's calls against routers that already run; nothing is started or broken.
--- a/crates/standins/src/load/text.rs
+++ b/crates/standins/src/load/text.rs
@@ -22,6 +22,7 @@
     write_calls(text, report)?;
     write_latencies(text, report)?;
     write_bound(text, report)?;
+    write_usage(text, report)?;
     write_recoveries(text, report)?;
     write_checks(text, report)
 }
@@ -82,6 +83,25 @@
     )
 }
 
+fn write_usage(text: &mut String, report: &RunReport) -> std::fmt::Result {
+    let usage = &report.usage;
+    writeln!(text, "\ncost")?;
+    for (role, processes) in [("router", &usage.routers), ("controller", &usage.controllers)] {
+        let processor: f64 = processes.iter().map(|process| process.processor_s).sum();
+        let memory = processes.iter().map(|process| process.peak_memory_kb).max().unwrap_or(0);
+        writeln!(
+            text,
+            "  {role:10} {} alive, processor {processor:.2} s in all, largest memory {memory} kB",
+            processes.len()
+        )?;
+    }
+    writeln!(
+        text,
+        "  platform   reads {}, writes {}, throttled {}",
+        usage.platform.reads, usage.platform.writes, usage.platform.throttled
+    )
+}
+
 fn write_recoveries(text: &mut String, report: &RunReport) -> std::fmt::Result {
     if report.recoveries.is_empty() {
         return Ok(());
--- /dev/null
+++ b/crates/standins/src/load/usage.rs
@@ -0,0 +1,93 @@
+//! What a run cost: processor time and memory of each process, and calls to the platform.
+
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+use crate::fleet::RunningFleet;
+use crate::platform::PlatformUsage;
+
+/// Clock ticks in a second, as Linux counts processor time for programs.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+/// Fields of `/proc/PID/stat` after the command's name that hold user and system time.
+const TIME_FIELDS: [usize; 2] = [11, 12];
+
+/// Cost of one process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ProcessUsage {
+    /// Name of the process.
+    pub name: Box<str>,
+    /// Processor time since its start, in seconds.
+    pub processor_s: f64,
+    /// Largest resident memory, in kilobytes.
+    pub peak_memory_kb: u64,
+}
+
+/// Cost of a run; processes that ended before its end are left out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Routers.
+    pub routers: Vec<ProcessUsage>,
+    /// Controllers.
+    pub controllers: Vec<ProcessUsage>,
+    /// Engines and plain endpoints.
+    pub endpoints: Vec<ProcessUsage>,
+    /// Calls to the platform since its start.
+    pub platform: PlatformUsage,
+}
+
+/// Reads what every process of a fleet has cost so far.
+pub(super) fn fleet_usage(fleet: &RunningFleet) -> UsageReport {
+    let of = |names: &mut dyn Iterator<Item = &Box<str>>| -> Vec<ProcessUsage> {
+        names.filter_map(|name| process_usage(fleet, name)).collect()
+    };
+    let engines = fleet.engines.iter().map(|engine| &engine.name);
+    let services = fleet.services.iter().map(|service| &service.name);
+    UsageReport {
+        routers: of(&mut fleet.routers.iter().map(|router| &router.name)),
+        controllers: of(&mut fleet.controllers.iter()),
+        endpoints: of(&mut engines.chain(services)),
+        platform: platform_usage(&fleet.platform).unwrap_or_default(),
+    }
+}
+
+/// Saves every living router's metrics as text, for later reading.
+pub(super) fn save_metrics(fleet: &RunningFleet, dir: &Path) {
+    for router in &fleet.routers {
+        let url = format!("http://{}/metrics", router.operator_address);
+        let text =
+            ureq::get(url).call().ok().and_then(|mut it| it.body_mut().read_to_string().ok());
+        if let Some(text) = text {
+            // The report does not depend on the file.
+            let _ = std::fs::write(dir.join(format!("{}.metrics", router.name)), text);
+        }
+    }
+}
+
+fn process_usage(fleet: &RunningFleet, name: &str) -> Option<ProcessUsage> {
+    let directory = format!("/proc/{}", fleet.harness.process_id(name)?);
+    let stat = std::fs::read_to_string(format!("{directory}/stat")).ok()?;
+    let status = std::fs::read_to_string(format!("{directory}/status")).ok()?;
+    Some(ProcessUsage {
+        name: name.into(),
+        processor_s: processor_seconds(&stat)?,
+        peak_memory_kb: peak_memory_kb(&status)?,
+    })
+}
+
+fn processor_seconds(stat: &str) -> Option<f64> {
+    let (_, fields) = stat.rsplit_once(") ")?;
+    let fields: Vec<&str> = fields.split(' ').collect();
+    let ticks = TIME_FIELDS.iter().map(|&field| fields.get(field)?.parse::<f64>().ok());
+    Some(ticks.sum::<Option<f64>>()? / TICKS_PER_SECOND)
+}
+
+fn peak_memory_kb(status: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+fn platform_usage(address: &str) -> Option<PlatformUsage> {
+    let mut response = ureq::get(format!("http://{address}/control/usage")).call().ok()?;
+    serde_json::from_slice(&response.body_mut().read_to_vec().ok()?).ok()
+}
