--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -1,8 +1,8 @@
 //! Drives load against a fleet on stand-ins or a running system, and reports.
 
 use jacinthrock_standins::load::{
-    LoadScenario, RunError, RunOptions, RunReport, built_in, render_text, run_fleet, run_target,
-    write_plots,
+    LoadScenario, RunError, RunOptions, RunReport, built_in, render_text, run_direct, run_fleet,
+    run_target, write_plots,
 };
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -31,6 +31,8 @@
                 required --out path: PathBuf
                 /// Address of a router that already runs; may be given more than once.
                 repeated --target address: String
+                /// Calls the endpoints past the routers, to compare.
+                optional --direct
             }
             /// Repeats the run of a report with the same scenario, seed, rate and length.
             cmd repeat {
@@ -71,6 +73,16 @@
     }
 }
 
+/// What the calls go to.
+enum CallWay {
+    /// A fleet started for the run.
+    Fleet,
+    /// The endpoints of a fleet started for the run.
+    Direct,
+    /// Routers that already run.
+    Target(Vec<Box<str>>),
+}
+
 fn run_command(run: flags::Run) -> Result<bool, RunError> {
     let options = RunOptions {
         scenario: load_scenario(&run.scenario)?,
@@ -78,8 +90,14 @@
         rate: run.rate,
         length: Duration::from_secs(run.seconds),
     };
-    let routers = run.target.iter().map(|url| url.trim_start_matches("http://").into()).collect();
-    run_options(options, routers, &run.out)
+    let addresses = run.target.iter().map(|url| url.trim_start_matches("http://").into());
+    let routers: Vec<Box<str>> = addresses.collect();
+    let way = match (run.direct, routers) {
+        (true, _) => CallWay::Direct,
+        (false, routers) if routers.is_empty() => CallWay::Fleet,
+        (false, routers) => CallWay::Target(routers),
+    };
+    run_options(options, way, &run.out)
 }
 
 fn repeat_command(repeat: &flags::Repeat) -> Result<bool, RunError> {
@@ -90,14 +108,15 @@
         rate: report.rate,
         length: Duration::from_secs(report.seconds),
     };
-    run_options(options, Vec::new(), &repeat.out)
+    run_options(options, CallWay::Fleet, &repeat.out)
 }
 
-fn run_options(options: RunOptions, routers: Vec<Box<str>>, out: &Path) -> Result<bool, RunError> {
+fn run_options(options: RunOptions, way: CallWay, out: &Path) -> Result<bool, RunError> {
     std::fs::create_dir_all(out).map_err(|error| report_error(out, &error.to_string()))?;
-    let report = match routers.is_empty() {
-        true => run_fleet(options, out)?.0,
-        false => run_target(options, routers),
+    let report = match way {
+        CallWay::Fleet => run_fleet(options, out)?.0,
+        CallWay::Direct => run_direct(options, out)?,
+        CallWay::Target(routers) => run_target(options, routers),
     };
     let file = out.join(REPORT_FILE);
     let json = serde_json::to_string_pretty(&report).expect("reports serialize");
--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -103,6 +103,15 @@
     agent: ureq::Agent,
 }
 
+/// Sends calls of either sort, behind a trait so that a run may go past the routers.
+pub trait CallSender: Send + Sync {
+    /// Streams an answer to its end.
+    fn ask(&self, call: &ChatCall<'_>) -> ChatAnswer;
+
+    /// Makes a plain call.
+    fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer;
+}
+
 impl Default for RouterCaller {
     fn default() -> Self {
         Self::new()
@@ -122,8 +131,14 @@
         Self { agent: config.into() }
     }
 
-    /// Streams an answer to its end.
-    pub fn ask(&self, call: &ChatCall<'_>) -> ChatAnswer {
+    /// The client below, for calls past the routers.
+    pub(crate) fn agent(&self) -> &ureq::Agent {
+        &self.agent
+    }
+}
+
+impl CallSender for RouterCaller {
+    fn ask(&self, call: &ChatCall<'_>) -> ChatAnswer {
         let body = json!({
             "model": call.service,
             "messages": [{ "role": "user", "content": call.question }],
@@ -146,8 +161,7 @@
         answer
     }
 
-    /// Makes a plain call.
-    pub fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer {
+    fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer {
         let url = format!("http://{}{}", call.router, call.path);
         let bearer = format!("Bearer {}", call.key);
         let result = if call.method == "GET" {
--- /dev/null
+++ b/crates/standins/src/direct.rs
@@ -0,0 +1,99 @@
+//! A caller that goes to the endpoints itself, to compare with calls through routers.
+
+use jacinthrock::{GenerateCall, GenerateEvent, PriorityClass, RouteStage};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Instant;
+
+use crate::caller::{
+    CallEnd, CallSender, ChatAnswer, ChatCall, RouterCaller, ServiceAnswer, ServiceCall, prompt_of,
+};
+
+/// What a direct caller knows of the endpoints.
+#[derive(Clone, Debug)]
+pub struct DirectTarget {
+    /// Name of the model.
+    pub model: Box<str>,
+    /// Version of the model.
+    pub version: Box<str>,
+    /// Priority of the answers.
+    pub priority: PriorityClass,
+    /// Chains that cover every layer.
+    pub chains: Vec<Vec<RouteStage>>,
+    /// Addresses of plain endpoints by path prefix.
+    pub services: BTreeMap<Box<str>, Vec<Box<str>>>,
+}
+
+/// Calls chains and plain endpoints in turn.
+pub struct DirectCaller {
+    target: DirectTarget,
+    caller: RouterCaller,
+    turn: AtomicUsize,
+}
+
+impl DirectCaller {
+    /// A caller that has called nobody yet.
+    pub fn new(target: DirectTarget) -> Self {
+        Self { target, caller: RouterCaller::new(), turn: AtomicUsize::new(0) }
+    }
+
+    fn take_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    fn generate_call(&self, call: &ChatCall<'_>, turn: usize) -> GenerateCall {
+        let chains = &self.target.chains;
+        GenerateCall {
+            request: format!("direct-{turn}").into(),
+            attempt: 1,
+            model: self.target.model.clone(),
+            version: self.target.version.clone(),
+            route: chains[turn % chains.len()].clone(),
+            prompt: prompt_of(call.question),
+            accepted: Vec::new(),
+            max_tokens: call.max_tokens,
+            priority: self.target.priority,
+            kv_sources: Vec::new(),
+        }
+    }
+}
+
+impl CallSender for DirectCaller {
+    fn ask(&self, call: &ChatCall<'_>) -> ChatAnswer {
+        let call = self.generate_call(call, self.take_turn());
+        let url = format!("http://{}/v1/generate", call.route[0].address);
+        let mut answer = ChatAnswer {
+            tokens: Vec::new(),
+            times: Vec::new(),
+            id: call.request.clone(),
+            end: CallEnd::Cut,
+        };
+        if let Ok(response) = self.caller.agent().post(&url).send_json(&call) {
+            answer.end = read_events(response, &mut answer);
+        }
+        answer
+    }
+
+    fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer {
+        let prefix = call.path.trim_end_matches('/');
+        let endpoints = &self.target.services[prefix];
+        let router = &endpoints[self.take_turn() % endpoints.len()];
+        self.caller.call(&ServiceCall { router, path: "/", ..call.clone() })
+    }
+}
+
+fn read_events(response: ureq::http::Response<ureq::Body>, answer: &mut ChatAnswer) -> CallEnd {
+    let reader = BufReader::new(response.into_body().into_reader());
+    for line in reader.lines().map_while(Result::ok) {
+        match serde_json::from_str(&line) {
+            Ok(GenerateEvent::Token { token, .. }) => {
+                answer.tokens.push(token);
+                answer.times.push(Instant::now());
+            }
+            Ok(GenerateEvent::End { .. }) => return CallEnd::Whole,
+            Ok(GenerateEvent::Failed { .. }) | Err(_) => return CallEnd::Cut,
+        }
+    }
+    CallEnd::Cut
+}
--- a/crates/standins/src/fleet/running.rs
+++ b/crates/standins/src/fleet/running.rs
@@ -1,11 +1,13 @@
 //! A fleet whose processes run.
 
-use jacinthrock::{DomainName, EndpointName, LayerIndex, NodeDeclaration, ServiceName};
+use jacinthrock::{DomainName, EndpointName, LayerIndex, NodeDeclaration, RouteStage, ServiceName};
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use super::plan::{ChainPlan, FleetPlan, PlainPlan};
 use super::tree::declaration_tree;
+use crate::direct::DirectTarget;
 use crate::harness::{HarnessError, ProcessHarness};
 
 /// Longest wait for a process to answer.
@@ -75,6 +77,16 @@
 impl RunningFleet {
     /// Starts everything, applies the tree and waits until every router is ready.
     pub fn start(plan: FleetPlan, dir: &Path) -> Result<Self, HarnessError> {
+        let mut fleet = Self::start_endpoints(plan, dir)?;
+        fleet.start_routers()?;
+        fleet.start_controllers()?;
+        fleet.apply_tree()?;
+        fleet.wait_routers()?;
+        Ok(fleet)
+    }
+
+    /// Starts the platform and the endpoints only.
+    pub fn start_endpoints(plan: FleetPlan, dir: &Path) -> Result<Self, HarnessError> {
         let harness = ProcessHarness::beside_this_program(&dir.join("logs"))?;
         let platform = harness.free_address()?;
         let mut fleet = Self {
@@ -90,10 +102,6 @@
         fleet.start_platform()?;
         fleet.start_engines()?;
         fleet.start_services()?;
-        fleet.start_routers()?;
-        fleet.start_controllers()?;
-        fleet.apply_tree()?;
-        fleet.wait_routers()?;
         Ok(fleet)
     }
 
@@ -102,6 +110,38 @@
         self.routers.iter().map(|router| router.address.clone()).collect()
     }
 
+    /// Endpoints as a caller that goes past the routers sees them.
+    pub fn direct_target(&self) -> DirectTarget {
+        let mut services: BTreeMap<Box<str>, Vec<Box<str>>> = BTreeMap::new();
+        for plan in &self.plan.services {
+            let own = self.services.iter().filter(|service| service.service == plan.service);
+            services.insert(plan.prefix.clone(), own.map(|it| it.address.clone()).collect());
+        }
+        let model = &self.plan.model;
+        let chains = self.engines.chunks(usize::from(model.stages));
+        DirectTarget {
+            model: model.name.clone(),
+            version: model.version.clone(),
+            priority: model.priority,
+            chains: chains.map(|chain| self.route(chain)).collect(),
+            services,
+        }
+    }
+
+    fn route(&self, chain: &[EngineProcess]) -> Vec<RouteStage> {
+        let model = &self.plan.model;
+        let stage = |(number, engine): (usize, &EngineProcess)| {
+            let (first_layer, last_layer) = stage_layers(model.layers, model.stages, number as u16);
+            RouteStage {
+                endpoint: engine.name.clone(),
+                address: engine.address.clone(),
+                first_layer,
+                last_layer,
+            }
+        };
+        chain.iter().enumerate().map(stage).collect()
+    }
+
     /// Writes the tree to its directory, one file for each node, and applies it.
     pub fn apply_tree(&self) -> Result<String, HarnessError> {
         let nodes = declaration_tree(&self.plan, &self.engines, &self.services);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,6 +1,7 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
 pub mod caller;
+pub mod direct;
 pub mod engine;
 pub mod fake_store;
 pub mod fleet;
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -23,7 +23,7 @@
 pub use plot::write_plots;
 pub use recovery::{RecoveryReport, recovery_report};
 pub use report::{LatencyReport, RunReport, SecondReport};
-pub use run::{RunError, RunOptions, router_ended_well, run_fleet, run_target};
+pub use run::{RunError, RunOptions, router_ended_well, run_direct, run_fleet, run_target};
 pub use sample::{CallResult, CallSample, CallTry};
 pub use scenario::{BurstPlan, CallKind, LoadScenario, MixPlan, built_in};
 pub use text::render_text;
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -10,7 +10,7 @@
 use super::balancer::LoadBalancer;
 use super::sample::{CallResult, CallSample, CallTry};
 use super::scenario::CallKind;
-use crate::caller::{CallEnd, ChatCall, Refusal, RouterCaller, ServiceCall, prompt_of};
+use crate::caller::{CallEnd, CallSender, ChatCall, Refusal, RouterCaller, ServiceCall, prompt_of};
 use crate::fleet::FleetPlan;
 use crate::token::whole_answer;
 
@@ -43,7 +43,7 @@
 }
 
 struct DriverShared {
-    caller: RouterCaller,
+    caller: Box<dyn CallSender>,
     balancer: LoadBalancer,
     target: LoadTarget,
     start: Instant,
@@ -56,11 +56,16 @@
 }
 
 impl LoadDriver {
-    /// A driver whose run starts now.
+    /// A driver of calls to routers, whose run starts now.
     pub fn new(target: LoadTarget) -> Self {
+        Self::with_caller(target, Box::new(RouterCaller::new()))
+    }
+
+    /// A driver that sends its calls through `caller`, whose run starts now.
+    pub fn with_caller(target: LoadTarget, caller: Box<dyn CallSender>) -> Self {
         let (sender, receiver) = mpsc::channel();
         let shared = DriverShared {
-            caller: RouterCaller::new(),
+            caller,
             balancer: LoadBalancer::new(target.operator_addresses.clone()),
             target,
             start: Instant::now(),
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -9,6 +9,7 @@
 use super::report::{RunInput, RunReport};
 use super::scenario::LoadScenario;
 use super::usage::{fleet_usage, save_metrics};
+use crate::direct::DirectCaller;
 use crate::fleet::RunningFleet;
 use crate::harness::HarnessError;
 
@@ -58,29 +59,44 @@
         operator_addresses: operators.collect(),
         plan: fleet.plan.clone(),
     };
-    let arrivals = arrivals(&options);
-    let mut driver = LoadDriver::new(target);
+    let report = drive(options, LoadDriver::new(target), &mut fleet);
+    save_metrics(&fleet, dir);
+    Ok((report, fleet))
+}
+
+/// Runs the calls and faults of a scenario past the routers, in turn over chains and endpoints.
+pub fn run_direct(options: RunOptions, dir: &Path) -> Result<RunReport, RunError> {
+    let mut fleet = RunningFleet::start_endpoints(options.scenario.fleet.clone(), dir)?;
+    let target = LoadTarget {
+        routers: vec!["direct".into()],
+        operator_addresses: Vec::new(),
+        plan: fleet.plan.clone(),
+    };
+    let caller = DirectCaller::new(fleet.direct_target());
+    let driver = LoadDriver::with_caller(target, Box::new(caller));
+    Ok(drive(options, driver, &mut fleet))
+}
+
+fn drive(options: RunOptions, mut driver: LoadDriver, fleet: &mut RunningFleet) -> RunReport {
     let mut faults = options.scenario.faults.clone();
     faults.sort_by(|first, second| first.at_s.total_cmp(&second.at_s));
     let mut faults = faults.into_iter().peekable();
-    for arrival in arrivals {
+    for arrival in arrivals(&options) {
         while let Some(fault) = faults.next_if(|fault| fault.at() <= arrival.at) {
             driver.sleep_until(fault.at());
-            fault.apply(&mut fleet);
+            fault.apply(fleet);
         }
         driver.sleep_until(arrival.at);
         driver.send(arrival);
     }
     for fault in faults.filter(|fault| fault.at() <= options.length) {
         driver.sleep_until(fault.at());
-        fault.apply(&mut fleet);
+        fault.apply(fleet);
     }
     let samples = driver.finish();
     let checks = check_runs(&samples, &fleet.services);
-    save_metrics(&fleet, dir);
-    let usage = fleet_usage(&fleet);
-    let report = RunReport { usage, ..RunReport::new(input(options), &samples, checks) };
-    Ok((report, fleet))
+    let usage = fleet_usage(fleet);
+    RunReport { usage, ..RunReport::new(input(options), &samples, checks) }
 }
 
 /// Runs the scenario's calls against routers that already run; nothing is started or broken.
