--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -1,14 +1,15 @@
 //! Drives load against a fleet on stand-ins or a running system, and reports.
 
 use jacinthrock_standins::load::{
-    LoadScenario, RunError, RunOptions, RunReport, built_in, render_text, run_direct, run_fleet,
-    run_target, write_plots,
+    LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in, render_text,
+    run_direct, run_fleet, run_target, sweep_options, write_plots,
 };
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 const REPORT_FILE: &str = "report.json";
+const DEFAULT_PERCENTS: [f64; 5] = [50.0, 80.0, 95.0, 110.0, 150.0];
 const TEXT_FILE: &str = "report.txt";
 
 mod flags {
@@ -34,6 +35,21 @@
                 /// Calls the endpoints past the routers, to compare.
                 optional --direct
             }
+            /// Runs a scenario at parts of its bound, without its bursts and faults.
+            cmd sweep {
+                /// Built-in scenario or path of a TOML file.
+                required --scenario name: String
+                /// Seed of the calls (default 1).
+                optional --seed number: u64
+                /// Parts of the bound in hundredths (default 50, 80, 95, 110 and 150).
+                repeated --percent number: f64
+                /// Length of each run, in seconds.
+                required --seconds seconds: u64
+                /// Directory for the reports.
+                required --out path: PathBuf
+                /// Calls the endpoints past the routers, to compare.
+                optional --direct
+            }
             /// Repeats the run of a report with the same scenario, seed, rate and length.
             cmd repeat {
                 /// Directory of the report.
@@ -59,6 +75,7 @@
     let flags = flags::JacinthrockLoad::from_env_or_exit();
     let result = match flags.subcommand {
         flags::JacinthrockLoadCmd::Run(run) => run_command(run),
+        flags::JacinthrockLoadCmd::Sweep(sweep) => sweep_command(&sweep),
         flags::JacinthrockLoadCmd::Repeat(repeat) => repeat_command(&repeat),
         flags::JacinthrockLoadCmd::Report(report) => report_command(&report.dir),
         flags::JacinthrockLoadCmd::Scenario(scenario) => scenario_command(&scenario.name),
@@ -111,7 +128,32 @@
     run_options(options, CallWay::Fleet, &repeat.out)
 }
 
+fn sweep_command(sweep: &flags::Sweep) -> Result<bool, RunError> {
+    let scenario = load_scenario(&sweep.scenario)?;
+    let length = Duration::from_secs(sweep.seconds);
+    let percents =
+        if sweep.percent.is_empty() { DEFAULT_PERCENTS.to_vec() } else { sweep.percent.clone() };
+    let mut table = SweepReport::default();
+    for percent in percents {
+        let options = sweep_options(&scenario, sweep.seed.unwrap_or(1), percent, length);
+        let way = if sweep.direct { CallWay::Direct } else { CallWay::Fleet };
+        let out = sweep.out.join(format!("at-{percent}"));
+        table.rows.push(SweepRow::new(&run_report(options, way, &out)?));
+    }
+    let file = sweep.out.join(TEXT_FILE);
+    let text = table.render();
+    print!("{text}");
+    std::fs::write(&file, &text).map_err(|error| report_error(&file, &error.to_string()))?;
+    Ok(table.rows.iter().all(|row| row.holds))
+}
+
 fn run_options(options: RunOptions, way: CallWay, out: &Path) -> Result<bool, RunError> {
+    let report = run_report(options, way, out)?;
+    print!("{}", render_text(&report));
+    Ok(report.checks.holds())
+}
+
+fn run_report(options: RunOptions, way: CallWay, out: &Path) -> Result<RunReport, RunError> {
     std::fs::create_dir_all(out).map_err(|error| report_error(out, &error.to_string()))?;
     let report = match way {
         CallWay::Fleet => run_fleet(options, out)?.0,
@@ -122,12 +164,13 @@
     let json = serde_json::to_string_pretty(&report).expect("reports serialize");
     std::fs::write(&file, json).map_err(|error| report_error(&file, &error.to_string()))?;
     render(&report, out)?;
-    Ok(report.checks.holds())
+    Ok(report)
 }
 
 fn report_command(dir: &Path) -> Result<bool, RunError> {
     let report = read_report(dir)?;
     render(&report, dir)?;
+    print!("{}", render_text(&report));
     Ok(report.checks.holds())
 }
 
@@ -139,7 +182,6 @@
 
 fn render(report: &RunReport, dir: &Path) -> Result<(), RunError> {
     let text = render_text(report);
-    print!("{text}");
     let file = dir.join(TEXT_FILE);
     std::fs::write(&file, text).map_err(|error| report_error(&file, &error.to_string()))?;
     write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
--- a/crates/standins/src/load.rs
+++ b/crates/standins/src/load.rs
@@ -12,6 +12,7 @@
 mod run;
 mod sample;
 mod scenario;
+mod sweep;
 mod text;
 mod usage;
 
@@ -26,5 +27,6 @@
 pub use run::{RunError, RunOptions, router_ended_well, run_direct, run_fleet, run_target};
 pub use sample::{CallResult, CallSample, CallTry};
 pub use scenario::{BurstPlan, CallKind, LoadScenario, MixPlan, built_in};
+pub use sweep::{SweepReport, SweepRow, sweep_options};
 pub use text::render_text;
 pub use usage::{ProcessUsage, UsageReport};
--- a/crates/standins/src/load/recovery.rs
+++ b/crates/standins/src/load/recovery.rs
@@ -8,10 +8,10 @@
 use super::scenario::CallKind;
 
 /// A gap between tokens is an interruption from so many times the stream's median gap.
-const INTERRUPTION_FACTOR: u32 = 4;
+const INTERRUPTION_FACTOR: u32 = 2;
 
-/// Shortest gap that counts as an interruption.
-const SHORTEST_INTERRUPTION: Duration = Duration::from_millis(50);
+/// Least time by which an interruption exceeds that.
+const INTERRUPTION_MARGIN: Duration = Duration::from_millis(10);
 
 /// What a fault did to the answers that were being streamed.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -51,15 +51,17 @@
     sample.kind == CallKind::Answer && started && sample.ended > at
 }
 
-/// Time from the fault to the next token, where the gap is longer than the stream's usual one.
+/// Time from the fault to the next token, where a try ended between the tokens around the fault
+/// or the gap is longer than the stream's usual one.
 fn interruption(sample: &CallSample, at: Duration) -> Option<Duration> {
     let times = &sample.token_times;
     let next = times.partition_point(|&time| time <= at);
     let (before, after) = (*times.get(next.checked_sub(1)?)?, *times.get(next)?);
     let mut gaps: Vec<Duration> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
     gaps.sort();
-    let usual = gaps[gaps.len() / 2] * INTERRUPTION_FACTOR;
-    (after - before > usual.max(SHORTEST_INTERRUPTION)).then(|| after - at)
+    let usual = gaps[gaps.len() / 2] * INTERRUPTION_FACTOR + INTERRUPTION_MARGIN;
+    let ended = sample.tries.iter().any(|it| it.ended >= before && it.ended < after);
+    (ended || after - before > usual).then(|| after - at)
 }
 
 fn percentile_ms(sorted: &[Duration], rank: f64) -> f64 {
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -108,7 +108,8 @@
         let answers = || samples.iter().filter(|sample| sample.kind == CallKind::Answer);
         let whole = answers().filter(|sample| sample.result == CallResult::Whole);
         let whole_in_time = whole.filter(|sample| sample.ended <= length).count();
-        let recoveries = scenario.faults.iter().map(|fault| recovery_report(fault, samples));
+        let faults = scenario.faults.iter().filter(|fault| fault.at() <= length);
+        let recoveries = faults.map(|fault| recovery_report(fault, samples));
         Self {
             seed,
             rate,
--- a/crates/standins/src/load/text.rs
+++ b/crates/standins/src/load/text.rs
@@ -85,8 +85,14 @@
 
 fn write_usage(text: &mut String, report: &RunReport) -> std::fmt::Result {
     let usage = &report.usage;
+    if usage.endpoints.is_empty() {
+        return Ok(());
+    }
     writeln!(text, "\ncost")?;
     for (role, processes) in [("router", &usage.routers), ("controller", &usage.controllers)] {
+        if processes.is_empty() {
+            continue;
+        }
         let processor: f64 = processes.iter().map(|process| process.processor_s).sum();
         let memory = processes.iter().map(|process| process.peak_memory_kb).max().unwrap_or(0);
         writeln!(
