--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -15,6 +15,9 @@
 /// Longest latency that the histograms hold, in microseconds.
 const MAX_LATENCY_US: u64 = 600_000_000;
 
+/// Part of a run that is left out of the throughput, while the engines fill up.
+const WARM_UP_PART: f64 = 0.25;
+
 /// Percentiles that the plots show.
 const PLOTTED_PERCENTILES: [f64; 9] = [10.0, 25.0, 50.0, 75.0, 90.0, 95.0, 99.0, 99.9, 100.0];
 
@@ -69,7 +72,7 @@
     pub unreached_tries: u32,
     /// Latencies by name.
     pub latencies: BTreeMap<Box<str>, LatencyReport>,
-    /// Tokens in a second while calls were due.
+    /// Tokens in a second while calls were due, after the first quarter of the run.
     pub tokens_per_second: f64,
     /// Tokens in a second that the engines could make at most.
     pub token_bound: f64,
@@ -77,7 +80,7 @@
     pub answer_bound: f64,
     /// Answers offered in a second.
     pub answers_offered: f64,
-    /// Answers that became whole, in a second, over the time until the last ended.
+    /// Answers that became whole, in a second, while calls were due, after the first quarter.
     pub answers_whole: f64,
     /// What each fault did.
     pub recoveries: Vec<RecoveryReport>,
@@ -103,11 +106,14 @@
         let RunInput { scenario, seed, rate, length } = input;
         let (words, tokens) = scenario.mean_answer();
         let seconds = length.as_secs_f64();
-        let in_time =
-            |sample: &CallSample| sample.token_times.iter().filter(|time| **time <= length).count();
+        let window = length.mul_f64(WARM_UP_PART)..length;
+        let window_s = (window.end - window.start).as_secs_f64();
+        let in_window = |sample: &CallSample| {
+            sample.token_times.iter().filter(|time| window.contains(time)).count()
+        };
         let answers = || samples.iter().filter(|sample| sample.kind == CallKind::Answer);
         let whole = answers().filter(|sample| sample.result == CallResult::Whole);
-        let whole_in_time = whole.filter(|sample| sample.ended <= length).count();
+        let whole_in_window = whole.filter(|sample| window.contains(&sample.ended)).count();
         let faults = scenario.faults.iter().filter(|fault| fault.at() <= length);
         let recoveries = faults.map(|fault| recovery_report(fault, samples));
         Self {
@@ -119,11 +125,11 @@
             cut_tries: tries_by_router(samples, &CallEnd::Cut),
             unreached_tries: tries_by_router(samples, &CallEnd::NotReached).values().sum(),
             latencies: latencies(samples),
-            tokens_per_second: samples.iter().map(in_time).sum::<usize>() as f64 / seconds,
+            tokens_per_second: samples.iter().map(in_window).sum::<usize>() as f64 / window_s,
             token_bound: scenario.fleet.token_bound(),
             answer_bound: scenario.fleet.answer_bound(words, tokens),
             answers_offered: answers().count() as f64 / seconds,
-            answers_whole: whole_in_time as f64 / seconds,
+            answers_whole: whole_in_window as f64 / window_s,
             recoveries: recoveries.collect(),
             checks,
             timeline: timeline(samples),
