--- /dev/null
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -0,0 +1,207 @@
+//! Drives load against a fleet on stand-ins or a running system, and reports.
+
+use jacinthrock_standins::load::{
+    LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in, render_text,
+    run_direct, run_fleet, run_target, sweep_options, write_plots,
+};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+const REPORT_FILE: &str = "report.json";
+const DEFAULT_PERCENTS: [f64; 5] = [50.0, 80.0, 95.0, 110.0, 150.0];
+const TEXT_FILE: &str = "report.txt";
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Load and experiment tool.
+        cmd jacinthrock-load {
+            /// Runs a scenario.
+            cmd run {
+                /// Built-in scenario (demo, lasitaide, oficina) or path of a TOML file.
+                required --scenario name: String
+                /// Seed of the calls (default 1).
+                optional --seed number: u64
+                /// Calls in a second, of all kinds, outside of bursts.
+                required --rate count: f64
+                /// Length of the run, in seconds.
+                required --seconds seconds: u64
+                /// Directory for the report, plots and logs.
+                required --out path: PathBuf
+                /// Address of a router that already runs; may be given more than once.
+                repeated --target address: String
+                /// Calls the endpoints past the routers, to compare.
+                optional --direct
+            }
+            /// Runs a scenario at parts of its bound, without its bursts and faults.
+            cmd sweep {
+                /// Built-in scenario or path of a TOML file.
+                required --scenario name: String
+                /// Seed of the calls (default 1).
+                optional --seed number: u64
+                /// Parts of the bound in hundredths (default 50, 80, 95, 110 and 150).
+                repeated --percent number: f64
+                /// Length of each run, in seconds.
+                required --seconds seconds: u64
+                /// Directory for the reports.
+                required --out path: PathBuf
+                /// Calls the endpoints past the routers, to compare.
+                optional --direct
+            }
+            /// Repeats the run of a report with the same scenario, seed, rate and length.
+            cmd repeat {
+                /// Directory of the report.
+                required report: PathBuf
+                /// Directory for the new report, plots and logs.
+                required --out path: PathBuf
+            }
+            /// Writes the text and the plots of a report again.
+            cmd report {
+                /// Directory of the report.
+                required dir: PathBuf
+            }
+            /// Prints a built-in scenario as TOML.
+            cmd scenario {
+                /// Name of the scenario.
+                required name: String
+            }
+        }
+    }
+}
+
+fn main() -> ExitCode {
+    let flags = flags::JacinthrockLoad::from_env_or_exit();
+    let result = match flags.subcommand {
+        flags::JacinthrockLoadCmd::Run(run) => run_command(run),
+        flags::JacinthrockLoadCmd::Sweep(sweep) => sweep_command(&sweep),
+        flags::JacinthrockLoadCmd::Repeat(repeat) => repeat_command(&repeat),
+        flags::JacinthrockLoadCmd::Report(report) => report_command(&report.dir),
+        flags::JacinthrockLoadCmd::Scenario(scenario) => scenario_command(&scenario.name),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// What the calls go to.
+enum CallWay {
+    /// A fleet started for the run.
+    Fleet,
+    /// The endpoints of a fleet started for the run.
+    Direct,
+    /// Routers that already run.
+    Target(Vec<Box<str>>),
+}
+
+fn run_command(run: flags::Run) -> Result<bool, RunError> {
+    let options = RunOptions {
+        scenario: load_scenario(&run.scenario)?,
+        seed: run.seed.unwrap_or(1),
+        rate: run.rate,
+        length: Duration::from_secs(run.seconds),
+    };
+    let addresses = run.target.iter().map(|url| url.trim_start_matches("http://").into());
+    let routers: Vec<Box<str>> = addresses.collect();
+    let way = match (run.direct, routers) {
+        (true, _) => CallWay::Direct,
+        (false, routers) if routers.is_empty() => CallWay::Fleet,
+        (false, routers) => CallWay::Target(routers),
+    };
+    run_options(options, way, &run.out)
+}
+
+fn repeat_command(repeat: &flags::Repeat) -> Result<bool, RunError> {
+    let report = read_report(&repeat.report)?;
+    let options = RunOptions {
+        scenario: report.scenario,
+        seed: report.seed,
+        rate: report.rate,
+        length: Duration::from_secs(report.seconds),
+    };
+    run_options(options, CallWay::Fleet, &repeat.out)
+}
+
+fn sweep_command(sweep: &flags::Sweep) -> Result<bool, RunError> {
+    let scenario = load_scenario(&sweep.scenario)?;
+    let length = Duration::from_secs(sweep.seconds);
+    let percents =
+        if sweep.percent.is_empty() { DEFAULT_PERCENTS.to_vec() } else { sweep.percent.clone() };
+    let mut table = SweepReport::default();
+    for percent in percents {
+        let options = sweep_options(&scenario, sweep.seed.unwrap_or(1), percent, length);
+        let way = if sweep.direct { CallWay::Direct } else { CallWay::Fleet };
+        let out = sweep.out.join(format!("at-{percent}"));
+        table.rows.push(SweepRow::new(&run_report(options, way, &out)?));
+    }
+    let file = sweep.out.join(TEXT_FILE);
+    let text = table.render();
+    print!("{text}");
+    std::fs::write(&file, &text).map_err(|error| report_error(&file, &error.to_string()))?;
+    Ok(table.rows.iter().all(|row| row.holds))
+}
+
+fn run_options(options: RunOptions, way: CallWay, out: &Path) -> Result<bool, RunError> {
+    let report = run_report(options, way, out)?;
+    print!("{}", render_text(&report));
+    Ok(report.checks.holds())
+}
+
+fn run_report(options: RunOptions, way: CallWay, out: &Path) -> Result<RunReport, RunError> {
+    std::fs::create_dir_all(out).map_err(|error| report_error(out, &error.to_string()))?;
+    let report = match way {
+        CallWay::Fleet => run_fleet(options, out)?.0,
+        CallWay::Direct => run_direct(options, out)?,
+        CallWay::Target(routers) => run_target(options, routers),
+    };
+    let file = out.join(REPORT_FILE);
+    let json = serde_json::to_string_pretty(&report).expect("reports serialize");
+    std::fs::write(&file, json).map_err(|error| report_error(&file, &error.to_string()))?;
+    render(&report, out)?;
+    Ok(report)
+}
+
+fn report_command(dir: &Path) -> Result<bool, RunError> {
+    let report = read_report(dir)?;
+    render(&report, dir)?;
+    print!("{}", render_text(&report));
+    Ok(report.checks.holds())
+}
+
+fn scenario_command(name: &str) -> Result<bool, RunError> {
+    let scenario = load_scenario(name)?;
+    println!("{}", toml::to_string_pretty(&scenario).expect("scenarios serialize"));
+    Ok(true)
+}
+
+fn render(report: &RunReport, dir: &Path) -> Result<(), RunError> {
+    let text = render_text(report);
+    let file = dir.join(TEXT_FILE);
+    std::fs::write(&file, text).map_err(|error| report_error(&file, &error.to_string()))?;
+    write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
+}
+
+fn load_scenario(name: &str) -> Result<LoadScenario, RunError> {
+    if let Some(scenario) = built_in(name) {
+        return Ok(scenario);
+    }
+    let text = std::fs::read_to_string(name).map_err(|_| RunError::Scenario(name.into()))?;
+    toml::from_str(&text).map_err(|error| report_error(Path::new(name), &error.to_string()))
+}
+
+fn read_report(dir: &Path) -> Result<RunReport, RunError> {
+    let file: PathBuf = dir.join(REPORT_FILE);
+    let json = std::fs::read_to_string(&file);
+    let json = json.map_err(|error| report_error(&file, &error.to_string()))?;
+    serde_json::from_str(&json).map_err(|error| report_error(&file, &error.to_string()))
+}
+
+fn report_error(path: &Path, reason: &str) -> RunError {
+    RunError::Report { path: path.display().to_string().into(), reason: reason.into() }
+}
