Operators' program: check, plan, apply, get, status, history, drain, forget

apply says that a revision is in force everywhere only after two rounds in which every registered host reports it with the same incarnation: hosts are asked one after the other, and one may restart between its answer and the last one.

--- /dev/null
+++ b/src/cmd/apply.rs
@@ -0,0 +1,163 @@
+//! `apply`: commits a directory and waits until it is in force everywhere.
+
+use serde_json::json;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+use super::error::CommandError;
+use super::flags::Apply;
+use super::hosts::{ask_hosts, registered_hosts};
+use super::plan::{describe_plan, plan_json, plan_over};
+use super::publisher::checked_tree;
+use super::{CommandContext, Run, env};
+use crate::ids::ConfigRevision;
+use crate::platform::PlatformStore;
+use crate::publish::{AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError};
+use crate::revision::{ChangeRecord, RootDocument};
+use crate::spread::{SpreadCheck, SpreadVerdict};
+
+/// Longest wait for the hosts unless asked otherwise.
+const DEFAULT_WAIT: Duration = Duration::from_secs(10);
+/// Pause between two rounds of asking the hosts.
+const ROUND_PAUSE: Duration = Duration::from_millis(200);
+/// Lagging hosts named in a line of progress.
+const NAMED_HOSTS: usize = 8;
+
+impl Run for Apply {
+    async fn run(&self, context: &CommandContext) -> Result<(), CommandError> {
+        let tree = checked_tree(&self.directory)?;
+        let store = context.store()?;
+        let publisher = context.publisher()?;
+        let base = self.base(&publisher).await?;
+        let plan = plan_over(base.as_ref(), &tree);
+        let base_revision = base.as_ref().map_or(0, |base| base.revision);
+        context
+            .printer
+            .progress(&describe_plan(base_revision, &plan), &plan_json(base_revision, &plan));
+        let unchanged = plan.is_empty() && base.as_ref().is_some_and(is_readable);
+        let revision = if unchanged {
+            base_revision
+        } else {
+            let change = self.change();
+            publisher.commit(ConfigEdit { base: base.as_ref(), tree: &tree, change }).await?
+        };
+        let accepted = if unchanged { "already in force" } else { "accepted" };
+        let progress = json!({ "accepted": revision, "changed": !unchanged });
+        context.printer.progress(&format!("revision {revision} {accepted}"), &progress);
+        let hosts = self.wait_for_hosts(context, &*store, revision).await?;
+        let human = match hosts {
+            Some(hosts) => format!("revision {revision} in force on {hosts} hosts"),
+            None => format!("revision {revision} accepted; not waited for hosts"),
+        };
+        let json = json!({ "revision": revision, "changed": !unchanged, "hosts": hosts });
+        context.printer.result(&human, &json)
+    }
+}
+
+/// Whether a tree in force reads and resolves, so that it need not be replaced.
+fn is_readable(accepted: &AcceptedConfig) -> bool {
+    accepted.document.declarations().is_ok_and(|tree| tree.resolve(accepted.revision).is_ok())
+}
+
+impl Apply {
+    /// The configuration that the edit is based on.
+    async fn base(
+        &self,
+        publisher: &ConfigPublisher,
+    ) -> Result<Option<AcceptedConfig>, CommandError> {
+        let accepted = match publisher.read().await {
+            Ok(accepted) => accepted,
+            // Naming the unreadable revision is the operator's consent to replace it.
+            Err(PublishError::Corrupt { revision, .. }) if self.base == Some(revision) => {
+                Some(AcceptedConfig { revision, document: RootDocument::default() })
+            }
+            Err(error) => return Err(error.into()),
+        };
+        let revision = accepted.as_ref().map_or(0, |accepted| accepted.revision);
+        match self.base.filter(|base| *base != revision) {
+            None => Ok(accepted),
+            Some(base) => Err(stale_base(base, accepted.as_ref()).into()),
+        }
+    }
+
+    fn change(&self) -> ChangeRecord {
+        let author = self.author.clone().map(Box::from).or_else(env::author);
+        ChangeRecord {
+            commit: uuid::Uuid::now_v7().to_string().into(),
+            author: author.unwrap_or_else(|| "unknown".into()),
+            time: utc_time(SystemTime::now()).into(),
+            message: self.message.clone().unwrap_or_default().into(),
+            ..ChangeRecord::default()
+        }
+    }
+
+    /// Asks the hosts until all have the revision in force; returns how many they are.
+    async fn wait_for_hosts(
+        &self,
+        context: &CommandContext,
+        store: &dyn PlatformStore,
+        revision: ConfigRevision,
+    ) -> Result<Option<usize>, CommandError> {
+        let wait = self.wait_ms.map_or(DEFAULT_WAIT, Duration::from_millis);
+        if wait.is_zero() {
+            return Ok(None);
+        }
+        let deadline = Instant::now() + wait;
+        let mut check = SpreadCheck::new(revision);
+        let mut shown = None;
+        loop {
+            let entries = registered_hosts(store).await?;
+            let answers = ask_hosts(&entries).await;
+            let lagging = match check.learn(&answers) {
+                SpreadVerdict::InForce => return Ok(Some(entries.len())),
+                SpreadVerdict::Lagging(lagging) => lagging,
+            };
+            if shown.as_ref() != Some(&lagging) {
+                let done = entries.len() - lagging.len();
+                let named =
+                    lagging.iter().take(NAMED_HOSTS).cloned().collect::<Vec<_>>().join(", ");
+                let total = entries.len();
+                let human = format!("in force on {done} of {total} hosts; waiting for {named}");
+                context.printer.progress(&human, &json!({ "waiting": lagging, "hosts": total }));
+                shown = Some(lagging.clone());
+            }
+            if Instant::now() >= deadline {
+                let hosts = lagging.into_iter().map(String::from).collect();
+                return Err(CommandError::Lagging { revision, hosts });
+            }
+            tokio::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+}
+
+/// The conflict of an edit whose base is no longer in force.
+fn stale_base(base: ConfigRevision, accepted: Option<&AcceptedConfig>) -> PublishError {
+    let changes = accepted.and_then(|accepted| {
+        let changes = accepted.document.changes_since(accepted.revision, base)?;
+        let race = |past| crate::publish::RacingChange { past, common: Vec::new() };
+        Some(changes.into_iter().map(race).collect())
+    });
+    PublishError::Conflict { base, changes: changes.unwrap_or_default() }
+}
+
+/// A time as `2026-12-03T21:59:00Z`, for people.
+fn utc_time(time: SystemTime) -> String {
+    let seconds = time.duration_since(UNIX_EPOCH).map_or(0, |elapsed| elapsed.as_secs());
+    let (year, month, day) = civil_date(seconds / 86_400);
+    let (hour, minute, second) = (seconds / 3600 % 24, seconds / 60 % 60, seconds % 60);
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Year, month and day of a number of days after 1970-01-01 in the Gregorian calendar.
+fn civil_date(days: u64) -> (u64, u64, u64) {
+    let shifted = days + 719_468;
+    let era = shifted / 146_097;
+    let day_of_era = shifted % 146_097;
+    let year_of_era =
+        (day_of_era - day_of_era / 1460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = if month_from_march < 10 { month_from_march + 3 } else { month_from_march - 9 };
+    (year_of_era + era * 400 + u64::from(month <= 2), month, day)
+}
--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,21 @@
+//! `check`: reads and checks a directory of declarations.
+
+use serde_json::json;
+
+use super::error::CommandError;
+use super::flags::Check;
+use super::publisher::checked_tree;
+use super::{CommandContext, Run};
+
+impl Run for Check {
+    async fn run(&self, context: &CommandContext) -> Result<(), CommandError> {
+        let tree = checked_tree(&self.directory)?;
+        let config = tree.resolve(1).map_err(CommandError::Faulty)?;
+        let nodes = tree.nodes().len();
+        let services = config.services.len();
+        let customers = config.customers.len();
+        let human = format!("{nodes} nodes, {services} services, {customers} customers: no faults");
+        let json = json!({ "nodes": nodes, "services": services, "customers": customers });
+        context.printer.result(&human, &json)
+    }
+}
--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,105 @@
+//! `drain`: takes an endpoint out of service or shuts a host down gracefully.
+
+use serde_json::json;
+
+use super::error::CommandError;
+use super::flags::Drain;
+use super::hosts::{HostEntry, drain_host, registered_hosts};
+use super::{CommandContext, Run, env};
+use crate::check::endpoints_of;
+use crate::platform::{PlatformStore, StoreError};
+
+/// Prefix of the objects that mark endpoints as draining.
+const DRAIN_PREFIX: &str = "drain/";
+
+/// What the operator named.
+enum DrainTarget {
+    Endpoint,
+    Host(HostEntry),
+}
+
+impl Run for Drain {
+    async fn run(&self, context: &CommandContext) -> Result<(), CommandError> {
+        let store = context.store()?;
+        let target = &self.target;
+        let done = match (self.find(context, &*store).await?, self.undo) {
+            (DrainTarget::Endpoint, true) => {
+                self.unmark(&*store).await?;
+                "back in service"
+            }
+            (DrainTarget::Endpoint, false) => {
+                self.mark(&*store).await?;
+                "draining: it takes no new work"
+            }
+            (DrainTarget::Host(entry), false) => {
+                drain_host(&entry).await?;
+                "draining: it finishes its requests and stops"
+            }
+            (DrainTarget::Host(_), true) => {
+                let message = format!("host {target} can't be undrained: start its process again");
+                return Err(CommandError::Usage(message.into()));
+            }
+        };
+        let json = json!({ "target": target, "draining": !self.undo });
+        context.printer.result(&format!("{target} {done}"), &json)
+    }
+}
+
+impl Drain {
+    async fn find(
+        &self,
+        context: &CommandContext,
+        store: &dyn PlatformStore,
+    ) -> Result<DrainTarget, CommandError> {
+        let entries = registered_hosts(store).await?;
+        let host = entries.into_iter().find(|entry| *entry.host == *self.target);
+        let is_endpoint = self.is_endpoint(context, store).await?;
+        match (host, is_endpoint) {
+            (None, true) => Ok(DrainTarget::Endpoint),
+            (Some(entry), false) => Ok(DrainTarget::Host(entry)),
+            (Some(_), true) => {
+                let message = format!("{:?} names both a host and an endpoint", self.target);
+                Err(CommandError::Usage(message.into()))
+            }
+            (None, false) => {
+                let message = format!("no endpoint or host is named {:?}", self.target);
+                Err(CommandError::NameUnknown(message.into()))
+            }
+        }
+    }
+
+    /// Whether the target is an endpoint in force, or still marked as one that was.
+    async fn is_endpoint(
+        &self,
+        context: &CommandContext,
+        store: &dyn PlatformStore,
+    ) -> Result<bool, CommandError> {
+        let accepted = context.publisher()?.read().await?;
+        let tree = accepted.and_then(|accepted| accepted.document.declarations().ok());
+        let nodes = tree.iter().flat_map(|tree| tree.nodes());
+        let mut endpoints = nodes.flat_map(|declared| endpoints_of(&declared.node));
+        if endpoints.any(|(_, _, endpoint)| *endpoint.name == *self.target) {
+            return Ok(true);
+        }
+        Ok(store.get(&self.key()).await?.is_some())
+    }
+
+    fn key(&self) -> String {
+        format!("{DRAIN_PREFIX}{}", self.target)
+    }
+
+    async fn mark(&self, store: &dyn PlatformStore) -> Result<(), CommandError> {
+        let author = env::author().unwrap_or_else(|| "unknown".into());
+        let value = json!({ "endpoint": self.target, "author": author }).to_string();
+        match store.put(&self.key(), 0, value.into_bytes().into()).await {
+            // The mark stands already.
+            Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    async fn unmark(&self, store: &dyn PlatformStore) -> Result<(), CommandError> {
+        let Some(object) = store.get(&self.key()).await? else { return Ok(()) };
+        Ok(store.delete(&self.key(), object.version).await?)
+    }
+}
--- /dev/null
+++ b/src/cmd/hosts.rs
@@ -0,0 +1,89 @@
+//! Hosts as operators reach them: registrations on the platform and operator ports.
+
+use futures::stream::{self, StreamExt};
+use serde::Deserialize;
+use std::time::Duration;
+use ureq::Agent;
+
+use super::error::CommandError;
+use crate::ids::{DomainName, HostName, Incarnation, ObjectVersion};
+use crate::platform::PlatformStore;
+use crate::spread::{HostAnswer, HostReport};
+
+/// Prefix of the objects by which hosts register.
+pub(crate) const HOST_PREFIX: &str = "routers/";
+/// Time for an operator port to answer.
+const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
+/// Operator ports asked at once.
+const CONCURRENT_CALLS: usize = 32;
+
+/// A host's registration.
+#[derive(Clone, Debug, Deserialize)]
+pub(crate) struct HostEntry {
+    pub(crate) host: HostName,
+    #[serde(default)]
+    pub(crate) domain: DomainName,
+    pub(crate) operator: Box<str>,
+    #[serde(default)]
+    pub(crate) incarnation: Incarnation,
+    /// Version of the object, so that it can be deleted.
+    #[serde(skip)]
+    pub(crate) version: ObjectVersion,
+}
+
+/// Every registered host, in the order of names; an object that does not read is left out.
+pub(crate) async fn registered_hosts(
+    store: &dyn PlatformStore,
+) -> Result<Vec<HostEntry>, CommandError> {
+    let listing = store.list(HOST_PREFIX).await?;
+    let read = |object: crate::platform::StoredObject| {
+        let entry = serde_json::from_slice::<HostEntry>(&object.value).ok()?;
+        Some(HostEntry { version: object.version, ..entry })
+    };
+    Ok(listing.objects.into_iter().filter_map(read).collect())
+}
+
+/// Asks every host for its state, a bounded number at once.
+pub(crate) async fn ask_hosts(entries: &[HostEntry]) -> Vec<HostAnswer> {
+    let agent = operator_agent();
+    let ask = |entry: &HostEntry| ask_host(agent.clone(), entry.clone());
+    stream::iter(entries.iter().map(ask)).buffered(CONCURRENT_CALLS).collect().await
+}
+
+async fn ask_host(agent: Agent, entry: HostEntry) -> HostAnswer {
+    let url = format!("http://{}/status", entry.operator);
+    let call = move || -> Result<HostReport, ureq::Error> {
+        agent.get(url).call()?.body_mut().read_json()
+    };
+    let report = match tokio::task::spawn_blocking(call).await {
+        Ok(Ok(report)) if report.host != entry.host => {
+            Err(format!("the address belongs to host {} now", report.host).into())
+        }
+        Ok(Ok(report)) => Ok(report),
+        Ok(Err(error)) => Err(error.to_string().into()),
+        Err(_) => Err("the call's thread failed".into()),
+    };
+    HostAnswer { host: entry.host, report }
+}
+
+/// Asks a host to shut down gracefully.
+pub(crate) async fn drain_host(entry: &HostEntry) -> Result<(), CommandError> {
+    let agent = operator_agent();
+    let url = format!("http://{}/drain", entry.operator);
+    let call = move || agent.post(url).send_empty().map(|_| ()).map_err(|error| error.to_string());
+    let result = tokio::task::spawn_blocking(call).await;
+    let failed = |reason: String| CommandError::HostUnreachable {
+        host: entry.host.clone(),
+        reason: reason.into(),
+    };
+    result.map_err(|error| failed(error.to_string()))?.map_err(failed)
+}
+
+fn operator_agent() -> Agent {
+    let config = Agent::config_builder()
+        .proxy(None)
+        .max_redirects(0)
+        .timeout_global(Some(OPERATOR_TIMEOUT))
+        .build();
+    Agent::new_with_config(config)
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,89 @@
+//! The operators' command line: one module for each subcommand.
+
+mod apply;
+mod check;
+mod drain;
+mod env;
+mod error;
+mod flags;
+mod forget;
+mod get;
+mod history;
+mod hosts;
+mod output;
+mod plan;
+mod publisher;
+mod status;
+
+use std::process::ExitCode;
+
+pub use error::ExitRow;
+
+use error::CommandError;
+use flags::{Jacinthrock, JacinthrockCmd};
+use output::{OutputFormat, Printer};
+
+/// A subcommand.
+pub(crate) trait Run {
+    /// Does the work and prints the result.
+    async fn run(&self, context: &CommandContext) -> Result<(), CommandError>;
+}
+
+/// What every subcommand gets from the command line and the environment.
+pub(crate) struct CommandContext {
+    pub(crate) platform: Option<Box<str>>,
+    pub(crate) printer: Printer,
+}
+
+/// Runs the operators' program on this process's arguments and returns its exit code.
+pub fn run_operator() -> ExitCode {
+    let flags = match Jacinthrock::from_env() {
+        Ok(flags) => flags,
+        Err(error) if error.is_help() => {
+            return Printer::new(OutputFormat::Human).line(&error.to_string()).exit_code();
+        }
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    let format = match OutputFormat::parse(flags.output.as_deref().or(env::output().as_deref())) {
+        Ok(format) => format,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    let platform = flags.platform.clone().map(Box::from).or_else(env::platform);
+    let context = CommandContext { platform, printer: Printer::new(format) };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = match runtime {
+        Ok(runtime) => runtime,
+        Err(error) => return usage_error(&error.to_string()),
+    };
+    let local = tokio::task::LocalSet::new();
+    let result = local.block_on(&runtime, dispatch(&flags.subcommand, &context));
+    // A call that still waits on a thread must not hold the program back.
+    runtime.shutdown_background();
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => context.printer.error(&error),
+    }
+}
+
+/// Every exit code of the operators' program.
+pub fn exit_codes() -> &'static [ExitRow] {
+    error::EXIT_ROWS
+}
+
+fn usage_error(message: &str) -> ExitCode {
+    let error = CommandError::Usage(message.into());
+    Printer::new(OutputFormat::Human).error(&error)
+}
+
+async fn dispatch(command: &JacinthrockCmd, context: &CommandContext) -> Result<(), CommandError> {
+    match command {
+        JacinthrockCmd::Check(check) => check.run(context).await,
+        JacinthrockCmd::Plan(plan) => plan.run(context).await,
+        JacinthrockCmd::Apply(apply) => apply.run(context).await,
+        JacinthrockCmd::Get(get) => get.run(context).await,
+        JacinthrockCmd::Status(status) => status.run(context).await,
+        JacinthrockCmd::History(history) => history.run(context).await,
+        JacinthrockCmd::Drain(drain) => drain.run(context).await,
+        JacinthrockCmd::Forget(forget) => forget.run(context).await,
+    }
+}
--- /dev/null
+++ b/src/cmd/output.rs
@@ -0,0 +1,92 @@
+//! Output for people and programs; a reader that goes away ends the program quietly.
+
+use serde_json::Value;
+use std::io::{self, Write};
+use std::process::ExitCode;
+
+use super::error::CommandError;
+
+/// Form of the output.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OutputFormat {
+    Human,
+    Json,
+}
+
+impl OutputFormat {
+    pub(crate) fn parse(text: Option<&str>) -> Result<Self, CommandError> {
+        match text {
+            None | Some("human") => Ok(Self::Human),
+            Some("json") => Ok(Self::Json),
+            Some(other) => {
+                let message = format!("--output is {other:?}, expected human or json");
+                Err(CommandError::Usage(message.into()))
+            }
+        }
+    }
+}
+
+/// Whether a line was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Written {
+    Yes,
+    Closed,
+    Failed,
+}
+
+impl Written {
+    pub(crate) fn exit_code(self) -> ExitCode {
+        if self == Self::Failed { ExitCode::FAILURE } else { ExitCode::SUCCESS }
+    }
+}
+
+/// Writes results to standard output, progress and errors to standard error.
+pub(crate) struct Printer {
+    format: OutputFormat,
+}
+
+impl Printer {
+    pub(crate) fn new(format: OutputFormat) -> Self {
+        Self { format }
+    }
+
+    pub(crate) fn line(&self, text: &str) -> Written {
+        match writeln!(io::stdout().lock(), "{text}") {
+            Ok(()) => Written::Yes,
+            Err(error) if error.kind() == io::ErrorKind::BrokenPipe => Written::Closed,
+            Err(_) => Written::Failed,
+        }
+    }
+
+    /// Prints a result in the wanted form.
+    pub(crate) fn result(&self, human: &str, json: &Value) -> Result<(), CommandError> {
+        let written = match self.format {
+            OutputFormat::Human => self.line(human.trim_end()),
+            OutputFormat::Json => self.line(&json.to_string()),
+        };
+        match written {
+            Written::Yes => Ok(()),
+            Written::Closed => Err(CommandError::OutputClosed),
+            Written::Failed => Err(CommandError::Usage("the output can't be written".into())),
+        }
+    }
+
+    /// Prints progress; nobody reading it is no failure.
+    pub(crate) fn progress(&self, human: &str, json: &Value) {
+        let mut stderr = io::stderr().lock();
+        let _ = match self.format {
+            OutputFormat::Human => writeln!(stderr, "{human}"),
+            OutputFormat::Json => writeln!(stderr, "{json}"),
+        };
+    }
+
+    /// Prints an error and returns the exit code for it.
+    pub(crate) fn error(&self, error: &CommandError) -> ExitCode {
+        if !matches!(error, CommandError::OutputClosed) {
+            let row = error.code().row();
+            let human = format!("error {} {}: {error}", row.number, row.name);
+            self.progress(&human, &error.to_json());
+        }
+        ExitCode::from(error.exit_code())
+    }
+}
--- /dev/null
+++ b/src/cmd/publisher.rs
@@ -0,0 +1,45 @@
+//! The platform as the subcommands use it.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::CommandContext;
+use super::error::CommandError;
+use crate::counters::CounterRegistry;
+use crate::platform::PlatformStore;
+use crate::publish::{AcceptedConfig, ConfigPublisher, PublishOptions};
+use crate::store_http::{HttpStore, HttpStoreOptions};
+use crate::tree::DeclarationTree;
+
+impl CommandContext {
+    /// A client of the platform that the command line or environment names.
+    pub(crate) fn store(&self) -> Result<Rc<dyn PlatformStore>, CommandError> {
+        let Some(platform) = &self.platform else {
+            let message = "set --platform URL or JACINTHROCK_PLATFORM";
+            return Err(CommandError::Usage(message.into()));
+        };
+        if !platform.starts_with("http://") && !platform.starts_with("https://") {
+            let message = format!("--platform is {platform:?}, expected an http:// URL");
+            return Err(CommandError::Usage(message.into()));
+        }
+        let counters = Arc::new(CounterRegistry::new());
+        Ok(Rc::new(HttpStore::new(platform.clone(), HttpStoreOptions::default(), counters)))
+    }
+
+    pub(crate) fn publisher(&self) -> Result<ConfigPublisher, CommandError> {
+        Ok(ConfigPublisher::new(self.store()?, PublishOptions::default()))
+    }
+
+    /// The configuration in force, or the error that there is none.
+    pub(crate) async fn accepted(&self) -> Result<AcceptedConfig, CommandError> {
+        self.publisher()?.read().await?.ok_or(CommandError::NothingAccepted)
+    }
+}
+
+/// Reads a directory of declarations and checks the whole tree.
+pub(crate) fn checked_tree(directory: &Path) -> Result<DeclarationTree, CommandError> {
+    let tree = DeclarationTree::from_directory(directory).map_err(CommandError::Faulty)?;
+    tree.resolve(1).map_err(CommandError::Faulty)?;
+    Ok(tree)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
 mod check;
+mod cmd;
 mod codes;
 mod counters;
 mod declaration;
@@ -21,9 +22,11 @@
 mod publish;
 mod revision;
 mod shape;
+mod spread;
 mod store_http;
 mod tree;
 
+pub use cmd::{ExitRow, exit_codes, run_operator};
 pub use codes::{CodeRow, ResultCode};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
 pub use declaration::{
@@ -59,5 +62,6 @@
     ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
 };
 pub use shape::{DeclarationField, declaration_fields};
+pub use spread::{HostAnswer, HostReport, SpreadCheck, SpreadVerdict};
 pub use store_http::{HttpStore, HttpStoreOptions};
 pub use tree::{DeclarationError, DeclarationTree, DeclaredNode, MAX_TREE_BYTES, SourcedValue};
