--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -42,7 +42,7 @@
         Err(error) if error.is_help() => {
             return Printer::new(OutputFormat::Human).line(&error.to_string()).exit_code();
         }
-        Err(error) => return usage_error(&error.to_string()),
+        Err(error) => return usage_error(&format!("{error}; --help shows the usage")),
     };
     let format = match OutputFormat::parse(flags.output.as_deref().or(env::output().as_deref())) {
         Ok(format) => format,
@@ -72,7 +72,8 @@
 
 fn usage_error(message: &str) -> ExitCode {
     let error = CommandError::Usage(message.into());
-    Printer::new(OutputFormat::Human).error(&error)
+    let format = OutputFormat::parse(env::output().as_deref()).unwrap_or(OutputFormat::Human);
+    Printer::new(format).error(&error)
 }
 
 async fn dispatch(command: &JacinthrockCmd, context: &CommandContext) -> Result<(), CommandError> {
--- /dev/null
+++ b/tests/cli_commands.rs
@@ -0,0 +1,287 @@
+//! The operators' program as a process, against the stand-in platform and fake hosts.
+
+use jacinthrock_standins::http;
+use jacinthrock_standins::platform::{PlatformApi, PlatformOptions};
+use rouille::{Response, Server};
+use serde_json::{Value, json};
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+
+/// Serves the stand-in platform on a thread for as long as the test process lives.
+fn start_platform() -> String {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        tokio::task::LocalSet::new().block_on(&runtime, async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            let options =
+                PlatformOptions { writes_per_second: 500, reads_per_second: 2000, history: 1000 };
+            http::serve(listener, Rc::new(PlatformApi::new(options))).await.unwrap();
+        });
+    });
+    format!("http://{}", receiver.recv().unwrap())
+}
+
+/// A host whose operator port reports a revision that the test sets.
+struct FakeHost {
+    address: String,
+    revision: Arc<AtomicU64>,
+    drained: Arc<AtomicBool>,
+}
+
+impl FakeHost {
+    fn start(name: &'static str) -> Self {
+        let revision = Arc::new(AtomicU64::new(0));
+        let drained = Arc::new(AtomicBool::new(false));
+        let (shown, marked) = (revision.clone(), drained.clone());
+        let server = Server::new("127.0.0.1:0", move |request| match &*request.url() {
+            "/status" => Response::json(&json!({
+                "host": name,
+                "incarnation": 1,
+                "revision": shown.load(Ordering::SeqCst),
+                "state": "serving",
+            })),
+            "/drain" if request.method() == "POST" => {
+                marked.store(true, Ordering::SeqCst);
+                Response::text("draining").with_status_code(202)
+            }
+            _ => Response::empty_404(),
+        });
+        let server = server.unwrap().pool_size(2);
+        let address = server.server_addr().to_string();
+        thread::spawn(move || server.run());
+        Self { address, revision, drained }
+    }
+}
+
+struct Operator {
+    platform: String,
+    directory: PathBuf,
+}
+
+impl Operator {
+    /// A platform of its own and a copy of the sample tree that the test may edit.
+    fn new(test: &str) -> Self {
+        let directory = Path::new(env!("CARGO_TARGET_TMPDIR")).join(test);
+        let _ = fs::remove_dir_all(&directory);
+        copy_tree(&Path::new(env!("CARGO_MANIFEST_DIR")).join("examples/tree"), &directory);
+        Self { platform: start_platform(), directory }
+    }
+
+    fn command(&self, arguments: &[&str]) -> Command {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_jacinthrock"));
+        command
+            .args(arguments)
+            .env("JACINTHROCK_PLATFORM", &self.platform)
+            .env("JACINTHROCK_OUTPUT", "json")
+            .env("JACINTHROCK_AUTHOR", "anna")
+            .stdin(Stdio::null());
+        command
+    }
+
+    /// Runs a command and returns its exit code, its result and its last line of errors.
+    fn run(&self, arguments: &[&str]) -> (i32, Value, Value) {
+        let output = self.command(arguments).output().unwrap();
+        let code = output.status.code().expect("it was not killed");
+        (code, last_line(&output, false), last_line(&output, true))
+    }
+
+    fn apply(&self, more: &[&str]) -> (i32, Value, Value) {
+        let directory = self.directory.to_str().unwrap();
+        self.run(&[&["apply", directory], more].concat())
+    }
+
+    fn edit(&self, file: &str, from: &str, to: &str) {
+        let path = self.directory.join(file);
+        let text = fs::read_to_string(&path).unwrap();
+        assert!(text.contains(from));
+        fs::write(&path, text.replace(from, to)).unwrap();
+    }
+
+    fn put(&self, key: &str, value: &Value) {
+        let url = format!("{}/v1/objects/{key}", self.platform);
+        ureq::put(url).header("If-Match", "0").send(value.to_string()).unwrap();
+    }
+
+    fn exists(&self, key: &str) -> bool {
+        ureq::get(format!("{}/v1/objects/{key}", self.platform)).call().is_ok()
+    }
+
+    fn set_faults(&self, faults: &Value) {
+        let url = format!("{}/control/faults", self.platform);
+        ureq::post(url).send(faults.to_string()).unwrap();
+    }
+
+    fn register(&self, name: &str, address: &str) {
+        let value = json!({
+            "host": name, "domain": "fi-north", "peer": "127.0.0.1:1", "operator": address,
+            "incarnation": 1,
+        });
+        self.put(&format!("routers/{name}"), &value);
+    }
+}
+
+fn copy_tree(from: &Path, to: &Path) {
+    fs::create_dir_all(to).unwrap();
+    for entry in fs::read_dir(from).unwrap() {
+        let entry = entry.unwrap();
+        let target = to.join(entry.file_name());
+        if entry.file_type().unwrap().is_dir() {
+            copy_tree(&entry.path(), &target);
+        } else {
+            fs::copy(entry.path(), target).unwrap();
+        }
+    }
+}
+
+fn last_line(output: &Output, errors: bool) -> Value {
+    let bytes = if errors { &output.stderr } else { &output.stdout };
+    let text = String::from_utf8_lossy(bytes);
+    text.lines().last().and_then(|line| serde_json::from_str(line).ok()).unwrap_or_default()
+}
+
+#[test]
+fn check_reports_every_fault_with_its_place() {
+    let operator = Operator::new("check");
+    let directory = operator.directory.to_str().unwrap().to_owned();
+    let (code, result, _) = operator.run(&["check", &directory]);
+    assert_eq!((code, &result["services"]), (0, &json!(4)));
+    operator.edit("lasitaide/guide.toml", "layers = 24", "layers = 0\ncolour = \"red\"");
+    operator.edit("oficina/group.toml", "\"jacinthrock\"", "\"nowhere\"");
+    let (code, _, error) = operator.run(&["check", &directory]);
+    assert_eq!(code, 2);
+    let faults = error["error"]["faults"].as_array().unwrap();
+    let places: Vec<_> = faults.iter().map(|fault| (&fault["file"], &fault["field"])).collect();
+    for place in [
+        ("lasitaide/guide.toml", "model.layers"),
+        ("lasitaide/guide.toml", "model.colour"),
+        ("oficina/group.toml", "parent"),
+    ] {
+        assert!(places.iter().any(|found| (*found.0 == place.0) && (*found.1 == place.1)));
+    }
+}
+
+#[test]
+fn wrong_usage_is_told_from_other_failures() {
+    let operator = Operator::new("usage");
+    assert_eq!(operator.run(&["bogus"]).0, 1);
+    assert_eq!(operator.run(&["status", "--output", "xml"]).0, 1);
+    assert_eq!(operator.run(&["status", "--platform", "10.0.0.1:7000"]).0, 1);
+    assert_eq!(operator.run(&["status", "--platform", "http://127.0.0.1:1"]).0, 4);
+    assert_eq!(operator.run(&["history"]).0, 7);
+    let help = operator.command(&["--help"]).output().unwrap();
+    assert!(help.status.success());
+    assert!(String::from_utf8_lossy(&help.stdout).contains("waits until it is in force"));
+}
+
+#[test]
+fn apply_then_inspect() {
+    let operator = Operator::new("inspect");
+    let directory = operator.directory.to_str().unwrap().to_owned();
+    let (code, plan, _) = operator.run(&["plan", &directory]);
+    assert_eq!((code, &plan["base"]), (0, &json!(0)));
+    let (code, result, _) = operator.apply(&["--message", "first"]);
+    assert_eq!((code, &result["changed"]), (0, &json!(true)));
+    let revision = result["revision"].clone();
+    let (code, result, _) = operator.apply(&[]);
+    assert_eq!((code, &result["changed"], &result["revision"]), (0, &json!(false), &revision));
+    let (code, node, _) = operator.run(&["get", "guide", "--effective"]);
+    assert_eq!(code, 0);
+    let values = node["values"].as_array().unwrap();
+    let deadline = values.iter().find(|value| value["field"] == "deadline_ms").unwrap();
+    assert_eq!((&deadline["value"], &deadline["source"]), (&json!(8000), &json!("lasitaide")));
+    assert_eq!(operator.run(&["get", "nobody"]).0, 7);
+    let (code, history, _) = operator.run(&["history"]);
+    assert_eq!(code, 0);
+    assert_eq!(history["changes"][0]["change"]["author"], "anna");
+    assert_eq!(history["changes"][0]["change"]["message"], "first");
+}
+
+#[test]
+fn stale_base_is_a_conflict_that_names_who_and_what() {
+    let operator = Operator::new("conflict");
+    let (_, first, _) = operator.apply(&[]);
+    let base = first["revision"].to_string();
+    operator.edit("lasitaide/guide.toml", "token_gap_ms = 500", "token_gap_ms = 400");
+    assert_eq!(operator.apply(&["--author", "beto", "--base", &base]).0, 0);
+    operator.edit("lasitaide/guide.toml", "token_gap_ms = 400", "token_gap_ms = 300");
+    let (code, _, error) = operator.apply(&["--author", "carla", "--base", &base]);
+    assert_eq!(code, 3);
+    let change = &error["error"]["changes"][0]["change"];
+    assert_eq!(change["author"], "beto");
+    assert_eq!(change["fields"], json!(["guide: settings.token_gap_ms"]));
+}
+
+#[test]
+fn apply_waits_for_hosts_and_names_the_lagging_ones() {
+    let operator = Operator::new("hosts");
+    let [swift, slow] = [FakeHost::start("swift"), FakeHost::start("slow")];
+    operator.register("swift", &swift.address);
+    operator.register("slow", &slow.address);
+    swift.revision.store(1000, Ordering::SeqCst);
+    let (code, _, error) = operator.apply(&["--wait-ms", "900"]);
+    assert_eq!((code, &error["error"]["lagging"]), (5, &json!(["slow"])));
+    let (_, status, _) = operator.run(&["status"]);
+    assert_eq!(status["hosts"][0]["lagging"], true);
+    slow.revision.store(1000, Ordering::SeqCst);
+    let (code, result, _) = operator.apply(&["--wait-ms", "5000"]);
+    assert_eq!((code, &result["hosts"]), (0, &json!(2)));
+}
+
+#[test]
+fn lost_reply_is_settled_and_outage_changes_nothing() {
+    let operator = Operator::new("faults");
+    operator.set_faults(&json!({ "lose_replies": 1 }));
+    let (code, result, _) = operator.apply(&[]);
+    assert_eq!((code, &result["revision"]), (0, &json!(1)));
+    operator.edit("lasitaide/guide.toml", "token_gap_ms = 500", "token_gap_ms = 400");
+    operator.set_faults(&json!({ "down": true }));
+    assert_eq!(operator.apply(&[]).0, 4);
+    operator.set_faults(&json!({}));
+    let (_, history, _) = operator.run(&["history"]);
+    assert_eq!(history["changes"].as_array().unwrap().len(), 1);
+}
+
+#[test]
+fn drain_marks_endpoints_and_asks_hosts() {
+    let operator = Operator::new("drain");
+    let host = FakeHost::start("router-1");
+    host.revision.store(1000, Ordering::SeqCst);
+    operator.register("router-1", &host.address);
+    operator.register("router-2", "127.0.0.1:1");
+    assert_eq!(operator.apply(&["--wait-ms", "0"]).0, 0);
+    assert_eq!(operator.run(&["drain", "guide-1"]).0, 0);
+    assert_eq!(operator.run(&["drain", "guide-1"]).0, 0);
+    assert!(operator.exists("drain/guide-1"));
+    assert_eq!(operator.run(&["drain", "guide-1", "--undo"]).0, 0);
+    assert!(!operator.exists("drain/guide-1"));
+    assert_eq!(operator.run(&["drain", "router-1"]).0, 0);
+    assert!(host.drained.load(Ordering::SeqCst));
+    assert_eq!(operator.run(&["drain", "router-1", "--undo"]).0, 1);
+    assert_eq!(operator.run(&["drain", "router-2"]).0, 8);
+    assert_eq!(operator.run(&["drain", "nobody"]).0, 7);
+    assert_eq!(operator.run(&["forget", "router-1"]).0, 1);
+    assert_eq!(operator.run(&["forget", "router-2"]).0, 0);
+    assert!(!operator.exists("routers/router-2"));
+}
+
+#[test]
+fn closed_output_ends_quietly() {
+    let operator = Operator::new("pipe");
+    assert_eq!(operator.apply(&[]).0, 0);
+    let mut child = operator
+        .command(&["history"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!((output.status.code(), output.stderr.len()), (Some(0), 0));
+}
--- /dev/null
+++ b/tests/config_follower.rs
@@ -0,0 +1,288 @@
+//! Followers of the accepted configuration, one situation each.
+
+#[path = "support/peer_hub.rs"]
+mod peer_hub;
+
+use jacinthrock::{
+    ChangeRecord, ConfigFollower, CounterRegistry, DeclarationTree, DomainPlace, FollowerOptions,
+    HostAnswer, HostMember, HostReport, KeeperAction, KeeperEvent, KeeperOptions, KeeperState,
+    MetricName, PlatformStore, ROOT_KEY, ResultCode, RevisionKeeper, RootDocument, SpreadCheck,
+    SpreadVerdict, StoreError, StoreListing, domain_place,
+};
+use jacinthrock_standins::fake_store::FakeStore;
+use peer_hub::PeerHub;
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+use tokio::time::{Instant, sleep};
+
+struct Host {
+    name: String,
+    follower: Rc<ConfigFollower>,
+    store: FakeStore,
+    counters: Arc<CounterRegistry>,
+    task: JoinHandle<()>,
+}
+
+impl Host {
+    fn start(name: &str, store: &FakeStore, hub: &Rc<PeerHub>) -> Self {
+        let store = store.handle();
+        let counters = Arc::new(CounterRegistry::new());
+        let member = HostMember { host: name.into(), domain: "north".into() };
+        let follower = Rc::new(ConfigFollower::new(
+            Rc::new(store.clone()),
+            Rc::new(hub.join(name, "north")),
+            member,
+            FollowerOptions::default(),
+            counters.clone(),
+        ));
+        hub.attach(name, &follower);
+        hub.set_deaf(name, false);
+        let runner = follower.clone();
+        let task = spawn_local(async move { runner.run().await });
+        Self { name: name.into(), follower, store, counters, task }
+    }
+
+    fn stop(&self, hub: &PeerHub) {
+        hub.set_deaf(&self.name, true);
+        self.task.abort();
+    }
+
+    fn revision(&self) -> u64 {
+        self.follower.current().map_or(0, |config| config.revision)
+    }
+}
+
+fn document(deadline: u64) -> RootDocument {
+    let text = format!("name = \"root\"\nkind = \"group\"\nsettings.deadline_ms = {deadline}\n");
+    document_of(&text)
+}
+
+fn document_of(text: &str) -> RootDocument {
+    let tree = DeclarationTree::from_files([("root", text)]).expect("the tree reads");
+    RootDocument::first(&tree, ChangeRecord::default())
+}
+
+async fn put(store: &FakeStore, value: Box<[u8]>) -> u64 {
+    let current = store.peek(ROOT_KEY).map_or(0, |object| object.version);
+    store.put(ROOT_KEY, current, value).await.expect("no faults are set")
+}
+
+async fn in_world<F: Future<Output = ()>>(test: impl FnOnce(FakeStore, Rc<PeerHub>) -> F) {
+    let local = LocalSet::new();
+    let run = async {
+        let hub = PeerHub::new(1);
+        let gossip = hub.clone();
+        spawn_local(async move { gossip.run(Duration::from_millis(250)).await });
+        test(FakeStore::new(1), hub).await;
+    };
+    local.run_until(run).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_host_takes_the_revision_in_force_from_a_peer_in_an_outage() {
+    in_world(async |store, hub| {
+        let first = put(&store, document(1).encode()).await;
+        let left = Host::start("left", &store, &hub);
+        let right = Host::start("right", &store, &hub);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!((left.revision(), right.revision()), (first, first));
+        store.set_down(true);
+        right.stop(&hub);
+        let right = Host::start("right", &store, &hub);
+        sleep(Duration::from_secs(1)).await;
+        assert_eq!(right.revision(), 0, "it still waits for the platform");
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(right.revision(), first);
+        assert_eq!(right.follower.status().state, KeeperState::Unconfirmed);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn restarted_host_that_hears_nobody_serves_nothing() {
+    in_world(async |store, hub| {
+        let first = put(&store, document(1).encode()).await;
+        store.set_down(true);
+        let host = Host::start("alone", &store, &hub);
+        sleep(Duration::from_secs(600)).await;
+        assert_eq!(host.revision(), 0);
+        assert_eq!(host.follower.status().state, KeeperState::Starting);
+        store.set_down(false);
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(host.revision(), first);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn running_host_that_hears_nobody_serves_on_and_says_so() {
+    in_world(async |store, hub| {
+        let first = put(&store, document(1).encode()).await;
+        let host = Host::start("alone", &store, &hub);
+        sleep(Duration::from_secs(2)).await;
+        store.set_down(true);
+        sleep(Duration::from_secs(3600)).await;
+        assert_eq!(host.revision(), first);
+        assert_eq!(host.follower.status().state, KeeperState::Unconfirmed);
+        assert_eq!(host.counters.value(MetricName::ConfigUnconfirmed, &[]), 1);
+        store.set_down(false);
+        sleep(Duration::from_secs(3)).await;
+        assert_eq!(host.follower.status().state, KeeperState::Confirmed);
+        assert_eq!(host.counters.value(MetricName::ConfigUnconfirmed, &[]), 0);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn bad_revision_is_counted_and_the_last_good_one_stays() {
+    in_world(async |store, hub| {
+        let good = put(&store, document(1).encode()).await;
+        let left = Host::start("left", &store, &hub);
+        let right = Host::start("right", &store, &hub);
+        sleep(Duration::from_secs(2)).await;
+        let faulty = document_of("name = \"child\"\nkind = \"group\"\nparent = \"nowhere\"");
+        let bad = put(&store, faulty.encode()).await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(left.revision(), good);
+        let rejected = left.follower.status().rejected.expect("operators are told");
+        assert_eq!((rejected.revision, rejected.code), (bad, ResultCode::DeclarationDangling));
+        let label = ResultCode::DeclarationDangling.name();
+        assert_eq!(left.counters.value(MetricName::ConfigRejected, &[label]), 1);
+        right.stop(&hub);
+        let right = Host::start("right", &store, &hub);
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(right.revision(), good, "a peer has the last good one");
+        let mended = put(&store, document(2).encode()).await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!((left.revision(), right.revision()), (mended, mended));
+        assert!(left.follower.status().rejected.is_none());
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn host_cut_from_the_platform_and_most_peers_hears_over_one() {
+    in_world(async |store, hub| {
+        put(&store, document(1).encode()).await;
+        let names = ["a", "b", "c", "d", "e"];
+        let hosts: Vec<Host> = names.iter().map(|name| Host::start(name, &store, &hub)).collect();
+        sleep(Duration::from_secs(2)).await;
+        hosts[0].store.set_cut(true);
+        for other in &names[2..] {
+            hub.set_cut("a", other, true);
+        }
+        sleep(Duration::from_secs(4)).await;
+        let next = put(&store, document(2).encode()).await;
+        sleep(Duration::from_secs(4)).await;
+        assert_eq!(hosts[0].revision(), next);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn deleted_root_object_changes_nothing() {
+    in_world(async |store, hub| {
+        let first = put(&store, document(1).encode()).await;
+        let host = Host::start("host", &store, &hub);
+        sleep(Duration::from_secs(2)).await;
+        store.delete(ROOT_KEY, first).await.expect("no faults are set");
+        sleep(Duration::from_secs(5)).await;
+        assert_eq!(host.revision(), first);
+        let next = put(&store, document(2).encode()).await;
+        sleep(Duration::from_secs(2)).await;
+        assert_eq!(host.revision(), next);
+    })
+    .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn hosts_that_do_not_watch_poll_in_turn_while_the_watchers_are_cut_off() {
+    in_world(async |store, hub| {
+        put(&store, document(1).encode()).await;
+        let names = ["a", "b", "c", "d", "e", "f"];
+        let hosts: Vec<Host> = names.iter().map(|name| Host::start(name, &store, &hub)).collect();
+        sleep(Duration::from_secs(8)).await;
+        for (name, host) in names.iter().zip(&hosts) {
+            let others: Vec<Box<str>> = names.iter().map(|name| (*name).into()).collect();
+            host.store.set_cut(domain_place(name, &others).rank < 2);
+        }
+        sleep(Duration::from_secs(8)).await;
+        for deadline in 2..12 {
+            let revision = put(&store, document(deadline).encode()).await;
+            sleep(Duration::from_secs(4)).await;
+            let lagging = hosts.iter().filter(|host| host.revision() != revision).count();
+            assert_eq!(lagging, 0, "revision {revision}");
+        }
+    })
+    .await;
+}
+
+/// Lists that a keeper asks for in ten minutes of outage.
+fn lists_in_outage(place: DomainPlace) -> usize {
+    let start = Instant::now();
+    let mut keeper = RevisionKeeper::new(KeeperOptions::default(), start);
+    let object =
+        jacinthrock::StoredObject { key: ROOT_KEY.into(), version: 1, value: document(1).encode() };
+    let listing = StoreListing { version: 1, objects: vec![object] };
+    let tick = || KeeperEvent::Ticked { place, newest: None, live: Vec::new() };
+    keeper.handle(start, tick());
+    keeper.handle(start, KeeperEvent::Listed(Ok(listing)));
+    let mut lists = 0;
+    for step in 1..=6000 {
+        let now = start + Duration::from_millis(100) * step;
+        for action in keeper.handle(now, tick()) {
+            let down = StoreError::Unavailable("down".into());
+            match action {
+                KeeperAction::ListRoot => {
+                    lists += 1;
+                    keeper.handle(now, KeeperEvent::Listed(Err(down)));
+                }
+                KeeperAction::WatchRoot { .. } => {
+                    lists += 1;
+                    keeper.handle(now, KeeperEvent::Watched(Err(down)));
+                }
+                _ => {}
+            }
+        }
+    }
+    lists
+}
+
+#[tokio::test(start_paused = true)]
+async fn outage_does_not_multiply_the_calls_of_a_domain() {
+    let watcher = lists_in_outage(DomainPlace { rank: 0, members: 31 });
+    assert!(watcher <= 610, "a watcher retries once a second: {watcher} in 600 s");
+    let other = lists_in_outage(DomainPlace { rank: 30, members: 31 });
+    assert!(other <= 42, "another host polls each 15.5 s: {other} in 600 s");
+}
+
+#[test]
+fn watchers_are_chosen_alike_by_hosts_that_see_the_same() {
+    let names: Vec<Box<str>> = (0..31).map(|index| format!("host-{index}").into()).collect();
+    let ranks: Vec<usize> = names.iter().map(|name| domain_place(name, &names).rank).collect();
+    let mut sorted = ranks.clone();
+    sorted.sort_unstable();
+    assert_eq!(sorted, (0..31).collect::<Vec<_>>());
+    assert_eq!(domain_place("host-0", &[]), DomainPlace { rank: 0, members: 1 });
+}
+
+fn answer(host: &str, incarnation: u64, revision: u64) -> HostAnswer {
+    let report = HostReport { host: host.into(), incarnation, revision, ..HostReport::default() };
+    HostAnswer { host: host.into(), report: Ok(report) }
+}
+
+#[test]
+fn restart_between_two_answers_is_not_taken_for_in_force() {
+    let mut check = SpreadCheck::new(5);
+    let lagging =
+        |names: &[&str]| SpreadVerdict::Lagging(names.iter().map(|name| (*name).into()).collect());
+    assert_eq!(check.learn(&[answer("a", 1, 5), answer("b", 1, 4)]), lagging(&["a", "b"]));
+    assert_eq!(check.learn(&[answer("a", 2, 5), answer("b", 1, 5)]), lagging(&["a", "b"]));
+    assert_eq!(check.learn(&[answer("a", 2, 5), answer("b", 1, 5)]), SpreadVerdict::InForce);
+    let silent = HostAnswer { host: "c".into(), report: Err("refused".into()) };
+    let round = [answer("a", 2, 5), answer("b", 1, 6), silent];
+    assert_eq!(check.learn(&round), lagging(&["c"]));
+}
