--- a/tests/config_schedules.rs
+++ b/tests/config_schedules.rs
@@ -748,7 +748,7 @@
 fn every_cell_of_the_matrix_keeps_the_promise() {
     let cells = FAULTS.iter().flat_map(|fault| STEPS.iter().map(move |step| (*fault, *step)));
     let cells: Vec<_> = cells.collect();
-    let rounds = (schedule_count() / cells.len() as u64).max(1);
+    let rounds = schedule_count().div_ceil(cells.len() as u64);
     let failing = failing_seeds(rounds * cells.len() as u64, |seed| {
         let (fault, step) = cells[seed as usize % cells.len()];
         let found = run_schedule(seed, Planted::Nothing, |world| cell_script(world, fault, step));
