Resolve settings without a detour over JSON

A tree of 1,394 endpoints and 550 customers took 82 ms to resolve on a loaded machine, 29 ms of them to check its size and most of the rest to merge settings as JSON maps. The whole of reading, checking and resolving a root object runs on the host's one thread, between tokens.

--- a/src/check.rs
+++ b/src/check.rs
@@ -18,7 +18,6 @@
     }
     check.check_unique_values();
     check.check_links();
-    check.check_size();
     check.errors
 }
 
@@ -281,21 +280,19 @@
             }
         }
     }
+}
 
-    fn check_size(&mut self) {
-        let bytes = self.tree.to_document().to_string().len();
-        if bytes <= MAX_TREE_BYTES {
-            return;
-        }
-        self.errors.push(DeclarationError {
-            code: ResultCode::DeclarationRange,
-            file: ".".into(),
-            node: "".into(),
-            field: "".into(),
-            problem: format!("the tree is {bytes} bytes as JSON, more than {MAX_TREE_BYTES}")
-                .into(),
-        });
-    }
+/// Returns the fault that a tree does not fit into the root object.
+pub(crate) fn check_size(tree: &DeclarationTree) -> Option<DeclarationError> {
+    let bytes = tree.to_document().to_string().len();
+    let problem = format!("the tree is {bytes} bytes as JSON, more than {MAX_TREE_BYTES}");
+    (bytes > MAX_TREE_BYTES).then(|| DeclarationError {
+        code: ResultCode::DeclarationRange,
+        file: ".".into(),
+        node: "".into(),
+        field: "".into(),
+        problem: problem.into(),
+    })
 }
 
 /// Values that must be unique in the tree, with where each stands first.
--- a/src/inherit.rs
+++ b/src/inherit.rs
@@ -6,7 +6,7 @@
 use crate::declaration::{NodeDeclaration, NodeKind, NodeSettings};
 use crate::effective::{EffectiveConfig, EffectiveCustomer, EffectiveService, ServiceTarget};
 use crate::ids::ConfigRevision;
-use crate::shape::SETTING_FIELDS;
+use crate::shape::{FieldRow, SETTING_FIELDS};
 use crate::tree::{DeclarationTree, SourcedValue};
 
 /// Source reported for a setting that no node sets.
@@ -15,9 +15,10 @@
 /// Resolves a tree that has passed its checks.
 pub(crate) fn resolve_tree(tree: &DeclarationTree, revision: ConfigRevision) -> EffectiveConfig {
     let mut config = EffectiveConfig { revision, ..EffectiveConfig::default() };
+    let defaults = default_settings();
     for declared in tree.nodes() {
         let node = &declared.node;
-        let settings = resolve_settings(tree, node);
+        let settings = resolve_settings(tree, node, &defaults);
         match node.kind {
             NodeKind::Group => config.links.extend(node.links.iter().cloned()),
             NodeKind::Service => {
@@ -134,12 +135,37 @@
     text.parse::<u64>().map_or_else(|_| Value::from(text), Value::from)
 }
 
+/// The settings at the root where no node sets them.
+fn default_settings() -> NodeSettings {
+    let value = |row: &FieldRow| (row.name.into(), default_value(row.default.unwrap_or_default()));
+    let map: Map<String, Value> = SETTING_FIELDS.iter().map(value).collect();
+    serde_json::from_value(Value::Object(map)).expect("defaults have the types of their fields")
+}
+
 /// Every setting of a node, with no field left out.
-fn resolve_settings(tree: &DeclarationTree, node: &NodeDeclaration) -> NodeSettings {
-    let values = sourced_settings(tree, node);
-    let map: Map<String, Value> =
-        values.into_iter().map(|value| (value.field.into(), value.value)).collect();
-    serde_json::from_value(Value::Object(map)).expect("checked settings and defaults have a type")
+fn resolve_settings(
+    tree: &DeclarationTree,
+    node: &NodeDeclaration,
+    defaults: &NodeSettings,
+) -> NodeSettings {
+    let mut settings = NodeSettings::default();
+    for ancestor in ancestry(tree, node) {
+        settings = inherit_settings(settings, &ancestor.settings);
+    }
+    inherit_settings(settings, defaults)
+}
+
+fn inherit_settings(own: NodeSettings, parent: &NodeSettings) -> NodeSettings {
+    NodeSettings {
+        priority: own.priority.or(parent.priority),
+        deadline_ms: own.deadline_ms.or(parent.deadline_ms),
+        token_gap_ms: own.token_gap_ms.or(parent.token_gap_ms),
+        max_tokens: own.max_tokens.or(parent.max_tokens),
+        concurrent_requests: own.concurrent_requests.or(parent.concurrent_requests),
+        requests_per_second: own.requests_per_second.or(parent.requests_per_second),
+        share: own.share.or(parent.share),
+        queue_length: own.queue_length.or(parent.queue_length),
+    }
 }
 
 fn resolve_service(node: &NodeDeclaration, settings: &NodeSettings) -> Option<EffectiveService> {
--- a/src/tree.rs
+++ b/src/tree.rs
@@ -6,7 +6,7 @@
 use std::fs;
 use std::path::Path;
 
-use crate::check::check_tree;
+use crate::check::{check_size, check_tree};
 use crate::codes::ResultCode;
 use crate::declaration::NodeDeclaration;
 use crate::effective::EffectiveConfig;
@@ -139,6 +139,7 @@
                 }
             }
         }
+        errors.extend(check_size(&tree));
         tree.finish(errors)
     }
 
--- a/tests/tree_checks.rs
+++ b/tests/tree_checks.rs
@@ -222,6 +222,24 @@
     assert_eq!(places.iter().collect::<BTreeSet<_>>(), expected.iter().collect::<BTreeSet<_>>());
 }
 
+#[test]
+fn tree_that_does_not_fit_into_the_root_object_is_refused() {
+    let customer = |index: usize| {
+        let hashes: Vec<String> =
+            (0..100).map(|key| format!("{:064x}", index * 100 + key)).collect();
+        format!(
+            "name = \"customer-{index}\"\nkind = \"customer\"\nparent = \"root\"\n[customer]\n\
+             key_hashes = {hashes:?}\nservices = []\n"
+        )
+    };
+    let texts: Vec<String> = (0..130).map(customer).collect();
+    let files = std::iter::once(("root", ROOT)).chain(texts.iter().map(|text| ("file", &**text)));
+    let errors =
+        DeclarationTree::from_files(files).expect_err("130 customers of 6.7 KB are too much");
+    assert_eq!((errors.len(), errors[0].code), (1, ResultCode::DeclarationRange));
+    assert!(errors[0].problem.contains("bytes as JSON"));
+}
+
 #[test]
 fn unreadable_directories_are_numbered_errors() {
     let errors = DeclarationTree::from_directory("/no/such/place").expect_err("nothing is there");
@@ -276,6 +294,23 @@
         let _ = jacinthrock::RootDocument::decode(&bytes);
     }
 
+    #[test]
+    fn mutated_root_objects_never_panic(
+        position in 0usize..20_000,
+        removed in 0usize..20,
+        inserted in "[\\[\\]{}:,\"a-z0-9.-]{0,8}",
+    ) {
+        let tree = sample_tree();
+        let document = jacinthrock::RootDocument::first(&tree, jacinthrock::ChangeRecord::default());
+        let text = String::from_utf8(document.encode().into()).expect("JSON is text");
+        let start = position % text.len();
+        let end = (start + removed).min(text.len());
+        let mutated = format!("{}{inserted}{}", &text[..start], &text[end..]);
+        let unchanged = mutated == text;
+        let result = jacinthrock::resolve_value(1, mutated.as_bytes());
+        prop_assert!(unchanged || result.is_err() || start < text.find("\"tree\"").unwrap_or(0));
+    }
+
     #[test]
     fn deep_nesting_is_refused(depth in 1usize..5000) {
         let text = format!("a = {}{}", "[".repeat(depth), "]".repeat(depth));
