--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 mod chat;
 mod check;
 mod choice;
+mod cmd;
 mod codes;
 mod config;
 mod controller;
@@ -39,6 +40,10 @@
 mod logs;
 mod membership;
 mod operator;
+mod follower;
+mod ids;
+mod inherit;
+mod keeper;
 mod outcome;
 mod peer;
 #[rustfmt::skip]
@@ -63,6 +68,7 @@
 mod router;
 mod shape;
 mod signals;
+mod spread;
 mod store_http;
 mod streaming;
 mod tree;
@@ -77,6 +83,7 @@
 pub use capacity::CapacityView;
 pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
 pub use choice::PlainPicker;
+pub use cmd::{ExitRow, exit_codes, run_operator};
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
@@ -98,6 +105,7 @@
 };
 pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
+pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
@@ -140,5 +148,6 @@
     ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
 };
 pub use shape::{DeclarationField, declaration_fields};
+pub use spread::{HostAnswer, HostReport, SpreadCheck, SpreadVerdict};
 pub use store_http::{HttpStore, HttpStoreOptions};
 pub use tree::{DeclarationError, DeclarationTree, DeclaredNode, MAX_TREE_BYTES, SourcedValue};
