Membership, shared limits and the exchange over capnp-rpc

Hosts find each other by their objects on the platform and by gossip, exchange bounded digests, and divide customers' limits by the demand that they hear. The admission service's deadline task woke itself through its own change notice and never slept; it now applies the timer only when it is due.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -6,7 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
@@ -587,17 +587,7 @@
             idle: Notify::new(),
             counters,
         });
-        let weak = Rc::downgrade(&state);
-        tokio::task::spawn_local(async move {
-            while let Some(state) = weak.upgrade() {
-                let wake = state.gate.borrow().next_wake();
-                drop(state);
-                wait_until(wake, &changed).await;
-                if let Some(state) = weak.upgrade() {
-                    state.apply(GateEvent::Timer);
-                }
-            }
-        });
+        tokio::task::spawn_local(watch_deadlines(Rc::downgrade(&state), changed));
         Self { state }
     }
 
@@ -699,6 +689,19 @@
     }
 }
 
+/// Applies the timer whenever it is due, until the service is dropped.
+async fn watch_deadlines(service: Weak<ServiceState>, changed: Rc<Notify>) {
+    while let Some(state) = service.upgrade() {
+        let wake = state.gate.borrow().next_wake();
+        if wake.is_some_and(|wake| wake <= Instant::now()) {
+            state.apply(GateEvent::Timer);
+            continue;
+        }
+        drop(state);
+        wait_until(wake, &changed).await;
+    }
+}
+
 async fn wait_until(wake: Option<Instant>, changed: &Notify) {
     let Some(wake) = wake else {
         return changed.notified().await;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,12 +10,20 @@
 mod declaration;
 mod effective;
 mod endpoint;
+mod gossip;
 mod ids;
+mod membership;
 mod outcome;
 mod peer;
+#[rustfmt::skip]
+#[allow(clippy::all, clippy::unimplemented, unreachable_pub, dead_code)]
+mod peer_capnp;
+mod peer_rpc;
+mod peer_service;
 mod picker;
 mod platform;
 mod queue;
+mod quota;
 
 pub use admission::{
     AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
@@ -33,14 +41,24 @@
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
+pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
+pub use membership::{
+    HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
+    MemberTable, NameHash, PeerStatus, name_hash,
+};
 pub use outcome::CallOutcome;
-pub use peer::{ConfigSnapshot, PeerError, PeerNetwork};
+pub use peer::{
+    ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport,
+};
+pub use peer_rpc::{RpcListener, RpcTransport, digest_bytes};
+pub use peer_service::{PeerService, PeerSetup};
 pub use picker::EndpointPicker;
 pub use platform::{
     MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
 };
 pub use queue::TicketNumber;
+pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
--- /dev/null
+++ b/src/peer_service.rs
@@ -0,0 +1,366 @@
+//! The exchange with other hosts as a running service.
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, watch};
+use tokio::time::{Instant, timeout};
+
+use crate::counters::{CounterRegistry, MetricName};
+use crate::effective::EffectiveConfig;
+use crate::gossip::{GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
+use crate::ids::{ConfigRevision, DomainName, HostName, Incarnation, ObjectVersion};
+use crate::membership::{HostState, MemberRecord, PeerStatus};
+use crate::peer::{
+    ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport,
+};
+use crate::peer_rpc::{RpcListener, RpcTransport};
+use crate::platform::PlatformStore;
+use crate::quota::QuotaLimits;
+
+/// Prefix of the objects that hosts write about themselves.
+const HOST_PREFIX: &str = "routers/";
+
+/// Time between two listings of the hosts on the platform.
+const DISCOVERY_INTERVAL: Duration = Duration::from_secs(30);
+
+/// Time until the platform is asked again after it failed.
+const DISCOVERY_RETRY: Duration = Duration::from_secs(3);
+
+/// Longest wait for a peer's reply.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Longest wait for a peer's configuration.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// What a [`PeerService`] needs.
+pub struct PeerSetup {
+    /// This host; an empty address is filled in from the listening socket.
+    pub own: MemberRecord,
+    /// Timing and protections.
+    pub options: GossipOptions,
+    /// Decides whom this host calls when.
+    pub seed: u64,
+    /// Platform on which hosts find each other.
+    pub store: Rc<dyn PlatformStore>,
+    /// Metrics of this host.
+    pub counters: Arc<CounterRegistry>,
+}
+
+/// Membership, shared limits and load knowledge, exchanged with the other hosts.
+///
+/// Lives in a [`tokio::task::LocalSet`]; clones are handles on the same service.
+#[derive(Clone)]
+pub struct PeerService {
+    state: Rc<PeerState>,
+}
+
+struct PeerState {
+    core: RefCell<GossipCore>,
+    transport: Rc<dyn PeerTransport>,
+    store: Rc<dyn PlatformStore>,
+    config: RefCell<Option<Rc<dyn ConfigSource>>>,
+    counters: Arc<CounterRegistry>,
+    changed: Notify,
+    away: watch::Sender<u64>,
+    seed: u64,
+}
+
+/// A host's object on the platform.
+#[derive(Deserialize)]
+struct HostObject {
+    host: HostName,
+    domain: DomainName,
+    peer: Box<str>,
+    incarnation: Incarnation,
+}
+
+impl PeerService {
+    /// Listens for peers over capnp-rpc and starts to exchange with them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be bound.
+    pub async fn start(listen: SocketAddr, mut setup: PeerSetup) -> io::Result<Self> {
+        let listener = RpcListener::bind(listen, setup.counters.clone()).await?;
+        if setup.own.address.is_empty() {
+            setup.own.address = listener.local_addr()?.to_string().into();
+        }
+        let transport = Rc::new(RpcTransport::new(setup.counters.clone()));
+        let service = Self::with_transport(setup, transport);
+        tokio::task::spawn_local(listener.serve(service.responder()));
+        Ok(service)
+    }
+
+    /// Starts to exchange over another transport; the caller hands in what peers ask.
+    pub fn with_transport(setup: PeerSetup, transport: Rc<dyn PeerTransport>) -> Self {
+        let PeerSetup { own, options, seed, store, counters } = setup;
+        let state = Rc::new(PeerState {
+            core: RefCell::new(GossipCore::new(Instant::now(), own, options, seed)),
+            transport,
+            store,
+            config: RefCell::new(None),
+            counters,
+            changed: Notify::new(),
+            away: watch::Sender::new(0),
+            seed,
+        });
+        tokio::task::spawn_local(state.clone().run_rounds());
+        tokio::task::spawn_local(state.clone().run_discovery());
+        Self { state }
+    }
+
+    /// What this host answers to its peers.
+    pub fn responder(&self) -> Rc<dyn PeerResponder> {
+        self.state.clone()
+    }
+
+    /// Sets where peers' requests for the configuration are answered from.
+    pub fn set_config_source(&self, source: Rc<dyn ConfigSource>) {
+        *self.state.config.borrow_mut() = Some(source);
+    }
+
+    /// Takes over the customers' limits of a configuration.
+    pub fn set_limits(&self, config: &EffectiveConfig) {
+        let mut core = self.state.core.borrow_mut();
+        let now = Instant::now();
+        for customer in config.customers.values() {
+            let limits = QuotaLimits {
+                requests_per_second: customer.requests_per_second,
+                concurrent_requests: customer.concurrent_requests,
+            };
+            core.keeper_mut().set_limits(now, &customer.name, limits);
+        }
+        let names: BTreeSet<_> = config.customers.keys().cloned().collect();
+        core.keeper_mut().retain_customers(&names);
+    }
+
+    /// Takes one request from the customer's limits; [`PeerService::release`] gives it back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which to come back.
+    pub fn try_take(&self, customer: &str) -> Result<(), Duration> {
+        let now = Instant::now();
+        self.state.note_time(now);
+        self.state.core.borrow_mut().keeper_mut().try_take(now, customer)
+    }
+
+    /// Gives back the place of a request that ended.
+    pub fn release(&self, customer: &str) {
+        self.state.core.borrow_mut().keeper_mut().release(customer);
+    }
+
+    /// Whether every host had time to learn of this one; before, its parts of limits are small.
+    pub fn is_warm(&self) -> bool {
+        self.state.core.borrow_mut().keeper_mut().is_warm(Instant::now())
+    }
+
+    /// Whether this host reads the state of the endpoint, for itself and others.
+    pub fn is_poller_of(&self, endpoint: &str) -> bool {
+        self.state.core.borrow().is_poller_of(Instant::now(), endpoint)
+    }
+
+    /// Notes the load of an endpoint that this host read.
+    pub fn record_load(&self, endpoint: &str, running: u32, waiting: u32, leaving: bool) {
+        let mut core = self.state.core.borrow_mut();
+        core.record_load(Instant::now(), endpoint, running, waiting, leaving);
+    }
+
+    /// Newest load known of an endpoint, from any host, with its age.
+    pub fn load_of(&self, endpoint: &str) -> Option<LoadReport> {
+        self.state.core.borrow().load_of(Instant::now(), endpoint)
+    }
+
+    /// Marks an endpoint as draining or not; the highest version counts on every host.
+    pub fn set_drain_mark(&self, endpoint: &str, version: ObjectVersion, draining: bool) {
+        self.state.core.borrow_mut().set_drain_mark(endpoint, version, draining);
+        self.state.changed.notify_one();
+    }
+
+    /// Whether the controller marked the endpoint as draining.
+    pub fn is_draining(&self, endpoint: &str) -> bool {
+        self.state.core.borrow().is_draining(endpoint)
+    }
+
+    /// Tells peers that this host finishes what it has.
+    pub fn set_draining(&self) {
+        self.state.core.borrow_mut().set_state(Instant::now(), HostState::Draining);
+        self.state.changed.notify_one();
+    }
+
+    /// Tells peers that this host leaves; its last exchanges.
+    pub async fn leave(&self) {
+        let actions = self.state.core.borrow_mut().leave(Instant::now());
+        let exchanges = actions.into_iter().map(|action| self.state.clone().perform(action));
+        futures::future::join_all(exchanges).await;
+    }
+
+    /// Counts the times that this host noticed that it had been stopped.
+    pub fn away(&self) -> watch::Receiver<u64> {
+        self.state.away.subscribe()
+    }
+
+    /// Whether a later process runs under this host's name.
+    pub fn is_superseded(&self) -> bool {
+        self.state.core.borrow().table().is_superseded()
+    }
+
+    /// This host's own record.
+    pub fn own_record(&self) -> MemberRecord {
+        self.state.core.borrow().table().own().clone()
+    }
+
+    /// Every other host that is known.
+    pub fn status(&self) -> Vec<PeerStatus> {
+        self.state.core.borrow().status(Instant::now())
+    }
+}
+
+impl PeerNetwork for PeerService {
+    fn live_hosts(&self) -> Vec<HostName> {
+        let now = Instant::now();
+        self.state.note_time(now);
+        let core = self.state.core.borrow();
+        core.table().live(now).map(|record| record.host.clone()).collect()
+    }
+
+    fn live_domain_hosts(&self, domain: &str) -> Vec<HostName> {
+        let now = Instant::now();
+        self.state.note_time(now);
+        let core = self.state.core.borrow();
+        let hosts = core.table().live(now).filter(|record| &*record.domain == domain);
+        hosts.map(|record| record.host.clone()).collect()
+    }
+
+    fn is_live(&self, host: &str, incarnation: Incarnation) -> bool {
+        let now = Instant::now();
+        self.state.note_time(now);
+        self.state.core.borrow().table().is_live(now, host, incarnation)
+    }
+
+    fn newest_revision(&self) -> Option<(HostName, ConfigRevision)> {
+        self.state.core.borrow().table().newest_revision(Instant::now())
+    }
+
+    fn announce_revision(&self, revision: ConfigRevision) {
+        self.state.core.borrow_mut().announce_revision(Instant::now(), revision);
+        self.state.changed.notify_one();
+    }
+
+    fn fetch_config(&self, host: &str) -> LocalBoxFuture<'_, Result<ConfigSnapshot, PeerError>> {
+        let host: HostName = host.into();
+        async move {
+            let record = self.state.core.borrow().table().record(&host).cloned();
+            let unknown = || PeerError { host: host.clone(), reason: "host is unknown".into() };
+            let record = record.ok_or_else(unknown)?;
+            let fetch = self.state.transport.fetch_config(&host, &record.address);
+            let late = |_| PeerError { host: host.clone(), reason: "no reply in time".into() };
+            timeout(FETCH_TIMEOUT, fetch).await.map_err(late)?
+        }
+        .boxed_local()
+    }
+}
+
+impl PeerResponder for PeerState {
+    fn exchange(&self, digest: &PeerDigest) -> PeerDigest {
+        self.note_time(Instant::now());
+        let reply = self.core.borrow_mut().receive(Instant::now(), digest);
+        self.changed.notify_one();
+        reply
+    }
+
+    fn config(&self) -> Option<ConfigSnapshot> {
+        let source = self.config.borrow().clone()?;
+        source.snapshot()
+    }
+}
+
+impl PeerState {
+    async fn run_rounds(self: Rc<Self>) {
+        loop {
+            let due = self.core.borrow().next_tick();
+            let sleep = tokio::time::sleep_until(due).boxed_local();
+            futures::future::select(sleep, self.changed.notified().boxed_local()).await;
+            let now = Instant::now();
+            self.note_time(now);
+            let actions = self.core.borrow_mut().tick(now);
+            for action in actions {
+                tokio::task::spawn_local(self.clone().perform(action));
+            }
+            let live = self.core.borrow().table().live(now).count();
+            self.counters.set(MetricName::LivePeers, &[], live as i64);
+        }
+    }
+
+    async fn run_discovery(self: Rc<Self>) {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ 1);
+        loop {
+            let listing = self.store.list(HOST_PREFIX).await;
+            let wait = match listing {
+                Ok(listing) => {
+                    let objects = listing.objects.iter();
+                    let records: Vec<_> =
+                        objects.filter_map(|object| read_host_object(&object.value)).collect();
+                    self.core.borrow_mut().learn(Instant::now(), &records);
+                    self.changed.notify_one();
+                    DISCOVERY_INTERVAL
+                }
+                Err(_) => DISCOVERY_RETRY,
+            };
+            tokio::time::sleep(wait.mul_f64(rng.random_range(0.75..1.25))).await;
+        }
+    }
+
+    async fn perform(self: Rc<Self>, action: GossipAction) {
+        let GossipAction::Exchange { host, address, digest } = action else {
+            return;
+        };
+        let exchange = self.transport.exchange(&host, &address, digest);
+        let reply = timeout(EXCHANGE_TIMEOUT, exchange).await;
+        let now = Instant::now();
+        let label = match &reply {
+            Ok(Ok(digest)) => {
+                self.core.borrow_mut().reply(now, &host, digest);
+                "ok"
+            }
+            Ok(Err(_)) => "failed",
+            Err(_) => "timeout",
+        };
+        if label != "ok" {
+            self.core.borrow_mut().failed(&host);
+        }
+        self.counters.count(MetricName::PeerExchanges, &[label]);
+        self.changed.notify_one();
+    }
+
+    fn note_time(&self, now: Instant) {
+        if self.core.borrow_mut().note_time(now).is_none() {
+            return;
+        }
+        self.away.send_modify(|count| *count += 1);
+        self.changed.notify_one();
+    }
+}
+
+fn read_host_object(value: &[u8]) -> Option<MemberRecord> {
+    let object: HostObject = serde_json::from_slice(value).ok()?;
+    Some(MemberRecord {
+        host: object.host,
+        domain: object.domain,
+        address: object.peer,
+        incarnation: object.incarnation,
+        heartbeat: 0,
+        revision: 0,
+        state: HostState::Serving,
+    })
+}
--- /dev/null
+++ b/tests/membership_rpc.rs
@@ -0,0 +1,112 @@
+//! The exchange between hosts over capnp-rpc on loopback sockets.
+
+use jacinthrock::{
+    ConfigSnapshot, ConfigSource, CounterRegistry, GossipOptions, HostState, MemberRecord,
+    MetricName, PeerNetwork, PeerService, PeerSetup, PlatformStore,
+};
+use jacinthrock_standins::fake_store::FakeStore;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+struct FixedConfig;
+
+impl ConfigSource for FixedConfig {
+    fn snapshot(&self) -> Option<ConfigSnapshot> {
+        Some(ConfigSnapshot { revision: 7, value: vec![42; 900_000].into() })
+    }
+}
+
+async fn start_host(store: &FakeStore, name: &str) -> (PeerService, Arc<CounterRegistry>) {
+    let own = MemberRecord {
+        host: name.into(),
+        domain: "south-1".into(),
+        address: "".into(),
+        incarnation: 1,
+        heartbeat: 0,
+        revision: 0,
+        state: HostState::Serving,
+    };
+    let counters = Arc::new(CounterRegistry::new());
+    let setup = PeerSetup {
+        own,
+        options: GossipOptions { interval: Duration::from_millis(50), ..GossipOptions::default() },
+        seed: name.len() as u64,
+        store: Rc::new(store.handle()),
+        counters: counters.clone(),
+    };
+    let listen = "127.0.0.1:0".parse().expect("address is valid");
+    let service = PeerService::start(listen, setup).await.expect("loopback can be bound");
+    (service, counters)
+}
+
+async fn write_host_object(store: &FakeStore, service: &PeerService) {
+    let record = service.own_record();
+    let value = serde_json::json!({
+        "host": record.host, "domain": record.domain, "peer": record.address,
+        "operator": "127.0.0.1:1", "incarnation": record.incarnation,
+    });
+    let key = format!("routers/{}", record.host);
+    store.put(&key, 0, value.to_string().into_bytes().into()).await.expect("store is up");
+}
+
+async fn wait_for(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(60), wait).await.expect("condition came true");
+}
+
+#[tokio::test]
+async fn hosts_find_each_other_and_share_what_they_know() {
+    let run = async {
+        let store = FakeStore::new(1);
+        let (first, counters) = start_host(&store, "router-1").await;
+        write_host_object(&store, &first).await;
+        let (second, _) = start_host(&store, "router-22").await;
+        let (third, _) = start_host(&store, "router-333").await;
+        wait_for(|| first.live_hosts().len() == 2 && third.live_hosts().len() == 2).await;
+        assert!(first.is_live("router-22", 1));
+        assert!(!first.is_live("router-22", 2));
+
+        second.record_load("engine-1", 3, 4, false);
+        second.set_drain_mark("engine-2", 9, true);
+        second.announce_revision(7);
+        wait_for(|| first.newest_revision() == Some(("router-22".into(), 7))).await;
+        wait_for(|| first.is_draining("engine-2") && third.is_draining("engine-2")).await;
+        wait_for(|| first.load_of("engine-1").is_some_and(|load| load.waiting == 4)).await;
+
+        assert!(first.fetch_config("router-22").await.is_err());
+        second.set_config_source(Rc::new(FixedConfig));
+        let snapshot = first.fetch_config("router-22").await.expect("second answers");
+        assert_eq!((snapshot.revision, snapshot.value.len()), (7, 900_000));
+
+        second.leave().await;
+        wait_for(|| first.live_hosts() == ["router-333".into()]).await;
+        assert!(counters.value(MetricName::PeerBytes, &["sent"]) > 0);
+        assert!(counters.value(MetricName::PeerBytes, &["received"]) > 900_000);
+        assert!(counters.value(MetricName::PeerExchanges, &["ok"]) > 0);
+    };
+    LocalSet::new().run_until(run).await;
+}
+
+#[tokio::test]
+async fn a_port_that_sends_nonsense_disturbs_nobody() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let run = async {
+        let store = FakeStore::new(2);
+        let (first, _) = start_host(&store, "router-1").await;
+        write_host_object(&store, &first).await;
+        let address = first.own_record().address;
+        let mut stream = tokio::net::TcpStream::connect(&*address).await.expect("port is open");
+        stream.write_all(&[0xff; 4096]).await.expect("bytes are sent");
+        let mut rest = Vec::new();
+        let _ = stream.read_to_end(&mut rest).await;
+        let (second, _) = start_host(&store, "router-22").await;
+        wait_for(|| second.live_hosts().len() == 1 && first.live_hosts().len() == 1).await;
+    };
+    LocalSet::new().run_until(run).await;
+}
