Echoes name the run of the process that was heard

Cause: a restarted host took an echo of its former process for its own, thought that the peer knew its record, and never sent it. Ruled out: lost messages (links were whole) and the order of incarnations.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use crate::ids::{ConfigRevision, HostName, ObjectVersion};
 use crate::membership::{
-    DIRECT_FLEET, HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions,
+    DIRECT_FLEET, HeartbeatEcho, HostState, MemberBeat, MemberLiveness, MemberOptions,
     MemberRecord, MemberTable, NameHash, PeerStatus, name_hash,
 };
 use crate::quota::{DemandReport, QuotaKeeper, QuotaOptions};
@@ -102,8 +102,8 @@
     pub sender: MemberBeat,
     /// Configuration revision that the sender has in force.
     pub revision: ConfigRevision,
-    /// Newest heartbeat that the sender heard from the receiver itself; 0 for none.
-    pub echo: HeartbeatCount,
+    /// Newest heartbeat that the sender heard from the receiver itself.
+    pub echo: HeartbeatEcho,
     /// Whether customers without a report have no demand at the sender.
     pub complete: bool,
     /// Heartbeats of other hosts.
@@ -130,7 +130,7 @@
         /// IP address and port of the host.
         address: Box<str>,
         /// What to send.
-        digest: PeerDigest,
+        digest: Box<PeerDigest>,
     },
     /// This host was stopped for about this time and may have been replaced meanwhile.
     Woke(Duration),
@@ -205,6 +205,11 @@
     }
 
     /// Customers' limits on this host.
+    pub fn keeper(&self) -> &QuotaKeeper {
+        &self.keeper
+    }
+
+    /// Customers' limits on this host, to be changed or taken from.
     pub fn keeper_mut(&mut self) -> &mut QuotaKeeper {
         &mut self.keeper
     }
@@ -480,7 +485,7 @@
         if !self.exchanging.insert(host.into()) {
             return None;
         }
-        let digest = self.digest_for(now, Some(host));
+        let digest = Box::new(self.digest_for(now, Some(host)));
         Some(GossipAction::Exchange { host: host.into(), address, digest })
     }
 
@@ -580,7 +585,7 @@
         PeerDigest {
             sender: self.table.own().beat(),
             revision: self.table.own().revision,
-            echo: receiver.map_or(0, |host| self.table.echo_for(host)),
+            echo: receiver.map(|host| self.table.echo_for(host)).unwrap_or_default(),
             complete: self.demands.len() <= MAX_DEMANDS,
             beats: self.choose_beats(now, receiver),
             records: self.choose_records(receiver),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -47,8 +47,8 @@
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
 };
 pub use membership::{
-    HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
-    MemberTable, NameHash, PeerStatus, name_hash,
+    HeartbeatCount, HeartbeatEcho, HostState, MemberBeat, MemberLiveness, MemberOptions,
+    MemberRecord, MemberTable, NameHash, PeerStatus, name_hash,
 };
 pub use outcome::CallOutcome;
 pub use peer::{
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -68,6 +68,15 @@
     pub state: HostState,
 }
 
+/// Newest heartbeat that one host heard from another itself; all 0 for none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeartbeatEcho {
+    /// Run of the process that was heard.
+    pub incarnation: Incarnation,
+    /// Heartbeat that was heard.
+    pub heartbeat: HeartbeatCount,
+}
+
 /// Another host, for status pages.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerStatus {
@@ -107,8 +116,8 @@
     pub forget_after: Duration,
     /// Whether a heartbeat counts only when it rises; only tests turn it off.
     pub rising_only: bool,
-    /// Whether an incarnation below the highest known is ignored; only tests turn it off.
-    pub incarnation_order: bool,
+    /// Whether runs of a host's process are told apart; only tests turn it off.
+    pub incarnations: bool,
 }
 
 /// Fleet size up to which every host exchanges directly with every other in each interval.
@@ -123,7 +132,7 @@
             dead_factor: 2,
             forget_after: Duration::from_secs(600),
             rising_only: true,
-            incarnation_order: true,
+            incarnations: true,
         }
     }
 }
@@ -204,15 +213,15 @@
             self.superseded |= record.incarnation > self.own.incarnation;
             return false;
         }
-        let newer = self.options.incarnation_order;
+        let told_apart = self.options.incarnations;
         let Some(member) = self.members.get_mut(&record.host) else {
             self.replace(now, record.clone(), Some(now));
             return true;
         };
-        if record.incarnation != member.record.incarnation {
-            if newer && record.incarnation < member.record.incarnation {
-                return false;
-            }
+        if told_apart && record.incarnation < member.record.incarnation {
+            return false;
+        }
+        if told_apart && record.incarnation > member.record.incarnation {
             self.replace(now, record.clone(), Some(now));
             return true;
         }
@@ -231,10 +240,10 @@
         }
         let name = self.names.get(&beat.host)?;
         let member = self.members.get_mut(name)?;
-        if beat.incarnation > member.record.incarnation {
+        if self.options.incarnations && beat.incarnation > member.record.incarnation {
             return None;
         }
-        if beat.incarnation < member.record.incarnation {
+        if self.options.incarnations && beat.incarnation < member.record.incarnation {
             return Some(false);
         }
         let rises = beat.heartbeat > member.record.heartbeat;
@@ -256,8 +265,9 @@
         &mut self,
         now: Instant,
         beat: &MemberBeat,
-        echo: HeartbeatCount,
+        echo: HeartbeatEcho,
     ) -> bool {
+        let own = self.own.incarnation;
         let Some(member) = self.names.get(&beat.host).and_then(|name| self.members.get_mut(name))
         else {
             return false;
@@ -267,9 +277,9 @@
             return false;
         }
         member.direct = Some(DirectContact { at: now, heartbeat: beat.heartbeat });
-        let known = member.echo.is_some_and(|known| known.heartbeat >= echo);
-        if !known {
-            member.echo = Some(EchoContact { heartbeat: echo, risen: now });
+        let rises = member.echo.is_none_or(|known| known.heartbeat < echo.heartbeat);
+        if rises && echo.incarnation == own {
+            member.echo = Some(EchoContact { heartbeat: echo.heartbeat, risen: now });
         }
         true
     }
@@ -399,14 +409,18 @@
     }
 
     /// Newest heartbeat heard from the host itself, to be echoed to it.
-    pub(crate) fn echo_for(&self, host: &str) -> HeartbeatCount {
-        let direct = self.members.get(host).and_then(|member| member.direct);
-        direct.map_or(0, |contact| contact.heartbeat)
+    pub(crate) fn echo_for(&self, host: &str) -> HeartbeatEcho {
+        let Some(member) = self.members.get(host) else {
+            return HeartbeatEcho::default();
+        };
+        let Some(contact) = member.direct else {
+            return HeartbeatEcho::default();
+        };
+        HeartbeatEcho { incarnation: member.record.incarnation, heartbeat: contact.heartbeat }
     }
 
     pub(crate) fn knows_us(&self, host: &str) -> bool {
-        let echo = self.members.get(host).and_then(|member| member.echo);
-        echo.is_some_and(|echo| echo.heartbeat > 0)
+        self.members.get(host).is_some_and(|member| member.echo.is_some())
     }
 
     /// Whether this host and the other heard each other directly within the limit.
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -13,7 +13,7 @@
 struct PeerDigest {
   sender @0 :MemberBeat;
   revision @1 :UInt64;
-  echo @2 :UInt32;
+  echo @2 :HeartbeatEcho;
   complete @3 :Bool;
   beats @4 :List(MemberBeat);
   records @5 :List(MemberRecord);
@@ -36,6 +36,11 @@
   state @3 :HostState;
 }
 
+struct HeartbeatEcho {
+  incarnation @0 :UInt64;
+  heartbeat @1 :UInt32;
+}
+
 struct MemberRecord {
   host @0 :Text;
   domain @1 :Text;
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1009,66 +1009,70 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_echo(self) -> u32 {
-            self.reader.get_data_field::<u32>(2)
+        pub fn get_echo(self) -> ::capnp::Result<crate::peer_capnp::heartbeat_echo::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_echo(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
         pub fn get_complete(self) -> bool {
-            self.reader.get_bool_field(96)
+            self.reader.get_bool_field(64)
         }
         #[inline]
         pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member_beat::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_beats(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
         pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::member_record::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_records(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+            !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
         pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_wanted(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+            !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
         pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::demand_report::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_demands(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
+            !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
         pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::load_report::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_loads(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
+            !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
         pub fn get_marks(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::peer_capnp::drain_mark::Owned>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
         pub fn has_marks(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
+            !self.reader.get_pointer_field(7).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1143,116 +1147,124 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_echo(self) -> u32 {
-            self.builder.get_data_field::<u32>(2)
+        pub fn get_echo(self) -> ::capnp::Result<crate::peer_capnp::heartbeat_echo::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_echo(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(2, value);
+        pub fn set_echo(&mut self, value: crate::peer_capnp::heartbeat_echo::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_echo(self, ) -> crate::peer_capnp::heartbeat_echo::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
+        }
+        #[inline]
+        pub fn has_echo(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
         pub fn get_complete(self) -> bool {
-            self.builder.get_bool_field(96)
+            self.builder.get_bool_field(64)
         }
         #[inline]
         pub fn set_complete(&mut self, value: bool)  {
-            self.builder.set_bool_field(96, value);
+            self.builder.set_bool_field(64, value);
         }
         #[inline]
         pub fn get_beats(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member_beat::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_beats(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member_beat::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
         pub fn init_beats(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member_beat::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
         pub fn has_beats(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
         pub fn get_records(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::member_record::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_records(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::member_record::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
         pub fn init_records(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::member_record::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
         pub fn has_records(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+            !self.builder.is_pointer_field_null(3)
         }
         #[inline]
         pub fn get_wanted(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_wanted(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
         pub fn init_wanted(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
         pub fn has_wanted(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+            !self.builder.is_pointer_field_null(4)
         }
         #[inline]
         pub fn get_demands(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::demand_report::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_demands(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::demand_report::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
         pub fn init_demands(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::demand_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
         pub fn has_demands(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
         pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::load_report::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::load_report::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
         }
         #[inline]
         pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::load_report::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
         }
         #[inline]
         pub fn has_loads(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+            !self.builder.is_pointer_field_null(6)
         }
         #[inline]
         pub fn get_marks(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::peer_capnp::drain_mark::Owned>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
         pub fn set_marks(&mut self, value: ::capnp::struct_list::Reader<'_,crate::peer_capnp::drain_mark::Owned>) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
         }
         #[inline]
         pub fn init_marks(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::peer_capnp::drain_mark::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
         }
         #[inline]
         pub fn has_marks(&self) -> bool {
-            !self.builder.is_pointer_field_null(6)
+            !self.builder.is_pointer_field_null(7)
         }
     }
 
@@ -1266,6 +1278,9 @@
         pub fn get_sender(&self) -> crate::peer_capnp::member_beat::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
+        pub fn get_echo(&self) -> crate::peer_capnp::heartbeat_echo::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
+        }
     }
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 193] = [
@@ -1273,7 +1288,7 @@
             ::capnp::word(206, 166, 114, 117, 83, 204, 10, 251),
             ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(104, 48, 79, 233, 193, 165, 183, 210),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
@@ -1300,56 +1315,56 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 96, 0, 0, 0),
+            ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(113, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
             ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
@@ -1374,11 +1389,11 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 99, 104, 111, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 30, 170, 137, 170, 60, 238, 154),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
@@ -1467,7 +1482,7 @@
             match index {
                 0 => <crate::peer_capnp::member_beat::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <crate::peer_capnp::heartbeat_echo::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::peer_capnp::member_beat::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::struct_list::Owned<crate::peer_capnp::member_record::Owned> as ::capnp::introspect::Introspect>::introspect(),
@@ -1847,6 +1862,232 @@
     }
 }
 
+pub mod heartbeat_echo {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_heartbeat(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_heartbeat(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_heartbeat(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(161, 30, 170, 137, 170, 60, 238, 154),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(104, 48, 79, 233, 193, 165, 183, 210),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+            ::capnp::word(110, 112, 58, 72, 101, 97, 114, 116),
+            ::capnp::word(98, 101, 97, 116, 69, 99, 104, 111),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 114, 116, 98, 101, 97),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0x9aee_3caa_89aa_1ea1;
+    }
+}
+
 pub mod member_record {
     #[derive(Copy, Clone)]
     pub struct Owned(());
--- a/src/peer_rpc.rs
+++ b/src/peer_rpc.rs
@@ -23,7 +23,7 @@
 
 use crate::counters::{CounterRegistry, MetricName};
 use crate::gossip::{DrainMark, LoadReport, PeerDigest};
-use crate::membership::{HostState, MemberBeat, MemberRecord};
+use crate::membership::{HeartbeatEcho, HostState, MemberBeat, MemberRecord};
 use crate::peer::{ConfigSnapshot, PeerError, PeerResponder, PeerTransport};
 use crate::peer_capnp::{self as wire, peer_host};
 use crate::quota::{CustomerDemand, DemandReport};
@@ -338,7 +338,9 @@
 fn write_digest(mut builder: wire::peer_digest::Builder<'_>, digest: &PeerDigest) {
     write_beat(builder.reborrow().init_sender(), &digest.sender);
     builder.set_revision(digest.revision);
-    builder.set_echo(digest.echo);
+    let mut echo = builder.reborrow().init_echo();
+    echo.set_incarnation(digest.echo.incarnation);
+    echo.set_heartbeat(digest.echo.heartbeat);
     builder.set_complete(digest.complete);
     let mut beats = builder.reborrow().init_beats(digest.beats.len() as u32);
     for (index, beat) in digest.beats.iter().enumerate() {
@@ -410,7 +412,7 @@
     Ok(PeerDigest {
         sender: read_beat(reader.get_sender()?)?,
         revision: reader.get_revision(),
-        echo: reader.get_echo(),
+        echo: read_echo(reader.get_echo()?),
         complete: reader.get_complete(),
         beats: beats?,
         records: records?,
@@ -430,6 +432,10 @@
     })
 }
 
+fn read_echo(reader: wire::heartbeat_echo::Reader<'_>) -> HeartbeatEcho {
+    HeartbeatEcho { incarnation: reader.get_incarnation(), heartbeat: reader.get_heartbeat() }
+}
+
 fn read_record(reader: wire::member_record::Reader<'_>) -> Result<MemberRecord, capnp::Error> {
     Ok(MemberRecord {
         host: reader.get_host()?.to_str()?.into(),
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -325,7 +325,7 @@
         let GossipAction::Exchange { host, address, digest } = action else {
             return;
         };
-        let exchange = self.transport.exchange(&host, &address, digest);
+        let exchange = self.transport.exchange(&host, &address, *digest);
         let reply = timeout(EXCHANGE_TIMEOUT, exchange).await;
         let now = Instant::now();
         let label = match &reply {
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -191,8 +191,8 @@
 
     /// Sets the other hosts among which limits are divided.
     pub fn set_fleet(&mut self, now: Instant, fleet: FleetView) {
-        let held = holds_back(&fleet);
-        let capped = held || !fleet.silent.is_empty();
+        let held = self.options.hold_silent && holds_back(&fleet);
+        let capped = self.options.hold_silent && (held || !fleet.silent.is_empty());
         self.fleet = fleet;
         let options = self.options;
         for quota in self.customers.values_mut() {
@@ -317,8 +317,8 @@
     }
 
     fn counted_hosts(&self) -> usize {
-        let held = holds_back(&self.fleet);
-        let dead = if held && self.options.hold_silent { self.fleet.dead.len() } else { 0 };
+        let held = self.options.hold_silent && holds_back(&self.fleet);
+        let dead = if held { self.fleet.dead.len() } else { 0 };
         1 + self.fleet.live.len() + self.fleet.silent.len() + dead
     }
 }
@@ -430,7 +430,7 @@
 
     /// Caps the claim while some hosts can't be heard, since they can't hear it rise.
     fn hold(&mut self, now: Instant, capped: bool, options: QuotaOptions) {
-        if !capped || !options.hold_silent {
+        if !capped {
             self.claim_cap = None;
             return;
         }
