--- /dev/null
+++ b/tests/admission_schedules.rs
@@ -0,0 +1,392 @@
+//! Seeded schedules of arrivals, releases and faults at the admission gate, judged by a checker
+//! that keeps its own books.
+
+mod schedules;
+
+use jacinthrock::{
+    AdmissionGate, AdmissionRequest, GateAction, GateEvent, GateOptions, PriorityClass, ResultCode,
+    TicketNumber,
+};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const SERVICE: &str = "guide";
+const CLASSES: [PriorityClass; 3] =
+    [PriorityClass::Guidance, PriorityClass::Interactive, PriorityClass::Batch];
+const SHARES: [u32; 4] = [1, 1, 2, 4];
+const QUEUE_LENGTH: u32 = 40;
+
+/// Starts that a waiting class may be passed over: the interval, and one for the other class.
+const GUARD_BOUND: u32 = 20 + 2;
+
+/// Time past its deadline after which a request may no longer wait.
+const SWEEP_BOUND: Duration = Duration::from_millis(25);
+
+/// Steps of a schedule; each draws its events from the table below.
+const STEPS: usize = 200;
+
+/// Events and faults at the gate, with their weights.
+const EVENTS: [(GateFault, u32); 7] = [
+    (GateFault::Arrive, 40),
+    (GateFault::Flood, 2),
+    (GateFault::Leave, 3),
+    (GateFault::Wait, 50),
+    (GateFault::Capacity, 1),
+    (GateFault::NoCapacity, 1),
+    (GateFault::SlowDown, 1),
+];
+
+#[derive(Clone, Copy, Debug)]
+enum GateFault {
+    Arrive,
+    Flood,
+    Leave,
+    Wait,
+    Capacity,
+    NoCapacity,
+    SlowDown,
+}
+
+/// What the checker found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum GateFinding {
+    SlotIdleWhileWaiting,
+    AboveCapacity,
+    PriorityInverted,
+    ClassStarved,
+    ShareUnfair,
+    HeldPastDeadline,
+    AdmittedPastDeadline,
+    HeavierCustomerKept,
+    RetryTimesCollide,
+    RetryTimeOutOfRange,
+    TwoVerdicts,
+}
+
+#[derive(Clone)]
+struct KnownRequest {
+    class: PriorityClass,
+    customer: usize,
+    deadline: Instant,
+}
+
+struct GateRun {
+    gate: AdmissionGate,
+    rng: ChaCha8Rng,
+    now: Instant,
+    slots: usize,
+    service_time: Duration,
+    next_ticket: TicketNumber,
+    requests: BTreeMap<TicketNumber, KnownRequest>,
+    waiting: BTreeSet<TicketNumber>,
+    running: BTreeMap<TicketNumber, Instant>,
+    passed_over: [u32; 3],
+    /// Starts by class and customer since the class last had a customer go idle.
+    served: BTreeMap<(PriorityClass, usize), u32>,
+    findings: BTreeSet<GateFinding>,
+}
+
+impl GateRun {
+    fn new(options: GateOptions, seed: u64) -> Self {
+        let mut run = Self {
+            gate: AdmissionGate::new(options, seed),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            now: Instant::now(),
+            slots: 0,
+            service_time: Duration::from_millis(100),
+            next_ticket: 1,
+            requests: BTreeMap::new(),
+            waiting: BTreeSet::new(),
+            running: BTreeMap::new(),
+            passed_over: [0; 3],
+            served: BTreeMap::new(),
+            findings: BTreeSet::new(),
+        };
+        let slots = run.rng.random_range(1..6);
+        run.set_capacity(slots);
+        run
+    }
+
+    fn step(&mut self) {
+        let total: u32 = EVENTS.iter().map(|(_, weight)| weight).sum();
+        let mut draw = self.rng.random_range(0..total);
+        let event = EVENTS.iter().find(|(_, weight)| {
+            let found = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            found
+        });
+        match event.expect("weights cover the draw").0 {
+            GateFault::Arrive => self.arrive_any(),
+            GateFault::Flood => (0..60).for_each(|_| self.arrive(PriorityClass::Guidance, 0)),
+            GateFault::Leave => self.leave(),
+            GateFault::Wait => self.wait(),
+            GateFault::Capacity => {
+                let slots = self.rng.random_range(1..6);
+                self.set_capacity(slots);
+            }
+            GateFault::NoCapacity => {
+                self.set_capacity(0);
+                self.arrive_any();
+                self.set_capacity(3);
+            }
+            GateFault::SlowDown => {
+                self.service_time = Duration::from_millis(self.rng.random_range(20..400));
+            }
+        }
+    }
+
+    fn arrive_any(&mut self) {
+        let class = CLASSES[self.rng.random_range(0..3)];
+        let customer = self.rng.random_range(0..SHARES.len());
+        self.arrive(class, customer);
+    }
+
+    fn arrive(&mut self, priority: PriorityClass, customer: usize) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        let patience = Duration::from_millis(self.rng.random_range(50..20_000));
+        let deadline = self.now + patience;
+        let known = KnownRequest { class: priority, customer, deadline };
+        self.requests.insert(ticket, known);
+        self.note_idle(priority, customer);
+        self.waiting.insert(ticket);
+        let request = AdmissionRequest {
+            service: SERVICE.into(),
+            customer: format!("customer-{customer}").into(),
+            share: SHARES[customer],
+            priority,
+            deadline,
+            queue_length: QUEUE_LENGTH,
+        };
+        self.handle(GateEvent::Arrive(ticket, request));
+    }
+
+    fn leave(&mut self) {
+        let waiting: Vec<_> = self.waiting.iter().copied().collect();
+        if waiting.is_empty() {
+            return;
+        }
+        let ticket = waiting[self.rng.random_range(0..waiting.len())];
+        self.waiting.remove(&ticket);
+        self.reset_fairness(self.requests[&ticket].class);
+        self.handle(GateEvent::Leave(ticket));
+    }
+
+    fn set_capacity(&mut self, slots: usize) {
+        self.slots = slots;
+        self.handle(GateEvent::Capacity(SERVICE.into(), slots as u32));
+    }
+
+    /// Lets time pass to the next release or timer.
+    fn wait(&mut self) {
+        let release = self.running.iter().map(|(&ticket, &end)| (end, ticket)).min();
+        let timer = self.gate.next_wake();
+        match (release, timer) {
+            (Some((end, _)), Some(wake)) if wake < end => self.timer(wake),
+            (Some((end, ticket)), _) => {
+                self.now = self.now.max(end);
+                self.running.remove(&ticket);
+                self.handle(GateEvent::Release(ticket));
+            }
+            (None, Some(wake)) => self.timer(wake),
+            (None, None) => self.now += Duration::from_millis(10),
+        }
+    }
+
+    fn timer(&mut self, wake: Instant) {
+        self.now = self.now.max(wake);
+        self.handle(GateEvent::Timer);
+    }
+
+    fn handle(&mut self, event: GateEvent) {
+        let actions = self.gate.handle(self.now, event);
+        let mut retry_times = Vec::new();
+        for action in actions {
+            match action {
+                GateAction::Admit(ticket) => self.admitted(ticket),
+                GateAction::Refuse(ticket, refusal) => {
+                    retry_times.push(refusal.retry_after);
+                    self.refused(ticket, refusal.code);
+                }
+            }
+        }
+        self.check_retry_times(&retry_times);
+        self.check_state();
+    }
+
+    fn admitted(&mut self, ticket: TicketNumber) {
+        if !self.waiting.remove(&ticket) {
+            self.findings.insert(GateFinding::TwoVerdicts);
+            return;
+        }
+        let known = self.requests[&ticket].clone();
+        if known.deadline <= self.now {
+            self.findings.insert(GateFinding::AdmittedPastDeadline);
+        }
+        self.check_priority(known.class);
+        self.check_share(known.class, known.customer);
+        let factor = self.rng.random_range(0.5..1.5);
+        self.running.insert(ticket, self.now + self.service_time.mul_f64(factor));
+    }
+
+    fn refused(&mut self, ticket: TicketNumber, code: ResultCode) {
+        let Some(known) = self.requests.get(&ticket).cloned() else {
+            return;
+        };
+        if code == ResultCode::QueueFull {
+            self.check_eviction(&known);
+        }
+        if !self.waiting.remove(&ticket) {
+            self.findings.insert(GateFinding::TwoVerdicts);
+        }
+        self.reset_fairness(known.class);
+    }
+
+    fn waiting_in(&self, class: PriorityClass) -> usize {
+        self.waiting.iter().filter(|ticket| self.requests[ticket].class == class).count()
+    }
+
+    /// The refused request's customer has the longest backlog of its class.
+    fn check_eviction(&mut self, refused: &KnownRequest) {
+        let backlog = |customer: usize| {
+            let of_customer = self.waiting.iter().filter(|ticket| {
+                let known = &self.requests[ticket];
+                known.class == refused.class && known.customer == customer
+            });
+            of_customer.count() as f64 / f64::from(SHARES[customer])
+        };
+        let own = backlog(refused.customer);
+        if (0..SHARES.len()).any(|other| backlog(other) > own + 1e-9) {
+            self.findings.insert(GateFinding::HeavierCustomerKept);
+        }
+    }
+
+    fn check_priority(&mut self, class: PriorityClass) {
+        let above = CLASSES.iter().filter(|other| **other < class);
+        let inverted = above.clone().any(|&other| self.waiting_in(other) > 0);
+        if inverted && self.passed_over[class as usize] < 20 {
+            self.findings.insert(GateFinding::PriorityInverted);
+        }
+        for other in CLASSES {
+            let index = other as usize;
+            let passed = other != class && self.waiting_in(other) > 0;
+            self.passed_over[index] = if passed { self.passed_over[index] + 1 } else { 0 };
+            if self.passed_over[index] > GUARD_BOUND {
+                self.findings.insert(GateFinding::ClassStarved);
+            }
+        }
+    }
+
+    /// Customers of a class that all wait are served in proportion to their shares.
+    fn check_share(&mut self, class: PriorityClass, customer: usize) {
+        *self.served.entry((class, customer)).or_default() += 1;
+        let waits = |other: usize| {
+            self.waiting.iter().any(|ticket| {
+                self.requests[ticket].class == class && self.requests[ticket].customer == other
+            })
+        };
+        let backlogged: Vec<usize> = (0..SHARES.len()).filter(|&other| waits(other)).collect();
+        let service = |other: usize| {
+            let count = self.served.get(&(class, other)).copied().unwrap_or(0);
+            f64::from(count) / f64::from(SHARES[other])
+        };
+        for (&left, &right) in backlogged.iter().zip(backlogged.iter().skip(1)) {
+            let bound = 1.0 / f64::from(SHARES[left]) + 1.0 / f64::from(SHARES[right]);
+            if (service(left) - service(right)).abs() > bound + 1e-6 {
+                self.findings.insert(GateFinding::ShareUnfair);
+            }
+        }
+        if !waits(customer) {
+            self.reset_fairness(class);
+        }
+    }
+
+    /// Starts a new measurement when a customer's backlog begins.
+    fn note_idle(&mut self, class: PriorityClass, customer: usize) {
+        let waits = self.waiting.iter().any(|ticket| {
+            self.requests[ticket].class == class && self.requests[ticket].customer == customer
+        });
+        if !waits {
+            self.reset_fairness(class);
+        }
+    }
+
+    fn reset_fairness(&mut self, class: PriorityClass) {
+        self.served.retain(|(other, _), _| *other != class);
+    }
+
+    fn check_retry_times(&mut self, times: &[Duration]) {
+        let range = Duration::from_millis(75)..=Duration::from_secs(38);
+        if times.iter().any(|time| !range.contains(time)) {
+            self.findings.insert(GateFinding::RetryTimeOutOfRange);
+        }
+        let distinct: BTreeSet<_> = times.iter().collect();
+        if distinct.len() < times.len() {
+            self.findings.insert(GateFinding::RetryTimesCollide);
+        }
+    }
+
+    fn check_state(&mut self) {
+        if self.running.len() < self.slots && !self.waiting.is_empty() {
+            self.findings.insert(GateFinding::SlotIdleWhileWaiting);
+        }
+        if self.running.len() > 5 {
+            self.findings.insert(GateFinding::AboveCapacity);
+        }
+        let late = |ticket: &TicketNumber| self.requests[ticket].deadline + SWEEP_BOUND < self.now;
+        if self.waiting.iter().any(late) {
+            self.findings.insert(GateFinding::HeldPastDeadline);
+        }
+    }
+}
+
+fn findings_of(options: GateOptions, seed: u64) -> BTreeSet<GateFinding> {
+    let mut run = GateRun::new(options, seed);
+    for _ in 0..STEPS {
+        run.step();
+    }
+    run.findings
+}
+
+#[test]
+fn schedules_of_arrivals_and_faults_are_admitted_in_order() {
+    let count = schedules::schedule_count(50);
+    let found = (0..count).map(|seed| (seed, findings_of(GateOptions::default(), seed)));
+    let found: Vec<_> = found.filter(|(_, findings)| !findings.is_empty()).collect();
+    println!("{count} schedules of {STEPS} steps, {} with findings", found.len());
+    assert!(found.is_empty(), "{:?}", &found[..found.len().min(5)]);
+}
+
+fn assert_caught(options: GateOptions, expected: GateFinding) {
+    let caught = (0..100).any(|seed| findings_of(options, seed).contains(&expected));
+    assert!(caught, "{expected:?} was not found");
+}
+
+#[test]
+fn first_come_first_served_is_caught() {
+    let options = GateOptions { fair_sharing: false, ..GateOptions::default() };
+    assert_caught(options, GateFinding::ShareUnfair);
+    assert_caught(options, GateFinding::HeavierCustomerKept);
+}
+
+#[test]
+fn classes_without_a_guard_are_caught() {
+    let options = GateOptions { guard_interval: 0, ..GateOptions::default() };
+    assert_caught(options, GateFinding::ClassStarved);
+}
+
+#[test]
+fn requests_held_past_their_deadline_are_caught() {
+    let options = GateOptions { deadline_refusal: false, ..GateOptions::default() };
+    assert_caught(options, GateFinding::HeldPastDeadline);
+    assert_caught(options, GateFinding::AdmittedPastDeadline);
+}
+
+#[test]
+fn retry_times_that_are_the_same_for_all_are_caught() {
+    let options = GateOptions { spread_retries: false, ..GateOptions::default() };
+    assert_caught(options, GateFinding::RetryTimesCollide);
+}
