--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod load;
 pub mod platform;
 pub mod service;
+pub mod peer_world;
 pub mod token;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,9 @@
 mod ids;
 mod inherit;
 mod keeper;
+mod gossip;
+mod ids;
+mod membership;
 mod outcome;
 mod peer;
 #[rustfmt::skip]
@@ -106,6 +109,7 @@
 pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
+pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
@@ -124,6 +128,9 @@
 pub use membership::{
     HeartbeatCount, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord,
     MemberTable, NameHash, PeerStatus, name_hash,
+pub use membership::{
+    HeartbeatCount, HeartbeatEcho, HostState, MemberBeat, MemberLiveness, MemberOptions,
+    MemberRecord, MemberTable, NameHash, PeerStatus, name_hash,
 };
 pub use outcome::CallOutcome;
 pub use peer::{
