--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -109,7 +109,7 @@
         let window = length.mul_f64(WARM_UP_PART)..length;
         let window_s = (window.end - window.start).as_secs_f64();
         let in_window = |sample: &CallSample| {
-            sample.token_times.iter().filter(|time| window.contains(time)).count()
+            sample.token_times.iter().filter(|time| window.contains(*time)).count()
         };
         let answers = || samples.iter().filter(|sample| sample.kind == CallKind::Answer);
         let whole = answers().filter(|sample| sample.result == CallResult::Whole);
