--- a/crates/standins/src/caller.rs
+++ b/crates/standins/src/caller.rs
@@ -5,12 +5,6 @@
 use std::io::{BufRead, BufReader};
 use std::time::{Duration, Instant};
 
-/// Longest wait for a router's reply to start.
-const REPLY_TIMEOUT: Duration = Duration::from_secs(60);
-
-/// Longest time of a whole body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(120);
-
 /// Idle connections kept to one router.
 const IDLE_CONNECTIONS: usize = 32;
 
@@ -112,19 +106,13 @@
     fn call(&self, call: &ServiceCall<'_>) -> ServiceAnswer;
 }
 
-impl Default for RouterCaller {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 impl RouterCaller {
-    /// A client without connections.
-    pub fn new() -> Self {
+    /// A client that waits no longer than `patience` for a reply, and so long again for its body.
+    pub fn new(patience: Duration) -> Self {
         let config = ureq::Agent::config_builder()
             .http_status_as_error(false)
-            .timeout_recv_response(Some(REPLY_TIMEOUT))
-            .timeout_recv_body(Some(BODY_TIMEOUT))
+            .timeout_recv_response(Some(patience))
+            .timeout_recv_body(Some(patience))
             .max_idle_connections(8 * IDLE_CONNECTIONS)
             .max_idle_connections_per_host(IDLE_CONNECTIONS)
             .build();
--- a/crates/standins/src/direct.rs
+++ b/crates/standins/src/direct.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use crate::caller::{
     CallEnd, CallSender, ChatAnswer, ChatCall, RouterCaller, ServiceAnswer, ServiceCall, prompt_of,
@@ -33,9 +33,9 @@
 }
 
 impl DirectCaller {
-    /// A caller that has called nobody yet.
-    pub fn new(target: DirectTarget) -> Self {
-        Self { target, caller: RouterCaller::new(), turn: AtomicUsize::new(0) }
+    /// A caller that waits no longer than `patience` for a reply.
+    pub fn new(target: DirectTarget, patience: Duration) -> Self {
+        Self { target, caller: RouterCaller::new(patience), turn: AtomicUsize::new(0) }
     }
 
     fn take_turn(&self) -> usize {
--- a/crates/standins/src/engine/api.rs
+++ b/crates/standins/src/engine/api.rs
@@ -38,6 +38,7 @@
             }
             (&Method::GET, "/v1/cache/events") => Ok(self.cache_events(call.number("after"))),
             (&Method::GET, "/control/records") => Ok(self.records()),
+            (&Method::GET, "/control/ends") => Ok(self.ends()),
             (&Method::GET, path) if path.starts_with(KV_PATH) => {
                 Ok(self.kv_report(&path[KV_PATH.len()..]))
             }
@@ -99,6 +100,10 @@
         HttpReply::json(StatusCode::OK, &*self.stage.records.borrow())
     }
 
+    fn ends(&self) -> HttpReply {
+        HttpReply::json(StatusCode::OK, &self.stage.records.borrow().ends)
+    }
+
     fn kv_report(&self, request: &str) -> HttpReply {
         let holding = self.stage.holding.borrow();
         let Some(length) = self.stage.requests.borrow().kv_length(request) else {
--- a/crates/standins/src/fleet/plan.rs
+++ b/crates/standins/src/fleet/plan.rs
@@ -2,6 +2,10 @@
 
 use jacinthrock::{LinkDeclaration, PriorityClass};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Time that a caller waits beyond the deadline of an answer.
+const PATIENCE_MARGIN: Duration = Duration::from_secs(5);
 
 /// Everything that a run starts and declares.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -123,6 +127,11 @@
         chains.map(|chain| f64::from(chain.count) * self.model.chain_rate(chain)).sum()
     }
 
+    /// Time after which a caller gives a call up: well past the longest deadline.
+    pub fn patience(&self) -> Duration {
+        Duration::from_millis(self.model.deadline_ms) + PATIENCE_MARGIN
+    }
+
     /// Whole answers in a second that the engines can make at most.
     pub fn answer_bound(&self, prompt_words: f64, tokens: f64) -> f64 {
         let model = &self.model;
--- a/crates/standins/src/load/driver.rs
+++ b/crates/standins/src/load/driver.rs
@@ -20,6 +20,9 @@
 /// Wait before a key that is in flight at another router is tried again.
 const IN_FLIGHT_WAIT: Duration = Duration::from_millis(200);
 
+/// What routers put before a request's identifier in an answer's.
+const ANSWER_ID_PREFIX: &str = "chatcmpl-";
+
 /// Stack of a call's thread, in bytes.
 const STACK_BYTES: usize = 256 * 1024;
 
@@ -51,6 +54,7 @@
 
 struct TryAnswer {
     end: CallEnd,
+    request: Box<str>,
     times: Vec<Duration>,
     right: bool,
 }
@@ -58,7 +62,8 @@
 impl LoadDriver {
     /// A driver of calls to routers, whose run starts now.
     pub fn new(target: LoadTarget) -> Self {
-        Self::with_caller(target, Box::new(RouterCaller::new()))
+        let caller = RouterCaller::new(target.plan.patience());
+        Self::with_caller(target, Box::new(caller))
     }
 
     /// A driver that sends its calls through `caller`, whose run starts now.
@@ -113,6 +118,7 @@
             due: arrival.at,
             ended: arrival.at,
             token_times: Vec::new(),
+            request: Box::default(),
             key: idempotency_key(arrival.kind),
             tries: Vec::new(),
             result: CallResult::Lost,
@@ -124,6 +130,7 @@
             let answer = self.attempt(arrival, &sample.key, router);
             sample.ended = self.start.elapsed();
             sample.token_times.extend(answer.times);
+            sample.request = answer.request;
             sample.result = call_result(&answer.end, answer.right);
             let wait = retry_wait(&answer.end);
             let (ended, end) = (sample.ended, answer.end);
@@ -156,7 +163,7 @@
         });
         // The service's reply to a call with a key names the key.
         let right = answer.end != CallEnd::Whole || key.is_empty() || answer.body.contains(key);
-        TryAnswer { end: answer.end, times: Vec::new(), right }
+        TryAnswer { end: answer.end, request: Box::default(), times: Vec::new(), right }
     }
 
     fn ask(&self, arrival: &CallArrival, router: &str, key: &str) -> TryAnswer {
@@ -175,9 +182,10 @@
             CallEnd::Whole => answer.tokens == expected,
             _ => expected.starts_with(&answer.tokens),
         };
+        let request = answer.id.strip_prefix(ANSWER_ID_PREFIX).unwrap_or(&answer.id).into();
         let since_start = |time: Instant| time.saturating_duration_since(self.start);
         let times = answer.times.into_iter().map(since_start).collect();
-        TryAnswer { end: answer.end, times, right }
+        TryAnswer { end: answer.end, request, times, right }
     }
 }
 
--- a/crates/standins/src/load/recovery.rs
+++ b/crates/standins/src/load/recovery.rs
@@ -1,11 +1,15 @@
 //! Time from a fault to the next token.
 
+use jacinthrock::RequestId;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use super::faults::FaultPlan;
 use super::sample::{CallResult, CallSample};
 use super::scenario::CallKind;
+use crate::engine::EndRecord;
+use crate::fleet::EngineProcess;
 
 /// A gap between tokens is an interruption from so many times the stream's median gap.
 const INTERRUPTION_FACTOR: u32 = 2;
@@ -20,7 +24,7 @@
     pub fault: FaultPlan,
     /// Answers that were being streamed.
     pub streaming: u32,
-    /// Those whose tokens stopped for longer than usual.
+    /// Those that were resumed or tried again, or whose tokens stopped for longer than usual.
     pub interrupted: u32,
     /// Those that did not become whole.
     pub lost: u32,
@@ -29,12 +33,16 @@
     pub next_token_ms: [f64; 4],
 }
 
-/// Finds out what a fault did.
-pub fn recovery_report(fault: &FaultPlan, samples: &[CallSample]) -> RecoveryReport {
+/// Finds out what a fault did; `resumed` holds the requests that went on at another chain.
+pub fn recovery_report(
+    fault: &FaultPlan,
+    samples: &[CallSample],
+    resumed: &BTreeSet<RequestId>,
+) -> RecoveryReport {
     let at = fault.at();
     let streaming: Vec<&CallSample> = samples.iter().filter(|it| is_streaming(it, at)).collect();
     let mut waits: Vec<Duration> =
-        streaming.iter().filter_map(|sample| interruption(sample, at)).collect();
+        streaming.iter().filter_map(|sample| interruption(sample, at, resumed)).collect();
     waits.sort();
     let lost = streaming.iter().filter(|sample| sample.result != CallResult::Whole).count();
     RecoveryReport {
@@ -51,9 +59,13 @@
     sample.kind == CallKind::Answer && started && sample.ended > at
 }
 
-/// Time from the fault to the next token, where a try ended between the tokens around the fault
-/// or the gap is longer than the stream's usual one.
-fn interruption(sample: &CallSample, at: Duration) -> Option<Duration> {
+/// Time from the fault to the next token, where the answer was resumed, a try ended between the
+/// tokens around the fault, or the gap is longer than the stream's usual one.
+fn interruption(
+    sample: &CallSample,
+    at: Duration,
+    resumed: &BTreeSet<RequestId>,
+) -> Option<Duration> {
     let times = &sample.token_times;
     let next = times.partition_point(|&time| time <= at);
     let (before, after) = (*times.get(next.checked_sub(1)?)?, *times.get(next)?);
@@ -61,7 +73,20 @@
     gaps.sort();
     let usual = gaps[gaps.len() / 2] * INTERRUPTION_FACTOR + INTERRUPTION_MARGIN;
     let ended = sample.tries.iter().any(|it| it.ended >= before && it.ended < after);
-    (ended || after - before > usual).then(|| after - at)
+    let interrupted = resumed.contains(&sample.request) || ended || after - before > usual;
+    interrupted.then(|| after - at)
+}
+
+/// Reads from the engines which requests needed more than one attempt.
+pub(super) fn resumed_requests(engines: &[EngineProcess]) -> BTreeSet<RequestId> {
+    let ends = engines.iter().filter_map(|engine| read_ends(&engine.address)).flatten();
+    ends.filter(|end| end.attempt > 1).map(|end| end.request).collect()
+}
+
+fn read_ends(address: &str) -> Option<Vec<EndRecord>> {
+    let mut response = ureq::get(format!("http://{address}/control/ends")).call().ok()?;
+    let body = response.body_mut().with_config().limit(u64::MAX).read_to_vec().ok()?;
+    serde_json::from_slice(&body).ok()
 }
 
 fn percentile_ms(sorted: &[Duration], rank: f64) -> f64 {
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -1,8 +1,9 @@
 //! The report of a run: everything needed to repeat it, and what was seen.
 
 use hdrhistogram::Histogram;
+use jacinthrock::RequestId;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use super::check::CheckReport;
@@ -99,11 +100,12 @@
     pub(super) seed: u64,
     pub(super) rate: f64,
     pub(super) length: Duration,
+    pub(super) resumed: BTreeSet<RequestId>,
 }
 
 impl RunReport {
     pub(super) fn new(input: RunInput, samples: &[CallSample], checks: CheckReport) -> Self {
-        let RunInput { scenario, seed, rate, length } = input;
+        let RunInput { scenario, seed, rate, length, resumed } = input;
         let (words, tokens) = scenario.mean_answer();
         let seconds = length.as_secs_f64();
         let window = length.mul_f64(WARM_UP_PART)..length;
@@ -115,7 +117,7 @@
         let whole = answers().filter(|sample| sample.result == CallResult::Whole);
         let whole_in_window = whole.filter(|sample| window.contains(&sample.ended)).count();
         let faults = scenario.faults.iter().filter(|fault| fault.at() <= length);
-        let recoveries = faults.map(|fault| recovery_report(fault, samples));
+        let recoveries = faults.map(|fault| recovery_report(fault, samples, &resumed));
         Self {
             seed,
             rate,
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -1,11 +1,14 @@
 //! Runs a scenario against a fleet of its own, or against a running system.
 
+use jacinthrock::RequestId;
+use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
 
 use super::arrival::{CallArrival, call_arrivals};
 use super::check::check_runs;
 use super::driver::{LoadDriver, LoadTarget};
+use super::recovery::resumed_requests;
 use super::report::{RunInput, RunReport};
 use super::scenario::LoadScenario;
 use super::usage::{fleet_usage, save_metrics};
@@ -72,7 +75,7 @@
         operator_addresses: Vec::new(),
         plan: fleet.plan.clone(),
     };
-    let caller = DirectCaller::new(fleet.direct_target());
+    let caller = DirectCaller::new(fleet.direct_target(), fleet.plan.patience());
     let driver = LoadDriver::with_caller(target, Box::new(caller));
     Ok(drive(options, driver, &mut fleet))
 }
@@ -96,7 +99,8 @@
     let samples = driver.finish();
     let checks = check_runs(&samples, &fleet.services);
     let usage = fleet_usage(fleet);
-    RunReport { usage, ..RunReport::new(input(options), &samples, checks) }
+    let resumed = resumed_requests(&fleet.engines);
+    RunReport { usage, ..RunReport::new(input(options, resumed), &samples, checks) }
 }
 
 /// Runs the scenario's calls against routers that already run; nothing is started or broken.
@@ -111,7 +115,7 @@
     }
     let samples = driver.finish();
     let checks = check_runs(&samples, &[]);
-    RunReport::new(input(options), &samples, checks)
+    RunReport::new(input(options, BTreeSet::new()), &samples, checks)
 }
 
 /// Waits for a router that was asked to shut down; tells whether it ended with success.
@@ -125,7 +129,7 @@
     call_arrivals(&options.scenario, options.seed, options.rate, options.length)
 }
 
-fn input(options: RunOptions) -> RunInput {
+fn input(options: RunOptions, resumed: BTreeSet<RequestId>) -> RunInput {
     let RunOptions { scenario, seed, rate, length } = options;
-    RunInput { scenario, seed, rate, length }
+    RunInput { scenario, seed, rate, length, resumed }
 }
--- a/crates/standins/src/load/sample.rs
+++ b/crates/standins/src/load/sample.rs
@@ -48,6 +48,8 @@
     pub ended: Duration,
     /// Times at which tokens came, over all tries.
     pub token_times: Vec<Duration>,
+    /// Identifier of the last try's answer; empty where none came.
+    pub request: Box<str>,
     /// Idempotency key; empty where the call had none.
     pub key: Box<str>,
     /// Tries in order.
--- a/crates/standins/tests/load_checks.rs
+++ b/crates/standins/tests/load_checks.rs
@@ -7,6 +7,7 @@
     call_arrivals, check_samples, recovery_report,
 };
 use jacinthrock_standins::service::ServiceRecord;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 fn millis(milliseconds: u64) -> Duration {
@@ -26,6 +27,7 @@
         due: millis(0),
         ended: millis(1),
         token_times: Vec::new(),
+        request: "r".into(),
         key: "k".into(),
         tries: ends.iter().map(call_try).collect(),
         result,
@@ -131,7 +133,9 @@
     interrupted.ended = millis(420);
     let mut steady = interrupted.clone();
     steady.token_times = (7..42).map(|number| millis(number * 10 + 5)).collect();
-    let report = recovery_report(&fault, &[interrupted, steady]);
+    let report = recovery_report(&fault, &[interrupted, steady.clone()], &BTreeSet::new());
     assert_eq!((report.streaming, report.interrupted, report.lost), (2, 1, 0));
     assert_eq!(report.next_token_ms, [300.0; 4]);
+    let resumed = recovery_report(&fault, &[steady], &BTreeSet::from(["r".into()]));
+    assert_eq!((resumed.interrupted, resumed.next_token_ms), (1, [5.0; 4]));
 }
