--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -1,15 +1,17 @@
 //! Drives load against a fleet on stand-ins or a running system, and reports.
 
 use jacinthrock_standins::load::{
-    LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in, render_text,
-    run_direct, run_fleet, run_target, sweep_options, write_plots,
+    HostReport, LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in,
+    measure_hosts, render_text, run_direct, run_fleet, run_target, sweep_options, write_plots,
 };
+use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
 const REPORT_FILE: &str = "report.json";
 const DEFAULT_PERCENTS: [f64; 5] = [50.0, 80.0, 95.0, 110.0, 150.0];
+const DEFAULT_HOST_COUNTS: [u16; 5] = [3, 6, 12, 24, 48];
 const TEXT_FILE: &str = "report.txt";
 
 mod flags {
@@ -20,7 +22,7 @@
         cmd jacinthrock-load {
             /// Runs a scenario.
             cmd run {
-                /// Built-in scenario (demo, lasitaide, oficina) or path of a TOML file.
+                /// Built-in scenario (demo, faults, lasitaide, oficina) or path of a TOML file.
                 required --scenario name: String
                 /// Seed of the calls (default 1).
                 optional --seed number: u64
@@ -50,6 +52,16 @@
                 /// Calls the endpoints past the routers, to compare.
                 optional --direct
             }
+            /// Measures what control costs each host without load, and the time for a change to be
+            /// in force.
+            cmd hosts {
+                /// Numbers of hosts (default 3, 6, 12, 24 and 48).
+                repeated --count number: u16
+                /// Length of each measurement, in seconds.
+                required --seconds seconds: u64
+                /// Directory for the report and logs.
+                required --out path: PathBuf
+            }
             /// Repeats the run of a report with the same scenario, seed, rate and length.
             cmd repeat {
                 /// Directory of the report.
@@ -76,6 +88,7 @@
     let result = match flags.subcommand {
         flags::JacinthrockLoadCmd::Run(run) => run_command(run),
         flags::JacinthrockLoadCmd::Sweep(sweep) => sweep_command(&sweep),
+        flags::JacinthrockLoadCmd::Hosts(hosts) => hosts_command(&hosts),
         flags::JacinthrockLoadCmd::Repeat(repeat) => repeat_command(&repeat),
         flags::JacinthrockLoadCmd::Report(report) => report_command(&report.dir),
         flags::JacinthrockLoadCmd::Scenario(scenario) => scenario_command(&scenario.name),
@@ -140,13 +153,24 @@
         let out = sweep.out.join(format!("at-{percent}"));
         table.rows.push(SweepRow::new(&run_report(options, way, &out)?));
     }
-    let file = sweep.out.join(TEXT_FILE);
-    let text = table.render();
-    print!("{text}");
-    std::fs::write(&file, &text).map_err(|error| report_error(&file, &error.to_string()))?;
+    write_table(&sweep.out, &table.render(), &table)?;
     Ok(table.rows.iter().all(|row| row.holds))
 }
 
+fn hosts_command(hosts: &flags::Hosts) -> Result<bool, RunError> {
+    let scenario = built_in("demo").expect("the demo is built in");
+    let length = Duration::from_secs(hosts.seconds);
+    let counts =
+        if hosts.count.is_empty() { DEFAULT_HOST_COUNTS.to_vec() } else { hosts.count.clone() };
+    let mut table = HostReport::default();
+    for count in counts {
+        let out = hosts.out.join(format!("hosts-{count}"));
+        table.rows.push(measure_hosts(&scenario.fleet, count, length, &out)?);
+    }
+    write_table(&hosts.out, &table.render(), &table)?;
+    Ok(true)
+}
+
 fn run_options(options: RunOptions, way: CallWay, out: &Path) -> Result<bool, RunError> {
     let report = run_report(options, way, out)?;
     print!("{}", render_text(&report));
@@ -160,9 +184,8 @@
         CallWay::Direct => run_direct(options, out)?,
         CallWay::Target(routers) => run_target(options, routers),
     };
-    let file = out.join(REPORT_FILE);
     let json = serde_json::to_string_pretty(&report).expect("reports serialize");
-    std::fs::write(&file, json).map_err(|error| report_error(&file, &error.to_string()))?;
+    write_file(&out.join(REPORT_FILE), &json)?;
     render(&report, out)?;
     Ok(report)
 }
@@ -180,10 +203,20 @@
     Ok(true)
 }
 
+fn write_table(out: &Path, text: &str, table: &impl Serialize) -> Result<(), RunError> {
+    print!("{text}");
+    write_file(&out.join(TEXT_FILE), text)?;
+    let json = serde_json::to_string_pretty(table).expect("tables serialize");
+    write_file(&out.join(REPORT_FILE), &json)
+}
+
+fn write_file(file: &Path, text: &str) -> Result<(), RunError> {
+    std::fs::write(file, text).map_err(|error| report_error(file, &error.to_string()))
+}
+
 fn render(report: &RunReport, dir: &Path) -> Result<(), RunError> {
     let text = render_text(report);
-    let file = dir.join(TEXT_FILE);
-    std::fs::write(&file, text).map_err(|error| report_error(&file, &error.to_string()))?;
+    write_file(&dir.join(TEXT_FILE), &text)?;
     write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
 }
 
--- a/crates/standins/src/load/faults.rs
+++ b/crates/standins/src/load/faults.rs
@@ -68,6 +68,16 @@
         /// Index of the controller.
         index: usize,
     },
+    /// Freezes a controller until `WakeController`.
+    FreezeController {
+        /// Index of the controller.
+        index: usize,
+    },
+    /// Wakes a frozen controller.
+    WakeController {
+        /// Index of the controller.
+        index: usize,
+    },
     /// Takes the platform down, or brings it back.
     Platform {
         /// Whether it is down from now on.
@@ -119,8 +129,13 @@
             }
             FaultKind::WakeRouter { index } => signal_router(fleet, *index, ProcessSignal::Wake),
             FaultKind::KillController { index } => {
-                let name = fleet.controllers[*index].clone();
-                fleet.harness.signal(&name, ProcessSignal::Kill);
+                signal_controller(fleet, *index, ProcessSignal::Kill);
+            }
+            FaultKind::FreezeController { index } => {
+                signal_controller(fleet, *index, ProcessSignal::Freeze);
+            }
+            FaultKind::WakeController { index } => {
+                signal_controller(fleet, *index, ProcessSignal::Wake);
             }
             FaultKind::Platform { down } => post(&fleet.platform, &json!({ "down": down })),
             FaultKind::LoseWriteReplies { count } => {
@@ -145,6 +160,11 @@
     fleet.harness.signal(&name, signal);
 }
 
+fn signal_controller(fleet: &mut RunningFleet, index: usize, signal: ProcessSignal) {
+    let name = fleet.controllers[index].clone();
+    fleet.harness.signal(&name, signal);
+}
+
 fn kill_domain(fleet: &mut RunningFleet, domain: &str) {
     for engine in fleet.engines.clone().iter().filter(|engine| *engine.domain == *domain) {
         fleet.harness.signal(&engine.name, ProcessSignal::Kill);
--- /dev/null
+++ b/crates/standins/src/load/hosts.rs
@@ -0,0 +1,162 @@
+//! What control costs each host, and how long a change takes to be in force, by number of hosts.
+
+use serde::{Deserialize, Serialize};
+use std::fmt::Write;
+use std::path::Path;
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+use super::run::RunError;
+use super::usage::{ProcessUsage, UsageReport, fleet_usage, router_metric};
+use crate::fleet::{FleetPlan, RouterProcess, RunningFleet};
+
+/// Time for the hosts to find one another before the measurement starts.
+const SETTLE_TIME: Duration = Duration::from_secs(5);
+
+/// Time between two looks at a host's revision.
+const REVISION_POLL: Duration = Duration::from_millis(20);
+
+/// Longest wait for a change to be in force.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(30);
+
+const PEER_BYTES: &str = "jacinthrock_peer_bytes_total";
+const REVISION: &str = "jacinthrock_config_revision";
+
+/// Costs with one number of hosts, without load.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HostRow {
+    /// Number of hosts; each runs a router and a controller.
+    pub hosts: u16,
+    /// Mean part of a core that a router takes, in hundredths.
+    pub router_core_percent: f64,
+    /// Mean part of a core that a controller takes, in hundredths.
+    pub controller_core_percent: f64,
+    /// Largest resident memory of a router, in kilobytes.
+    pub router_memory_kb: u64,
+    /// Bytes to and from peers at one host, in a second.
+    pub peer_bytes_per_host_s: f64,
+    /// Reads at the platform by all hosts, in a second.
+    pub platform_reads_s: f64,
+    /// Writes at the platform by all hosts, in a second.
+    pub platform_writes_s: f64,
+    /// Time from the start of an apply until it is in force at a host, in milliseconds: the median
+    /// and the longest. Hosts where it never was are left out.
+    pub in_force_ms: [f64; 2],
+    /// Hosts where the change was not in force in time.
+    pub lagging: u16,
+}
+
+/// Costs by number of hosts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct HostReport {
+    /// Rows in the order of the measurements.
+    pub rows: Vec<HostRow>,
+}
+
+/// Starts a fleet with so many hosts and measures it without load.
+pub fn measure_hosts(
+    plan: &FleetPlan,
+    hosts: u16,
+    length: Duration,
+    dir: &Path,
+) -> Result<HostRow, RunError> {
+    let plan = FleetPlan { routers: hosts, controllers: hosts, ..plan.clone() };
+    let mut fleet = RunningFleet::start(plan, dir)?;
+    sleep(SETTLE_TIME);
+    let (usage, bytes, start) = (fleet_usage(&fleet), peer_bytes(&fleet), Instant::now());
+    sleep(length);
+    let (later, later_bytes) = (fleet_usage(&fleet), peer_bytes(&fleet));
+    let seconds = start.elapsed().as_secs_f64();
+    let mut times = change_times(&mut fleet)?;
+    times.sort();
+    let lagging = hosts - times.len() as u16;
+    let middle = times.get(times.len() / 2).copied().unwrap_or_default();
+    let last = times.last().copied().unwrap_or_default();
+    Ok(HostRow {
+        hosts,
+        router_core_percent: core_percent(&usage.routers, &later.routers, seconds),
+        controller_core_percent: core_percent(&usage.controllers, &later.controllers, seconds),
+        router_memory_kb: later.routers.iter().map(|it| it.peak_memory_kb).max().unwrap_or(0),
+        peer_bytes_per_host_s: (later_bytes - bytes) / seconds / f64::from(hosts),
+        platform_reads_s: rate(&usage, &later, seconds, |usage| usage.platform.reads),
+        platform_writes_s: rate(&usage, &later, seconds, |usage| usage.platform.writes),
+        in_force_ms: [middle, last].map(|time| time.as_secs_f64() * 1e3),
+        lagging,
+    })
+}
+
+/// Applies a change of the tree; the time until each host has it in force.
+fn change_times(fleet: &mut RunningFleet) -> Result<Vec<Duration>, RunError> {
+    fleet.plan.customers[0].requests_per_second += 1;
+    let revision = |router: &RouterProcess| router_metric(&router.operator_address, REVISION);
+    let revisions: Vec<_> = fleet.routers.iter().map(revision).collect();
+    let start = Instant::now();
+    let watches: Vec<_> = fleet
+        .routers
+        .iter()
+        .cloned()
+        .zip(revisions)
+        .map(|(router, before)| thread::spawn(move || wait_for_change(&router, before?, start)))
+        .collect();
+    fleet.apply_tree()?;
+    let times = watches.into_iter().map(|watch| watch.join().expect("the watch does not panic"));
+    Ok(times.flatten().collect())
+}
+
+fn wait_for_change(router: &RouterProcess, before: f64, start: Instant) -> Option<Duration> {
+    while start.elapsed() < CHANGE_TIMEOUT {
+        let revision = router_metric(&router.operator_address, REVISION);
+        if revision.is_some_and(|current| current > before) {
+            return Some(start.elapsed());
+        }
+        sleep(REVISION_POLL);
+    }
+    None
+}
+
+fn peer_bytes(fleet: &RunningFleet) -> f64 {
+    let addresses = fleet.routers.iter().map(|router| &router.operator_address);
+    addresses.filter_map(|address| router_metric(address, PEER_BYTES)).sum()
+}
+
+fn core_percent(before: &[ProcessUsage], after: &[ProcessUsage], seconds: f64) -> f64 {
+    let total = |usage: &[ProcessUsage]| usage.iter().map(|it| it.processor_s).sum::<f64>();
+    100.0 * (total(after) - total(before)) / seconds / after.len().max(1) as f64
+}
+
+fn rate(
+    before: &UsageReport,
+    after: &UsageReport,
+    seconds: f64,
+    count: impl Fn(&UsageReport) -> u64,
+) -> f64 {
+    (count(after) - count(before)) as f64 / seconds
+}
+
+impl HostReport {
+    /// The table for people.
+    pub fn render(&self) -> String {
+        let mut text = String::from(
+            "hosts  router core %  contr. core %  router kB  peer B/s/host  \
+             reads/s  writes/s  in force p50 ms  worst ms  lagging\n",
+        );
+        for row in &self.rows {
+            // Writing to a string does not fail.
+            let _ = writeln!(
+                text,
+                "{:>5} {:>14.2} {:>14.2} {:>10} {:>14.0} {:>8.1} {:>9.1} {:>16.0} {:>9.0} {:>8}",
+                row.hosts,
+                row.router_core_percent,
+                row.controller_core_percent,
+                row.router_memory_kb,
+                row.peer_bytes_per_host_s,
+                row.platform_reads_s,
+                row.platform_writes_s,
+                row.in_force_ms[0],
+                row.in_force_ms[1],
+                row.lagging
+            );
+        }
+        text
+    }
+}
--- a/crates/standins/src/load/scenario.rs
+++ b/crates/standins/src/load/scenario.rs
@@ -91,10 +91,11 @@
     }
 }
 
-/// A scenario that needs no file: `demo`, `lasitaide` or `oficina`.
+/// A scenario that needs no file: `demo`, `faults`, `lasitaide` or `oficina`.
 pub fn built_in(name: &str) -> Option<LoadScenario> {
     match name {
         "demo" => Some(demo()),
+        "faults" => Some(faults()),
         "lasitaide" => Some(lasitaide()),
         "oficina" => Some(oficina()),
         _ => None,
@@ -132,6 +133,25 @@
     LoadScenario { name: "demo".into(), fleet, mix, bursts: Vec::new(), faults }
 }
 
+/// The demo's fleet under every other kind of fault; runs 36 s.
+fn faults() -> LoadScenario {
+    let faults = vec![
+        fault(3.0, FaultKind::LoseServiceReplies { index: 0, count: 3 }),
+        fault(5.0, FaultKind::LoseWriteReplies { count: 3 }),
+        fault(8.0, FaultKind::FreezeEngine { index: 1 }),
+        fault(11.0, FaultKind::WakeEngine { index: 1 }),
+        fault(13.0, FaultKind::Platform { down: true }),
+        fault(18.0, FaultKind::Platform { down: false }),
+        fault(21.0, FaultKind::FreezeRouter { index: 0 }),
+        fault(24.0, FaultKind::WakeRouter { index: 0 }),
+        fault(26.0, FaultKind::FreezeController { index: 0 }),
+        fault(28.0, FaultKind::KillDomain { domain: "d1".into() }),
+        fault(31.0, FaultKind::WakeController { index: 0 }),
+        fault(33.0, FaultKind::KillController { index: 1 }),
+    ];
+    LoadScenario { name: "faults".into(), faults, ..demo() }
+}
+
 fn lasitaide() -> LoadScenario {
     let domains = ["helsinki", "turku", "tampere"];
     let fleet = FleetPlan {
--- a/crates/standins/src/load/usage.rs
+++ b/crates/standins/src/load/usage.rs
@@ -51,6 +51,16 @@
     }
 }
 
+/// Sum of a metric over its labels at one router; none where the router does not answer.
+pub(super) fn router_metric(operator_address: &str, name: &str) -> Option<f64> {
+    let mut response = ureq::get(format!("http://{operator_address}/metrics")).call().ok()?;
+    let text = response.body_mut().read_to_string().ok()?;
+    let own =
+        |line: &&str| line.strip_prefix(name).is_some_and(|rest| rest.starts_with([' ', '{']));
+    let value = |line: &str| line.rsplit(' ').next()?.parse::<f64>().ok();
+    Some(text.lines().filter(own).filter_map(value).sum())
+}
+
 /// Saves every living router's metrics as text, for later reading.
 pub(super) fn save_metrics(fleet: &RunningFleet, dir: &Path) {
     for router in &fleet.routers {
--- a/crates/standins/tests/load_checks.rs
+++ b/crates/standins/tests/load_checks.rs
@@ -69,7 +69,7 @@
 
 #[test]
 fn scenarios_survive_their_file_format() {
-    for name in ["demo", "lasitaide", "oficina"] {
+    for name in ["demo", "faults", "lasitaide", "oficina"] {
         let scenario = built_in(name).unwrap();
         let text = toml::to_string(&scenario).unwrap();
         assert_eq!(toml::from_str::<LoadScenario>(&text).unwrap(), scenario);
