--- a/src/counters.rs
+++ b/src/counters.rs
@@ -64,7 +64,6 @@
     ConfigUnconfirmed = "jacinthrock_config_unconfirmed", Gauge, [], "1 while the platform has not answered lately and the host serves with the revision it has.";
     ConfigChanges = "jacinthrock_config_changes_total", Counter, ["source"], "Configuration revisions taken, by source.";
     ConfigRejected = "jacinthrock_config_rejected_total", Counter, ["code"], "Configuration revisions that failed their checks, by result code.";
-    ConfigUnconfirmed = "jacinthrock_config_unconfirmed", Gauge, [], "1 while the platform has not answered lately and the host serves with the revision it has.";
     StoreCalls = "jacinthrock_store_calls_total", Counter, ["call", "result"], "Calls to the platform's store, by call and result.";
     LedgerClaims = "jacinthrock_ledger_claims_total", Counter, ["verdict"], "Claims on idempotency keys, by verdict.";
     LedgerWrites = "jacinthrock_ledger_writes_total", Counter, ["result"], "Group commits of the ledger, by result.";
