--- /dev/null
+++ b/tests/ledger_schedules.rs
@@ -0,0 +1,59 @@
+//! Seeded schedules of the ledger: several hosts, one platform, faults of every sort.
+//!
+//! `JACINTHROCK_SCHEDULES=10000 cargo test --release --test ledger_schedules` is the long run.
+
+mod ledger_support;
+
+use jacinthrock::{CallOutcome, LedgerGuard, PlainGuard};
+use ledger_support::{check, first_caught, run, schedules, seeded};
+use std::collections::BTreeMap;
+
+const CI_SCHEDULES: u64 = 400;
+const PLANTED_SCHEDULES: u64 = 3000;
+
+#[test]
+fn no_schedule_runs_a_key_twice() {
+    let mut outcomes: BTreeMap<String, u64> = BTreeMap::new();
+    for seed in 0..schedules(CI_SCHEDULES) {
+        let report = run(&seeded(seed));
+        let wrong = check(&report);
+        assert!(wrong.is_empty(), "seed {seed}: {wrong:#?}");
+        for answer in &report.answers {
+            let label = match &answer.result {
+                None => "no answer".to_string(),
+                Some(result) => format!("{:?} {:?}", result.outcome, result.code),
+            };
+            *outcomes.entry(label).or_default() += 1;
+        }
+    }
+    println!("answers: {outcomes:#?}");
+    assert!(outcomes.keys().any(|label| label.starts_with("Done")));
+    let unknown = format!("{:?}", CallOutcome::Unknown);
+    assert!(outcomes.keys().any(|label| label.starts_with(&unknown)));
+}
+
+#[test]
+fn every_planted_fault_of_the_ledger_is_caught() {
+    let guards = [
+        LedgerGuard::WriteBeforeGrant,
+        LedgerGuard::ReadBack,
+        LedgerGuard::DecideAgain,
+        LedgerGuard::UnknownIsFinal,
+        LedgerGuard::DeadHolderKeepsClaim,
+        LedgerGuard::FloorCheck,
+    ];
+    for guard in guards {
+        let caught = first_caught(PLANTED_SCHEDULES, Some(guard), None);
+        println!("{guard:?}: {caught:?}");
+        assert!(caught.is_some(), "{guard:?} is not caught");
+    }
+}
+
+#[test]
+fn every_planted_fault_of_plain_calls_is_caught() {
+    for guard in [PlainGuard::BrokenIsUnknown, PlainGuard::ClaimBeforeSend] {
+        let caught = first_caught(PLANTED_SCHEDULES, None, Some(guard));
+        println!("{guard:?}: {caught:?}");
+        assert!(caught.is_some(), "{guard:?} is not caught");
+    }
+}
--- /dev/null
+++ b/tests/ledger_support/mod.rs
@@ -0,0 +1,474 @@
+//! Runs one scenario of several hosts on one store, and checks it against the service's record.
+#![allow(dead_code)]
+
+use jacinthrock::{
+    CallOutcome, ClaimHolder, ClaimRequest, CounterRegistry, LedgerGuard, LedgerOptions,
+    LedgerService, PlainCall, PlainContext, PlainDriver, PlainGuard, PlainOptions, PlainRequest,
+    PlainResult, ResultCode,
+};
+use jacinthrock_standins::fake_service::{FakeService, ListPicker, ServiceFaults, ServiceRun};
+use jacinthrock_standins::fake_store::{FakeStore, StoreFaults};
+use jacinthrock_standins::host_gate::{GateFault, GatePoint, GatedCaller, GatedStore, HostGate};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+pub(crate) const UNIX_BASE: Duration = Duration::from_secs(1_700_000_000);
+
+/// Time for which a scenario's pages are expired.
+const EXPIRY_TIME: Duration = Duration::from_secs(20);
+
+pub(crate) fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Number of schedules: `JACINTHROCK_SCHEDULES`, else the share of CI.
+pub(crate) fn schedules(ci_share: u64) -> u64 {
+    let wanted = std::env::var("JACINTHROCK_SCHEDULES").ok();
+    wanted.and_then(|text| text.parse().ok()).unwrap_or(ci_share)
+}
+
+pub(crate) fn run_paused<T>(future: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum LivenessView {
+    Truth,
+    NobodyLives,
+    EverybodyLives,
+}
+
+#[derive(Clone)]
+pub(crate) enum HostFault {
+    None,
+    Point(GatePoint, GateFault),
+    KillAt(Duration),
+    FreezeAt(Duration, Duration),
+}
+
+#[derive(Clone)]
+pub(crate) struct HostPlan {
+    pub(crate) skew_ms: i64,
+    pub(crate) faults: Vec<HostFault>,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct RequestPlan {
+    pub(crate) at: Duration,
+    pub(crate) host: usize,
+    pub(crate) key: usize,
+    pub(crate) deadline: Duration,
+}
+
+#[derive(Clone)]
+pub(crate) struct Scenario {
+    pub(crate) seed: u64,
+    pub(crate) hosts: Vec<HostPlan>,
+    pub(crate) endpoints: usize,
+    pub(crate) service_faults: ServiceFaults,
+    pub(crate) store_faults: StoreFaults,
+    pub(crate) outages: Vec<(Duration, Duration)>,
+    pub(crate) requests: Vec<RequestPlan>,
+    pub(crate) liveness: LivenessView,
+    pub(crate) expire_every: Option<Duration>,
+    pub(crate) options: LedgerOptions,
+    pub(crate) plain_guard: Option<PlainGuard>,
+}
+
+pub(crate) struct World {
+    pub(crate) store: FakeStore,
+    pub(crate) service: FakeService,
+    pub(crate) started: Instant,
+    pub(crate) hosts: Vec<WorldHost>,
+    options: LedgerOptions,
+    plain_guard: Option<PlainGuard>,
+    picker: Rc<ListPicker>,
+    gates: Rc<RefCell<Vec<HostGate>>>,
+    liveness: LivenessView,
+}
+
+pub(crate) struct WorldHost {
+    pub(crate) gate: HostGate,
+    pub(crate) ledger: LedgerService,
+    pub(crate) driver: PlainDriver,
+    pub(crate) skew_ms: i64,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct AnswerRecord {
+    pub(crate) request: Box<str>,
+    pub(crate) key: Box<str>,
+    pub(crate) at: Instant,
+    pub(crate) result: Option<PlainResult>,
+}
+
+pub(crate) struct Report {
+    pub(crate) answers: Vec<AnswerRecord>,
+    pub(crate) last_answers: Vec<AnswerRecord>,
+    pub(crate) runs: Vec<ServiceRun>,
+}
+
+pub(crate) fn key_at(seed: u64, index: usize) -> Box<str> {
+    key_of(UNIX_BASE + ms(200) * index as u32, seed ^ ((index as u64 + 1) << 32))
+}
+
+pub(crate) fn key_of(time: Duration, seed: u64) -> Box<str> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let millis = time.as_millis() as u64;
+    uuid::Builder::from_unix_timestamp_millis(millis, &rng.random()).into_uuid().to_string().into()
+}
+
+impl World {
+    pub(crate) fn new(scenario: &Scenario) -> Self {
+        let store = FakeStore::new(scenario.seed);
+        let service = FakeService::new(scenario.seed ^ 0x5eed);
+        store.set_faults(scenario.store_faults.clone());
+        service.set_faults(scenario.service_faults.clone());
+        let mut world = Self {
+            store,
+            service,
+            started: Instant::now(),
+            hosts: Vec::new(),
+            options: scenario.options.clone(),
+            plain_guard: scenario.plain_guard,
+            picker: Rc::new(ListPicker::new(scenario.endpoints)),
+            gates: Rc::default(),
+            liveness: scenario.liveness,
+        };
+        for plan in &scenario.hosts {
+            world.add_host(plan.skew_ms);
+        }
+        world
+    }
+
+    pub(crate) fn add_host(&mut self, skew_ms: i64) -> usize {
+        let index = self.hosts.len();
+        let gate = HostGate::new();
+        self.gates.borrow_mut().push(gate.clone());
+        let store = Rc::new(GatedStore::new(gate.clone(), Rc::new(self.store.handle())));
+        let caller = Rc::new(GatedCaller::new(gate.clone(), Rc::new(self.service.clone())));
+        let counters = Rc::new(CounterRegistry::new());
+        let holder = ClaimHolder { host: format!("host-{index}").into(), incarnation: 1 };
+        let (gates, view) = (self.gates.clone(), self.liveness);
+        let is_live = Rc::new(move |host: &str, _: u64| match view {
+            LivenessView::NobodyLives => false,
+            LivenessView::EverybodyLives => true,
+            LivenessView::Truth => {
+                let index: usize = host["host-".len()..].parse().expect("host name");
+                gates.borrow()[index].is_running()
+            }
+        });
+        let options =
+            LedgerOptions { jitter_seed: index as u64 * 1_000_003, ..self.options.clone() };
+        let ledger = LedgerService::new(store, holder, is_live, options, counters.clone());
+        let plain_options = PlainOptions { disabled: self.plain_guard, ..PlainOptions::default() };
+        let driver = PlainDriver::new(caller, ledger.clone(), counters, plain_options);
+        self.hosts.push(WorldHost { gate, ledger, driver, skew_ms });
+        index
+    }
+
+    pub(crate) fn unix_now(&self, host: usize) -> Duration {
+        let now = UNIX_BASE + self.started.elapsed();
+        let skew = self.hosts[host].skew_ms;
+        if skew < 0 { now.saturating_sub(ms(skew.unsigned_abs())) } else { now + ms(skew as u64) }
+    }
+
+    /// Sends a caller's request to a host; the caller gives up a second after its deadline.
+    pub(crate) fn request(
+        &self,
+        host: usize,
+        key: &str,
+        request: Box<str>,
+        deadline: Duration,
+    ) -> impl Future<Output = AnswerRecord> + 'static {
+        let plain = PlainRequest {
+            service: "bookings".into(),
+            customer: "studio".into(),
+            idempotent: false,
+            key: Some(key.into()),
+            call: PlainCall {
+                method: "POST".into(),
+                path: "/slots".into(),
+                headers: vec![("x-request".into(), request.clone())],
+                body: b"bench".as_slice().into(),
+                timeout: deadline,
+            },
+            deadline: Instant::now() + deadline,
+            unix_now: self.unix_now(host),
+        };
+        let context = PlainContext { picker: self.picker.clone(), may_retry: Rc::new(|| true) };
+        let (driver, gate) = (self.hosts[host].driver.clone(), self.hosts[host].gate.clone());
+        let key: Box<str> = key.into();
+        async move {
+            let answer = async {
+                gate.pass().await;
+                let result = driver.run(plain, context).await;
+                gate.pass().await;
+                result
+            };
+            let result = tokio::time::timeout(deadline + ms(1000), answer).await.ok();
+            AnswerRecord { request, key, at: Instant::now(), result }
+        }
+    }
+}
+
+/// Runs a scenario to its end, heals everything, and asks once more for each key.
+pub(crate) fn run(scenario: &Scenario) -> Report {
+    run_paused(async { run_here(scenario).await })
+}
+
+async fn run_here(scenario: &Scenario) -> Report {
+    let mut world = World::new(scenario);
+    for (index, plan) in scenario.hosts.iter().enumerate() {
+        plan_faults(&world.hosts[index].gate, &plan.faults);
+    }
+    plan_outages(&world, &scenario.outages);
+    plan_expiry(&world, scenario);
+    let world_rc = &world;
+    let requests = scenario.requests.iter().enumerate().map(|(number, plan)| async move {
+        tokio::time::sleep(plan.at).await;
+        let key = key_at(scenario.seed, plan.key);
+        let name = format!("request-{number}").into();
+        world_rc.request(plan.host, &key, name, plan.deadline).await
+    });
+    let answers = futures::future::join_all(requests).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    world.store.set_faults(StoreFaults::default());
+    world.service.set_faults(ServiceFaults::default());
+    world.store.set_down(false);
+    let last_answers = ask_again(&mut world, scenario).await;
+    Report { answers, last_answers, runs: world.service.runs() }
+}
+
+fn plan_faults(gate: &HostGate, faults: &[HostFault]) {
+    for fault in faults.iter().cloned() {
+        let gate = gate.clone();
+        match fault {
+            HostFault::None => {}
+            HostFault::Point(point, fault) => gate.plan(point, fault),
+            HostFault::KillAt(at) => {
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(at).await;
+                    gate.kill();
+                });
+            }
+            HostFault::FreezeAt(at, time) => {
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(at).await;
+                    gate.set_frozen(true);
+                    tokio::time::sleep(time).await;
+                    gate.set_frozen(false);
+                });
+            }
+        }
+    }
+}
+
+fn plan_outages(world: &World, outages: &[(Duration, Duration)]) {
+    for (at, time) in outages.iter().copied() {
+        let store = world.store.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(at).await;
+            store.set_down(true);
+            tokio::time::sleep(time).await;
+            store.set_down(false);
+        });
+    }
+}
+
+fn plan_expiry(world: &World, scenario: &Scenario) {
+    let Some(every) = scenario.expire_every else {
+        return;
+    };
+    let ledger = world.hosts[0].ledger.clone();
+    let (started, seed) = (world.started, scenario.seed);
+    tokio::task::spawn_local(async move {
+        while started.elapsed() < EXPIRY_TIME {
+            tokio::time::sleep(every).await;
+            let unix_now = UNIX_BASE + started.elapsed();
+            // A recent key, without which the floor does not rise.
+            let key = key_of(unix_now, seed);
+            let fingerprint = "recent".into();
+            let customer = "office".into();
+            let request = ClaimRequest { key: &key, fingerprint, customer, deadline: ms(500) };
+            drop(ledger.claim(request, unix_now).await);
+            // A failed expiry is made again at the next turn.
+            let _ = ledger.expire(unix_now).await;
+        }
+    });
+}
+
+/// Retries each key at a new host until it is settled, for twice the time of an abandoned claim.
+async fn ask_again(world: &mut World, scenario: &Scenario) -> Vec<AnswerRecord> {
+    let host = world.add_host(0);
+    let keys =
+        scenario.requests.iter().map(|plan| plan.key).collect::<std::collections::BTreeSet<_>>();
+    let until = Instant::now() + world.options.abandon_after * 2 + Duration::from_secs(30);
+    let mut last = Vec::new();
+    for index in keys {
+        let key = key_at(scenario.seed, index);
+        for number in 0.. {
+            let name = format!("last-{index}-{number}").into();
+            let answer = world.request(host, &key, name, ms(2000)).await;
+            let code = answer.result.as_ref().and_then(|result| result.code);
+            last.push(answer);
+            if code != Some(ResultCode::ClaimInFlight) || Instant::now() > until {
+                break;
+            }
+            tokio::time::sleep(ms(1000)).await;
+        }
+    }
+    // Frozen hosts have woken by now; whatever they still send must show in the record.
+    tokio::time::sleep(Duration::from_secs(120)).await;
+    last
+}
+
+/// Compares every answer with the service's own record; returns what is wrong.
+pub(crate) fn check(report: &Report) -> Vec<String> {
+    let mut wrong = Vec::new();
+    let mut runs: BTreeMap<&str, Vec<&ServiceRun>> = BTreeMap::new();
+    for run in &report.runs {
+        runs.entry(&run.key).or_default().push(run);
+    }
+    for (key, runs) in &runs {
+        if runs.len() > 1 {
+            wrong.push(format!("key {key} ran {} times", runs.len()));
+        }
+    }
+    for answer in report.answers.iter().chain(&report.last_answers) {
+        let Some(result) = &answer.result else {
+            continue;
+        };
+        let key_runs = runs.get(&*answer.key).map(Vec::as_slice).unwrap_or_default();
+        match result.outcome {
+            CallOutcome::NotRun => {
+                if key_runs.iter().any(|run| run.request == answer.request) {
+                    wrong.push(format!("{} ran, but its caller heard not run", answer.request));
+                }
+            }
+            CallOutcome::Done => {
+                let body = result.reply.as_ref().map(|reply| &reply.body);
+                let known = key_runs.iter().any(|run| body.is_none_or(|body| *body == run.answer));
+                if !known {
+                    wrong.push(format!("{} heard an answer that was not given", answer.request));
+                }
+            }
+            CallOutcome::Unknown => {}
+        }
+    }
+    for answer in &report.last_answers {
+        let code = answer.result.as_ref().and_then(|result| result.code);
+        let is_last = report.last_answers.iter().rfind(|last| last.key == answer.key);
+        let is_last = is_last.is_some_and(|last| last.request == answer.request);
+        if is_last && (answer.result.is_none() || code == Some(ResultCode::ClaimInFlight)) {
+            wrong.push(format!("{} of key {} is never settled", answer.request, answer.key));
+        }
+    }
+    wrong
+}
+
+/// A scenario that a seed decides.
+pub(crate) fn seeded(seed: u64) -> Scenario {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let host_count = rng.random_range(2..=4);
+    let expires = rng.random_bool(0.25);
+    let (behind, stretch) = if expires { (-14_000, 4) } else { (-6000, 1) };
+    let hosts = (0..host_count).map(|_| seeded_host(&mut rng, behind)).collect();
+    let request_count = rng.random_range(2..=8);
+    let key_count = rng.random_range(1..=3);
+    let requests = (0..request_count)
+        .map(|_| RequestPlan {
+            at: ms(rng.random_range(0..=30) * rng.random_range(1..=150)) * stretch,
+            host: rng.random_range(0..host_count),
+            key: rng.random_range(0..key_count),
+            deadline: ms(rng.random_range(50..=1500)),
+        })
+        .collect();
+    let outage_count = rng.random_range(0..=2);
+    let outages = (0..outage_count)
+        .map(|_| (ms(rng.random_range(0..4000)), ms(rng.random_range(1..3000))))
+        .collect();
+    let views = [LivenessView::Truth, LivenessView::NobodyLives, LivenessView::EverybodyLives];
+    let mut options = LedgerOptions { abandon_after: ms(8000), ..LedgerOptions::default() };
+    if expires {
+        options.window = ms(2000);
+        options.clock_margin = ms(1000);
+        options.page_span = ms(500);
+    }
+    Scenario {
+        seed,
+        hosts,
+        endpoints: rng.random_range(1..=3),
+        service_faults: ServiceFaults {
+            not_sent: rng.random_range(0.0..0.2),
+            refused: rng.random_range(0.0..0.2),
+            lost_call: rng.random_range(0.0..0.1),
+            lost_reply: rng.random_range(0.0..0.2),
+            longest_delay: ms(rng.random_range(0..200)),
+        },
+        store_faults: StoreFaults {
+            lost_call: rng.random_range(0.0..0.15),
+            lost_reply: rng.random_range(0.0..0.15),
+            unavailable: rng.random_range(0.0..0.1),
+            throttled: rng.random_range(0.0..0.05),
+            longest_delay: ms(rng.random_range(0..60)),
+        },
+        outages,
+        requests,
+        liveness: views[rng.random_range(0..views.len())],
+        expire_every: expires.then(|| ms(300)),
+        options,
+        plain_guard: None,
+    }
+}
+
+fn seeded_host(rng: &mut ChaCha8Rng, behind: i64) -> HostPlan {
+    use jacinthrock_standins::host_gate::{GateCall, GateMoment};
+    let calls = [GateCall::Read, GateCall::Write, GateCall::Call];
+    let moments = [GateMoment::Before, GateMoment::After];
+    let faults = (0..rng.random_range(0..=2))
+        .map(|_| {
+            let point = GatePoint {
+                call: calls[rng.random_range(0..calls.len())],
+                moment: moments[rng.random_range(0..moments.len())],
+                nth: rng.random_range(1..=4),
+            };
+            match rng.random_range(0..6) {
+                0 => HostFault::Point(point, GateFault::Kill),
+                1 => HostFault::Point(point, GateFault::Freeze(ms(rng.random_range(1..20_000)))),
+                2 => HostFault::Point(point, GateFault::Lose),
+                3 => HostFault::Point(point, GateFault::Refuse),
+                4 => HostFault::KillAt(ms(rng.random_range(0..3000))),
+                _ => HostFault::FreezeAt(
+                    ms(rng.random_range(0..3000)),
+                    ms(rng.random_range(1..20_000)),
+                ),
+            }
+        })
+        .collect();
+    HostPlan { skew_ms: rng.random_range(behind..=800), faults }
+}
+
+/// Runs seeds with one protection switched off until the checker objects.
+pub(crate) fn first_caught(
+    seeds: u64,
+    ledger_guard: Option<LedgerGuard>,
+    plain_guard: Option<PlainGuard>,
+) -> Option<(u64, Vec<String>)> {
+    (0..seeds).find_map(|seed| {
+        let mut scenario = seeded(seed);
+        scenario.options.disabled = ledger_guard;
+        scenario.plain_guard = plain_guard;
+        let wrong = check(&run(&scenario));
+        let doubled = wrong.iter().any(|text| !text.contains("never settled"));
+        doubled.then_some((seed, wrong))
+    })
+}
