--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod fake_service;
 pub mod fake_store;
 pub mod host_gate;
+pub mod order_engine;
 pub mod token;
--- a/src/ledger/round.rs
+++ b/src/ledger/round.rs
@@ -121,6 +121,7 @@
     pub action: PageAction,
 }
 
+#[derive(Clone)]
 struct PendingIntent {
     id: IntentId,
     intent: PageIntent,
@@ -138,6 +139,7 @@
     seen: Instant,
 }
 
+#[derive(Clone)]
 struct PageWrite {
     expected: ObjectVersion,
     page: LedgerPage,
@@ -163,6 +165,7 @@
 }
 
 /// The state machine of one page on one host.
+#[derive(Clone)]
 pub struct PageLedger {
     holder: ClaimHolder,
     bucket: u64,
