--- a/crates/standins/src/order_engine.rs
+++ b/crates/standins/src/order_engine.rs
@@ -25,6 +25,8 @@
     pub lost_reply: f64,
     /// Longest delay before an order takes effect, and again before its reply.
     pub longest_delay: Duration,
+    /// Longest delay before a state is read, and again before its reply.
+    pub longest_status_delay: Duration,
 }
 
 /// An order that took effect, as the engine itself saw it.
@@ -127,10 +129,10 @@
         self.state.borrow().refused
     }
 
-    async fn delay(&self) {
+    async fn delay(&self, longest: Duration) {
         let delay = {
             let mut state = self.state.borrow_mut();
-            let longest = state.faults.longest_delay.as_micros() as u64;
+            let longest = longest.as_micros() as u64;
             Duration::from_micros(state.rng.random_range(0..=longest))
         };
         tokio::time::sleep(delay).await;
@@ -139,9 +141,10 @@
     async fn perform(
         &self,
         address: &str,
+        longest_delay: Duration,
         effect: impl FnOnce(&mut FleetState) -> Result<EngineStatus, CallFailure>,
     ) -> Result<EngineStatus, CallFailure> {
-        self.delay().await;
+        self.delay(longest_delay).await;
         let (result, lost_reply) = {
             let mut state = self.state.borrow_mut();
             if state.down.contains(address) {
@@ -154,7 +157,7 @@
             let lost_reply = draw < state.faults.lost_call + state.faults.lost_reply;
             (effect(&mut state), lost_reply)
         };
-        self.delay().await;
+        self.delay(longest_delay).await;
         if lost_reply {
             return Err(CallFailure::Broken("reply lost".into()));
         }
@@ -211,7 +214,8 @@
     ) -> LocalBoxFuture<'_, Result<EngineStatus, CallFailure>> {
         let address: Box<str> = address.into();
         async move {
-            let read = self.perform(&address, |state| {
+            let longest = self.state.borrow().faults.longest_status_delay;
+            let read = self.perform(&address, longest, |state| {
                 let status = state.engines.get(&address).cloned();
                 status.ok_or_else(|| CallFailure::NotSent("no such engine".into()))
             });
@@ -229,7 +233,9 @@
     ) -> LocalBoxFuture<'_, Result<EngineStatus, CallFailure>> {
         let address: Box<str> = address.into();
         async move {
-            self.perform(&address, |state| state.order(&self.host, &address, order)).await
+            let longest = self.state.borrow().faults.longest_delay;
+            let effect = |state: &mut FleetState| state.order(&self.host, &address, order);
+            self.perform(&address, longest, effect).await
         }
         .boxed_local()
     }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -225,15 +225,12 @@
             return;
         };
         let engines = engine_addresses(model_endpoints(&config));
-        let actions = {
-            let mut orders = self.orders.borrow_mut();
-            orders.follow(now, &engines);
-            orders.advance(now, lease)
-        };
+        self.orders.borrow_mut().follow(now, lease, &engines);
+        self.plan_orders(now, &config);
+        let actions = self.orders.borrow_mut().advance(now, lease);
         for action in actions {
             tokio::task::spawn_local(self.clone().perform(action));
         }
-        self.plan_orders(now, &config);
     }
 
     /// Places models once the marks and every engine's state are known in this tenure.
--- a/src/order.rs
+++ b/src/order.rs
@@ -9,6 +9,9 @@
 use crate::lease::HeldLease;
 use crate::placement::{DesiredEngine, EngineKnowledge, LayerRange};
 
+/// Time for which an engine is not read while reading back is switched off.
+const UNREAD_TIME: Duration = Duration::from_secs(24 * 60 * 60);
+
 /// Protection of orders that a test switches off to show that its checker notices.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum OrderGuard {
@@ -85,8 +88,8 @@
     busy: bool,
     /// An order was given whose effect was not read back yet.
     unread: bool,
-    /// The engine was ordered to change and does not hold what it should yet.
-    moving: bool,
+    /// Order to change that the engine was given and does not fit yet.
+    moving: Option<EngineOrder>,
 }
 
 /// The state machine of orders in one tenure of the lease.
@@ -103,8 +106,16 @@
         Self { options, fence: 0, tracks: BTreeMap::new(), desired: BTreeMap::new() }
     }
 
-    /// Follows these engines, and forgets all others.
-    pub fn follow(&mut self, now: Instant, engines: &BTreeMap<EndpointName, Box<str>>) {
+    /// Follows these engines under the lease, and forgets all others.
+    pub fn follow(
+        &mut self,
+        now: Instant,
+        lease: HeldLease,
+        engines: &BTreeMap<EndpointName, Box<str>>,
+    ) {
+        if lease.fence != self.fence {
+            self.begin(now, lease.fence);
+        }
         self.tracks.retain(|name, track| engines.get(name) == Some(&track.address));
         for (name, address) in engines {
             self.tracks.entry(name.clone()).or_insert_with(|| EngineTrack {
@@ -115,7 +126,7 @@
                 poll_at: now,
                 busy: false,
                 unread: false,
-                moving: false,
+                moving: None,
             });
         }
     }
@@ -126,6 +137,9 @@
     }
 
     /// What is known about the engines; `None` until each has answered or counts as lost.
+    ///
+    /// An engine that was ordered to change counts as changed, so that a placement made before
+    /// the change is read back does not move another engine in its stead.
     pub fn knowledge(&self, now: Instant) -> Option<EngineKnowledge> {
         let mut knowledge = EngineKnowledge::default();
         for (name, track) in &self.tracks {
@@ -135,6 +149,10 @@
                 continue;
             }
             let status = track.status.clone()?;
+            let status = match &track.moving {
+                Some(order) => obeyed(order, status),
+                None => status,
+            };
             knowledge.statuses.insert(name.clone(), status);
         }
         Some(knowledge)
@@ -142,9 +160,6 @@
 
     /// Decides which states to read and which orders to give under the lease.
     pub fn advance(&mut self, now: Instant, lease: HeldLease) -> Vec<OrderAction> {
-        if lease.fence != self.fence {
-            self.begin(now, lease.fence);
-        }
         let mut moving = self.moving();
         let mut actions = Vec::new();
         let names: Vec<EndpointName> = self.tracks.keys().cloned().collect();
@@ -157,7 +172,7 @@
             let address = track.address.clone();
             if let Some((order, moves)) = order {
                 (track.busy, track.unread) = (true, true);
-                track.moving |= moves;
+                track.moving = moves.then(|| order.clone());
                 actions.push(OrderAction::Send { endpoint: name, address, order });
             } else if track.poll_at <= now {
                 track.busy = true;
@@ -192,8 +207,8 @@
         };
         track.heard = Some(now);
         track.unread = false;
-        let engine = self.desired.get(endpoint);
-        track.moving &= engine.is_some_and(|engine| !fits(engine, &status));
+        let obeys = |order: &EngineOrder| obeyed(order, status.clone()) == status;
+        track.moving = track.moving.take().filter(|order| !obeys(order));
         track.status = Some(status);
     }
 
@@ -205,8 +220,7 @@
         result: Result<EngineStatus, CallFailure>,
     ) {
         if !self.options.guards(OrderGuard::ReadBack) {
-            let pretended = self.pretended_status(endpoint);
-            return self.observe(now, endpoint, pretended.map_or(result, Ok));
+            return self.take_for_done(now, endpoint);
         }
         let Some(track) = self.tracks.get_mut(endpoint) else {
             return;
@@ -226,6 +240,7 @@
             track.heard = None;
             track.followed_since = now;
             track.poll_at = now;
+            track.moving = None;
         }
         self.desired.clear();
     }
@@ -234,7 +249,7 @@
     fn moving(&self) -> BTreeMap<(ServiceName, LayerRange), usize> {
         let mut moving = BTreeMap::new();
         for (name, engine) in &self.desired {
-            let moves = self.tracks.get(name).is_some_and(|track| track.moving);
+            let moves = self.tracks.get(name).is_some_and(|track| track.moving.is_some());
             let count = moving.entry((engine.service.clone(), engine.range)).or_insert(0);
             *count += usize::from(moves);
         }
@@ -258,7 +273,7 @@
         if !engine.endpoint.checks_fence && self.must_wait(now, lease) {
             return None;
         }
-        if !fits && !track.moving && !self.takes_turn(engine, status, moving) {
+        if !fits && track.moving.is_none() && !self.takes_turn(engine, status, moving) {
             return None;
         }
         Some((order_for(engine, self.fence), !fits))
@@ -297,18 +312,18 @@
         true
     }
 
-    fn pretended_status(&self, endpoint: &str) -> Option<EngineStatus> {
-        let engine = self.desired.get(endpoint)?;
-        let status = self.tracks.get(endpoint)?.status.clone()?;
-        Some(EngineStatus {
-            model: engine.model.clone(),
-            version: engine.version.clone(),
-            first_layer: engine.range.first,
-            last_layer: engine.range.last,
-            leaving: engine.leaving,
-            fence: self.fence,
-            ..status
-        })
+    /// Takes an order for done and never reads the engine's state again; only for tests.
+    fn take_for_done(&mut self, now: Instant, endpoint: &str) {
+        let (Some(engine), Some(track)) =
+            (self.desired.get(endpoint), self.tracks.get_mut(endpoint))
+        else {
+            return;
+        };
+        let order = order_for(engine, self.fence);
+        let later = now + UNREAD_TIME;
+        (track.busy, track.unread, track.moving) = (false, false, None);
+        (track.poll_at, track.heard) = (later, Some(later));
+        track.status = track.status.take().map(|status| obeyed(&order, status));
     }
 }
 
@@ -335,6 +350,19 @@
         && status.leaving == engine.leaving
 }
 
+/// The state that an engine has once it obeyed an order.
+fn obeyed(order: &EngineOrder, status: EngineStatus) -> EngineStatus {
+    EngineStatus {
+        model: order.model.clone(),
+        version: order.version.clone(),
+        first_layer: order.first_layer,
+        last_layer: order.last_layer,
+        leaving: order.leaving,
+        fence: status.fence.max(order.fence),
+        ..status
+    }
+}
+
 fn order_for(engine: &DesiredEngine, fence: FenceNumber) -> EngineOrder {
     EngineOrder {
         fence,
