--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -20,4 +20,3 @@
 pub mod service;
 pub mod sweep;
 pub mod token;
-
