--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,5 @@
 //! Development-only stand-ins for the systems that jacinthrock meets, and fakes for tests.
 
+pub mod fake_engine;
 pub mod fake_store;
 pub mod token;
--- /dev/null
+++ b/tests/route_schedules.rs
@@ -0,0 +1,349 @@
+//! Seeded schedules of faults against answers, judged from the engines' own records.
+
+use jacinthrock::{
+    AnswerChecks, AnswerDriver, AnswerOrder, AnswerResult, CallOutcome, CounterRegistry,
+    DriverOptions, EffectiveConfig, EffectiveService, EndpointDeclaration, EndpointFleet,
+    FleetOptions, ModelDeclaration, PriorityClass, ServiceTarget, poll_engines,
+};
+use jacinthrock_standins::fake_engine::{
+    EngineFault, EngineSpec, EngineTimes, FakeEngines, FaultStep, LateArrival, PlannedFault,
+    RunRecord,
+};
+use jacinthrock_standins::token;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const STAGES: u16 = 3;
+const LAYERS_PER_STAGE: u16 = 2;
+const LAYERS: u16 = STAGES * LAYERS_PER_STAGE;
+const REPLICAS: u16 = 3;
+const DEADLINE: Duration = Duration::from_secs(20);
+const CI_SCHEDULES: u64 = 1500;
+
+/// A step of the fault table, before a seed has drawn the position.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TableStep {
+    Start,
+    BeforeLayers,
+    AfterLayers,
+    End,
+}
+
+const STEPS: [TableStep; 4] =
+    [TableStep::Start, TableStep::BeforeLayers, TableStep::AfterLayers, TableStep::End];
+
+#[derive(Clone, Debug)]
+struct Schedule {
+    seed: u64,
+    length: u32,
+    replicas: u16,
+    faults: Vec<PlannedFault>,
+    checks: AnswerChecks,
+}
+
+struct Observed {
+    result: AnswerResult,
+    tokens: Vec<u64>,
+    elapsed: Duration,
+    records: Vec<RunRecord>,
+    arrivals: Vec<LateArrival>,
+    struck: usize,
+}
+
+fn schedule_count() -> u64 {
+    let count = std::env::var("JACINTHROCK_SCHEDULES").ok();
+    count.and_then(|count| count.parse().ok()).unwrap_or(CI_SCHEDULES)
+}
+
+fn endpoint(stage: u16, replica: u16) -> EndpointDeclaration {
+    EndpointDeclaration {
+        name: format!("engine-{stage}-{replica}").into(),
+        address: format!("10.0.{stage}.{replica}:80").into(),
+        domain: format!("domain-{replica}").into(),
+        accelerator: "small".into(),
+        checks_fence: true,
+    }
+}
+
+fn model(replicas: u16) -> ModelDeclaration {
+    let places = (0..STAGES).flat_map(|stage| (0..replicas).map(move |replica| (stage, replica)));
+    ModelDeclaration {
+        name: "guide".into(),
+        version: "3".into(),
+        layers: LAYERS,
+        stages: STAGES,
+        endpoint_slots: 4,
+        endpoints: places.map(|(stage, replica)| endpoint(stage, replica)).collect(),
+    }
+}
+
+fn specs(replicas: u16, rng: &mut ChaCha8Rng) -> Vec<EngineSpec> {
+    let declared = model(replicas).endpoints;
+    let specs = declared.into_iter().enumerate().map(|(index, endpoint)| {
+        let first_layer = index as u16 / replicas * LAYERS_PER_STAGE;
+        EngineSpec {
+            endpoint: endpoint.name,
+            address: endpoint.address,
+            domain: endpoint.domain,
+            model: "guide".into(),
+            version: "3".into(),
+            first_layer,
+            last_layer: first_layer + LAYERS_PER_STAGE - 1,
+            step_time: Duration::from_millis(rng.random_range(1..12)),
+            batch: 4,
+        }
+    });
+    specs.collect()
+}
+
+fn config(model: ModelDeclaration) -> EffectiveConfig {
+    let service = EffectiveService {
+        name: "guide".into(),
+        priority: PriorityClass::Guidance,
+        deadline: DEADLINE,
+        token_gap: Duration::from_secs(1),
+        max_tokens: 64,
+        queue_length: 8,
+        target: ServiceTarget::Model(model),
+    };
+    let services = BTreeMap::from([(service.name.clone(), service)]);
+    EffectiveConfig { revision: 1, services, ..EffectiveConfig::default() }
+}
+
+fn order(schedule: &Schedule) -> AnswerOrder {
+    AnswerOrder {
+        request: format!("request-{}", schedule.seed).into(),
+        model: Rc::new(model(schedule.replicas)),
+        prompt: format!("how hot is the kiln {}", schedule.seed).into(),
+        max_tokens: schedule.length,
+        priority: PriorityClass::Guidance,
+        deadline: Instant::now() + DEADLINE,
+        token_gap: Duration::from_secs(1),
+        first_token_timeout: Duration::from_secs(2),
+    }
+}
+
+fn run(schedule: &Schedule) -> Observed {
+    let builder =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    let runtime = builder.expect("a runtime without I/O can be built");
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, run_on_clock(schedule))
+}
+
+async fn run_on_clock(schedule: &Schedule) -> Observed {
+    let mut rng = ChaCha8Rng::seed_from_u64(schedule.seed);
+    let engines =
+        FakeEngines::start(specs(schedule.replicas, &mut rng), EngineTimes::default(), true);
+    engines.plan_faults(schedule.faults.iter().copied());
+    let counters = Rc::new(CounterRegistry::new());
+    let options = FleetOptions { seed: schedule.seed, ..FleetOptions::default() };
+    let fleet = EndpointFleet::new(options, counters.clone());
+    fleet.apply_config(&config(model(schedule.replicas)));
+    let caller = Rc::new(engines.clone());
+    let poll = poll_engines(fleet.clone(), caller.clone(), Duration::from_millis(200));
+    let poll = tokio::task::spawn_local(poll);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let options = DriverOptions { checks: schedule.checks.clone(), ..DriverOptions::default() };
+    let driver = AnswerDriver::new(fleet, caller, counters, options);
+    let (sink, mut source) = tokio::sync::mpsc::channel(4);
+    let began = Instant::now();
+    let order = order(schedule);
+    let answer = driver.run(order, sink, &|_| true);
+    let collect = async {
+        let mut tokens = Vec::new();
+        while let Some(token) = source.recv().await {
+            tokens.push(token);
+        }
+        tokens
+    };
+    let (result, tokens) = tokio::join!(answer, collect);
+    let elapsed = began.elapsed();
+    // Frozen engines wake and run what is left in them.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    poll.abort();
+    Observed {
+        result,
+        tokens,
+        elapsed,
+        records: engines.records(),
+        arrivals: engines.late_arrivals(),
+        struck: engines.struck().len(),
+    }
+}
+
+/// Recomputes the answer and reads the engines' records; the driver's word is no evidence.
+fn check(schedule: &Schedule, observed: &Observed, must_finish: bool) -> Result<(), String> {
+    let prompt = order_prompt(schedule);
+    let whole = token::whole_answer("guide", "3", &prompt, LAYERS, schedule.length);
+    if observed.elapsed > DEADLINE + Duration::from_millis(1) {
+        return Err(format!("ended after the deadline: {:?}", observed.elapsed));
+    }
+    if !whole.starts_with(&observed.tokens) {
+        return Err(format!("wrong tokens {:?}, not {whole:?}", observed.tokens));
+    }
+    check_runs(&observed.records, observed.tokens.len() as u32)?;
+    let mut leaving = BTreeSet::new();
+    for arrival in &observed.arrivals {
+        if !leaving.insert(&arrival.endpoint) {
+            return Err(format!("{:?} was sent new work after its refusal", arrival.endpoint));
+        }
+    }
+    match &observed.result {
+        AnswerResult::Done { tokens, digest } => {
+            if observed.tokens != whole || *tokens != schedule.length {
+                return Err(format!("done with {} tokens", observed.tokens.len()));
+            }
+            if *digest != token::answer_digest(&whole) {
+                return Err("done with a wrong digest".into());
+            }
+        }
+        AnswerResult::Refused { code, .. } if must_finish => {
+            return Err(format!("refused with {code:?} while a chain was left"));
+        }
+        AnswerResult::Refused { outcome: CallOutcome::NotRun, .. } => {
+            if !observed.records.is_empty() {
+                return Err("refused as not run, but it ran".into());
+            }
+        }
+        AnswerResult::Refused { .. } => {}
+        AnswerResult::Cancelled => return Err("cancelled, though the caller stayed".into()),
+    }
+    Ok(())
+}
+
+fn order_prompt(schedule: &Schedule) -> String {
+    format!("how hot is the kiln {}", schedule.seed)
+}
+
+/// Each accepted position ran in one attempt with every layer once, in order.
+fn check_runs(records: &[RunRecord], accepted: u32) -> Result<(), String> {
+    let mut runs: BTreeMap<(u32, u32), Vec<u16>> = BTreeMap::new();
+    for record in records {
+        runs.entry((record.position, record.attempt)).or_default().push(record.layer);
+    }
+    let every: Vec<u16> = (0..LAYERS).collect();
+    if let Some((key, _)) = runs.iter().find(|(_, layers)| !layers.is_sorted_by(|a, b| a < b)) {
+        return Err(format!("layers repeated or out of order at (position, attempt) {key:?}"));
+    }
+    for position in 0..accepted {
+        let mut attempts = runs.range((position, 0)..(position + 1, 0));
+        if !attempts.any(|(_, layers)| *layers == every) {
+            return Err(format!("no attempt ran every layer for position {position}"));
+        }
+    }
+    Ok(())
+}
+
+fn draw_fault(
+    rng: &mut ChaCha8Rng,
+    fault: EngineFault,
+    step: TableStep,
+    length: u32,
+) -> PlannedFault {
+    let position = rng.random_range(0..length);
+    let step = match step {
+        TableStep::Start => FaultStep::Start,
+        TableStep::BeforeLayers => FaultStep::BeforeLayers(position),
+        TableStep::AfterLayers => FaultStep::AfterLayers(position),
+        TableStep::End => FaultStep::End,
+    };
+    PlannedFault { fault, step, stage: rng.random_range(0..usize::from(STAGES)) }
+}
+
+/// The schedule of one seed: the seed walks the fault table; every third has a second fault.
+fn draw_schedule(seed: u64) -> Schedule {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x5eed);
+    let cells = EngineFault::ALL.len() * STEPS.len();
+    let cell = seed as usize % cells;
+    let length = rng.random_range(1..10);
+    let (fault, step) = (EngineFault::ALL[cell / STEPS.len()], STEPS[cell % STEPS.len()]);
+    let mut faults = vec![draw_fault(&mut rng, fault, step, length)];
+    if rng.random_range(0..3) == 0 {
+        let fault = EngineFault::ALL[rng.random_range(0..EngineFault::ALL.len())];
+        let step = STEPS[rng.random_range(0..STEPS.len())];
+        faults.push(draw_fault(&mut rng, fault, step, length));
+    }
+    Schedule { seed, length, replicas: REPLICAS, faults, checks: AnswerChecks::default() }
+}
+
+#[test]
+fn answers_stay_whole_under_seeded_faults() {
+    let mut struck = 0;
+    for seed in 0..schedule_count() {
+        let schedule = draw_schedule(seed);
+        let observed = run(&schedule);
+        struck += observed.struck;
+        let verdict = check(&schedule, &observed, true);
+        assert_eq!(verdict, Ok(()), "seed {seed}: {schedule:?} -> {:?}", observed.result);
+    }
+    println!("{} schedules, {struck} faults struck", schedule_count());
+}
+
+#[test]
+fn a_stage_lost_at_each_position_leaves_the_answer_whole() {
+    let length = 8;
+    for fault in [EngineFault::Kill, EngineFault::Freeze, EngineFault::FreezeAndWake] {
+        for stage in 0..usize::from(STAGES) {
+            for position in 0..length {
+                for step in [FaultStep::BeforeLayers(position), FaultStep::AfterLayers(position)] {
+                    let faults = vec![PlannedFault { fault, step, stage }];
+                    let checks = AnswerChecks::default();
+                    let schedule = Schedule { seed: 7, length, replicas: 2, faults, checks };
+                    let observed = run(&schedule);
+                    assert_eq!(observed.struck, 1, "{schedule:?}");
+                    assert_eq!(check(&schedule, &observed, true), Ok(()), "{schedule:?}");
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_no_chain_can_finish_is_refused_at_once() {
+    for fault in [EngineFault::Kill, EngineFault::Freeze, EngineFault::Refuse, EngineFault::Leave] {
+        for step in [FaultStep::Start, FaultStep::BeforeLayers(3)] {
+            let faults = vec![PlannedFault { fault, step, stage: 1 }];
+            let checks = AnswerChecks::default();
+            let schedule = Schedule { seed: 11, length: 6, replicas: 1, faults, checks };
+            let observed = run(&schedule);
+            assert_eq!(check(&schedule, &observed, false), Ok(()), "{schedule:?}");
+            assert!(observed.elapsed < Duration::from_secs(2), "{schedule:?}");
+        }
+    }
+}
+
+/// Runs the cells of some faults with a check off, and tells whether the checker caught any.
+fn is_caught(faults: &[EngineFault], checks: &AnswerChecks) -> bool {
+    let cells = faults.iter().flat_map(|fault| STEPS.iter().map(move |step| (*fault, *step)));
+    cells.into_iter().any(|(fault, step)| {
+        (0..20).any(|seed| {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let length = rng.random_range(2..8);
+            let faults = vec![draw_fault(&mut rng, fault, step, length)];
+            let checks = checks.clone();
+            let schedule = Schedule { seed, length, replicas: REPLICAS, faults, checks };
+            check(&schedule, &run(&schedule), true).is_err()
+        })
+    })
+}
+
+#[test]
+fn each_check_that_is_switched_off_is_missed() {
+    let on = AnswerChecks::default;
+    let planted = [
+        (AnswerChecks { attempt: false, ..on() }, vec![EngineFault::LateToken]),
+        (AnswerChecks { position: false, ..on() }, vec![EngineFault::DuplicateToken]),
+        (AnswerChecks { stages: false, ..on() }, vec![EngineFault::OtherVersion]),
+        (AnswerChecks { stages: false, ..on() }, vec![EngineFault::OtherRange]),
+        (AnswerChecks { end: false, ..on() }, vec![EngineFault::EarlyEnd]),
+    ];
+    for (checks, faults) in planted {
+        assert!(is_caught(&faults, &checks), "{checks:?} off was not caught by {faults:?}");
+        assert!(!is_caught(&faults, &on()), "{faults:?} failed with every check on");
+    }
+}
