--- a/src/chain.rs
+++ b/src/chain.rs
@@ -65,9 +65,28 @@
     pub token_time: Duration,
 }
 
+/// Options of a planner.
+#[derive(Clone, Debug)]
+pub struct PlannerOptions {
+    /// How chains are chosen.
+    pub policy: ChainPolicy,
+    /// Seed of the random choices; differs on each host.
+    pub seed: u64,
+    /// Largest random part added to the cost of a stage, so that routers which know the same
+    /// choose among near-equal chains at random.
+    pub spread: f64,
+}
+
+impl Default for PlannerOptions {
+    fn default() -> Self {
+        Self { policy: ChainPolicy::LeastCost, seed: 0, spread: 0.2 }
+    }
+}
+
 /// Chooses chains; holds the random numbers that keep routers from herding.
 pub struct ChainPlanner {
     policy: ChainPolicy,
+    spread: f64,
     rng: ChaCha8Rng,
     turn: usize,
 }
@@ -80,18 +99,26 @@
     previous: Option<usize>,
 }
 
+/// A candidate with its cost, random part included.
+#[derive(Clone, Copy)]
+struct DrawnStage<'a> {
+    candidate: &'a StageCandidate,
+    cost: f64,
+}
+
 impl ChainPlanner {
     /// A planner whose choices depend only on the seed and on what it is asked.
-    pub fn new(policy: ChainPolicy, seed: u64) -> Self {
-        Self { policy, rng: ChaCha8Rng::seed_from_u64(seed), turn: 0 }
+    pub fn new(options: PlannerOptions) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(options.seed);
+        Self { policy: options.policy, spread: options.spread, rng, turn: 0 }
     }
 
     /// Chooses a chain over layers 0 to `layers - 1`, or none where the candidates leave a gap.
     ///
     /// ```
-    /// use jacinthrock::{ChainPlanner, ChainPolicy, LinkTable};
+    /// use jacinthrock::{ChainPlanner, LinkTable, PlannerOptions};
     ///
-    /// let mut planner = ChainPlanner::new(ChainPolicy::LeastCost, 1);
+    /// let mut planner = ChainPlanner::new(PlannerOptions::default());
     /// assert_eq!(planner.plan(24, &[], &LinkTable::default()), None);
     /// ```
     pub fn plan(
@@ -118,14 +145,20 @@
     }
 
     /// Keeps the cheaper of two random endpoints for each range and failure domain.
-    fn draw_candidates<'a>(&mut self, candidates: &'a [StageCandidate]) -> Vec<&'a StageCandidate> {
+    fn draw_candidates<'a>(&mut self, candidates: &'a [StageCandidate]) -> Vec<DrawnStage<'a>> {
         let mut groups: BTreeMap<(LayerIndex, LayerIndex, &str), Vec<&StageCandidate>> =
             BTreeMap::new();
         for candidate in candidates {
             let key = (candidate.first_layer, candidate.last_layer, &*candidate.domain);
             groups.entry(key).or_default().push(candidate);
         }
-        groups.into_values().map(|group| self.better_of_two(&group, stage_cost)).collect()
+        let mut drawn = Vec::with_capacity(groups.len());
+        for group in groups.into_values() {
+            let candidate = self.better_of_two(&group, stage_cost);
+            let extra = candidate.seconds * self.spread * self.rng.random::<f64>();
+            drawn.push(DrawnStage { candidate, cost: stage_cost(candidate) + extra });
+        }
+        drawn
     }
 
     fn better_of_two<'a>(
@@ -199,15 +232,16 @@
 
 fn cheapest_chain(
     layers: LayerIndex,
-    candidates: &[&StageCandidate],
+    drawn: &[DrawnStage<'_>],
     links: &LinkTable,
 ) -> Option<PlannedChain> {
-    let mut ordered = candidates.to_vec();
-    ordered.sort_by_key(|candidate| candidate.first_layer);
+    let mut ordered = drawn.to_vec();
+    ordered.sort_by_key(|stage| stage.candidate.first_layer);
     let mut reaches: Vec<Reach> = Vec::with_capacity(ordered.len());
     let mut best: BTreeMap<(LayerIndex, &str), usize> = BTreeMap::new();
-    for candidate in ordered {
-        let Some(reach) = extend(candidate, &reaches, &best, links) else {
+    for stage in ordered {
+        let candidate = stage.candidate;
+        let Some(reach) = extend(stage, &reaches, &best, links) else {
             continue;
         };
         let key = (candidate.last_layer + 1, &*candidate.domain);
@@ -225,15 +259,15 @@
 
 /// The cheapest way to a candidate, over the failure domains that reach its first layer.
 fn extend<'a>(
-    candidate: &'a StageCandidate,
+    stage: DrawnStage<'a>,
     reaches: &[Reach<'a>],
     best: &BTreeMap<(LayerIndex, &'a str), usize>,
     links: &LinkTable,
 ) -> Option<Reach<'a>> {
+    let DrawnStage { candidate, cost: own } = stage;
     if candidate.last_layer < candidate.first_layer {
         return None;
     }
-    let own = stage_cost(candidate);
     if candidate.first_layer == 0 {
         return Some(Reach { cost: own, seconds: candidate.seconds, candidate, previous: None });
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-use crate::chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+use crate::chain::{ChainPlanner, PlannedChain, PlannerOptions, StageCandidate};
 use crate::counters::{CounterRegistry, MetricName};
 use crate::declaration::{EndpointDeclaration, ModelDeclaration};
 use crate::effective::{EffectiveConfig, ServiceTarget};
@@ -56,9 +56,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
     /// How chains are chosen.
-    pub policy: ChainPolicy,
-    /// Seed of the random choices; differs on each host.
-    pub seed: u64,
+    pub planner: PlannerOptions,
     /// Thresholds of ejection.
     pub ejection: EjectionOptions,
     /// Shortest time between two polls of one endpoint.
@@ -72,8 +70,7 @@
 impl Default for FleetOptions {
     fn default() -> Self {
         Self {
-            policy: ChainPolicy::default(),
-            seed: 0,
+            planner: PlannerOptions::default(),
             ejection: EjectionOptions::default(),
             poll_interval: Duration::from_millis(500),
             polls_per_second: 100,
@@ -310,7 +307,7 @@
             endpoints: BTreeMap::new(),
             links: LinkTable::default(),
             ejections: EjectionTable::new(options.ejection.clone()),
-            planner: ChainPlanner::new(options.policy, options.seed),
+            planner: ChainPlanner::new(options.planner.clone()),
             prefixes: PrefixMemory::default(),
             options,
             counters,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 
 pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
 pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
-pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, PlannerOptions, StageCandidate};
 pub use choice::PlainPicker;
 pub use codes::{CodeRow, ResultCode};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
--- a/tests/route_schedules.rs
+++ b/tests/route_schedules.rs
@@ -3,7 +3,7 @@
 use jacinthrock::{
     AnswerChecks, AnswerDriver, AnswerOrder, AnswerResult, CallOutcome, CounterRegistry,
     DriverOptions, EffectiveConfig, EffectiveService, EndpointDeclaration, EndpointFleet,
-    FleetOptions, ModelDeclaration, PriorityClass, ServiceTarget, poll_engines,
+    FleetOptions, ModelDeclaration, PlannerOptions, PriorityClass, ServiceTarget, poll_engines,
 };
 use jacinthrock_standins::fake_engine::{
     EngineFault, EngineSpec, EngineTimes, FakeEngines, FaultStep, LateArrival, PlannedFault,
@@ -153,7 +153,8 @@
         FakeEngines::start(specs(schedule.replicas, &mut rng), EngineTimes::default(), true);
     engines.plan_faults(schedule.faults.iter().copied());
     let counters = Rc::new(CounterRegistry::new());
-    let options = FleetOptions { seed: schedule.seed, ..FleetOptions::default() };
+    let planner = PlannerOptions { seed: schedule.seed, ..PlannerOptions::default() };
+    let options = FleetOptions { planner, ..FleetOptions::default() };
     let fleet = EndpointFleet::new(options, counters.clone());
     fleet.apply_config(&config(model(schedule.replicas)));
     let caller = Rc::new(engines.clone());
