--- /dev/null
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -0,0 +1,93 @@
+//! Measures policies against the bound, on the paused clock.
+
+use jacinthrock::ChainPolicy;
+use jacinthrock_standins::sweep::{SweepOptions, SweepPoint, run_point};
+use std::time::Duration;
+
+const POLICIES: [ChainPolicy; 5] = [
+    ChainPolicy::LeastCost,
+    ChainPolicy::Random,
+    ChainPolicy::RoundRobin,
+    ChainPolicy::LeastInFlight,
+    ChainPolicy::TwoChoices,
+];
+
+const LOADS: [f64; 5] = [0.5, 0.8, 0.95, 1.1, 1.5];
+
+fn main() {
+    let flags = xflags::parse_or_exit! {
+        /// Seed of arrivals, engines and choices.
+        optional --seed seed: u64
+        /// Requests in flight, as a multiple of the engines' batches together.
+        optional --concurrency factor: f64
+        /// Largest random part of a stage's cost.
+        optional --spread part: f64
+        /// Stages of each chain.
+        optional --stages stages: u16
+        /// Seconds that are counted.
+        optional --window seconds: u64
+        /// Only this policy's points.
+        optional --only policy: String
+        /// Prints JSON in place of a table.
+        optional --json
+    };
+    let defaults = SweepOptions::default();
+    let options = SweepOptions {
+        seed: flags.seed.unwrap_or(defaults.seed),
+        concurrency: flags.concurrency.unwrap_or(defaults.concurrency),
+        spread: flags.spread.unwrap_or(defaults.spread),
+        stages: flags.stages.unwrap_or(defaults.stages),
+        window: flags.window.map_or(defaults.window, Duration::from_secs),
+        ..defaults
+    };
+    let wanted = |policy: &ChainPolicy| {
+        flags.only.as_ref().is_none_or(|only| *only == format!("{policy:?}"))
+    };
+    let points = run_points(&options, POLICIES.into_iter().filter(wanted).collect());
+    if flags.json {
+        println!("{}", serde_json::to_string_pretty(&points).expect("points are valid JSON"));
+        return;
+    }
+    print_table(&points);
+}
+
+/// Runs each policy on a thread of its own, each with its own clock.
+fn run_points(options: &SweepOptions, policies: Vec<ChainPolicy>) -> Vec<SweepPoint> {
+    let run = |policy| {
+        let options = options.clone();
+        std::thread::spawn(move || {
+            LOADS.iter().map(|load| run_point(&options, policy, *load)).collect::<Vec<_>>()
+        })
+    };
+    let threads: Vec<_> = policies.into_iter().map(run).collect();
+    let joined = threads.into_iter().map(|thread| thread.join().expect("a point does not panic"));
+    joined.flatten().collect()
+}
+
+fn print_table(points: &[SweepPoint]) {
+    let Some(first) = points.first() else {
+        return;
+    };
+    println!("bound {:.0} tokens/s", first.bound);
+    println!(
+        "policy          offered reached  whole refused wrong retries  wait p50/p99  gap p50/p99"
+    );
+    for point in points {
+        let [wait_50, wait_99] = point.guidance_wait_ms;
+        let [gap_50, gap_99] = point.guidance_gap_ms;
+        println!(
+            "{:<15} {:>7.2} {:>7.3} {:>6} {:>7} {:>5} {:>7} {:>6}/{:<6} {:>5}/{:<5}",
+            point.policy,
+            point.offered,
+            point.reached,
+            point.whole,
+            point.refused,
+            point.wrong,
+            point.retries,
+            wait_50,
+            wait_99,
+            gap_50,
+            gap_99,
+        );
+    }
+}
--- /dev/null
+++ b/crates/standins/src/bound.rs
@@ -0,0 +1,109 @@
+//! The best steady flow of tokens through the chains, from the rates of engines and links.
+
+use jacinthrock::DomainName;
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::fake_engine::{EngineSpec, LinkSpec};
+
+/// Flow below which a path counts as full, in tokens a second.
+const LEAST_FLOW: f64 = 1e-6;
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FlowNode {
+    Source,
+    Engine(usize, bool),
+    Boundary(u16, DomainName, bool),
+    Sink,
+}
+
+/// Tokens a second that the engines and links carry at best, by maximum flow.
+///
+/// Each engine runs one batch a step; a link carries one token at a time. Links that are not
+/// listed have no limit.
+pub fn token_bound(
+    specs: &[EngineSpec],
+    links: &BTreeMap<(DomainName, DomainName), LinkSpec>,
+    layers: u16,
+) -> f64 {
+    let mut capacities = engine_capacities(specs, layers);
+    add_link_capacities(specs, links, &mut capacities);
+    let mut total = 0.0;
+    while let Some(path) = shortest_path(&capacities) {
+        let room = path.windows(2).map(|hop| capacities[&hop[0]][&hop[1]]);
+        let flow = room.fold(f64::INFINITY, f64::min);
+        for hop in path.windows(2) {
+            *edge(&mut capacities, &hop[0], &hop[1]) -= flow;
+            *edge(&mut capacities, &hop[1], &hop[0]) += flow;
+        }
+        total += flow;
+    }
+    total
+}
+
+type Capacities = BTreeMap<FlowNode, BTreeMap<FlowNode, f64>>;
+
+fn edge<'a>(capacities: &'a mut Capacities, from: &FlowNode, to: &FlowNode) -> &'a mut f64 {
+    capacities.entry(from.clone()).or_default().entry(to.clone()).or_default()
+}
+
+fn engine_capacities(specs: &[EngineSpec], layers: u16) -> Capacities {
+    let mut capacities = Capacities::new();
+    for (index, spec) in specs.iter().enumerate() {
+        let rate = spec.batch as f64 / spec.step_time.as_secs_f64();
+        let (enter, leave) = (FlowNode::Engine(index, false), FlowNode::Engine(index, true));
+        *edge(&mut capacities, &enter, &leave) = rate;
+        let before = match spec.first_layer {
+            0 => FlowNode::Source,
+            first => FlowNode::Boundary(first, spec.domain.clone(), true),
+        };
+        let after = match spec.last_layer + 1 {
+            end if end == layers => FlowNode::Sink,
+            end => FlowNode::Boundary(end, spec.domain.clone(), false),
+        };
+        *edge(&mut capacities, &before, &enter) = f64::INFINITY;
+        *edge(&mut capacities, &leave, &after) = f64::INFINITY;
+    }
+    capacities
+}
+
+fn add_link_capacities(
+    specs: &[EngineSpec],
+    links: &BTreeMap<(DomainName, DomainName), LinkSpec>,
+    capacities: &mut Capacities,
+) {
+    for from in specs {
+        for to in specs.iter().filter(|to| to.first_layer == from.last_layer + 1) {
+            let link = links.get(&(from.domain.clone(), to.domain.clone()));
+            let rate = link.map_or(f64::INFINITY, |link| 1.0 / link.token_time.as_secs_f64());
+            let leave = FlowNode::Boundary(to.first_layer, from.domain.clone(), false);
+            let enter = FlowNode::Boundary(to.first_layer, to.domain.clone(), true);
+            *edge(capacities, &leave, &enter) = rate;
+        }
+    }
+}
+
+fn shortest_path(capacities: &Capacities) -> Option<Vec<FlowNode>> {
+    let mut previous: BTreeMap<FlowNode, FlowNode> = BTreeMap::new();
+    let mut open = VecDeque::from([FlowNode::Source]);
+    while let Some(node) = open.pop_front() {
+        if node == FlowNode::Sink {
+            return Some(trace_back(&previous));
+        }
+        for (next, room) in capacities.get(&node).into_iter().flatten() {
+            if *room > LEAST_FLOW && *next != FlowNode::Source && !previous.contains_key(next) {
+                previous.insert(next.clone(), node.clone());
+                open.push_back(next.clone());
+            }
+        }
+    }
+    None
+}
+
+fn trace_back(previous: &BTreeMap<FlowNode, FlowNode>) -> Vec<FlowNode> {
+    let mut path = vec![FlowNode::Sink];
+    while let Some(node) = previous.get(path.last().expect("the path is not empty")) {
+        path.push(node.clone());
+    }
+    path.reverse();
+    path
+}
--- a/crates/standins/src/fake_engine.rs
+++ b/crates/standins/src/fake_engine.rs
@@ -11,10 +11,11 @@
     PriorityClass, RequestId, RouteStage, StageReport, TokenPosition,
 };
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::Instant;
 
 use crate::token;
 
@@ -118,6 +119,26 @@
     pub batch: usize,
 }
 
+/// A link from one failure domain to another.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkSpec {
+    /// Time of a hop.
+    pub latency: Duration,
+    /// Time for which one token's activations occupy the link.
+    pub token_time: Duration,
+}
+
+/// A planned fault that struck.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StruckFault {
+    /// What happened.
+    pub fault: EngineFault,
+    /// Engine that it struck.
+    pub endpoint: EndpointName,
+    /// When it struck.
+    pub at: Instant,
+}
+
 /// Times that all engines share.
 #[derive(Clone, Debug)]
 pub struct EngineTimes {
@@ -127,8 +148,8 @@
     pub local_hop: Duration,
     /// Time of a hop between engines in different failure domains, unless listed.
     pub remote_hop: Duration,
-    /// Times of hops between pairs of failure domains, in both directions.
-    pub hops: BTreeMap<(DomainName, DomainName), Duration>,
+    /// Links between pairs of failure domains, from the first to the second.
+    pub links: BTreeMap<(DomainName, DomainName), LinkSpec>,
     /// Extra time of each hop out of an engine with [`EngineFault::SlowLink`].
     pub slow_hop: Duration,
     /// Time from a freeze to the wake, with [`EngineFault::FreezeAndWake`].
@@ -149,7 +170,7 @@
             caller_hop: Duration::from_millis(1),
             local_hop: Duration::ZERO,
             remote_hop: Duration::from_millis(1),
-            hops: BTreeMap::new(),
+            links: BTreeMap::new(),
             slow_hop: Duration::from_secs(2),
             wake_after: Duration::from_secs(2),
             prefill_token: Duration::from_micros(200),
@@ -195,7 +216,7 @@
     alive: Cell<bool>,
     frozen: Cell<bool>,
     slow: Cell<bool>,
-    leaving: Cell<Option<tokio::time::Instant>>,
+    leaving: Cell<Option<Instant>>,
     changed: Notify,
     queue: RefCell<BTreeMap<(PriorityClass, u64), EngineJob>>,
     queued: Notify,
@@ -212,7 +233,8 @@
     keep_records: bool,
     records: RefCell<Vec<RunRecord>>,
     faults: RefCell<Vec<PlannedFault>>,
-    struck: RefCell<Vec<(EngineFault, EndpointName)>>,
+    struck: RefCell<Vec<StruckFault>>,
+    link_free: RefCell<BTreeMap<(DomainName, DomainName), Instant>>,
     arrivals: RefCell<Vec<LateArrival>>,
     tokens: Cell<u64>,
 }
@@ -237,7 +259,7 @@
     sender: mpsc::Sender<Result<GenerateEvent, CallFailure>>,
     tokens: Vec<u64>,
     wrong_digest: bool,
-    sent_at: tokio::time::Instant,
+    sent_at: Instant,
 }
 
 /// The answer stopped; its connection is closed by dropping it.
@@ -261,6 +283,7 @@
             records: RefCell::default(),
             faults: RefCell::default(),
             struck: RefCell::default(),
+            link_free: RefCell::default(),
             arrivals: RefCell::default(),
             tokens: Cell::new(0),
         };
@@ -288,8 +311,8 @@
         self.world.records.borrow().clone()
     }
 
-    /// Planned faults that struck, with the engines that they struck.
-    pub fn struck(&self) -> Vec<(EngineFault, EndpointName)> {
+    /// Planned faults that struck.
+    pub fn struck(&self) -> Vec<StruckFault> {
         self.world.struck.borrow().clone()
     }
 
@@ -450,7 +473,7 @@
                 let mut held = engine.held.borrow_mut();
                 held.2 = held.2.saturating_sub(1);
             }
-            EngineFault::Leave => engine.leaving.set(Some(tokio::time::Instant::now())),
+            EngineFault::Leave => engine.leaving.set(Some(Instant::now())),
             EngineFault::CutConnection => return FaultEffect::Close,
             EngineFault::Refuse => return FaultEffect::Refuse,
             EngineFault::LateToken
@@ -467,15 +490,27 @@
         Some(faults.swap_remove(index).fault)
     }
 
+    /// Time of a hop without activations.
     fn hop(&self, from: &EngineCore, to: &EngineCore) -> Duration {
-        let (low, high) = if from.spec.domain <= to.spec.domain {
-            (&from.spec.domain, &to.spec.domain)
-        } else {
-            (&to.spec.domain, &from.spec.domain)
-        };
         let extra = if from.slow.get() { self.times.slow_hop } else { Duration::ZERO };
-        let usual = if low == high { self.times.local_hop } else { self.times.remote_hop };
-        self.times.hops.get(&(low.clone(), high.clone())).copied().unwrap_or(usual) + extra
+        let (from, to) = (&from.spec.domain, &to.spec.domain);
+        let usual = if from == to { self.times.local_hop } else { self.times.remote_hop };
+        let link = self.times.links.get(&(from.clone(), to.clone()));
+        link.map_or(usual, |link| link.latency) + extra
+    }
+
+    /// Time of a hop with one token's activations, after those that occupy the link.
+    fn transfer(&self, from: &EngineCore, to: &EngineCore) -> Duration {
+        let latency = self.hop(from, to);
+        let key = (from.spec.domain.clone(), to.spec.domain.clone());
+        let Some(link) = self.times.links.get(&key) else {
+            return latency;
+        };
+        let now = Instant::now();
+        let mut free = self.link_free.borrow_mut();
+        let free_at = free.entry(key).or_insert(now);
+        *free_at = (*free_at).max(now) + link.token_time;
+        free_at.duration_since(now) + latency
     }
 }
 
@@ -647,7 +682,7 @@
         for stage in 0..self.stages.len() {
             let engine = self.stages[stage].1.clone();
             if stage > 0 {
-                sleep(self.world.hop(&self.stages[stage - 1].1, &engine)).await;
+                sleep(self.world.transfer(&self.stages[stage - 1].1, &engine)).await;
             }
             self.meet_fault(stage, FaultStep::BeforeLayers(position)).await?;
             self.check_alive(stage).await?;
@@ -695,7 +730,9 @@
             return Ok(());
         };
         let engine = self.stages[stage].1.clone();
-        self.world.struck.borrow_mut().push((fault, engine.spec.endpoint.clone()));
+        let endpoint = engine.spec.endpoint.clone();
+        let struck = StruckFault { fault, endpoint, at: Instant::now() };
+        self.world.struck.borrow_mut().push(struck);
         match fault {
             EngineFault::LateToken => self.send_late_token(engine.report()).await?,
             EngineFault::DuplicateToken => self.send_duplicate().await?,
@@ -766,7 +803,7 @@
             call,
             sender,
             wrong_digest: false,
-            sent_at: tokio::time::Instant::now(),
+            sent_at: Instant::now(),
         };
         tokio::task::spawn_local(run.run());
         receiver
@@ -810,30 +847,13 @@
         async move {
             let engine = engine.ok_or_else(|| CallFailure::NotSent("refused".into()))?;
             engine.fence.set(order.fence.max(engine.fence.get()));
-            engine.leaving.set(order.leaving.then(tokio::time::Instant::now));
+            engine.leaving.set(order.leaving.then(Instant::now));
             Ok(engine.status(false))
         }
         .boxed_local()
     }
 }
 
-/// Engines that died or froze among those that faults struck.
-pub fn lost_endpoints(struck: &[(EngineFault, EndpointName)]) -> BTreeSet<EndpointName> {
-    let is_lost = |fault: EngineFault| {
-        matches!(
-            fault,
-            EngineFault::Kill
-                | EngineFault::Freeze
-                | EngineFault::FreezeAndWake
-                | EngineFault::OtherVersion
-                | EngineFault::OtherRange
-                | EngineFault::Leave
-                | EngineFault::SlowLink
-        )
-    };
-    struck.iter().filter(|(fault, _)| is_lost(*fault)).map(|(_, name)| name.clone()).collect()
-}
-
 async fn sleep(duration: Duration) {
     if !duration.is_zero() {
         tokio::time::sleep(duration).await;
