--- a/crates/standins/src/bin/jacinthrock-sweep.rs
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -1,6 +1,8 @@
-//! Measures policies against the bound, on the paused clock.
+//! Measures policies against the bound, and recovery after faults, on the paused clock.
 
 use jacinthrock::ChainPolicy;
+use jacinthrock_standins::fake_engine::EngineFault;
+use jacinthrock_standins::recovery::{RecoveryOptions, RecoveryRow, run_row};
 use jacinthrock_standins::sweep::{SweepOptions, SweepPoint, run_point};
 use std::time::Duration;
 
@@ -28,9 +30,19 @@
         optional --window seconds: u64
         /// Only this policy's points.
         optional --only policy: String
+        /// Measures recovery with this many trials a row, in place of the sweep.
+        optional --recovery trials: u64
         /// Prints JSON in place of a table.
         optional --json
     };
+    if let Some(trials) = flags.recovery {
+        let rows = run_rows(trials);
+        if flags.json {
+            println!("{}", serde_json::to_string_pretty(&rows).expect("rows are valid JSON"));
+            return;
+        }
+        return print_rows(&rows);
+    }
     let defaults = SweepOptions::default();
     let options = SweepOptions {
         seed: flags.seed.unwrap_or(defaults.seed),
@@ -91,3 +103,49 @@
         );
     }
 }
+
+/// Faults by stages and answer length; then cache import against computing, for a kill.
+fn run_rows(trials: u64) -> Vec<RecoveryRow> {
+    let mut rows = Vec::new();
+    let faults = [EngineFault::Kill, EngineFault::Freeze, EngineFault::CutConnection];
+    for fault in faults {
+        for stages in [2, 4, 8] {
+            let answers = 40;
+            rows.push(RecoveryOptions {
+                fault,
+                stages,
+                accepted: 32,
+                imports: true,
+                answers,
+                trials,
+            });
+        }
+    }
+    for (stages, accepted) in [(2, 16), (2, 256), (2, 1024), (4, 256), (8, 256), (8, 1024)] {
+        for imports in [true, false] {
+            let (fault, answers) = (EngineFault::Kill, 4);
+            rows.push(RecoveryOptions { fault, stages, accepted, imports, answers, trials });
+        }
+    }
+    rows.iter().map(run_row).collect()
+}
+
+fn print_rows(rows: &[RecoveryRow]) {
+    println!("fault          stages accepted imports affected lost   p50   p95   p99 worst (ms)");
+    for row in rows {
+        let [p50, p95, p99, worst] = row.recovery_ms;
+        println!(
+            "{:<14} {:>6} {:>8} {:>7} {:>8} {:>4} {:>5} {:>5} {:>5} {:>5}",
+            row.fault,
+            row.stages,
+            row.accepted,
+            row.imports,
+            row.affected,
+            row.lost,
+            p50,
+            p95,
+            p99,
+            worst,
+        );
+    }
+}
--- a/crates/standins/src/fake_engine.rs
+++ b/crates/standins/src/fake_engine.rs
@@ -156,6 +156,8 @@
     pub wake_after: Duration,
     /// Time to compute the KV cache of one earlier token in one stage.
     pub prefill_token: Duration,
+    /// Whether engines import KV caches; else they compute them.
+    pub imports: bool,
     /// Time to import the KV cache of one earlier token into one stage.
     pub import_token: Duration,
     /// Time after which an import from an engine that does not answer is given up.
@@ -174,6 +176,7 @@
             slow_hop: Duration::from_secs(2),
             wake_after: Duration::from_secs(2),
             prefill_token: Duration::from_micros(200),
+            imports: true,
             import_token: Duration::from_micros(20),
             import_timeout: Duration::from_millis(100),
             load_lag: Duration::ZERO,
@@ -218,6 +221,7 @@
     slow: Cell<bool>,
     leaving: Cell<Option<Instant>>,
     changed: Notify,
+    cut: Notify,
     queue: RefCell<BTreeMap<(PriorityClass, u64), EngineJob>>,
     queued: Notify,
     sequence: Cell<u64>,
@@ -295,10 +299,17 @@
         self.world.faults.borrow_mut().extend(faults);
     }
 
-    /// Strikes an engine now.
+    /// Strikes an engine now; a cut breaks every connection of routers to it.
     pub fn strike(&self, address: &str, fault: EngineFault) {
         let engine = self.world.engines[address].clone();
-        self.world.strike(&engine, fault);
+        if let FaultEffect::Close = self.world.strike(&engine, fault) {
+            engine.cut.notify_waiters();
+        }
+    }
+
+    /// Requests of which an engine holds the KV cache.
+    pub fn requests_at(&self, address: &str) -> Vec<RequestId> {
+        self.world.engines[address].cache.borrow().keys().cloned().collect()
     }
 
     /// Wakes a frozen engine.
@@ -344,6 +355,7 @@
             slow: Cell::new(false),
             leaving: Cell::new(None),
             changed: Notify::new(),
+            cut: Notify::new(),
             queue: RefCell::default(),
             queued: Notify::new(),
             sequence: Cell::new(0),
@@ -359,6 +371,7 @@
         self.queue.borrow_mut().clear();
         self.cache.borrow_mut().clear();
         self.changed.notify_waiters();
+        self.cut.notify_waiters();
     }
 
     fn wake(&self) {
@@ -519,7 +532,11 @@
         for (_, engine) in &self.stages {
             engine.open.set(engine.open.get() + 1);
         }
-        let _ = self.generate().await;
+        let first = self.stages[0].1.clone();
+        tokio::select! {
+            _ = self.generate() => {}
+            () = first.cut.notified() => {}
+        }
         for (_, engine) in &self.stages {
             engine.open.set(engine.open.get() - 1);
         }
@@ -648,6 +665,9 @@
     }
 
     async fn import(&self, engine: &EngineCore, wanted: TokenPosition) -> bool {
+        if !self.world.times.imports {
+            return false;
+        }
         for address in &self.call.kv_sources {
             let Some(source) = self.world.engines.get(address) else {
                 continue;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod bound;
 pub mod fake_engine;
 pub mod fake_store;
+pub mod recovery;
 pub mod sweep;
 pub mod token;
--- a/crates/standins/src/sweep.rs
+++ b/crates/standins/src/sweep.rs
@@ -69,7 +69,7 @@
             replicas: 20,
             stages: 2,
             routers: 6,
-            concurrency: 2.5,
+            concurrency: 3.5,
             warm_up: Duration::from_secs(8),
             window: Duration::from_secs(20),
             load_lag: Duration::from_millis(250),
@@ -209,20 +209,31 @@
     }
 }
 
-/// Admits requests up to a limit, guidance first; a stand-in for admission.
+/// Part of the limit that only guidance may use.
+const GUIDANCE_RESERVE: f64 = 0.1;
+
+/// Admits requests up to a limit, guidance first and with a reserve; a stand-in for admission.
 struct RequestGate {
     free: Cell<usize>,
+    reserve: usize,
     waiting: RefCell<BTreeMap<(PriorityClass, u64), oneshot::Sender<()>>>,
     sequence: Cell<u64>,
 }
 
 impl RequestGate {
     fn new(limit: usize) -> Self {
-        Self { free: Cell::new(limit), waiting: RefCell::default(), sequence: Cell::new(0) }
+        let reserve = (limit as f64 * GUIDANCE_RESERVE) as usize;
+        let (free, sequence) = (Cell::new(limit), Cell::new(0));
+        Self { free, reserve, waiting: RefCell::default(), sequence }
+    }
+
+    fn has_room(&self, priority: PriorityClass) -> bool {
+        let kept = if priority == PriorityClass::Guidance { 0 } else { self.reserve };
+        self.free.get() > kept
     }
 
     async fn enter(&self, priority: PriorityClass, deadline: Instant) -> bool {
-        if self.free.get() > 0 {
+        if self.has_room(priority) {
             self.free.set(self.free.get() - 1);
             return true;
         }
@@ -234,12 +245,16 @@
     }
 
     fn leave(&self) {
-        while let Some((_, sender)) = self.waiting.borrow_mut().pop_first() {
-            if sender.send(()).is_ok() {
+        self.free.set(self.free.get() + 1);
+        let mut waiting = self.waiting.borrow_mut();
+        while let Some(entry) = waiting.first_entry() {
+            if !self.has_room(entry.key().0) {
                 return;
             }
+            if entry.remove().send(()).is_ok() {
+                self.free.set(self.free.get() - 1);
+            }
         }
-        self.free.set(self.free.get() + 1);
     }
 }
 
