Let the probe's timeout follow the engines' reply times

A probe of a silent stage waited 120 ms whatever the network. Replies take 2 ms here; the timeout now is the smoothed reply time and four deviations, from 40 to 120 ms, and a probe that times out lengthens the next.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -73,8 +73,10 @@
     pub shortest_suspicion: Duration,
     /// Longest silence after which the stages are asked whether they live.
     pub longest_suspicion: Duration,
-    /// Time for a stage to say that it lives.
-    pub probe_timeout: Duration,
+    /// Shortest time for a stage to say that it lives.
+    pub shortest_probe: Duration,
+    /// Longest time for a stage to say that it lives.
+    pub longest_probe: Duration,
     /// Shortest silence after which an attempt whose stages all live is given up.
     pub shortest_gap: Duration,
 }
@@ -84,7 +86,8 @@
         Self {
             shortest_suspicion: Duration::from_millis(40),
             longest_suspicion: Duration::from_millis(120),
-            probe_timeout: Duration::from_millis(120),
+            shortest_probe: Duration::from_millis(40),
+            longest_probe: Duration::from_millis(120),
             shortest_gap: Duration::from_millis(250),
         }
     }
@@ -102,6 +105,32 @@
 /// Multiple of the overdue time after which an attempt whose stages live is given up.
 const GIVE_UP_FACTOR: f64 = 3.0;
 
+/// A smoothed time and its smoothed deviation.
+#[derive(Clone, Debug)]
+pub(crate) struct SmoothedTime {
+    mean: f64,
+    deviation: f64,
+}
+
+impl SmoothedTime {
+    /// Expects a time until one was observed.
+    pub(crate) fn new(expected: Duration) -> Self {
+        let mean = expected.as_secs_f64();
+        Self { mean, deviation: mean / 2.0 }
+    }
+
+    pub(crate) fn observe(&mut self, time: Duration) {
+        let error = time.as_secs_f64() - self.mean;
+        self.mean += INTERVAL_WEIGHT * error;
+        self.deviation += DEVIATION_WEIGHT * (error.abs() - self.deviation);
+    }
+
+    /// Time that is rarely exceeded.
+    pub(crate) fn overdue(&self) -> Duration {
+        Duration::from_secs_f64(self.mean + OVERDUE_DEVIATIONS * self.deviation)
+    }
+}
+
 /// Bounds of silence that follow the observed time between tokens.
 ///
 /// ```
@@ -117,28 +146,24 @@
 pub struct TokenClock {
     options: SilenceOptions,
     priority: PriorityClass,
-    smoothed: f64,
-    deviation: f64,
+    interval: SmoothedTime,
 }
 
 impl TokenClock {
     /// A clock that expects some time between tokens until it has observed it.
     pub fn new(options: SilenceOptions, priority: PriorityClass, expected: Duration) -> Self {
-        let smoothed = expected.as_secs_f64();
-        Self { options, priority, smoothed, deviation: smoothed / 2.0 }
+        Self { options, priority, interval: SmoothedTime::new(expected) }
     }
 
     /// Takes the time between two tokens.
     pub fn observe(&mut self, interval: Duration) {
-        let error = interval.as_secs_f64() - self.smoothed;
-        self.smoothed += INTERVAL_WEIGHT * error;
-        self.deviation += DEVIATION_WEIGHT * (error.abs() - self.deviation);
+        self.interval.observe(interval);
     }
 
     /// Silence after which the stages are asked whether they live.
     pub fn suspect_after(&self) -> Duration {
         let options = &self.options;
-        self.overdue().clamp(options.shortest_suspicion, options.longest_suspicion)
+        self.interval.overdue().clamp(options.shortest_suspicion, options.longest_suspicion)
     }
 
     /// Silence after which an attempt is given up though its stages live.
@@ -149,11 +174,8 @@
         if self.priority != PriorityClass::Guidance {
             return longest;
         }
-        let adaptive = self.overdue().mul_f64(GIVE_UP_FACTOR).max(self.options.shortest_gap);
+        let adaptive =
+            self.interval.overdue().mul_f64(GIVE_UP_FACTOR).max(self.options.shortest_gap);
         adaptive.saturating_mul(1 << given_up.min(8)).min(longest)
     }
-
-    fn overdue(&self) -> Duration {
-        Duration::from_secs_f64(self.smoothed + OVERDUE_DEVIATIONS * self.deviation)
-    }
 }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -115,8 +115,8 @@
         counters: Rc<CounterRegistry>,
         options: DriverOptions,
     ) -> Self {
-        let timeout = options.silence.probe_timeout;
-        let prober = StatusProber::new(fleet.clone(), caller.clone(), timeout);
+        let silence = options.silence.clone();
+        let prober = StatusProber::new(fleet.clone(), caller.clone(), silence);
         Self { fleet, caller, counters, options, prober }
     }
 
@@ -316,7 +316,7 @@
             });
             let unheard = unheard.map(|stage| (stage.endpoint.clone(), stage.address.clone()));
             let silent = self.prober.first_silent(unheard.collect());
-            let patience = self.options.silence.probe_timeout + clock.suspect_after();
+            let patience = self.options.silence.longest_probe + clock.suspect_after();
             if let Ok(endpoint) = tokio::time::timeout(patience, silent).await {
                 return endpoint;
             }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+use crate::attempt::{SilenceOptions, SmoothedTime};
 use crate::endpoint::{CallFailure, EndpointCaller};
 use crate::fleet::EndpointFleet;
 use crate::ids::EndpointName;
@@ -22,7 +23,8 @@
 pub(crate) struct StatusProber {
     fleet: EndpointFleet,
     caller: Rc<dyn EndpointCaller>,
-    timeout: Duration,
+    options: SilenceOptions,
+    reply_time: Rc<RefCell<SmoothedTime>>,
     open: Rc<RefCell<BTreeMap<EndpointName, ProbeFuture>>>,
 }
 
@@ -30,9 +32,17 @@
     pub(crate) fn new(
         fleet: EndpointFleet,
         caller: Rc<dyn EndpointCaller>,
-        timeout: Duration,
+        options: SilenceOptions,
     ) -> Self {
-        Self { fleet, caller, timeout, open: Rc::default() }
+        let reply_time = Rc::new(RefCell::new(SmoothedTime::new(options.longest_probe / 3)));
+        Self { fleet, caller, options, reply_time, open: Rc::default() }
+    }
+
+    /// Time for an engine to answer, by how long engines took of late.
+    fn timeout(&self) -> Duration {
+        let options = &self.options;
+        let overdue = self.reply_time.borrow().overdue();
+        overdue.clamp(options.shortest_probe, options.longest_probe)
     }
 
     /// Waits until one of the endpoints fails to answer, and names it; never ends if all answer.
@@ -70,9 +80,12 @@
     }
 
     async fn ask(&self, endpoint: &str, address: &str) -> bool {
-        let asked = self.caller.status(address, self.timeout);
-        let reply = tokio::time::timeout(self.timeout, asked).await;
+        let (asked_at, timeout) = (Instant::now(), self.timeout());
+        let asked = self.caller.status(address, timeout);
+        let reply = tokio::time::timeout(timeout, asked).await;
         let now = Instant::now();
+        // A timeout lengthens the next one, so that a slow network does not look like a frozen one.
+        self.reply_time.borrow_mut().observe(now.duration_since(asked_at));
         self.open.borrow_mut().remove(endpoint);
         match reply {
             Ok(Ok(status)) if *status.endpoint == *endpoint => {
