Tell every answer at once that an engine is silent

Each answer waited for its own suspicion and probe although another had already found the engine frozen. Answers now wait for that finding too, and the polls teach the reply time. A token through the engine since the probe outweighs a lost reply, so that one lost packet moves nothing. Kill and cut unchanged.

--- a/crates/standins/src/bin/jacinthrock-sweep.rs
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -107,7 +107,8 @@
 /// Faults by stages and answer length; then cache import against computing, for a kill.
 fn run_rows(trials: u64) -> Vec<RecoveryRow> {
     let mut rows = Vec::new();
-    let faults = [EngineFault::Kill, EngineFault::Freeze, EngineFault::CutConnection];
+    let faults =
+        [EngineFault::Kill, EngineFault::Freeze, EngineFault::CutConnection, EngineFault::SlowLink];
     for fault in faults {
         for stages in [2, 4, 8] {
             let answers = 40;
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -202,12 +202,13 @@
     }
 
     async fn attempt(&self, run: &mut AnswerRun, chain: &PlannedChain) -> AttemptEnd {
-        let _flight = self.fleet.start_flight(chain.stages.iter().map(|s| s.endpoint.clone()));
         let call = self.call(run, chain);
         let remaining = run.order.deadline.saturating_duration_since(Instant::now());
         let mut receiver = self.caller.generate(call, remaining);
         let silence = self.options.silence.clone();
         let mut clock = TokenClock::new(silence, run.order.priority, chain.token_time);
+        let endpoints: Vec<_> = chain.stages.iter().map(|stage| stage.endpoint.clone()).collect();
+        let _flight = self.fleet.start_flight(endpoints.iter().cloned());
         let mut last_token: Option<Instant> = None;
         let mut silent_since = Instant::now();
         loop {
@@ -223,6 +224,9 @@
                 endpoint = self.find_frozen(chain, silent_since, &clock) => {
                     return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
                 }
+                endpoint = self.fleet.silent_since(silent_since, &endpoints) => {
+                    return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
+                }
                 () = sleep_until(silent_since + limit) => {
                     return AttemptEnd::Fault(AttemptFault::Slow);
                 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::attempt::SmoothedTime;
 use crate::chain::{ChainPlanner, PlannedChain, PlannerOptions, StageCandidate};
 use crate::counters::{CounterRegistry, MetricName};
 use crate::declaration::{EndpointDeclaration, ModelDeclaration};
@@ -49,6 +51,9 @@
 /// Seconds that a call to a plain service takes of which nothing was observed yet.
 const UNOBSERVED_CALL_SECONDS: f64 = 0.005;
 
+/// Time of an engine's reply to a status call before one was observed.
+const UNOBSERVED_REPLY: Duration = Duration::from_millis(40);
+
 /// Weight of the newest call in the smoothed latency of a plain service.
 const CALL_SMOOTHING: f64 = 0.1;
 
@@ -161,6 +166,7 @@
     refused_at: Option<Instant>,
     last_alive: Option<Instant>,
     last_strike: Option<Instant>,
+    last_silence: Option<Instant>,
     next_poll: Option<Instant>,
 }
 
@@ -192,6 +198,7 @@
     links: LinkTable,
     ejections: EjectionTable,
     planner: ChainPlanner,
+    reply_time: SmoothedTime,
     prefixes: PrefixMemory,
     counters: Rc<CounterRegistry>,
 }
@@ -212,6 +219,7 @@
 #[derive(Clone)]
 pub struct EndpointFleet {
     state: Rc<RefCell<FleetState>>,
+    silence: Rc<Notify>,
 }
 
 /// Requests of this router in flight at some endpoints; dropping it ends them.
@@ -232,7 +240,8 @@
 impl EndpointFleet {
     /// A fleet without endpoints.
     pub fn new(options: FleetOptions, counters: Rc<CounterRegistry>) -> Self {
-        Self { state: Rc::new(RefCell::new(FleetState::new(options, counters))) }
+        let state = Rc::new(RefCell::new(FleetState::new(options, counters)));
+        Self { state, silence: Rc::default() }
     }
 
     /// Takes the endpoints and links of a configuration; an older revision has no effect.
@@ -295,6 +304,32 @@
         self.with(|state| state.endpoints.get(endpoint).map(|known| known.seconds))
     }
 
+    /// Strikes an engine that did not answer, and tells every answer that waits for it.
+    pub(crate) fn find_silent(&self, now: Instant, endpoint: &str, weight: u32) {
+        self.with(|state| {
+            state.strike(now, endpoint, weight, "frozen");
+            state.note_silence(now, endpoint);
+        });
+        self.silence.notify_waiters();
+    }
+
+    /// Waits until one of the endpoints was found silent at or after `since`, and names it.
+    pub(crate) async fn silent_since(
+        &self,
+        since: Instant,
+        endpoints: &[EndpointName],
+    ) -> EndpointName {
+        loop {
+            let found = self.silence.notified();
+            let is_silent =
+                |name: &&EndpointName| self.with(|state| state.was_silent_since(since, name));
+            if let Some(endpoint) = endpoints.iter().find(is_silent) {
+                return endpoint.clone();
+            }
+            found.await;
+        }
+    }
+
     pub(crate) fn with<T>(&self, action: impl FnOnce(&mut FleetState) -> T) -> T {
         action(&mut self.state.borrow_mut())
     }
@@ -308,6 +343,7 @@
             links: LinkTable::default(),
             ejections: EjectionTable::new(options.ejection.clone()),
             planner: ChainPlanner::new(options.planner.clone()),
+            reply_time: SmoothedTime::new(UNOBSERVED_REPLY),
             prefixes: PrefixMemory::default(),
             options,
             counters,
@@ -400,6 +436,26 @@
         }
     }
 
+    fn note_silence(&mut self, now: Instant, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.last_silence = Some(now);
+        }
+    }
+
+    fn was_silent_since(&self, since: Instant, endpoint: &str) -> bool {
+        let known = self.endpoints.get(endpoint);
+        known.and_then(|known| known.last_silence).is_some_and(|at| at >= since)
+    }
+
+    pub(crate) fn observe_reply(&mut self, elapsed: Duration) {
+        self.reply_time.observe(elapsed);
+    }
+
+    /// Time that an engine's reply rarely takes.
+    pub(crate) fn reply_overdue(&self) -> Duration {
+        self.reply_time.overdue()
+    }
+
     pub(crate) fn was_alive_since(&self, since: Instant, endpoint: &str) -> bool {
         let known = self.endpoints.get(endpoint);
         known.and_then(|known| known.last_alive).is_some_and(|at| at >= since)
@@ -620,6 +676,7 @@
         refused_at: None,
         last_alive: None,
         last_strike: None,
+        last_silence: None,
         next_poll: None,
     }
 }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-use crate::attempt::{SilenceOptions, SmoothedTime};
+use crate::attempt::SilenceOptions;
 use crate::endpoint::{CallFailure, EndpointCaller};
 use crate::fleet::EndpointFleet;
 use crate::ids::EndpointName;
@@ -24,7 +24,6 @@
     fleet: EndpointFleet,
     caller: Rc<dyn EndpointCaller>,
     options: SilenceOptions,
-    reply_time: Rc<RefCell<SmoothedTime>>,
     open: Rc<RefCell<BTreeMap<EndpointName, ProbeFuture>>>,
 }
 
@@ -34,14 +33,13 @@
         caller: Rc<dyn EndpointCaller>,
         options: SilenceOptions,
     ) -> Self {
-        let reply_time = Rc::new(RefCell::new(SmoothedTime::new(options.longest_probe / 3)));
-        Self { fleet, caller, options, reply_time, open: Rc::default() }
+        Self { fleet, caller, options, open: Rc::default() }
     }
 
     /// Time for an engine to answer, by how long engines took of late.
     fn timeout(&self) -> Duration {
         let options = &self.options;
-        let overdue = self.reply_time.borrow().overdue();
+        let overdue = self.fleet.with(|state| state.reply_overdue());
         overdue.clamp(options.shortest_probe, options.longest_probe)
     }
 
@@ -85,15 +83,17 @@
         let reply = tokio::time::timeout(timeout, asked).await;
         let now = Instant::now();
         // A timeout lengthens the next one, so that a slow network does not look like a frozen one.
-        self.reply_time.borrow_mut().observe(now.duration_since(asked_at));
+        self.fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
         self.open.borrow_mut().remove(endpoint);
         match reply {
             Ok(Ok(status)) if *status.endpoint == *endpoint => {
                 self.fleet.observe_status(now, status);
                 true
             }
+            // A token through the engine outweighs a lost reply.
+            _ if self.fleet.with(|state| state.was_alive_since(asked_at, endpoint)) => true,
             _ => {
-                self.fleet.with(|state| state.strike(now, endpoint, FROZEN_WEIGHT, "frozen"));
+                self.fleet.find_silent(now, endpoint, FROZEN_WEIGHT);
                 false
             }
         }
@@ -123,9 +123,13 @@
     address: Box<str>,
     timeout: Duration,
 ) {
+    let asked_at = Instant::now();
     let asked = caller.status(&address, timeout);
     let reply = tokio::time::timeout(timeout, asked).await;
     let now = Instant::now();
+    if matches!(reply, Ok(Ok(_))) {
+        fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
+    }
     match reply {
         Ok(Ok(status)) => fleet.observe_status(now, status),
         Ok(Err(failure)) => fleet.observe_failure(now, &endpoint, &failure),
