Count the way back in the cost of a chain

The token of the last stage goes back to the first, so a chain that ends in another failure domain pays that link too; the cost left it out. Chains over a 100 ms link were chosen as if the way back were free, and drafts of 96 tokens missed their deadline of 20 s even at half load.

--- a/src/chain.rs
+++ b/src/chain.rs
@@ -1,9 +1,10 @@
 //! Choice of a chain: endpoints whose layer ranges cover the model once, in order, at least cost.
 //!
-//! The planner walks the layer boundaries in order and keeps, for each pair of boundary and
-//! failure domain, the cheapest way to reach it. With N endpoints of a model and D failure
-//! domains a choice takes O(N log N + N * D) steps and O(N) memory; the number of chains, which
-//! grows as a power of the number of stages, plays no part.
+//! The planner draws one endpoint for each pair of layer range and failure domain. For each
+//! failure domain in which a chain may start, it walks the layer boundaries in order and keeps,
+//! for each pair of boundary and failure domain, the cheapest way to reach it. With N endpoints
+//! of a model, R layer ranges and D failure domains a choice takes O(N log N + R * D^3) steps;
+//! the number of chains, which grows as a power of the number of stages, plays no part.
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -65,6 +66,15 @@
     pub token_time: Duration,
 }
 
+impl PlannedChain {
+    /// Failure domains of the hops of one token: from stage to stage, and back to the first.
+    pub(crate) fn hops(&self) -> impl Iterator<Item = (&str, &str)> {
+        let hops = if self.domains.len() > 1 { self.domains.len() } else { 0 };
+        let next = self.domains.iter().cycle().skip(1);
+        self.domains.iter().zip(next).take(hops).map(|(from, to)| (&**from, &**to))
+    }
+}
+
 /// Options of a planner.
 #[derive(Clone, Debug)]
 pub struct PlannerOptions {
@@ -94,7 +104,6 @@
 #[derive(Clone, Copy)]
 struct Reach<'a> {
     cost: f64,
-    seconds: f64,
     candidate: &'a StageCandidate,
     previous: Option<usize>,
 }
@@ -230,58 +239,94 @@
     finishing
 }
 
+/// The cheapest cycle through a chain: from the first stage to the last, and back to the first
+/// with the token.
 fn cheapest_chain(
     layers: LayerIndex,
     drawn: &[DrawnStage<'_>],
     links: &LinkTable,
 ) -> Option<PlannedChain> {
+    let map = DomainMap::new(drawn, links);
     let mut ordered = drawn.to_vec();
     ordered.sort_by_key(|stage| stage.candidate.first_layer);
+    let cycles =
+        (0..map.names.len()).filter_map(|home| cheapest_cycle(layers, &ordered, &map, home));
+    let (_, chain) = cycles.min_by(|left, right| left.0.total_cmp(&right.0))?;
+    Some(planned(&chain, links))
+}
+
+/// Failure domains by index, with the seconds of the links between them.
+struct DomainMap<'a> {
+    names: Vec<&'a str>,
+    seconds: Vec<Vec<f64>>,
+}
+
+impl<'a> DomainMap<'a> {
+    fn new(drawn: &[DrawnStage<'a>], links: &LinkTable) -> Self {
+        let names: BTreeSet<&str> = drawn.iter().map(|stage| &*stage.candidate.domain).collect();
+        let names: Vec<&str> = names.into_iter().collect();
+        let row = |from: &&str| names.iter().map(|to| links.seconds(from, to)).collect();
+        let seconds = names.iter().map(row).collect();
+        Self { names, seconds }
+    }
+
+    fn index(&self, domain: &str) -> usize {
+        self.names.binary_search(&domain).expect("every candidate's domain is in the map")
+    }
+}
+
+/// The cheapest cycle that starts in one failure domain, with its cost.
+fn cheapest_cycle<'a>(
+    layers: LayerIndex,
+    ordered: &[DrawnStage<'a>],
+    map: &DomainMap<'a>,
+    home: usize,
+) -> Option<(f64, Vec<&'a StageCandidate>)> {
     let mut reaches: Vec<Reach> = Vec::with_capacity(ordered.len());
-    let mut best: BTreeMap<(LayerIndex, &str), usize> = BTreeMap::new();
+    let mut best: Vec<Vec<Option<usize>>> =
+        vec![vec![None; map.names.len()]; usize::from(layers) + 1];
     for stage in ordered {
         let candidate = stage.candidate;
-        let Some(reach) = extend(stage, &reaches, &best, links) else {
+        let (first, last) = (candidate.first_layer, candidate.last_layer);
+        if last < first || last >= layers {
             continue;
-        };
-        let key = (candidate.last_layer + 1, &*candidate.domain);
-        if best.get(&key).is_some_and(|other| reaches[*other].cost <= reach.cost) {
+        }
+        let domain = map.index(&candidate.domain);
+        let Some(mut reach) = extend(stage, domain, home, &reaches, &best[usize::from(first)], map)
+        else {
             continue;
+        };
+        if last + 1 == layers && first > 0 {
+            reach.cost += map.seconds[domain][home];
+        }
+        let slot = &mut best[usize::from(last) + 1][domain];
+        if slot.is_none_or(|other| reach.cost < reaches[other].cost) {
+            *slot = Some(reaches.len());
+            reaches.push(reach);
         }
-        best.insert(key, reaches.len());
-        reaches.push(reach);
     }
-    let ends = best.iter().filter(|((boundary, _), _)| *boundary == layers);
-    let end =
-        ends.min_by(|left, right| reaches[*left.1].cost.total_cmp(&reaches[*right.1].cost))?;
-    Some(planned(&backtrack(&reaches, *end.1), links))
+    let ends = best[usize::from(layers)].iter().flatten();
+    let end = ends.min_by(|left, right| reaches[**left].cost.total_cmp(&reaches[**right].cost))?;
+    Some((reaches[*end].cost, backtrack(&reaches, *end)))
 }
 
-/// The cheapest way to a candidate, over the failure domains that reach its first layer.
+/// The cheapest way to a stage, over the failure domains that reach its first layer.
 fn extend<'a>(
-    stage: DrawnStage<'a>,
+    stage: &DrawnStage<'a>,
+    domain: usize,
+    home: usize,
     reaches: &[Reach<'a>],
-    best: &BTreeMap<(LayerIndex, &'a str), usize>,
-    links: &LinkTable,
+    before: &[Option<usize>],
+    map: &DomainMap<'_>,
 ) -> Option<Reach<'a>> {
-    let DrawnStage { candidate, cost: own } = stage;
-    if candidate.last_layer < candidate.first_layer {
-        return None;
-    }
+    let DrawnStage { candidate, cost: own } = *stage;
     if candidate.first_layer == 0 {
-        return Some(Reach { cost: own, seconds: candidate.seconds, candidate, previous: None });
+        return (domain == home).then_some(Reach { cost: own, candidate, previous: None });
     }
-    let boundary = candidate.first_layer;
-    let before = best.range((boundary, "")..).take_while(|((reached, _), _)| *reached == boundary);
-    let ways = before.map(|((_, domain), index)| {
-        let link = links.seconds(domain, &candidate.domain);
-        let previous = &reaches[*index];
-        Reach {
-            cost: previous.cost + link + own,
-            seconds: previous.seconds + link + candidate.seconds,
-            candidate,
-            previous: Some(*index),
-        }
+    let ways = before.iter().enumerate().filter_map(|(from, index)| {
+        let previous = (*index)?;
+        let cost = reaches[previous].cost + map.seconds[from][domain] + own;
+        Some(Reach { cost, candidate, previous: Some(previous) })
     });
     ways.min_by(|left, right| left.cost.total_cmp(&right.cost))
 }
@@ -304,11 +349,13 @@
         first_layer: candidate.first_layer,
         last_layer: candidate.last_layer,
     });
-    let hops = chain.windows(2).map(|pair| links.seconds(&pair[0].domain, &pair[1].domain));
-    let seconds = chain.iter().map(|candidate| candidate.seconds).sum::<f64>() + hops.sum::<f64>();
-    PlannedChain {
+    let mut planned = PlannedChain {
         stages: stages.collect(),
         domains: chain.iter().map(|candidate| candidate.domain.clone()).collect(),
-        token_time: Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)),
-    }
+        token_time: Duration::ZERO,
+    };
+    let hops: f64 = planned.hops().map(|(from, to)| links.seconds(from, to)).sum();
+    let seconds = hops + chain.iter().map(|candidate| candidate.seconds).sum::<f64>();
+    planned.token_time = Duration::from_secs_f64(seconds.clamp(0.0, 3600.0));
+    planned
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -583,9 +583,9 @@
     /// Learns from the time between two tokens of a chain.
     pub(crate) fn observe_token(&mut self, now: Instant, chain: &PlannedChain, elapsed: Duration) {
         let error = elapsed.as_secs_f64() - self.predicted_seconds(chain);
-        let parts = (2 * chain.stages.len()).saturating_sub(1).max(1) as f64;
-        for pair in chain.domains.windows(2) {
-            self.links.correct(&pair[0], &pair[1], error / parts);
+        let parts = (chain.stages.len() + chain.hops().count()) as f64;
+        for (from, to) in chain.hops() {
+            self.links.correct(from, to, error / parts);
         }
         for stage in &chain.stages {
             self.succeed(now, &stage.endpoint);
@@ -600,7 +600,7 @@
 
     fn predicted_seconds(&self, chain: &PlannedChain) -> f64 {
         let stages = chain.stages.iter().filter_map(|stage| self.endpoints.get(&stage.endpoint));
-        let hops = chain.domains.windows(2).map(|pair| self.links.seconds(&pair[0], &pair[1]));
+        let hops = chain.hops().map(|(from, to)| self.links.seconds(from, to));
         stages.map(|known| known.seconds * known.crowding()).sum::<f64>() + hops.sum::<f64>()
     }
 
--- a/tests/route_chains.rs
+++ b/tests/route_chains.rs
@@ -53,20 +53,25 @@
     LinkTable::new(&[link("domain-0", "domain-1", 250), link("domain-0", "domain-2", 25_000)])
 }
 
-/// Least cost over every chain from a layer on, by trying all of them.
+/// Least cost over every chain from a layer on, by trying all of them; `ends` are the first and
+/// the last stage chosen so far.
 fn least_cost(
     from: u16,
-    before: Option<&StageCandidate>,
+    ends: Option<(&StageCandidate, &StageCandidate)>,
     candidates: &[StageCandidate],
     links: &LinkTable,
 ) -> Option<f64> {
     if from == LAYERS {
-        return Some(0.0);
+        let (first, last) = ends?;
+        let is_cycle = first.endpoint != last.endpoint;
+        return Some(if is_cycle { links.seconds(&last.domain, &first.domain) } else { 0.0 });
     }
     let next = candidates.iter().filter(|candidate| candidate.first_layer == from);
     let costs = next.filter_map(|candidate| {
-        let rest = least_cost(candidate.last_layer + 1, Some(candidate), candidates, links)?;
-        let hop = before.map_or(0.0, |before| links.seconds(&before.domain, &candidate.domain));
+        let first = ends.map_or(candidate, |(first, _)| first);
+        let after = Some((first, candidate));
+        let rest = least_cost(candidate.last_layer + 1, after, candidates, links)?;
+        let hop = ends.map_or(0.0, |(_, last)| links.seconds(&last.domain, &candidate.domain));
         Some(rest + hop + candidate.seconds)
     });
     costs.reduce(f64::min)
