Refuse an answer that is known to miss its deadline

At 150% of the bound most lost capacity went to drafts that were cut off at their deadline. Before an attempt, the tokens left times the chain's token time is compared with the time left; where every stage is at work and was observed for 200 tokens, an answer that can't finish is refused as not run.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -145,6 +145,9 @@
                 }
                 self.counters.count(MetricName::Retries, &[fault.reason()]);
             }
+            if self.is_unreachable(&run, &chain) {
+                return self.refuse(&run, ResultCode::DeadlineUnreachable);
+            }
             let end = self.attempt(&mut run, &chain).await;
             self.count_end(&end);
             match end {
@@ -185,6 +188,14 @@
         self.fleet.plan(Instant::now(), &demand)
     }
 
+    /// Whether the rest of the answer is known to take longer than the time to the deadline.
+    fn is_unreachable(&self, run: &AnswerRun, chain: &PlannedChain) -> bool {
+        let left = run.order.max_tokens - run.assembler.tokens().len() as TokenPosition;
+        let needed = chain.token_time * left;
+        let remaining = run.order.deadline.saturating_duration_since(Instant::now());
+        needed > remaining && self.fleet.with(|state| state.knows_time(chain))
+    }
+
     fn refuse(&self, run: &AnswerRun, code: ResultCode) -> AnswerResult {
         let outcome = if run.is_not_run { CallOutcome::NotRun } else { CallOutcome::Unknown };
         let retry_after = RETRY_AFTER.mul_f64(self.fleet.with(|state| state.jitter()));
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -48,6 +48,9 @@
 /// Time after which an endpoint that gives no reports is tried again after its refusal.
 const REFUSAL_RETRY: Duration = Duration::from_secs(30);
 
+/// Tokens after which the time of a stage counts as known.
+const KNOWN_OBSERVATIONS: u32 = 200;
+
 /// Seconds that a call to a plain service takes of which nothing was observed yet.
 const UNOBSERVED_CALL_SECONDS: f64 = 0.005;
 
@@ -162,6 +165,7 @@
     others: f64,
     in_flight: u32,
     seconds: f64,
+    observations: u32,
     leaving: BTreeSet<LeavingSource>,
     refused_at: Option<Instant>,
     last_alive: Option<Instant>,
@@ -592,12 +596,24 @@
             let Some(known) = self.endpoints.get_mut(&stage.endpoint) else {
                 continue;
             };
+            known.observations = known.observations.saturating_add(1);
             let crowding = known.crowding();
             let change = LEARNING_RATE * error / parts / crowding;
             known.seconds = (known.seconds + change).max(LEAST_STAGE_SECONDS);
         }
     }
 
+    /// Whether the chain's time for a token is known: every stage is at work for this router and
+    /// was observed for long enough. A chain at rest is tried, so that no wrong time stays.
+    pub(crate) fn knows_time(&self, chain: &PlannedChain) -> bool {
+        chain.stages.iter().all(|stage| {
+            let known = self.endpoints.get(&stage.endpoint);
+            known.is_some_and(|known| {
+                known.in_flight > 0 && known.observations >= KNOWN_OBSERVATIONS
+            })
+        })
+    }
+
     fn predicted_seconds(&self, chain: &PlannedChain) -> f64 {
         let stages = chain.stages.iter().filter_map(|stage| self.endpoints.get(&stage.endpoint));
         let hops = chain.hops().map(|(from, to)| self.links.seconds(from, to));
@@ -671,6 +687,7 @@
         report: None,
         others: 0.0,
         in_flight: 0,
+        observations: 0,
         seconds: if is_engine { UNOBSERVED_STAGE_SECONDS } else { UNOBSERVED_CALL_SECONDS },
         leaving: BTreeSet::new(),
         refused_at: None,
