Learn how much longer each priority's tokens take

Under overload engines serve guidance first, so a draft's tokens take longer than the average that the chain's time holds, and hopeless drafts were still started. The ratio of observed to predicted time is now smoothed for each priority and stretches the estimate.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -191,7 +191,8 @@
     /// Whether the rest of the answer is known to take longer than the time to the deadline.
     fn is_unreachable(&self, run: &AnswerRun, chain: &PlannedChain) -> bool {
         let left = run.order.max_tokens - run.assembler.tokens().len() as TokenPosition;
-        let needed = chain.token_time * left;
+        let stretch = self.fleet.with(|state| state.stretch(run.order.priority));
+        let needed = chain.token_time.mul_f64(stretch) * left;
         let remaining = run.order.deadline.saturating_duration_since(Instant::now());
         needed > remaining && self.fleet.with(|state| state.knows_time(chain))
     }
@@ -312,7 +313,7 @@
         };
         let interval = now.duration_since(previous);
         clock.observe(interval);
-        self.fleet.with(|state| state.observe_token(now, chain, interval));
+        self.fleet.with(|state| state.observe_token(now, chain, run.order.priority, interval));
     }
 
     /// Asks the stages whether they live once tokens are overdue; ends with one that does not.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -13,7 +13,7 @@
 use crate::declaration::{EndpointDeclaration, ModelDeclaration};
 use crate::effective::{EffectiveConfig, ServiceTarget};
 use crate::ejection::{EjectionOptions, EjectionTable, EndpointHealth};
-use crate::endpoint::{CallFailure, EngineStatus};
+use crate::endpoint::{CallFailure, EngineStatus, PriorityClass};
 use crate::ids::{ConfigRevision, DomainName, EndpointName, LayerIndex, ServiceName};
 use crate::link::LinkTable;
 use crate::prefix::PrefixMemory;
@@ -48,6 +48,9 @@
 /// Time after which an endpoint that gives no reports is tried again after its refusal.
 const REFUSAL_RETRY: Duration = Duration::from_secs(30);
 
+/// Weight of the newest token in how much longer a priority's tokens take than the average one.
+const STRETCH_WEIGHT: f64 = 0.005;
+
 /// Tokens after which the time of a stage counts as known.
 const KNOWN_OBSERVATIONS: u32 = 200;
 
@@ -203,6 +206,7 @@
     ejections: EjectionTable,
     planner: ChainPlanner,
     reply_time: SmoothedTime,
+    stretches: BTreeMap<PriorityClass, f64>,
     prefixes: PrefixMemory,
     counters: Rc<CounterRegistry>,
 }
@@ -348,6 +352,7 @@
             ejections: EjectionTable::new(options.ejection.clone()),
             planner: ChainPlanner::new(options.planner.clone()),
             reply_time: SmoothedTime::new(UNOBSERVED_REPLY),
+            stretches: BTreeMap::new(),
             prefixes: PrefixMemory::default(),
             options,
             counters,
@@ -585,8 +590,17 @@
     }
 
     /// Learns from the time between two tokens of a chain.
-    pub(crate) fn observe_token(&mut self, now: Instant, chain: &PlannedChain, elapsed: Duration) {
-        let error = elapsed.as_secs_f64() - self.predicted_seconds(chain);
+    pub(crate) fn observe_token(
+        &mut self,
+        now: Instant,
+        chain: &PlannedChain,
+        priority: PriorityClass,
+        elapsed: Duration,
+    ) {
+        let predicted = self.predicted_seconds(chain);
+        let error = elapsed.as_secs_f64() - predicted;
+        let stretch = self.stretches.entry(priority).or_insert(1.0);
+        *stretch += STRETCH_WEIGHT * (elapsed.as_secs_f64() / predicted - *stretch);
         let parts = (chain.stages.len() + chain.hops().count()) as f64;
         for (from, to) in chain.hops() {
             self.links.correct(from, to, error / parts);
@@ -603,6 +617,11 @@
         }
     }
 
+    /// How much longer a token of this priority takes than the average one.
+    pub(crate) fn stretch(&self, priority: PriorityClass) -> f64 {
+        self.stretches.get(&priority).copied().unwrap_or(1.0)
+    }
+
     /// Whether the chain's time for a token is known: every stage is at work for this router and
     /// was observed for long enough. A chain at rest is tried, so that no wrong time stays.
     pub(crate) fn knows_time(&self, chain: &PlannedChain) -> bool {
