Give up a silent attempt after twice the overdue time

A degraded link leaves every stage alive, so only the silence tells. Adds tests of one answer from order to end.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -103,7 +103,7 @@
 const OVERDUE_DEVIATIONS: f64 = 4.0;
 
 /// Multiple of the overdue time after which an attempt whose stages live is given up.
-const GIVE_UP_FACTOR: f64 = 3.0;
+const GIVE_UP_FACTOR: f64 = 2.0;
 
 /// A smoothed time and its smoothed deviation.
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/tests/answer_driver.rs
@@ -0,0 +1,298 @@
+//! One answer from order to end: cancels, deadlines, budgets, outcomes and counters.
+
+use assert_matches::assert_matches;
+use jacinthrock::{
+    AnswerDriver, AnswerOrder, AnswerResult, CallOutcome, CounterRegistry, DriverOptions,
+    EffectiveConfig, EffectiveService, EndpointDeclaration, EndpointFleet, EndpointHealth,
+    FleetOptions, MetricName, ModelDeclaration, PriorityClass, ResultCode, ServiceTarget,
+    poll_engines,
+};
+use jacinthrock_standins::fake_engine::{
+    EngineFault, EngineSpec, EngineTimes, FakeEngines, FaultStep, PlannedFault,
+};
+use jacinthrock_standins::token;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+const LAYERS: u16 = 4;
+const LENGTH: u32 = 10;
+
+struct TestBed {
+    engines: FakeEngines,
+    fleet: EndpointFleet,
+    driver: AnswerDriver,
+    counters: Rc<CounterRegistry>,
+    model: Rc<ModelDeclaration>,
+}
+
+fn on_clock<T>(test: impl Future<Output = T>) -> T {
+    let builder =
+        tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    tokio::task::LocalSet::new().block_on(&builder.expect("a runtime can be built"), test)
+}
+
+fn spec(stage: u16, replica: u16) -> EngineSpec {
+    EngineSpec {
+        endpoint: format!("engine-{stage}-{replica}").into(),
+        address: format!("10.0.{stage}.{replica}:80").into(),
+        domain: format!("domain-{replica}").into(),
+        model: "guide".into(),
+        version: "3".into(),
+        first_layer: stage * 2,
+        last_layer: stage * 2 + 1,
+        step_time: Duration::from_millis(10),
+        batch: 4,
+    }
+}
+
+async fn start(replicas: u16) -> TestBed {
+    let places = (0..2).flat_map(|stage| (0..replicas).map(move |replica| (stage, replica)));
+    let specs: Vec<_> = places.map(|(stage, replica)| spec(stage, replica)).collect();
+    let endpoints = specs.iter().map(|spec| EndpointDeclaration {
+        name: spec.endpoint.clone(),
+        address: spec.address.clone(),
+        domain: spec.domain.clone(),
+        accelerator: "small".into(),
+        checks_fence: true,
+    });
+    let model = ModelDeclaration {
+        name: "guide".into(),
+        version: "3".into(),
+        layers: LAYERS,
+        stages: 2,
+        endpoint_slots: 4,
+        endpoints: endpoints.collect(),
+    };
+    let service = EffectiveService {
+        name: "guide".into(),
+        priority: PriorityClass::Guidance,
+        deadline: Duration::from_secs(10),
+        token_gap: Duration::from_secs(1),
+        max_tokens: 64,
+        queue_length: 8,
+        target: ServiceTarget::Model(model.clone()),
+    };
+    let services = BTreeMap::from([(service.name.clone(), service)]);
+    let engines = FakeEngines::start(specs, EngineTimes::default(), true);
+    let counters = Rc::new(CounterRegistry::new());
+    let fleet = EndpointFleet::new(FleetOptions::default(), counters.clone());
+    fleet.apply_config(&EffectiveConfig { revision: 1, services, ..Default::default() });
+    let caller = Rc::new(engines.clone());
+    let polls = poll_engines(fleet.clone(), caller.clone(), Duration::from_millis(200));
+    tokio::task::spawn_local(polls);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let options = DriverOptions::default();
+    let driver = AnswerDriver::new(fleet.clone(), caller, counters.clone(), options);
+    TestBed { engines, fleet, driver, counters, model: Rc::new(model) }
+}
+
+impl TestBed {
+    fn order(&self, deadline: Duration) -> AnswerOrder {
+        AnswerOrder {
+            request: "request".into(),
+            model: self.model.clone(),
+            prompt: "how hot".into(),
+            max_tokens: LENGTH,
+            priority: PriorityClass::Guidance,
+            deadline: Instant::now() + deadline,
+            token_gap: Duration::from_secs(1),
+            first_token_timeout: Duration::from_secs(2),
+        }
+    }
+
+    async fn answer(&self, deadline: Duration, may_retry: bool) -> (AnswerResult, Vec<u64>) {
+        let (sink, mut source) = mpsc::channel(1);
+        let retry = |_: &str| may_retry;
+        let run = self.driver.run(self.order(deadline), sink, &retry);
+        let collect = async {
+            let mut tokens = Vec::new();
+            while let Some(token) = source.recv().await {
+                tokens.push(token);
+            }
+            tokens
+        };
+        tokio::join!(run, collect)
+    }
+
+    fn plan(&self, fault: EngineFault, step: FaultStep, stage: usize) {
+        self.engines.plan_faults([PlannedFault { fault, step, stage }]);
+    }
+
+    fn open(&self) -> u32 {
+        let endpoints = self.model.endpoints.iter();
+        endpoints.map(|endpoint| self.engines.open_attempts(&endpoint.address)).sum()
+    }
+}
+
+#[test]
+fn a_caller_that_goes_away_cancels_the_attempt_at_the_engines() {
+    on_clock(async {
+        let bed = start(2).await;
+        let (sink, mut source) = mpsc::channel(1);
+        let retry = |_: &str| true;
+        let leave = async {
+            source.recv().await.expect("a token comes");
+            drop(source);
+        };
+        let order = bed.order(Duration::from_secs(10));
+        let (result, ()) = tokio::join!(bed.driver.run(order, sink, &retry), leave);
+        assert_eq!(result, AnswerResult::Cancelled);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(bed.open(), 0);
+        assert!(
+            bed.model.endpoints.iter().all(|endpoint| bed.fleet.in_flight(&endpoint.name) == 0)
+        );
+    });
+}
+
+#[test]
+fn nothing_is_sent_after_the_deadline() {
+    on_clock(async {
+        let bed = start(2).await;
+        let (result, tokens) = bed.answer(Duration::from_millis(90), true).await;
+        let refused = AnswerResult::Refused {
+            code: ResultCode::DeadlinePassed,
+            retry_after: Duration::ZERO,
+            outcome: CallOutcome::Unknown,
+        };
+        assert_eq!(without_retry_after(result), refused);
+        assert!(tokens.len() < LENGTH as usize);
+        let late = bed.order(Duration::ZERO);
+        let (sink, _source) = mpsc::channel(1);
+        let result = bed.driver.run(late, sink, &|_| true).await;
+        assert_matches!(result, AnswerResult::Refused { outcome: CallOutcome::NotRun, .. });
+    });
+}
+
+fn without_retry_after(result: AnswerResult) -> AnswerResult {
+    match result {
+        AnswerResult::Refused { code, outcome, .. } => {
+            AnswerResult::Refused { code, retry_after: Duration::ZERO, outcome }
+        }
+        other => other,
+    }
+}
+
+#[test]
+fn a_caller_that_reads_slowly_is_no_fault_of_the_stages() {
+    on_clock(async {
+        let bed = start(2).await;
+        let (sink, mut source) = mpsc::channel(1);
+        let retry = |_: &str| true;
+        let read = async {
+            let mut tokens = Vec::new();
+            while let Some(token) = source.recv().await {
+                tokens.push(token);
+                tokio::time::sleep(Duration::from_millis(700)).await;
+            }
+            tokens
+        };
+        let order = bed.order(Duration::from_secs(60));
+        let (result, tokens) = tokio::join!(bed.driver.run(order, sink, &retry), read);
+        assert_matches!(result, AnswerResult::Done { .. });
+        assert_eq!(tokens, token::whole_answer("guide", "3", "how hot", LAYERS, LENGTH));
+        assert_eq!(bed.counters.value(MetricName::Attempts, &["whole"]), 1);
+        assert_eq!(bed.counters.value(MetricName::Attempts, &["slow"]), 0);
+    });
+}
+
+#[test]
+fn a_spent_retry_budget_ends_the_answer_at_once() {
+    on_clock(async {
+        let bed = start(2).await;
+        bed.plan(EngineFault::Kill, FaultStep::BeforeLayers(4), 1);
+        let (result, tokens) = bed.answer(Duration::from_secs(10), false).await;
+        let code = assert_matches!(
+            result,
+            AnswerResult::Refused { code, outcome: CallOutcome::Unknown, .. } => code
+        );
+        assert_eq!((code, tokens.len()), (ResultCode::RetryBudgetSpent, 4));
+        assert_eq!(bed.counters.value(MetricName::Retries, &["stage_failed"]), 0);
+    });
+}
+
+#[test]
+fn each_retry_and_each_token_is_counted_by_its_reason() {
+    on_clock(async {
+        let bed = start(3).await;
+        bed.plan(EngineFault::DuplicateToken, FaultStep::BeforeLayers(2), 0);
+        bed.plan(EngineFault::LateToken, FaultStep::BeforeLayers(3), 0);
+        bed.plan(EngineFault::Kill, FaultStep::BeforeLayers(5), 1);
+        let (result, _) = bed.answer(Duration::from_secs(10), true).await;
+        assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+        let counted = |kind| bed.counters.value(MetricName::Tokens, &[kind]);
+        assert_eq!((counted("accepted"), counted("duplicate"), counted("stray")), (10, 1, 1));
+        assert_eq!(bed.counters.value(MetricName::Retries, &["stage_failed"]), 1);
+    });
+}
+
+#[test]
+fn a_refusal_before_the_start_did_not_run() {
+    on_clock(async {
+        let bed = start(1).await;
+        bed.plan(EngineFault::Refuse, FaultStep::Start, 0);
+        let (result, _) = bed.answer(Duration::from_secs(10), true).await;
+        let code = assert_matches!(
+            result,
+            AnswerResult::Refused { code, outcome: CallOutcome::NotRun, .. } => code
+        );
+        assert_eq!(code, ResultCode::NoChain);
+        assert!(bed.engines.records().is_empty());
+    });
+}
+
+#[test]
+fn callers_refused_together_come_back_apart() {
+    on_clock(async {
+        let bed = start(1).await;
+        bed.engines.strike("10.0.1.0:80", EngineFault::Kill);
+        let mut times = Vec::new();
+        for _ in 0..8 {
+            let (result, _) = bed.answer(Duration::from_secs(10), true).await;
+            times.push(assert_matches!(
+                result,
+                AnswerResult::Refused { retry_after, .. } => retry_after
+            ));
+        }
+        times.sort();
+        assert!(times.windows(2).all(|pair| pair[0] < pair[1]), "{times:?}");
+    });
+}
+
+#[test]
+fn a_frozen_engine_is_ejected_without_an_operator() {
+    on_clock(async {
+        let bed = start(3).await;
+        bed.plan(EngineFault::Freeze, FaultStep::BeforeLayers(4), 1);
+        let (result, _) = bed.answer(Duration::from_secs(10), true).await;
+        assert_matches!(result, AnswerResult::Done { .. });
+        let frozen = bed.engines.struck()[0].endpoint.clone();
+        assert_eq!(bed.fleet.health(Instant::now(), &frozen), EndpointHealth::Ejected);
+        assert_eq!(bed.counters.value(MetricName::Ejections, &["frozen"]), 1);
+    });
+}
+
+#[test]
+fn an_engine_that_begins_to_leave_finishes_what_it_has() {
+    on_clock(async {
+        let bed = start(2).await;
+        bed.plan(EngineFault::Leave, FaultStep::AfterLayers(1), 0);
+        let (result, _) = bed.answer(Duration::from_secs(10), true).await;
+        assert_matches!(result, AnswerResult::Done { .. });
+        assert_eq!(bed.counters.value(MetricName::Attempts, &["whole"]), 1);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let leaving = bed.engines.struck()[0].endpoint.clone();
+        assert!(bed.fleet.is_leaving(Instant::now(), &leaving));
+        for _ in 0..20 {
+            assert_matches!(
+                bed.answer(Duration::from_secs(10), true).await.0,
+                AnswerResult::Done { .. }
+            );
+        }
+        assert_eq!(bed.engines.late_arrivals(), vec![]);
+    });
+}
