Distrust an endpoint whose address another one answers

A poll updated whatever endpoint the reply named, so an endpoint whose address had been taken over kept its last report and stayed in the choice until a stage report contradicted it. The poll now forgets the report and strikes. Adds the measure of a choice's processor time.

--- a/crates/standins/src/bin/jacinthrock-sweep.rs
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -2,6 +2,7 @@
 
 use jacinthrock::ChainPolicy;
 use jacinthrock_standins::fake_engine::EngineFault;
+use jacinthrock_standins::planning::plan_micros;
 use jacinthrock_standins::recovery::{RecoveryOptions, RecoveryRow, run_row};
 use jacinthrock_standins::sweep::{SweepOptions, SweepPoint, run_point};
 use std::time::Duration;
@@ -32,6 +33,8 @@
         optional --only policy: String
         /// Measures recovery with this many trials a row, in place of the sweep.
         optional --recovery trials: u64
+        /// Measures the processor time of a choice, in place of the sweep.
+        optional --planning
         /// Prints JSON in place of a table.
         optional --json
     };
@@ -43,6 +46,9 @@
         }
         return print_rows(&rows);
     }
+    if flags.planning {
+        return print_planning();
+    }
     let defaults = SweepOptions::default();
     let options = SweepOptions {
         seed: flags.seed.unwrap_or(defaults.seed),
@@ -150,3 +156,14 @@
         );
     }
 }
+
+/// Prints the processor time of a choice over four stages in 3 and 11 failure domains.
+fn print_planning() {
+    println!("endpoints domains microseconds");
+    for domains in [3, 11] {
+        for endpoints in [40, 80, 160, 320, 640] {
+            let micros = plan_micros(endpoints, domains);
+            println!("{endpoints:>9} {domains:>7} {micros:>12.1}");
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod bound;
 pub mod fake_engine;
 pub mod fake_store;
+pub mod planning;
 pub mod recovery;
 pub mod sweep;
 pub mod token;
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -131,7 +131,12 @@
         fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
     }
     match reply {
-        Ok(Ok(status)) => fleet.observe_status(now, status),
+        Ok(Ok(status)) if status.endpoint == endpoint => fleet.observe_status(now, status),
+        Ok(Ok(status)) => {
+            let reason = format!("{:?} answers at its address", status.endpoint);
+            fleet.with(|state| state.distrust_report(&endpoint));
+            fleet.observe_failure(now, &endpoint, &CallFailure::Broken(reason.into()));
+        }
         Ok(Err(failure)) => fleet.observe_failure(now, &endpoint, &failure),
         Err(_) => {
             let failure = CallFailure::Broken("status timed out".into());
--- a/tests/choice_fleet.rs
+++ b/tests/choice_fleet.rs
@@ -5,8 +5,9 @@
     AvoidSet, CallFailure, ChainDemand, CounterRegistry, EffectiveConfig, EffectiveService,
     EjectionOptions, EjectionTable, EndpointDeclaration, EndpointFleet, EndpointHealth,
     EndpointPicker, EngineStatus, FleetOptions, LeavingSource, ModelDeclaration, PlainDeclaration,
-    PriorityClass, ServiceTarget,
+    PriorityClass, ServiceTarget, poll_engines,
 };
+use jacinthrock_standins::fake_engine::{EngineSpec, EngineTimes, FakeEngines};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -237,3 +238,28 @@
     let every = (0..6).map(|index| format!("e{index}").into()).collect();
     assert_eq!(picker.pick(&every), None);
 }
+
+#[test]
+fn an_endpoint_whose_address_another_answers_takes_no_work() {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("a runtime can be built");
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let (fleet, model) = model_fleet(1, Instant::now());
+        assert!(!chosen(&fleet, &model, Instant::now()).is_empty());
+        let other = EngineSpec {
+            endpoint: "other".into(),
+            address: "e0:80".into(),
+            domain: "d0".into(),
+            model: "guide".into(),
+            version: "3".into(),
+            first_layer: 0,
+            last_layer: 3,
+            step_time: Duration::from_millis(10),
+            batch: 4,
+        };
+        let caller = Rc::new(FakeEngines::start(vec![other], EngineTimes::default(), true));
+        let polls = poll_engines(fleet.clone(), caller, Duration::from_millis(100));
+        let _ = tokio::time::timeout(Duration::from_secs(2), polls).await;
+        assert!(chosen(&fleet, &model, Instant::now()).is_empty());
+    });
+}
