--- a/src/driver.rs
+++ b/src/driver.rs
@@ -115,8 +115,8 @@
         counters: Rc<CounterRegistry>,
         options: DriverOptions,
     ) -> Self {
-        let timeout = options.silence.probe_timeout;
-        let prober = StatusProber::new(fleet.clone(), caller.clone(), timeout);
+        let silence = options.silence.clone();
+        let prober = StatusProber::new(fleet.clone(), caller.clone(), silence);
         Self { fleet, caller, counters, options, prober }
     }
 
@@ -145,6 +145,9 @@
                 }
                 self.counters.count(MetricName::Retries, &[fault.reason()]);
             }
+            if self.is_unreachable(&run, &chain) {
+                return self.refuse(&run, ResultCode::DeadlineUnreachable);
+            }
             let end = self.attempt(&mut run, &chain).await;
             self.count_end(&end);
             match end {
@@ -185,6 +188,15 @@
         self.fleet.plan(Instant::now(), &demand)
     }
 
+    /// Whether the rest of the answer is known to take longer than the time to the deadline.
+    fn is_unreachable(&self, run: &AnswerRun, chain: &PlannedChain) -> bool {
+        let left = run.order.max_tokens - run.assembler.tokens().len() as TokenPosition;
+        let stretch = self.fleet.with(|state| state.stretch(run.order.priority));
+        let needed = chain.token_time.mul_f64(stretch) * left;
+        let remaining = run.order.deadline.saturating_duration_since(Instant::now());
+        needed > remaining && self.fleet.with(|state| state.knows_time(chain))
+    }
+
     fn refuse(&self, run: &AnswerRun, code: ResultCode) -> AnswerResult {
         let outcome = if run.is_not_run { CallOutcome::NotRun } else { CallOutcome::Unknown };
         let retry_after = RETRY_AFTER.mul_f64(self.fleet.with(|state| state.jitter()));
@@ -202,12 +214,13 @@
     }
 
     async fn attempt(&self, run: &mut AnswerRun, chain: &PlannedChain) -> AttemptEnd {
-        let _flight = self.fleet.start_flight(chain.stages.iter().map(|s| s.endpoint.clone()));
         let call = self.call(run, chain);
         let remaining = run.order.deadline.saturating_duration_since(Instant::now());
         let mut receiver = self.caller.generate(call, remaining);
         let silence = self.options.silence.clone();
         let mut clock = TokenClock::new(silence, run.order.priority, chain.token_time);
+        let endpoints: Vec<_> = chain.stages.iter().map(|stage| stage.endpoint.clone()).collect();
+        let _flight = self.fleet.start_flight(endpoints.iter().cloned());
         let mut last_token: Option<Instant> = None;
         let mut silent_since = Instant::now();
         loop {
@@ -223,6 +236,9 @@
                 endpoint = self.find_frozen(chain, silent_since, &clock) => {
                     return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
                 }
+                endpoint = self.fleet.silent_since(silent_since, &endpoints) => {
+                    return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
+                }
                 () = sleep_until(silent_since + limit) => {
                     return AttemptEnd::Fault(AttemptFault::Slow);
                 }
@@ -297,7 +313,7 @@
         };
         let interval = now.duration_since(previous);
         clock.observe(interval);
-        self.fleet.with(|state| state.observe_token(now, chain, interval));
+        self.fleet.with(|state| state.observe_token(now, chain, run.order.priority, interval));
     }
 
     /// Asks the stages whether they live once tokens are overdue; ends with one that does not.
@@ -316,7 +332,7 @@
             });
             let unheard = unheard.map(|stage| (stage.endpoint.clone(), stage.address.clone()));
             let silent = self.prober.first_silent(unheard.collect());
-            let patience = self.options.silence.probe_timeout + clock.suspect_after();
+            let patience = self.options.silence.longest_probe + clock.suspect_after();
             if let Ok(endpoint) = tokio::time::timeout(patience, silent).await {
                 return endpoint;
             }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,14 +4,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::chain::{ChainPlanner, ChainPolicy, PlannedChain, StageCandidate};
+use crate::attempt::SmoothedTime;
+use crate::chain::{ChainPlanner, PlannedChain, PlannerOptions, StageCandidate};
 use crate::counters::{CounterRegistry, MetricName};
 use crate::declaration::{EndpointDeclaration, ModelDeclaration};
 use crate::effective::{EffectiveConfig, ServiceTarget};
 use crate::ejection::{EjectionOptions, EjectionTable, EndpointHealth};
-use crate::endpoint::{CallFailure, EngineStatus};
+use crate::endpoint::{CallFailure, EngineStatus, PriorityClass};
 use crate::ids::{ConfigRevision, DomainName, EndpointName, LayerIndex, ServiceName};
 use crate::link::LinkTable;
 use crate::operator::EndpointLine;
@@ -47,9 +49,18 @@
 /// Time after which an endpoint that gives no reports is tried again after its refusal.
 const REFUSAL_RETRY: Duration = Duration::from_secs(30);
 
+/// Weight of the newest token in how much longer a priority's tokens take than the average one.
+const STRETCH_WEIGHT: f64 = 0.005;
+
+/// Tokens after which the time of a stage counts as known.
+const KNOWN_OBSERVATIONS: u32 = 200;
+
 /// Seconds that a call to a plain service takes of which nothing was observed yet.
 const UNOBSERVED_CALL_SECONDS: f64 = 0.005;
 
+/// Time of an engine's reply to a status call before one was observed.
+const UNOBSERVED_REPLY: Duration = Duration::from_millis(40);
+
 /// Weight of the newest call in the smoothed latency of a plain service.
 const CALL_SMOOTHING: f64 = 0.1;
 
@@ -57,9 +68,7 @@
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
     /// How chains are chosen.
-    pub policy: ChainPolicy,
-    /// Seed of the random choices; differs on each host.
-    pub seed: u64,
+    pub planner: PlannerOptions,
     /// Thresholds of ejection.
     pub ejection: EjectionOptions,
     /// Shortest time between two polls of one endpoint.
@@ -73,8 +82,7 @@
 impl Default for FleetOptions {
     fn default() -> Self {
         Self {
-            policy: ChainPolicy::default(),
-            seed: 0,
+            planner: PlannerOptions::default(),
             ejection: EjectionOptions::default(),
             poll_interval: Duration::from_millis(500),
             polls_per_second: 100,
@@ -170,10 +178,12 @@
     others: f64,
     in_flight: u32,
     seconds: f64,
+    observations: u32,
     leaving: BTreeSet<LeavingSource>,
     refused_at: Option<Instant>,
     last_alive: Option<Instant>,
     last_strike: Option<Instant>,
+    last_silence: Option<Instant>,
     next_poll: Option<Instant>,
 }
 
@@ -205,6 +215,8 @@
     links: LinkTable,
     ejections: EjectionTable,
     planner: ChainPlanner,
+    reply_time: SmoothedTime,
+    stretches: BTreeMap<PriorityClass, f64>,
     prefixes: PrefixMemory,
     counters: Rc<CounterRegistry>,
 }
@@ -225,6 +237,7 @@
 #[derive(Clone)]
 pub struct EndpointFleet {
     state: Rc<RefCell<FleetState>>,
+    silence: Rc<Notify>,
 }
 
 /// Requests of this router in flight at some endpoints; dropping it ends them.
@@ -245,7 +258,8 @@
 impl EndpointFleet {
     /// A fleet without endpoints.
     pub fn new(options: FleetOptions, counters: Rc<CounterRegistry>) -> Self {
-        Self { state: Rc::new(RefCell::new(FleetState::new(options, counters))) }
+        let state = Rc::new(RefCell::new(FleetState::new(options, counters)));
+        Self { state, silence: Rc::default() }
     }
 
     /// Takes the endpoints and links of a configuration; an older revision has no effect.
@@ -318,6 +332,32 @@
         self.state.borrow().summary(now)
     }
 
+    /// Strikes an engine that did not answer, and tells every answer that waits for it.
+    pub(crate) fn find_silent(&self, now: Instant, endpoint: &str, weight: u32) {
+        self.with(|state| {
+            state.strike(now, endpoint, weight, "frozen");
+            state.note_silence(now, endpoint);
+        });
+        self.silence.notify_waiters();
+    }
+
+    /// Waits until one of the endpoints was found silent at or after `since`, and names it.
+    pub(crate) async fn silent_since(
+        &self,
+        since: Instant,
+        endpoints: &[EndpointName],
+    ) -> EndpointName {
+        loop {
+            let found = self.silence.notified();
+            let is_silent =
+                |name: &&EndpointName| self.with(|state| state.was_silent_since(since, name));
+            if let Some(endpoint) = endpoints.iter().find(is_silent) {
+                return endpoint.clone();
+            }
+            found.await;
+        }
+    }
+
     pub(crate) fn with<T>(&self, action: impl FnOnce(&mut FleetState) -> T) -> T {
         action(&mut self.state.borrow_mut())
     }
@@ -330,7 +370,9 @@
             endpoints: BTreeMap::new(),
             links: LinkTable::default(),
             ejections: EjectionTable::new(options.ejection.clone()),
-            planner: ChainPlanner::new(options.policy, options.seed),
+            planner: ChainPlanner::new(options.planner.clone()),
+            reply_time: SmoothedTime::new(UNOBSERVED_REPLY),
+            stretches: BTreeMap::new(),
             prefixes: PrefixMemory::default(),
             options,
             counters,
@@ -423,6 +465,26 @@
         }
     }
 
+    fn note_silence(&mut self, now: Instant, endpoint: &str) {
+        if let Some(known) = self.endpoints.get_mut(endpoint) {
+            known.last_silence = Some(now);
+        }
+    }
+
+    fn was_silent_since(&self, since: Instant, endpoint: &str) -> bool {
+        let known = self.endpoints.get(endpoint);
+        known.and_then(|known| known.last_silence).is_some_and(|at| at >= since)
+    }
+
+    pub(crate) fn observe_reply(&mut self, elapsed: Duration) {
+        self.reply_time.observe(elapsed);
+    }
+
+    /// Time that an engine's reply rarely takes.
+    pub(crate) fn reply_overdue(&self) -> Duration {
+        self.reply_time.overdue()
+    }
+
     pub(crate) fn was_alive_since(&self, since: Instant, endpoint: &str) -> bool {
         let known = self.endpoints.get(endpoint);
         known.and_then(|known| known.last_alive).is_some_and(|at| at >= since)
@@ -584,26 +646,52 @@
     }
 
     /// Learns from the time between two tokens of a chain.
-    pub(crate) fn observe_token(&mut self, now: Instant, chain: &PlannedChain, elapsed: Duration) {
-        let error = elapsed.as_secs_f64() - self.predicted_seconds(chain);
-        let parts = (2 * chain.stages.len()).saturating_sub(1).max(1) as f64;
-        for pair in chain.domains.windows(2) {
-            self.links.correct(&pair[0], &pair[1], error / parts);
+    pub(crate) fn observe_token(
+        &mut self,
+        now: Instant,
+        chain: &PlannedChain,
+        priority: PriorityClass,
+        elapsed: Duration,
+    ) {
+        let predicted = self.predicted_seconds(chain);
+        let error = elapsed.as_secs_f64() - predicted;
+        let stretch = self.stretches.entry(priority).or_insert(1.0);
+        *stretch += STRETCH_WEIGHT * (elapsed.as_secs_f64() / predicted - *stretch);
+        let parts = (chain.stages.len() + chain.hops().count()) as f64;
+        for (from, to) in chain.hops() {
+            self.links.correct(from, to, error / parts);
         }
         for stage in &chain.stages {
             self.succeed(now, &stage.endpoint);
             let Some(known) = self.endpoints.get_mut(&stage.endpoint) else {
                 continue;
             };
+            known.observations = known.observations.saturating_add(1);
             let crowding = known.crowding();
             let change = LEARNING_RATE * error / parts / crowding;
             known.seconds = (known.seconds + change).max(LEAST_STAGE_SECONDS);
         }
     }
 
+    /// How much longer a token of this priority takes than the average one.
+    pub(crate) fn stretch(&self, priority: PriorityClass) -> f64 {
+        self.stretches.get(&priority).copied().unwrap_or(1.0)
+    }
+
+    /// Whether the chain's time for a token is known: every stage is at work for this router and
+    /// was observed for long enough. A chain at rest is tried, so that no wrong time stays.
+    pub(crate) fn knows_time(&self, chain: &PlannedChain) -> bool {
+        chain.stages.iter().all(|stage| {
+            let known = self.endpoints.get(&stage.endpoint);
+            known.is_some_and(|known| {
+                known.in_flight > 0 && known.observations >= KNOWN_OBSERVATIONS
+            })
+        })
+    }
+
     fn predicted_seconds(&self, chain: &PlannedChain) -> f64 {
         let stages = chain.stages.iter().filter_map(|stage| self.endpoints.get(&stage.endpoint));
-        let hops = chain.domains.windows(2).map(|pair| self.links.seconds(&pair[0], &pair[1]));
+        let hops = chain.hops().map(|(from, to)| self.links.seconds(from, to));
         stages.map(|known| known.seconds * known.crowding()).sum::<f64>() + hops.sum::<f64>()
     }
 
@@ -674,11 +762,13 @@
         report: None,
         others: 0.0,
         in_flight: 0,
+        observations: 0,
         seconds: if is_engine { UNOBSERVED_STAGE_SECONDS } else { UNOBSERVED_CALL_SECONDS },
         leaving: BTreeSet::new(),
         refused_at: None,
         last_alive: None,
         last_strike: None,
+        last_silence: None,
         next_poll: None,
     }
 }
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+use crate::attempt::SilenceOptions;
 use crate::endpoint::{CallFailure, EndpointCaller};
 use crate::fleet::EndpointFleet;
 use crate::ids::EndpointName;
@@ -22,7 +23,7 @@
 pub(crate) struct StatusProber {
     fleet: EndpointFleet,
     caller: Rc<dyn EndpointCaller>,
-    timeout: Duration,
+    options: SilenceOptions,
     open: Rc<RefCell<BTreeMap<EndpointName, ProbeFuture>>>,
 }
 
@@ -30,9 +31,16 @@
     pub(crate) fn new(
         fleet: EndpointFleet,
         caller: Rc<dyn EndpointCaller>,
-        timeout: Duration,
+        options: SilenceOptions,
     ) -> Self {
-        Self { fleet, caller, timeout, open: Rc::default() }
+        Self { fleet, caller, options, open: Rc::default() }
+    }
+
+    /// Time for an engine to answer, by how long engines took of late.
+    fn timeout(&self) -> Duration {
+        let options = &self.options;
+        let overdue = self.fleet.with(|state| state.reply_overdue());
+        overdue.clamp(options.shortest_probe, options.longest_probe)
     }
 
     /// Waits until one of the endpoints fails to answer, and names it; never ends if all answer.
@@ -70,17 +78,22 @@
     }
 
     async fn ask(&self, endpoint: &str, address: &str) -> bool {
-        let asked = self.caller.status(address, self.timeout);
-        let reply = tokio::time::timeout(self.timeout, asked).await;
+        let (asked_at, timeout) = (Instant::now(), self.timeout());
+        let asked = self.caller.status(address, timeout);
+        let reply = tokio::time::timeout(timeout, asked).await;
         let now = Instant::now();
+        // A timeout lengthens the next one, so that a slow network does not look like a frozen one.
+        self.fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
         self.open.borrow_mut().remove(endpoint);
         match reply {
             Ok(Ok(status)) if *status.endpoint == *endpoint => {
                 self.fleet.observe_status(now, status);
                 true
             }
+            // A token through the engine outweighs a lost reply.
+            _ if self.fleet.with(|state| state.was_alive_since(asked_at, endpoint)) => true,
             _ => {
-                self.fleet.with(|state| state.strike(now, endpoint, FROZEN_WEIGHT, "frozen"));
+                self.fleet.find_silent(now, endpoint, FROZEN_WEIGHT);
                 false
             }
         }
@@ -110,11 +123,20 @@
     address: Box<str>,
     timeout: Duration,
 ) {
+    let asked_at = Instant::now();
     let asked = caller.status(&address, timeout);
     let reply = tokio::time::timeout(timeout, asked).await;
     let now = Instant::now();
+    if matches!(reply, Ok(Ok(_))) {
+        fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
+    }
     match reply {
-        Ok(Ok(status)) => fleet.observe_status(now, status),
+        Ok(Ok(status)) if status.endpoint == endpoint => fleet.observe_status(now, status),
+        Ok(Ok(status)) => {
+            let reason = format!("{:?} answers at its address", status.endpoint);
+            fleet.with(|state| state.distrust_report(&endpoint));
+            fleet.observe_failure(now, &endpoint, &CallFailure::Broken(reason.into()));
+        }
         Ok(Err(failure)) => fleet.observe_failure(now, &endpoint, &failure),
         Err(_) => {
             let failure = CallFailure::Broken("status timed out".into());
