Controller's program, and the thin path as separate processes

Cause: the lease and order decisions need a process; the demo needs all of them. An idle controller follows no configuration, so that it costs the platform no watch; only the lease's holder does.

--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,144 @@
+//! The controller's program: starts the controller, reports its state, and ends gracefully.
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::config::ControllerSettings;
+use crate::controller::{ControllerLoop, ControllerOptions};
+use crate::counters::CounterRegistry;
+use crate::engine_http::HttpCaller;
+use crate::follower::{ConfigFollower, FollowerOptions, HostMember};
+use crate::ids::{ConfigRevision, HostName, Incarnation};
+use crate::lease::LeaseOptions;
+use crate::operator::{self, HostStatus, OperatorBoard};
+use crate::peer::{ConfigSnapshot, PeerError, PeerNetwork};
+use crate::platform::PlatformStore;
+use crate::router::{StartError, bind_error, new_incarnation};
+use crate::signals;
+use crate::store_http::{HttpStore, HttpStoreOptions};
+
+/// Time between two looks at the lease.
+const TICK: Duration = Duration::from_millis(200);
+/// Time for orders in flight to end and the lease to be released.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A controller talks to the platform only.
+struct NoPeers;
+
+impl PeerNetwork for NoPeers {
+    fn live_hosts(&self) -> Vec<HostName> {
+        Vec::new()
+    }
+
+    fn is_live(&self, _host: &str, _incarnation: Incarnation) -> bool {
+        false
+    }
+
+    fn newest_revision(&self) -> Option<(HostName, ConfigRevision)> {
+        None
+    }
+
+    fn announce_revision(&self, _revision: ConfigRevision) {}
+
+    fn fetch_config(&self, host: &str) -> LocalBoxFuture<'_, Result<ConfigSnapshot, PeerError>> {
+        let error = PeerError { host: host.into(), reason: "a controller has no peers".into() };
+        std::future::ready(Err(error)).boxed_local()
+    }
+}
+
+/// Runs a controller until it is told to stop.
+pub(crate) async fn run(settings: ControllerSettings) -> Result<(), StartError> {
+    let registry = CounterRegistry::new();
+    let counters = Rc::new(registry.clone());
+    let shared = Arc::new(registry.clone());
+    let board = Arc::new(OperatorBoard::default());
+    operator::serve(settings.operator_listen, board.clone(), registry)
+        .map_err(|reason| bind_error("operators'", settings.operator_listen, &reason))?;
+    let incarnation = new_incarnation();
+    let options = HttpStoreOptions::default();
+    let store: Rc<dyn PlatformStore> =
+        Rc::new(HttpStore::new(settings.platform.clone(), options, shared.clone()));
+    let follower = Rc::new(ConfigFollower::new(
+        store.clone(),
+        Rc::new(NoPeers),
+        HostMember { host: settings.name.clone(), domain: settings.domain.clone() },
+        FollowerOptions::default(),
+        shared,
+    ));
+    let config = follower.clone();
+    let controller = ControllerLoop::new(
+        store,
+        Rc::new(HttpCaller::new()),
+        Rc::new(move || config.current()),
+        (settings.name.clone(), incarnation),
+        ControllerOptions {
+            lease: LeaseOptions {
+                ttl: settings.lease_ttl,
+                renew_every: settings.lease_ttl / 3,
+                ..LeaseOptions::default()
+            },
+            ..ControllerOptions::default()
+        },
+        counters,
+    );
+    log::info!(host = &*settings.name, incarnation = incarnation; "controller started");
+    let running = tokio::task::spawn_local(controller.clone().run());
+    tokio::select! {
+        () = signals::stop_asked(&board) => {}
+        () = follow_while_holder(&controller, &follower) => {}
+        () = report(&settings, incarnation, &controller, &follower, &board) => {}
+    }
+    board.set_ready(false);
+    controller.stop();
+    if tokio::time::timeout(STOP_TIMEOUT, running).await.is_err() {
+        log::warn!(host = &*settings.name; "controller stopped before its lease was released");
+    }
+    log::info!(host = &*settings.name; "controller stopped");
+    Ok(())
+}
+
+/// Follows the configuration only while it is needed, so that idle controllers cost no watch.
+async fn follow_while_holder(controller: &ControllerLoop, follower: &ConfigFollower) {
+    loop {
+        if controller.status().fence.is_some() {
+            tokio::select! {
+                () = follower.run() => {}
+                () = lease_lost(controller) => {}
+            }
+        }
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn lease_lost(controller: &ControllerLoop) {
+    while controller.status().fence.is_some() {
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+async fn report(
+    settings: &ControllerSettings,
+    incarnation: Incarnation,
+    controller: &ControllerLoop,
+    follower: &ConfigFollower,
+    board: &OperatorBoard,
+) {
+    board.set_ready(true);
+    loop {
+        let status = controller.status();
+        let state = if status.fence.is_some() { "holder" } else { "idle" };
+        board.set_status(HostStatus {
+            host: settings.name.clone(),
+            domain: settings.domain.clone(),
+            incarnation,
+            revision: follower.status().revision,
+            state: state.into(),
+            detail: format!("fence {:?}, leaving {:?}", status.fence, status.leaving).into(),
+            ..HostStatus::default()
+        });
+        tokio::time::sleep(TICK).await;
+    }
+}
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -20,11 +20,11 @@
 
 /// Prefix of the platform's list of endpoints, with a [`HostMark`] each.
 pub const HOST_LIST_PREFIX: &str = "hosts/";
-/// Prefix of drain marks, with a [`DrainMark`] each.
+/// Prefix of drain marks, with a [`DrainObject`] each.
 pub const DRAIN_PREFIX: &str = "drain/";
 
 /// Gives the configuration in force, once there is one.
-pub type ConfigSource = Rc<dyn Fn() -> Option<Rc<EffectiveConfig>>>;
+pub type ConfigReader = Rc<dyn Fn() -> Option<Rc<EffectiveConfig>>>;
 
 /// What the platform's list says about an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,7 +39,7 @@
 /// A mark that an endpoint gets no new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "by", rename_all = "kebab-case")]
-pub enum DrainMark {
+pub enum DrainObject {
     /// The controller set it after the platform's list, and takes it back after the list.
     Controller,
     /// An operator set it.
@@ -97,7 +97,7 @@
 pub struct ControllerLoop {
     store: Rc<dyn PlatformStore>,
     caller: Rc<dyn EndpointCaller>,
-    config: ConfigSource,
+    config: ConfigReader,
     options: ControllerOptions,
     counters: Rc<CounterRegistry>,
     lease: RefCell<LeaseKeeper>,
@@ -115,7 +115,7 @@
     pub fn new(
         store: Rc<dyn PlatformStore>,
         caller: Rc<dyn EndpointCaller>,
-        config: ConfigSource,
+        config: ConfigReader,
         holder: (HostName, Incarnation),
         options: ControllerOptions,
         counters: Rc<CounterRegistry>,
@@ -289,7 +289,7 @@
         let removed = marks.removable();
         self.marks.replace(Some(marks));
         for name in added {
-            let value = serde_json::to_vec(&DrainMark::Controller).expect("a mark is plain");
+            let value = serde_json::to_vec(&DrainObject::Controller).expect("a mark is plain");
             let key = format!("{DRAIN_PREFIX}{name}");
             self.timed(self.store.put(&key, 0, value.into())).await?;
         }
@@ -328,7 +328,7 @@
             let name: EndpointName = object.key[DRAIN_PREFIX.len()..].into();
             let mark = serde_json::from_slice(&object.value);
             marks.drains.insert(name.clone());
-            if matches!(mark, Ok(DrainMark::Controller)) {
+            if matches!(mark, Ok(DrainObject::Controller)) {
                 marks.own_drains.insert(name, object);
             }
         }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -7,7 +7,7 @@
 use crate::config::{ControllerSettings, RouterSettings, SettingError};
 use crate::flags::JacinthrockRouter;
 use crate::flags::controller::JacinthrockController;
-use crate::{controller, logs, router};
+use crate::{control, logs, router};
 
 /// Exit code of a daemon that could not start or failed.
 const EXIT_FAILED: u8 = 1;
@@ -45,7 +45,7 @@
         return ExitCode::SUCCESS;
     }
     logs::start(settings.log_level);
-    block_on(SPARE_BLOCKING_THREADS, controller::run(settings))
+    block_on(SPARE_BLOCKING_THREADS, control::run(settings))
 }
 
 fn block_on<E: Error>(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod cmd;
 mod codes;
 mod config;
+mod control;
 mod controller;
 mod counters;
 mod daemon;
@@ -86,7 +87,7 @@
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
 pub use controller::{
-    ConfigSource, ControllerLoop, ControllerOptions, ControllerStatus, DRAIN_PREFIX, DrainMark,
+    ConfigReader, ControllerLoop, ControllerOptions, ControllerStatus, DRAIN_PREFIX, DrainObject,
     HOST_LIST_PREFIX, HostMark,
 };
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
--- a/src/quotas.rs
+++ b/src/quotas.rs
@@ -1,6 +1,5 @@
 //! Customers' limits on this host.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/src/router.rs
+++ b/src/router.rs
@@ -1,7 +1,7 @@
 //! The router: starts its parts, keeps them current, and ends gracefully.
 
 use std::cell::Cell;
-use std::io;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,6 +12,7 @@
 use crate::admission::{AdmissionService, GateOptions};
 use crate::callers::CallerServer;
 use crate::capacity::CapacityView;
+use crate::chain::PlannerOptions;
 use crate::codes::ResultCode;
 use crate::config::RouterSettings;
 use crate::counters::CounterRegistry;
@@ -158,7 +159,8 @@
         ));
         peers.set_config_source(follower.clone());
         let caller: Rc<dyn EndpointCaller> = Rc::new(HttpCaller::new());
-        let fleet_options = FleetOptions { seed, ..FleetOptions::default() };
+        let planner = PlannerOptions { seed, ..PlannerOptions::default() };
+        let fleet_options = FleetOptions { planner, ..FleetOptions::default() };
         let fleet = EndpointFleet::new(fleet_options, counters.clone());
         tokio::task::spawn_local(probe::poll_engines(
             fleet.clone(),
@@ -351,7 +353,7 @@
     }
 }
 
-fn bind_error(
+pub(crate) fn bind_error(
     port: &'static str,
     address: impl std::fmt::Display,
     reason: &impl std::fmt::Display,
