--- a/src/keys.rs
+++ b/src/keys.rs
@@ -16,12 +16,12 @@
 impl KeyIndex {
     /// Indexes the keys of every customer.
     pub(crate) fn new(config: &EffectiveConfig) -> Self {
-        let entry = |hash: &Box<str>, name: &CustomerName| (hash.clone(), name.clone());
-        let customers = config
-            .customers
-            .values()
-            .flat_map(|customer| customer.key_hashes.iter().map(|hash| entry(hash, &customer.name)))
-            .collect();
+        let mut customers = BTreeMap::new();
+        for customer in config.customers.values() {
+            let entries =
+                customer.key_hashes.iter().map(|hash| (hash.clone(), customer.name.clone()));
+            customers.extend(entries);
+        }
         Self { revision: config.revision, customers }
     }
 
