Poll engines that take work less often

Each router polled every engine each 500 ms: 80 polls a second for 40 engines. The rate is now 20 over all engines; one without a fitting report, with strikes or with a refusal is still polled each 500 ms.

--- a/crates/standins/src/bin/jacinthrock-sweep.rs
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -25,6 +25,8 @@
         optional --concurrency factor: f64
         /// Largest random part of a stage's cost.
         optional --spread part: f64
+        /// Polls of each router over all engines, a second.
+        optional --polls rate: u32
         /// Stages of each chain.
         optional --stages stages: u16
         /// Seconds that are counted.
@@ -54,6 +56,7 @@
         seed: flags.seed.unwrap_or(defaults.seed),
         concurrency: flags.concurrency.unwrap_or(defaults.concurrency),
         spread: flags.spread.unwrap_or(defaults.spread),
+        polls_per_second: flags.polls.unwrap_or(defaults.polls_per_second),
         stages: flags.stages.unwrap_or(defaults.stages),
         window: flags.window.map_or(defaults.window, Duration::from_secs),
         ..defaults
@@ -110,40 +113,49 @@
     }
 }
 
-/// Faults by stages and answer length; then cache import against computing, for a kill.
+/// Faults of an engine and of a whole failure domain by stages; then cache import against
+/// computing, for a kill.
 fn run_rows(trials: u64) -> Vec<RecoveryRow> {
+    let base = RecoveryOptions {
+        fault: EngineFault::Kill,
+        whole_domain: false,
+        stages: 2,
+        accepted: 32,
+        imports: true,
+        answers: 40,
+        trials,
+    };
     let mut rows = Vec::new();
     let faults =
         [EngineFault::Kill, EngineFault::Freeze, EngineFault::CutConnection, EngineFault::SlowLink];
     for fault in faults {
         for stages in [2, 4, 8] {
-            let answers = 40;
-            rows.push(RecoveryOptions {
-                fault,
-                stages,
-                accepted: 32,
-                imports: true,
-                answers,
-                trials,
-            });
+            rows.push(RecoveryOptions { fault, stages, ..base.clone() });
+        }
+    }
+    for fault in [EngineFault::Kill, EngineFault::Freeze] {
+        for stages in [2, 4] {
+            rows.push(RecoveryOptions { fault, stages, whole_domain: true, ..base.clone() });
         }
     }
     for (stages, accepted) in [(2, 16), (2, 256), (2, 1024), (4, 256), (8, 256), (8, 1024)] {
         for imports in [true, false] {
-            let (fault, answers) = (EngineFault::Kill, 4);
-            rows.push(RecoveryOptions { fault, stages, accepted, imports, answers, trials });
+            rows.push(RecoveryOptions { stages, accepted, imports, answers: 4, ..base.clone() });
         }
     }
     rows.iter().map(run_row).collect()
 }
 
 fn print_rows(rows: &[RecoveryRow]) {
-    println!("fault          stages accepted imports affected lost   p50   p95   p99 worst (ms)");
+    println!(
+        "fault          domain stages accepted imports affected lost   p50   p95   p99 worst (ms)"
+    );
     for row in rows {
         let [p50, p95, p99, worst] = row.recovery_ms;
         println!(
-            "{:<14} {:>6} {:>8} {:>7} {:>8} {:>4} {:>5} {:>5} {:>5} {:>5}",
+            "{:<14} {:>6} {:>6} {:>8} {:>7} {:>8} {:>4} {:>5} {:>5} {:>5} {:>5}",
             row.fault,
+            row.whole_domain,
             row.stages,
             row.accepted,
             row.imports,
--- a/crates/standins/src/recovery.rs
+++ b/crates/standins/src/recovery.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::fake_engine::{EngineFault, EngineTimes, FakeEngines};
+use crate::fake_engine::{EngineFault, EngineSpec, EngineTimes, FakeEngines};
 use crate::sweep::{LAYERS, SweepOptions, SweepWorld, sweep_world};
 use crate::token;
 
@@ -29,6 +29,8 @@
 pub struct RecoveryOptions {
     /// What strikes.
     pub fault: EngineFault,
+    /// Whether it strikes every engine of one failure domain at once.
+    pub whole_domain: bool,
     /// Stages of each chain.
     pub stages: u16,
     /// Tokens that the first answer has when the fault strikes.
@@ -46,6 +48,8 @@
 pub struct RecoveryRow {
     /// What struck.
     pub fault: Box<str>,
+    /// Whether it struck every engine of one failure domain at once.
+    pub whole_domain: bool,
     /// Stages of each chain.
     pub stages: u16,
     /// Tokens that the first answer had when the fault struck.
@@ -88,6 +92,7 @@
     let quantile = |part| recoveries.value_at_quantile(part);
     RecoveryRow {
         fault: format!("{:?}", options.fault).into(),
+        whole_domain: options.whole_domain,
         stages: options.stages,
         accepted: options.accepted,
         imports: options.imports,
@@ -129,9 +134,10 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     tokio::time::sleep(Duration::from_millis(rng.random_range(0..40))).await;
     let address = pick_busy(&engines, &world, &mut rng);
-    let struck = engines.requests_at(&address).into_iter().collect();
+    let addresses = struck_addresses(options, &world, &address);
+    let struck = addresses.iter().flat_map(|address| engines.requests_at(address)).collect();
     let at = Instant::now();
-    engines.strike(&address, options.fault);
+    addresses.iter().for_each(|address| engines.strike(address, options.fault));
     let answers = futures::future::join_all(answers).await;
     let answers = answers.into_iter().map(|answer| answer.expect("an answer does not panic"));
     (at, struck, answers.collect())
@@ -162,7 +168,18 @@
     }
 }
 
-/// An address of an engine that holds a request, of a first stage where the fault cuts it.
+/// The engine at an address, or every engine of its failure domain.
+fn struck_addresses(options: &RecoveryOptions, world: &SweepWorld, address: &str) -> Vec<Box<str>> {
+    let struck = world.specs.iter().find(|spec| *spec.address == *address);
+    let domain = struck.map(|spec| spec.domain.clone());
+    let is_struck = |spec: &&EngineSpec| match options.whole_domain {
+        true => Some(&spec.domain) == domain.as_ref(),
+        false => *spec.address == *address,
+    };
+    world.specs.iter().filter(is_struck).map(|spec| spec.address.clone()).collect()
+}
+
+/// An address of an engine that holds a request.
 fn pick_busy(engines: &FakeEngines, world: &SweepWorld, rng: &mut ChaCha8Rng) -> Box<str> {
     let busy = world.specs.iter().filter(|spec| !engines.requests_at(&spec.address).is_empty());
     let busy: Vec<_> = busy.map(|spec| spec.address.clone()).collect();
--- a/crates/standins/src/sweep.rs
+++ b/crates/standins/src/sweep.rs
@@ -60,6 +60,8 @@
     pub load_lag: Duration,
     /// Largest random part of a stage's cost.
     pub spread: f64,
+    /// Polls of each router over all engines, a second.
+    pub polls_per_second: u32,
 }
 
 impl Default for SweepOptions {
@@ -74,6 +76,7 @@
             window: Duration::from_secs(20),
             load_lag: Duration::from_millis(250),
             spread: PlannerOptions::default().spread,
+            polls_per_second: FleetOptions::default().polls_per_second,
         }
     }
 }
@@ -333,7 +336,8 @@
     let counters = Rc::new(CounterRegistry::new());
     let seed = options.seed * 1000 + index;
     let planner = PlannerOptions { policy, seed, spread: options.spread };
-    let fleet_options = FleetOptions { planner, ..FleetOptions::default() };
+    let polls_per_second = options.polls_per_second;
+    let fleet_options = FleetOptions { planner, polls_per_second, ..FleetOptions::default() };
     let fleet = EndpointFleet::new(fleet_options, counters.clone());
     fleet.apply_config(&world.config(options.stages));
     let caller = Rc::new(engines.clone());
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -70,9 +70,10 @@
     pub planner: PlannerOptions,
     /// Thresholds of ejection.
     pub ejection: EjectionOptions,
-    /// Shortest time between two polls of one endpoint.
+    /// Time between two polls of an engine that has yet to show that it takes work, and shortest
+    /// time between two polls of any.
     pub poll_interval: Duration,
-    /// Longest rate of polls over all endpoints, in polls a second.
+    /// Rate of polls over all engines that take work, in polls a second.
     pub polls_per_second: u32,
     /// Whether routes use only endpoints that report the declared version.
     pub match_version: bool,
@@ -84,7 +85,7 @@
             planner: PlannerOptions::default(),
             ejection: EjectionOptions::default(),
             poll_interval: Duration::from_millis(500),
-            polls_per_second: 100,
+            polls_per_second: 20,
             match_version: true,
         }
     }
@@ -162,6 +163,8 @@
 struct EndpointState {
     declaration: EndpointDeclaration,
     service: ServiceName,
+    /// Model and version that the endpoint should hold; empty for a plain service.
+    declared: (Box<str>, Box<str>),
     is_engine: bool,
     slots: f64,
     report: Option<EngineStatus>,
@@ -186,6 +189,14 @@
         1.0 + self.load() / self.slots
     }
 
+    /// Whether the engine reports what is declared and refuses nothing.
+    fn is_settled(&self) -> bool {
+        let fits = |report: &EngineStatus| {
+            report.model == self.declared.0 && report.version == self.declared.1
+        };
+        self.refused_at.is_none() && self.report.as_ref().is_some_and(fits)
+    }
+
     /// Whether the endpoint gave a sign of life after its last strike; plain ones give none.
     fn has_answered(&self) -> bool {
         !self.is_engine || self.last_alive > self.last_strike
@@ -371,11 +382,16 @@
                 ServiceTarget::Model(model) => (&model.endpoints, model.endpoint_slots, true),
                 ServiceTarget::Plain(plain) => (&plain.endpoints, plain.endpoint_slots, false),
             };
+            let declared = match &service.target {
+                ServiceTarget::Model(model) => (model.name.clone(), model.version.clone()),
+                ServiceTarget::Plain(_) => Default::default(),
+            };
             for declaration in endpoints {
                 let known = earlier.remove(&declaration.name);
                 let mut state = known.unwrap_or_else(|| fresh_state(declaration, is_engine));
                 state.declaration = declaration.clone();
                 state.service = service.name.clone();
+                state.declared = declared.clone();
                 state.slots = f64::from(slots.max(1));
                 if !is_engine {
                     self.ejections.place(&declaration.name, &service.name);
@@ -494,7 +510,9 @@
             if !known.is_engine || known.next_poll.is_some_and(|at| now < at) {
                 continue;
             }
-            known.next_poll = Some(now + interval.mul_f64(self.planner.jitter()));
+            let is_settled = known.is_settled() && self.ejections.strikes(name) == 0;
+            let pause = if is_settled { interval } else { self.options.poll_interval };
+            known.next_poll = Some(now + pause.mul_f64(self.planner.jitter()));
             targets.push((name.clone(), known.declaration.address.clone()));
         }
         targets
@@ -701,6 +719,7 @@
     EndpointState {
         declaration: declaration.clone(),
         service: "".into(),
+        declared: Default::default(),
         is_engine,
         slots: 1.0,
         report: None,
