Ask no cache of an engine whose failure domain was just lost

After a whole failure domain froze, engines tried to import KV caches from other frozen engines of the old chain and waited out the import's timeout. A holder in a failure domain that the request avoids now has to have answered since the last token.

--- a/src/driver.rs
+++ b/src/driver.rs
@@ -24,6 +24,9 @@
 /// Time within which a stage's token or report is a sign that it lives.
 const FRESH_LIFE: Duration = Duration::from_millis(30);
 
+/// Time after the last token from which an answer of a stage is newer than the token.
+const ANSWER_MARGIN: Duration = Duration::from_millis(1);
+
 /// What a caller ordered.
 #[derive(Clone, Debug)]
 pub struct AnswerOrder {
@@ -96,6 +99,7 @@
     avoid: AvoidSet,
     holders: BTreeSet<EndpointName>,
     given_up: u32,
+    silent_since: Instant,
     is_not_run: bool,
     last_fault: Option<AttemptFault>,
 }
@@ -177,6 +181,7 @@
             avoid: AvoidSet::default(),
             holders: BTreeSet::new(),
             given_up: 0,
+            silent_since: Instant::now(),
             is_not_run: true,
             last_fault: None,
         }
@@ -222,8 +227,9 @@
         let endpoints: Vec<_> = chain.stages.iter().map(|stage| stage.endpoint.clone()).collect();
         let _flight = self.fleet.start_flight(endpoints.iter().cloned());
         let mut last_token: Option<Instant> = None;
-        let mut silent_since = Instant::now();
+        run.silent_since = Instant::now();
         loop {
+            let silent_since = run.silent_since;
             let limit = match last_token {
                 Some(_) => clock.give_up_after(run.order.token_gap, run.given_up),
                 None => run.order.first_token_timeout,
@@ -255,8 +261,8 @@
                     if let Some(end) = forward(run, token).await {
                         return end;
                     }
-                    silent_since = Instant::now();
-                    last_token = Some(silent_since);
+                    run.silent_since = Instant::now();
+                    last_token = Some(run.silent_since);
                 }
                 AnswerStep::Duplicate | AnswerStep::Stray => {}
                 AnswerStep::Whole(digest) => return AttemptEnd::Whole(digest),
@@ -267,8 +273,9 @@
 
     fn call(&self, run: &mut AnswerRun, chain: &PlannedChain) -> GenerateCall {
         let order = &run.order;
-        let sources =
-            run.holders.iter().filter_map(|name| self.fleet.with(|state| state.address(name)));
+        let holders = run.holders.iter().filter(|name| self.may_export(run, name));
+        let sources = holders.filter_map(|name| self.fleet.with(|state| state.address(name)));
+        let kv_sources = sources.collect();
         GenerateCall {
             request: order.request.clone(),
             attempt: run.assembler.begin_attempt(chain.stages.clone()),
@@ -279,10 +286,20 @@
             accepted: run.assembler.tokens().to_vec(),
             max_tokens: order.max_tokens,
             priority: order.priority,
-            kv_sources: sources.collect(),
+            kv_sources,
         }
     }
 
+    /// Whether an engine is likely able to export the request's KV cache: one in a failure domain
+    /// that just lost an engine has to have answered since.
+    fn may_export(&self, run: &AnswerRun, endpoint: &str) -> bool {
+        self.fleet.with(|state| {
+            let domain = state.domain(endpoint).unwrap_or_default();
+            !run.avoid.avoids_domain(&domain)
+                || state.was_alive_since(run.silent_since + ANSWER_MARGIN, endpoint)
+        })
+    }
+
     fn take(&self, run: &mut AnswerRun, event: &GenerateEvent) -> AnswerStep {
         let step = run.assembler.take(event);
         match step {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -146,6 +146,10 @@
         self.holders = holders;
     }
 
+    pub(crate) fn avoids_domain(&self, domain: &str) -> bool {
+        self.domains.contains_key(domain)
+    }
+
     fn excludes(&self, endpoint: &str) -> bool {
         self.endpoints.get(endpoint).is_some_and(|failures| *failures >= EXCLUDING_FAILURES)
     }
