--- a/src/driver.rs
+++ b/src/driver.rs
@@ -195,7 +195,8 @@
 
     /// Whether the rest of the answer is known to take longer than the time to the deadline.
     fn is_unreachable(&self, run: &AnswerRun, chain: &PlannedChain) -> bool {
-        let left = run.order.max_tokens - run.assembler.tokens().len() as TokenPosition;
+        let accepted = run.assembler.tokens().len() as TokenPosition;
+        let left = run.order.max_tokens.saturating_sub(accepted);
         let stretch = self.fleet.with(|state| state.stretch(run.order.priority));
         let needed = chain.token_time.mul_f64(stretch) * left;
         let remaining = run.order.deadline.saturating_duration_since(Instant::now());
