--- /dev/null
+++ b/tests/ledger_matrix.rs
@@ -0,0 +1,143 @@
+//! Fault matrix of the ledger: every fault at every step of a booking, and pairs of them.
+//!
+//! `JACINTHROCK_SCHEDULES=10000 cargo test --release --test ledger_matrix` runs every pair.
+
+mod ledger_support;
+
+use jacinthrock::LedgerOptions;
+use jacinthrock_standins::fake_service::ServiceFaults;
+use jacinthrock_standins::fake_store::StoreFaults;
+use jacinthrock_standins::host_gate::GateCall::{Call, Read, Write};
+use jacinthrock_standins::host_gate::GateMoment::{After, Before};
+use jacinthrock_standins::host_gate::{GateFault, GatePoint};
+use ledger_support::{
+    HostFault, HostPlan, LivenessView, RequestPlan, Scenario, WorldFault, check, ms, run, schedules,
+};
+
+/// Of the pairs, CI runs one in so many.
+const CI_PAIR_STRIDE: usize = 29;
+
+const STEPS: [(&str, GatePoint); 8] = [
+    ("before the claim", GatePoint { call: Read, moment: Before, nth: 1 }),
+    ("claim decided", GatePoint { call: Write, moment: Before, nth: 1 }),
+    ("claim written", GatePoint { call: Write, moment: After, nth: 1 }),
+    ("floor read", GatePoint { call: Read, moment: After, nth: 2 }),
+    ("before the send", GatePoint { call: Call, moment: Before, nth: 1 }),
+    ("before the reply", GatePoint { call: Call, moment: After, nth: 1 }),
+    ("settlement decided", GatePoint { call: Write, moment: Before, nth: 2 }),
+    ("settlement written", GatePoint { call: Write, moment: After, nth: 2 }),
+];
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Fault {
+    Kill,
+    ShortFreeze,
+    LongFreeze,
+    LoseCallOrReply,
+    Refuse,
+    Outage,
+    SlowStore,
+    LeavingEndpoint,
+    FrozenEndpoint,
+}
+
+const FAULTS: [Fault; 9] = [
+    Fault::Kill,
+    Fault::ShortFreeze,
+    Fault::LongFreeze,
+    Fault::LoseCallOrReply,
+    Fault::Refuse,
+    Fault::Outage,
+    Fault::SlowStore,
+    Fault::LeavingEndpoint,
+    Fault::FrozenEndpoint,
+];
+
+#[derive(Clone, Copy, Debug)]
+struct Cell {
+    step: usize,
+    fault: Fault,
+}
+
+impl Cell {
+    fn host_fault(self) -> HostFault {
+        let point = STEPS[self.step].1;
+        match self.fault {
+            Fault::Kill => HostFault::Point(point, GateFault::Kill),
+            Fault::ShortFreeze => HostFault::Point(point, GateFault::Freeze(ms(700))),
+            Fault::LongFreeze => HostFault::Point(point, GateFault::Freeze(ms(40_000))),
+            Fault::LoseCallOrReply => HostFault::Point(point, GateFault::Lose),
+            Fault::Refuse => HostFault::Point(point, GateFault::Refuse),
+            Fault::Outage => HostFault::World(point, WorldFault::Outage(ms(2500))),
+            Fault::SlowStore => HostFault::World(point, WorldFault::SlowStore(ms(400))),
+            Fault::LeavingEndpoint => HostFault::World(point, WorldFault::Leave),
+            Fault::FrozenEndpoint => HostFault::World(point, WorldFault::FreezeEndpoint(ms(5000))),
+        }
+    }
+}
+
+fn cells() -> impl Iterator<Item = Cell> {
+    let of_step = |step| FAULTS.into_iter().map(move |fault| Cell { step, fault });
+    (0..STEPS.len()).flat_map(of_step)
+}
+
+/// One booking at the host with the faults, and three retries at another host.
+fn scenario(faults: &[Cell], liveness: LivenessView) -> Scenario {
+    let request = |at, host| RequestPlan { at: ms(at), host, key: 0, deadline: ms(1500) };
+    let faulty = faults.iter().map(|cell| cell.host_fault()).collect();
+    Scenario {
+        seed: faults.iter().fold(7, |seed, cell| seed * 100 + cell.step as u64),
+        hosts: vec![
+            HostPlan { skew_ms: 0, faults: faulty },
+            HostPlan { skew_ms: -500, faults: Vec::new() },
+        ],
+        endpoints: 2,
+        service_faults: ServiceFaults { longest_delay: ms(20), ..ServiceFaults::default() },
+        store_faults: StoreFaults { longest_delay: ms(5), ..StoreFaults::default() },
+        outages: Vec::new(),
+        requests: vec![request(0, 0), request(20, 1), request(200, 1), request(4000, 1)],
+        liveness,
+        expire_every: None,
+        options: LedgerOptions { abandon_after: ms(8000), ..LedgerOptions::default() },
+        plain_guard: None,
+    }
+}
+
+#[test]
+fn every_fault_at_every_step_keeps_the_promises() {
+    let mut count = 0;
+    for cell in cells() {
+        for liveness in
+            [LivenessView::Truth, LivenessView::NobodyLives, LivenessView::EverybodyLives]
+        {
+            let report = run(&scenario(&[cell], liveness));
+            let wrong = check(&report);
+            assert!(wrong.is_empty(), "{} x {cell:?}: {wrong:#?}", STEPS[cell.step].0);
+            let result = report.answers[0].result.as_ref();
+            let heard = result.map_or("no answer".into(), |result| format!("{:?}", result.outcome));
+            if liveness == LivenessView::Truth {
+                let runs = report.runs.len();
+                println!("{} x {:?}: {heard}, {runs} run", STEPS[cell.step].0, cell.fault);
+            }
+            count += 1;
+        }
+    }
+    assert_eq!(count, STEPS.len() * FAULTS.len() * 3);
+}
+
+#[test]
+fn every_pair_of_faults_keeps_the_promises() {
+    let stride = if schedules(0) == 0 { CI_PAIR_STRIDE } else { 1 };
+    let all: Vec<Cell> = cells().collect();
+    let firsts = all.iter().enumerate();
+    let pairs =
+        firsts.flat_map(|(index, first)| all[index + 1..].iter().map(move |b| [*first, *b]));
+    let mut count = 0;
+    for pair in pairs.step_by(stride) {
+        let wrong = check(&run(&scenario(&pair, LivenessView::Truth)));
+        assert!(wrong.is_empty(), "{pair:?}: {wrong:#?}");
+        count += 1;
+    }
+    println!("pairs: {count}");
+    assert!(count > 0);
+}
--- a/tests/ledger_support/mod.rs
+++ b/tests/ledger_support/mod.rs
@@ -50,10 +50,20 @@
 pub(crate) enum HostFault {
     None,
     Point(GatePoint, GateFault),
+    World(GatePoint, WorldFault),
     KillAt(Duration),
     FreezeAt(Duration, Duration),
 }
 
+/// A fault outside the host, which comes when the host reaches a step.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum WorldFault {
+    Outage(Duration),
+    SlowStore(Duration),
+    Leave,
+    FreezeEndpoint(Duration),
+}
+
 #[derive(Clone)]
 pub(crate) struct HostPlan {
     pub(crate) skew_ms: i64,
@@ -181,6 +191,25 @@
         if skew < 0 { now.saturating_sub(ms(skew.unsigned_abs())) } else { now + ms(skew as u64) }
     }
 
+    fn fault(&self, fault: WorldFault) -> impl Fn() + 'static {
+        let (store, service) = (self.store.clone(), self.service.clone());
+        move || match fault {
+            WorldFault::Leave => service.leave("endpoint-0"),
+            WorldFault::FreezeEndpoint(time) => service.freeze("endpoint-0", time),
+            WorldFault::SlowStore(longest_delay) => {
+                store.set_faults(StoreFaults { longest_delay, ..StoreFaults::default() });
+            }
+            WorldFault::Outage(time) => {
+                let store = store.clone();
+                store.set_down(true);
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(time).await;
+                    store.set_down(false);
+                });
+            }
+        }
+    }
+
     /// Sends a caller's request to a host; the caller gives up a second after its deadline.
     pub(crate) fn request(
         &self,
@@ -228,7 +257,7 @@
 async fn run_here(scenario: &Scenario) -> Report {
     let mut world = World::new(scenario);
     for (index, plan) in scenario.hosts.iter().enumerate() {
-        plan_faults(&world.hosts[index].gate, &plan.faults);
+        plan_faults(&world, &world.hosts[index].gate, &plan.faults);
     }
     plan_outages(&world, &scenario.outages);
     plan_expiry(&world, scenario);
@@ -248,12 +277,16 @@
     Report { answers, last_answers, runs: world.service.runs() }
 }
 
-fn plan_faults(gate: &HostGate, faults: &[HostFault]) {
+fn plan_faults(world: &World, gate: &HostGate, faults: &[HostFault]) {
     for fault in faults.iter().cloned() {
         let gate = gate.clone();
         match fault {
             HostFault::None => {}
             HostFault::Point(point, fault) => gate.plan(point, fault),
+            HostFault::World(point, fault) => {
+                let happen = world.fault(fault);
+                gate.plan(point, GateFault::Outside(Rc::new(happen)));
+            }
             HostFault::KillAt(at) => {
                 tokio::task::spawn_local(async move {
                     tokio::time::sleep(at).await;
