--- /dev/null
+++ b/examples/ledger_cost.rs
@@ -0,0 +1,245 @@
+//! Platform calls for each booking: the ledger's pages against one object for each key.
+//!
+//! `cargo run --release --example ledger_cost` prints a table. It runs on the paused clock
+//! against the in-memory store, whose calls take 0 to 10 ms, 5 ms on average.
+
+use futures::FutureExt;
+use futures::future::LocalBoxFuture;
+use jacinthrock::{
+    ClaimHolder, ClaimRequest, ClaimSettlement, ClaimVerdict, CounterRegistry, LedgerOptions,
+    LedgerService, MetricName, ObjectVersion, PlainReply, PlatformStore, StoreChange, StoreError,
+    StoreListing, StoredObject,
+};
+use jacinthrock_standins::fake_store::{FakeStore, StoreFaults};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const HOSTS: usize = 6;
+const RATES: [u64; 4] = [1, 10, 100, 1000];
+const RUN_TIME: Duration = Duration::from_secs(10);
+const SERVICE_TIME: Duration = Duration::from_millis(10);
+const UNIX_BASE: Duration = Duration::from_secs(1_700_000_000);
+const SEED: u64 = 11;
+
+#[derive(Default)]
+struct StoreCost {
+    reads: Cell<u64>,
+    writes: Cell<u64>,
+    read_bytes: Cell<u64>,
+    written_bytes: Cell<u64>,
+}
+
+struct CountingStore {
+    store: FakeStore,
+    cost: Rc<StoreCost>,
+}
+
+fn add(cell: &Cell<u64>, amount: usize) {
+    cell.set(cell.get() + amount as u64);
+}
+
+impl PlatformStore for CountingStore {
+    fn get(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<StoredObject>, StoreError>> {
+        let key: Box<str> = key.into();
+        async move {
+            add(&self.cost.reads, 1);
+            let object = self.store.get(&key).await?;
+            add(&self.cost.read_bytes, object.as_ref().map_or(0, |object| object.value.len()));
+            Ok(object)
+        }
+        .boxed_local()
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        expected: ObjectVersion,
+        value: Box<[u8]>,
+    ) -> LocalBoxFuture<'_, Result<ObjectVersion, StoreError>> {
+        add(&self.cost.writes, 1);
+        add(&self.cost.written_bytes, value.len());
+        self.store.put(key, expected, value)
+    }
+
+    fn delete(
+        &self,
+        key: &str,
+        expected: ObjectVersion,
+    ) -> LocalBoxFuture<'_, Result<(), StoreError>> {
+        self.store.delete(key, expected)
+    }
+
+    fn list(&self, prefix: &str) -> LocalBoxFuture<'_, Result<StoreListing, StoreError>> {
+        self.store.list(prefix)
+    }
+
+    fn watch(
+        &self,
+        prefix: &str,
+        after: ObjectVersion,
+        wait: Duration,
+    ) -> LocalBoxFuture<'_, Result<(ObjectVersion, Vec<StoreChange>), StoreError>> {
+        self.store.watch(prefix, after, wait)
+    }
+}
+
+struct Measurement {
+    bookings: usize,
+    granted: usize,
+    cost: Rc<StoreCost>,
+    conflicts: i64,
+    waits: Vec<Duration>,
+}
+
+fn reply() -> PlainReply {
+    let body = vec![b'x'; 120].into();
+    PlainReply { status: 201, content_type: "application/json".into(), body }
+}
+
+fn key(rng: &mut ChaCha8Rng, time: Duration) -> String {
+    let builder = uuid::Builder::from_unix_timestamp_millis(time.as_millis() as u64, &rng.random());
+    builder.into_uuid().to_string()
+}
+
+async fn pages(rate: u64, options: LedgerOptions) -> Measurement {
+    let (store, cost) = counting_store();
+    let counters = Rc::new(CounterRegistry::new());
+    let hosts: Vec<LedgerService> = (0..HOSTS)
+        .map(|index| {
+            let holder = ClaimHolder { host: format!("host-{index}").into(), incarnation: 1 };
+            let store = Rc::new(CountingStore { store: store.handle(), cost: cost.clone() });
+            let options = LedgerOptions { jitter_seed: index as u64, ..options.clone() };
+            LedgerService::new(store, holder, Rc::new(|_, _| true), options, counters.clone())
+        })
+        .collect();
+    let book = |number: usize, key: String, unix_now: Duration| {
+        let ledger = hosts[number % HOSTS].clone();
+        async move {
+            let request = ClaimRequest {
+                key: &key,
+                fingerprint: "0123456789abcdef0123456789abcdef".into(),
+                customer: "studio".into(),
+                deadline: Duration::from_secs(2),
+            };
+            let started = Instant::now();
+            let verdict = ledger.claim(request, unix_now).await;
+            let waited = started.elapsed();
+            let ClaimVerdict::Granted(ticket) = verdict else {
+                return None;
+            };
+            tokio::time::sleep(SERVICE_TIME).await;
+            ledger.settle(ticket, ClaimSettlement::Done(reply())).await.ok()?;
+            Some(waited)
+        }
+    };
+    let (bookings, waits) = arrivals(rate, book).await;
+    let conflicts = counters.value(MetricName::LedgerWrites, &["conflict"]);
+    Measurement { bookings, granted: waits.len(), cost, conflicts, waits }
+}
+
+/// The baseline: a claim creates the key's object, a settlement replaces it.
+async fn objects(rate: u64) -> Measurement {
+    let (store, cost) = counting_store();
+    let book = |_: usize, key: String, _: Duration| {
+        let store = CountingStore { store: store.handle(), cost: cost.clone() };
+        async move {
+            let name = format!("keys/studio/{key}");
+            let started = Instant::now();
+            let claim = vec![b'x'; 180].into();
+            let version = store.put(&name, 0, claim).await.ok()?;
+            let waited = started.elapsed();
+            tokio::time::sleep(SERVICE_TIME).await;
+            let settled = vec![b'x'; 340].into();
+            store.put(&name, version, settled).await.ok()?;
+            Some(waited)
+        }
+    };
+    let (bookings, waits) = arrivals(rate, book).await;
+    Measurement { bookings, granted: waits.len(), cost, conflicts: 0, waits }
+}
+
+fn counting_store() -> (FakeStore, Rc<StoreCost>) {
+    let store = FakeStore::new(SEED);
+    let longest_delay = Duration::from_millis(5);
+    store.set_faults(StoreFaults { longest_delay, ..StoreFaults::default() });
+    (store, Rc::default())
+}
+
+/// Starts bookings at random times, whether or not earlier ones have ended.
+async fn arrivals<F>(
+    rate: u64,
+    book: impl Fn(usize, String, Duration) -> F,
+) -> (usize, Vec<Duration>)
+where
+    F: Future<Output = Option<Duration>> + 'static,
+{
+    let mut rng = ChaCha8Rng::seed_from_u64(SEED);
+    let started = Instant::now();
+    let mut tasks = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < RUN_TIME {
+        tokio::time::sleep_until(started + at).await;
+        let unix_now = UNIX_BASE + at;
+        tasks.push(tokio::task::spawn_local(book(tasks.len(), key(&mut rng, unix_now), unix_now)));
+        let draw: f64 = rng.random_range(f64::EPSILON..1.0);
+        at += Duration::from_secs_f64(-draw.ln() / rate as f64);
+    }
+    let bookings = tasks.len();
+    let mut waits = Vec::new();
+    for task in tasks {
+        waits.extend(task.await.ok().flatten());
+    }
+    waits.sort();
+    (bookings, waits)
+}
+
+fn print(name: &str, rate: u64, measured: &Measurement) {
+    let each = |cell: &Cell<u64>| cell.get() as f64 / measured.bookings as f64;
+    let wait = |share: f64| {
+        let index = (measured.waits.len() as f64 * share) as usize;
+        measured.waits.get(index).map_or(0.0, |wait| wait.as_secs_f64() * 1000.0)
+    };
+    let seconds = RUN_TIME.as_secs_f64();
+    println!(
+        "| {name} | {rate} | {} of {} | {:.2} | {:.2} | {:.0} | {:.0} | {:.0} | {:.1} | {:.0} | {:.0} |",
+        measured.granted,
+        measured.bookings,
+        each(&measured.cost.writes),
+        each(&measured.cost.reads),
+        measured.cost.writes.get() as f64 / seconds,
+        measured.cost.reads.get() as f64 / seconds,
+        measured.conflicts as f64 / seconds,
+        (each(&measured.cost.written_bytes) + each(&measured.cost.read_bytes)) / 1024.0,
+        wait(0.5),
+        wait(0.99),
+    );
+}
+
+fn run<T>(future: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+fn main() {
+    println!(
+        "| ledger | bookings/s | recorded | writes each | reads each | writes/s | reads/s | \
+         conflicts/s | KiB each | claim p50 ms | p99 ms |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|");
+    for rate in RATES {
+        print("one object per key", rate, &run(objects(rate)));
+    }
+    for (seconds, shards) in [(2, 4), (1, 2), (1, 4), (1, 8), (5, 2)] {
+        let page_span = Duration::from_secs(seconds);
+        for rate in RATES {
+            let options = LedgerOptions { page_span, shards, ..LedgerOptions::default() };
+            let name = format!("pages of {seconds} s, {shards} shards");
+            print(&name, rate, &run(pages(rate, options)));
+        }
+    }
+}
