Drain marks say who set them

An operator's drain of an endpoint that the controller had marked after the platform's list was taken for done, and the controller would have taken its mark back. The operator's mark now replaces it.

--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -1,13 +1,13 @@
 //! `drain`: takes an endpoint out of service or shuts a host down gracefully.
 
-use serde_json::json;
+use serde_json::{Value, json};
 
 use super::error::CommandError;
 use super::flags::Drain;
 use super::hosts::{HostEntry, drain_host, registered_hosts};
 use super::{CommandContext, Run, env};
 use crate::check::endpoints_of;
-use crate::platform::{PlatformStore, StoreError};
+use crate::platform::{PlatformStore, StoredObject};
 
 /// Prefix of the objects that mark endpoints as draining.
 const DRAIN_PREFIX: &str = "drain/";
@@ -88,18 +88,31 @@
         format!("{DRAIN_PREFIX}{}", self.target)
     }
 
+    /// Writes the operator's mark, in place of one that the controller set after the platform's
+    /// list and would take back.
     async fn mark(&self, store: &dyn PlatformStore) -> Result<(), CommandError> {
-        let author = env::author().unwrap_or_else(|| "unknown".into());
-        let value = json!({ "endpoint": self.target, "author": author }).to_string();
-        match store.put(&self.key(), 0, value.into_bytes().into()).await {
-            // The mark stands already.
-            Ok(_) | Err(StoreError::Conflict { .. }) => Ok(()),
-            Err(error) => Err(error.into()),
+        let found = store.get(&self.key()).await?;
+        if found.as_ref().is_some_and(|object| !is_by_controller(object)) {
+            return Ok(());
         }
+        let version = found.map_or(0, |object| object.version);
+        let author = env::author().unwrap_or_else(|| "unknown".into());
+        let value = json!({ "by": "operator", "author": author }).to_string();
+        store.put(&self.key(), version, value.into_bytes().into()).await?;
+        Ok(())
     }
 
     async fn unmark(&self, store: &dyn PlatformStore) -> Result<(), CommandError> {
         let Some(object) = store.get(&self.key()).await? else { return Ok(()) };
+        if is_by_controller(&object) {
+            let message = format!("the platform's list has endpoint {} as leaving", self.target);
+            return Err(CommandError::Usage(message.into()));
+        }
         Ok(store.delete(&self.key(), object.version).await?)
     }
 }
+
+fn is_by_controller(object: &StoredObject) -> bool {
+    let mark: Option<Value> = serde_json::from_slice(&object.value).ok();
+    mark.is_some_and(|mark| mark["by"] == "controller")
+}
--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -261,6 +261,14 @@
     assert!(operator.exists("drain/guide-1"));
     assert_eq!(operator.run(&["drain", "guide-1", "--undo"]).0, 0);
     assert!(!operator.exists("drain/guide-1"));
+    operator.put("drain/guide-2", &json!({ "by": "controller" }));
+    assert_eq!(operator.run(&["drain", "guide-2", "--undo"]).0, 1);
+    assert_eq!(operator.run(&["drain", "guide-2"]).0, 0);
+    assert_eq!(
+        operator.run(&["drain", "guide-2", "--undo"]).0,
+        0,
+        "the operator's mark replaced it"
+    );
     assert_eq!(operator.run(&["drain", "router-1"]).0, 0);
     assert!(host.drained.load(Ordering::SeqCst));
     assert_eq!(operator.run(&["drain", "router-1", "--undo"]).0, 1);
