--- a/tests/config_schedules.rs
+++ b/tests/config_schedules.rs
@@ -819,6 +819,13 @@
     );
 }
 
+#[test]
+fn serving_less_than_was_in_force_everywhere_is_caught() {
+    let cell = (Fault::CutFromPlatform, Step::InForce);
+    let expected = "was in force everywhere";
+    assert!(first_catch(Planted::TakesLowerRevision, expected, cell).is_some());
+}
+
 #[test]
 fn ignoring_a_watch_gap_is_caught() {
     assert!(
