--- a/src/peer.rs
+++ b/src/peer.rs
@@ -2,6 +2,7 @@
 
 use futures::future::LocalBoxFuture;
 
+use crate::gossip::PeerDigest;
 use crate::ids::{ConfigRevision, HostName, Incarnation};
 
 /// Why a peer did not answer.
@@ -47,3 +48,36 @@
     /// Asks a host for the configuration that it has in force.
     fn fetch_config(&self, host: &str) -> LocalBoxFuture<'_, Result<ConfigSnapshot, PeerError>>;
 }
+
+/// The configuration that this host has in force, for peers that ask for it.
+pub trait ConfigSource {
+    /// The configuration in force, if there is one.
+    fn snapshot(&self) -> Option<ConfigSnapshot>;
+}
+
+/// Calls to one peer, behind a trait so that tests use fakes.
+pub trait PeerTransport {
+    /// Sends a digest and returns the peer's.
+    fn exchange(
+        &self,
+        host: &str,
+        address: &str,
+        digest: PeerDigest,
+    ) -> LocalBoxFuture<'static, Result<PeerDigest, PeerError>>;
+
+    /// Asks for the configuration that the peer has in force.
+    fn fetch_config(
+        &self,
+        host: &str,
+        address: &str,
+    ) -> LocalBoxFuture<'static, Result<ConfigSnapshot, PeerError>>;
+}
+
+/// What a host answers to its peers.
+pub trait PeerResponder {
+    /// Takes a peer's digest and returns this host's.
+    fn exchange(&self, digest: &PeerDigest) -> PeerDigest;
+
+    /// The configuration in force, if there is one.
+    fn config(&self) -> Option<ConfigSnapshot>;
+}
