--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -1,33 +1,18 @@
 //! The operators' program as a process, against the stand-in platform and fake hosts.
 
-use jacinthrock_standins::http;
-use jacinthrock_standins::platform::{PlatformApi, PlatformOptions};
+#[path = "support/platform_thread.rs"]
+mod platform_thread;
+
+use platform_thread::start_platform;
 use rouille::{Response, Server};
 use serde_json::{Value, json};
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, mpsc};
 use std::thread;
 
-/// Serves the stand-in platform on a thread for as long as the test process lives.
-fn start_platform() -> String {
-    let (sender, receiver) = mpsc::channel();
-    thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-        tokio::task::LocalSet::new().block_on(&runtime, async {
-            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-            sender.send(listener.local_addr().unwrap()).unwrap();
-            let options =
-                PlatformOptions { writes_per_second: 500, reads_per_second: 2000, history: 1000 };
-            http::serve(listener, Rc::new(PlatformApi::new(options))).await.unwrap();
-        });
-    });
-    format!("http://{}", receiver.recv().unwrap())
-}
-
 /// A host whose operator port reports a revision that the test sets.
 struct FakeHost {
     address: String,
