--- /dev/null
+++ b/examples/control_cost.rs
@@ -0,0 +1,248 @@
+//! Bytes, messages and spread of news between hosts, as their number grows.
+//!
+//! `cargo run --release --example control_cost` prints two tables. The first comes from real
+//! connections on loopback, the second from the decision code over a simulated network, with each
+//! digest encoded.
+
+use futures::future::LocalBoxFuture;
+use jacinthrock::{
+    ConfigSnapshot, CounterRegistry, GossipOptions, HostState, MemberRecord, MetricName,
+    PeerDigest, PeerError, PeerNetwork, PeerService, PeerSetup, PeerTransport, QuotaLimits,
+    RpcListener, RpcTransport, digest_bytes,
+};
+use jacinthrock_standins::fake_store::FakeStore;
+use jacinthrock_standins::peer_world::{HostIndex, PeerWorld, WorldOptions};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::LocalSet;
+
+const SEED: u64 = 4;
+const FLEETS: [usize; 6] = [3, 6, 12, 24, 48, 340];
+const CUSTOMERS: usize = 10;
+const ENDPOINTS: usize = 43;
+const WARM_UP: Duration = Duration::from_secs(30);
+const MEASURED: Duration = Duration::from_secs(30);
+
+/// Counts the bytes of digests, without what the protocol adds.
+struct CountedTransport {
+    inner: RpcTransport,
+    digests: Rc<Cell<usize>>,
+    exchanges: Rc<Cell<usize>>,
+}
+
+impl PeerTransport for CountedTransport {
+    fn exchange(
+        &self,
+        host: &str,
+        address: &str,
+        digest: PeerDigest,
+    ) -> LocalBoxFuture<'static, Result<PeerDigest, PeerError>> {
+        let (digests, exchanges) = (self.digests.clone(), self.exchanges.clone());
+        digests.set(digests.get() + digest_bytes(&digest));
+        let reply = self.inner.exchange(host, address, digest);
+        Box::pin(async move {
+            let reply = reply.await?;
+            digests.set(digests.get() + digest_bytes(&reply));
+            exchanges.set(exchanges.get() + 1);
+            Ok(reply)
+        })
+    }
+
+    fn fetch_config(
+        &self,
+        host: &str,
+        address: &str,
+    ) -> LocalBoxFuture<'static, Result<ConfigSnapshot, PeerError>> {
+        self.inner.fetch_config(host, address)
+    }
+}
+
+fn own_record(name: &str, address: &str) -> MemberRecord {
+    MemberRecord {
+        host: name.into(),
+        domain: "south-1".into(),
+        address: address.into(),
+        incarnation: 1,
+        heartbeat: 0,
+        revision: 0,
+        state: HostState::Serving,
+    }
+}
+
+/// Bytes that capnp-rpc adds to the two digests of an exchange, on a connection kept open.
+async fn protocol_bytes() -> usize {
+    let options = GossipOptions { interval: Duration::from_millis(10), ..GossipOptions::default() };
+    let store = FakeStore::new(SEED);
+    let counters = Arc::new(CounterRegistry::new());
+    let quiet = Arc::new(CounterRegistry::new());
+    let listen = "127.0.0.1:0".parse().expect("address is valid");
+    let listener = RpcListener::bind(listen, quiet.clone()).await.expect("loopback can be bound");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let setup = |name: &str, address: &str, counters| PeerSetup {
+        own: own_record(name, address),
+        options,
+        seed: SEED,
+        store: Rc::new(store.handle()),
+        counters,
+    };
+    // The second host is not told of the first, so it only answers.
+    let answering = PeerService::with_transport(
+        setup("router-2", &address, quiet.clone()),
+        Rc::new(RpcTransport::new(quiet.clone())),
+    );
+    tokio::task::spawn_local(listener.serve(answering.responder()));
+    let value =
+        format!(r#"{{"host":"router-2","domain":"south-1","peer":"{address}","incarnation":1}}"#);
+    let store_handle: Rc<dyn jacinthrock::PlatformStore> = Rc::new(store.handle());
+    store_handle.put("routers/router-2", 0, value.into_bytes().into()).await.expect("it is up");
+    let (digests, exchanges) = (Rc::new(Cell::new(0)), Rc::new(Cell::new(0)));
+    let transport = CountedTransport {
+        inner: RpcTransport::new(counters.clone()),
+        digests: digests.clone(),
+        exchanges: exchanges.clone(),
+    };
+    let calling = PeerService::with_transport(
+        setup("router-1", "127.0.0.1:1", counters.clone()),
+        Rc::new(transport),
+    );
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(calling.live_hosts().len(), 1);
+    let wire: i64 = ["sent", "received"]
+        .iter()
+        .map(|direction| counters.value(MetricName::PeerBytes, &[direction]))
+        .sum();
+    (wire as usize).saturating_sub(digests.get()) / exchanges.get().max(1)
+}
+
+struct FleetCost {
+    bytes: f64,
+    messages: f64,
+    processor: f64,
+}
+
+fn measure_fleet(hosts: usize) -> (FleetCost, Duration, Duration) {
+    let options = WorldOptions {
+        hosts,
+        longest_delay: Duration::from_millis(2),
+        gossip: GossipOptions::default(),
+        count_bytes: true,
+    };
+    let mut world = PeerWorld::new(options, SEED);
+    for host in 0..hosts {
+        set_limits(&mut world, host);
+    }
+    advance(&mut world, WARM_UP);
+    let before: Vec<_> = world.hosts.iter().map(|host| (host.bytes, host.messages)).collect();
+    let started = Instant::now();
+    advance(&mut world, MEASURED);
+    let processor = started.elapsed().as_secs_f64() / hosts as f64 / MEASURED.as_secs_f64();
+    let seconds = MEASURED.as_secs_f64() * hosts as f64;
+    let bytes: u64 = world.hosts.iter().map(|host| host.bytes).sum::<u64>()
+        - before.iter().map(|(bytes, _)| bytes).sum::<u64>();
+    let messages: u64 = world.hosts.iter().map(|host| host.messages).sum::<u64>()
+        - before.iter().map(|(_, messages)| messages).sum::<u64>();
+    let cost = FleetCost {
+        bytes: bytes as f64 / seconds,
+        messages: messages as f64 / seconds,
+        processor: processor * 100.0,
+    };
+    let rumour = spread_of_revision(&mut world);
+    let death = notice_of_death(&mut world);
+    (cost, rumour, death)
+}
+
+fn set_limits(world: &mut PeerWorld, host: HostIndex) {
+    let now = world.now;
+    let limits = QuotaLimits { requests_per_second: 10_000, concurrent_requests: 10_000 };
+    let core = world.hosts[host].core.as_mut().expect("it runs");
+    for customer in 0..CUSTOMERS {
+        core.keeper_mut().set_limits(now, &format!("customer-{customer}"), limits);
+    }
+}
+
+/// Lets the hosts act, with demand of every customer and loads read by their pollers.
+fn advance(world: &mut PeerWorld, span: Duration) {
+    let end = world.now + span;
+    while world.now < end {
+        world.run_until(world.now + Duration::from_secs(1));
+        let now = world.now;
+        for host in &mut world.hosts {
+            let core = host.core.as_mut().expect("it runs");
+            for customer in 0..CUSTOMERS {
+                let name = format!("customer-{customer}");
+                if core.keeper_mut().try_take(now, &name).is_ok() {
+                    core.keeper_mut().release(&name);
+                }
+            }
+            for endpoint in 0..ENDPOINTS {
+                let name = format!("engine-{endpoint}");
+                if core.is_poller_of(now, &name) {
+                    core.record_load(now, &name, 3, 1, false);
+                }
+            }
+        }
+    }
+}
+
+/// Time until every host knows a new revision.
+fn spread_of_revision(world: &mut PeerWorld) -> Duration {
+    let started = world.now;
+    let now = world.now;
+    world.hosts[0].core.as_mut().expect("it runs").announce_revision(now, 9);
+    world.schedule_tick(0);
+    let known = |world: &PeerWorld| {
+        world.hosts.iter().skip(1).all(|host| {
+            let table = host.core.as_ref().expect("it runs").table();
+            table.newest_revision(world.now).is_some_and(|(_, revision)| revision == 9)
+        })
+    };
+    while !known(world) && world.now - started < Duration::from_secs(60) {
+        world.run_until(world.now + Duration::from_millis(10));
+    }
+    world.now - started
+}
+
+/// Time until no host takes a killed one for live.
+fn notice_of_death(world: &mut PeerWorld) -> Duration {
+    let started = world.now;
+    let last = world.hosts.len() - 1;
+    world.kill(last);
+    let name = PeerWorld::name(last);
+    let live = |world: &PeerWorld| {
+        let cores = world.hosts.iter().filter_map(|host| host.core.as_ref());
+        cores.into_iter().any(|core| core.table().is_live(world.now, &name, 1))
+    };
+    while live(world) && world.now - started < Duration::from_secs(300) {
+        world.run_until(world.now + Duration::from_millis(100));
+    }
+    world.now - started
+}
+
+fn main() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime can be built");
+    let added = LocalSet::new().block_on(&runtime, protocol_bytes());
+    println!("seed {SEED}, {CUSTOMERS} customers, {ENDPOINTS} endpoints");
+    println!("capnp-rpc adds {added} bytes to the two digests of an exchange");
+    println!(
+        "| hosts | messages/s | digest bytes/s | with protocol | core (%) | revision known everywhere (s) | dead host noticed (s) |"
+    );
+    println!("|---|---|---|---|---|---|---|");
+    for hosts in FLEETS {
+        let (cost, rumour, death) = measure_fleet(hosts);
+        let with_protocol = cost.bytes + cost.messages / 2.0 * added as f64;
+        println!(
+            "| {hosts} | {:.1} | {:.0} | {:.0} | {:.3} | {:.2} | {:.1} |",
+            cost.messages,
+            cost.bytes,
+            with_protocol,
+            cost.processor,
+            rumour.as_secs_f64(),
+            death.as_secs_f64(),
+        );
+    }
+}
