Digests name the newest revision, and continue for each receiver where they left off

Cause: news of a revision travelled only in records that are passed on a bounded number of times, and replies used those up; and one cursor over load reports served all receivers, so that some never saw some loads. Ruled out: lost messages and membership (every host was live).

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -15,12 +15,12 @@
 use crate::quota::{DemandReport, QuotaKeeper, QuotaOptions};
 
 /// Entries of each kind in a digest, so that its size is bounded.
-const MAX_BEATS: usize = 20;
-const MAX_DIRECT_BEATS: usize = 4;
+const MAX_BEATS: usize = 16;
+const MAX_DIRECT_BEATS: usize = 1;
 const MAX_RECORDS: usize = 6;
 const MAX_WANTED: usize = 8;
 const MAX_DEMANDS: usize = 16;
-const MAX_LOADS: usize = 8;
+const MAX_LOADS: usize = 4;
 const MAX_MARKS: usize = 8;
 
 /// Host names whose records are asked for at most.
@@ -60,7 +60,7 @@
     fn default() -> Self {
         Self {
             interval: Duration::from_secs(1),
-            fan_out: 2,
+            fan_out: 1,
             away_after: Duration::from_secs(3),
             notice_away: true,
             members: MemberOptions::default(),
@@ -102,6 +102,10 @@
     pub sender: MemberBeat,
     /// Configuration revision that the sender has in force.
     pub revision: ConfigRevision,
+    /// Highest configuration revision that the sender heard of.
+    pub newest_revision: ConfigRevision,
+    /// Hash of a host that has the highest revision in force.
+    pub newest_host: NameHash,
     /// Newest heartbeat that the sender heard from the receiver itself.
     pub echo: HeartbeatEcho,
     /// Whether customers without a report have no demand at the sender.
@@ -153,7 +157,7 @@
     asked: BTreeMap<HostName, Vec<NameHash>>,
     demands: Vec<DemandReport>,
     loads: BTreeMap<NameHash, KnownLoad>,
-    load_cursor: NameHash,
+    cursors: BTreeMap<HostName, DigestCursor>,
     marks: BTreeMap<NameHash, KnownMark>,
     away_count: u64,
 }
@@ -167,6 +171,13 @@
     own: bool,
 }
 
+/// Where the next digest to one receiver goes on, among what does not fit into one digest.
+#[derive(Clone, Copy, Default)]
+struct DigestCursor {
+    load: NameHash,
+    demand: usize,
+}
+
 struct KnownMark {
     mark: DrainMark,
     sends_left: u32,
@@ -193,7 +204,7 @@
             asked: BTreeMap::new(),
             demands: Vec::new(),
             loads: BTreeMap::new(),
-            load_cursor: 0,
+            cursors: BTreeMap::new(),
             marks: BTreeMap::new(),
             away_count: 0,
         }
@@ -352,10 +363,12 @@
     pub fn is_poller_of(&self, now: Instant, endpoint: &str) -> bool {
         let own = self.table.own();
         let region = region_of(&own.domain);
-        let own_weight = poll_weight(endpoint, &own.host);
-        let peers = self.table.live(now).filter(|record| region_of(&record.domain) == region);
-        let serving = peers.filter(|record| record.state == HostState::Serving);
-        let ahead = serving.filter(|record| poll_weight(endpoint, &record.host) > own_weight);
+        let endpoint = name_hash(endpoint);
+        let own_weight = poll_weight(endpoint, self.table.own_hash());
+        let peers = self.table.live_with_hash(now).filter(|(_, record)| {
+            region_of(&record.domain) == region && record.state == HostState::Serving
+        });
+        let ahead = peers.filter(|&(hash, _)| poll_weight(endpoint, hash) > own_weight);
         ahead.count() < POLLERS_PER_REGION
     }
 
@@ -401,6 +414,8 @@
     /// Recomputes what depends on the fleet.
     fn refresh(&mut self, now: Instant) {
         self.table.prune(now, &self.listed);
+        let table = &self.table;
+        self.cursors.retain(|host, _| table.record(host).is_some());
         let direct = self.table.direct_window();
         let spread = self.options.interval * 2;
         let silence = self.options.members.silent_after;
@@ -501,6 +516,9 @@
             self.absorb_beat(now, beat);
         }
         self.absorb_sender(now, digest);
+        if let Some(host) = self.table.name_of(digest.newest_host).cloned() {
+            self.table.take_revision(&host, digest.newest_revision);
+        }
         if self.newest_known(now) > newest {
             self.hurry(now);
         }
@@ -542,8 +560,14 @@
     }
 
     fn newest_known(&self, now: Instant) -> ConfigRevision {
-        let heard = self.table.newest_revision(now).map_or(0, |(_, revision)| revision);
-        heard.max(self.table.own().revision)
+        self.newest_holder(now).1
+    }
+
+    fn newest_holder(&self, now: Instant) -> (NameHash, ConfigRevision) {
+        let own = (self.table.own_hash(), self.table.own().revision);
+        let heard = self.table.newest_revision(now);
+        let heard = heard.map(|(host, revision)| (name_hash(&host), revision));
+        heard.filter(|heard| heard.1 > own.1).unwrap_or(own)
     }
 
     fn spread_member(&mut self, host: &str) {
@@ -581,17 +605,20 @@
     }
 
     fn digest_for(&mut self, now: Instant, receiver: Option<&str>) -> PeerDigest {
-        let demands: Vec<DemandReport> = self.choose_demands();
+        let demands = self.choose_demands(receiver);
+        let (newest_host, newest_revision) = self.newest_holder(now);
         PeerDigest {
             sender: self.table.own().beat(),
             revision: self.table.own().revision,
+            newest_revision,
+            newest_host,
             echo: receiver.map(|host| self.table.echo_for(host)).unwrap_or_default(),
             complete: self.demands.len() <= MAX_DEMANDS,
             beats: self.choose_beats(now, receiver),
             records: self.choose_records(receiver),
             wanted: self.wanted.iter().copied().take(MAX_WANTED).collect(),
             demands,
-            loads: self.choose_loads(now),
+            loads: self.choose_loads(now, receiver),
             marks: self.choose_marks(),
         }
     }
@@ -620,27 +647,41 @@
     }
 
     /// The customers with the highest demand, and the others in turn.
-    fn choose_demands(&mut self) -> Vec<DemandReport> {
+    fn choose_demands(&mut self, receiver: Option<&str>) -> Vec<DemandReport> {
         if self.demands.len() <= MAX_DEMANDS {
             return self.demands.clone();
         }
-        let (top, rest) = self.demands.split_at_mut(MAX_DEMANDS / 2);
-        let mut chosen = top.to_vec();
-        chosen.extend(rest.iter().take(MAX_DEMANDS / 2));
-        rest.rotate_left((MAX_DEMANDS / 2).min(rest.len()));
+        let mut cursor = self.cursor_of(receiver);
+        let (top, rest) = self.demands.split_at(MAX_DEMANDS / 2);
+        let turns = rest.iter().cycle().skip(cursor.demand % rest.len());
+        let chosen = top.iter().chain(turns.take(rest.len().min(MAX_DEMANDS / 2)));
+        let chosen = chosen.copied().collect();
+        cursor.demand = (cursor.demand + MAX_DEMANDS / 2) % rest.len();
+        self.set_cursor(receiver, cursor);
         chosen
     }
 
+    fn cursor_of(&self, receiver: Option<&str>) -> DigestCursor {
+        receiver.and_then(|host| self.cursors.get(host)).copied().unwrap_or_default()
+    }
+
+    fn set_cursor(&mut self, receiver: Option<&str>, cursor: DigestCursor) {
+        if let Some(host) = receiver {
+            self.cursors.insert(host.into(), cursor);
+        }
+    }
+
     /// Loads in turn; in a small fleet only those that this host read itself.
-    fn choose_loads(&mut self, now: Instant) -> Vec<LoadReport> {
+    fn choose_loads(&mut self, now: Instant, receiver: Option<&str>) -> Vec<LoadReport> {
         let own_only = self.is_direct();
-        let cursor = self.load_cursor;
-        let after = self.loads.range(cursor.saturating_add(1)..);
-        let around = after.chain(self.loads.range(..=cursor));
+        let mut cursor = self.cursor_of(receiver);
+        let after = self.loads.range(cursor.load.saturating_add(1)..);
+        let around = after.chain(self.loads.range(..=cursor.load));
         let chosen = around.filter(|(_, load)| load.own || !own_only).take(MAX_LOADS);
         let reports: Vec<_> = chosen.map(|(&hash, load)| load.report(now, hash)).collect();
         if let Some(last) = reports.last() {
-            self.load_cursor = last.endpoint;
+            cursor.load = last.endpoint;
+            self.set_cursor(receiver, cursor);
         }
         reports
     }
@@ -681,6 +722,8 @@
 }
 
 /// Weight of a host for an endpoint by rendezvous hashing.
-fn poll_weight(endpoint: &str, host: &str) -> u64 {
-    name_hash(&format!("{endpoint}\n{host}"))
+fn poll_weight(endpoint: NameHash, host: NameHash) -> u64 {
+    let mixed = (endpoint ^ host.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed ^ (mixed >> 32)
 }
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -127,8 +127,8 @@
     fn default() -> Self {
         Self {
             silent_after: Duration::from_millis(3500),
-            silent_per_host: Duration::from_millis(150),
-            direct_per_host: Duration::from_millis(500),
+            silent_per_host: Duration::from_millis(600),
+            direct_per_host: Duration::from_millis(2000),
             dead_factor: 2,
             forget_after: Duration::from_secs(600),
             rising_only: true,
@@ -144,6 +144,7 @@
 pub struct MemberTable {
     options: MemberOptions,
     own: MemberRecord,
+    own_hash: NameHash,
     members: BTreeMap<HostName, KnownMember>,
     names: BTreeMap<NameHash, HostName>,
     superseded: bool,
@@ -175,7 +176,15 @@
 impl MemberTable {
     /// A table that knows only its own host.
     pub fn new(own: MemberRecord, options: MemberOptions) -> Self {
-        Self { options, own, members: BTreeMap::new(), names: BTreeMap::new(), superseded: false }
+        let own_hash = name_hash(&own.host);
+        Self {
+            options,
+            own,
+            own_hash,
+            members: BTreeMap::new(),
+            names: BTreeMap::new(),
+            superseded: false,
+        }
     }
 
     /// This host's own record.
@@ -234,7 +243,7 @@
 
     /// Merges a heartbeat. Returns `None` if the host or its incarnation is not known.
     pub fn merge_beat(&mut self, now: Instant, beat: &MemberBeat) -> Option<bool> {
-        if beat.host == name_hash(&self.own.host) {
+        if beat.host == self.own_hash {
             self.superseded |= beat.incarnation > self.own.incarnation;
             return Some(false);
         }
@@ -339,6 +348,23 @@
             .map(|member| &member.record)
     }
 
+    pub(crate) fn own_hash(&self) -> NameHash {
+        self.own_hash
+    }
+
+    pub(crate) fn live_with_hash(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (NameHash, &MemberRecord)> {
+        let members = self.names.iter().filter_map(|(&hash, name)| {
+            let member = self.members.get(name)?;
+            Some((hash, member))
+        });
+        members
+            .filter(move |(_, member)| self.liveness_of(now, member) == MemberLiveness::Live)
+            .map(|(hash, member)| (hash, &member.record))
+    }
+
     /// Whether this incarnation of a host was heard lately.
     pub fn is_live(&self, now: Instant, host: &str, incarnation: Incarnation) -> bool {
         let Some(member) = self.members.get(host) else {
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -21,6 +21,9 @@
   demands @7 :List(DemandReport);
   loads @8 :List(LoadReport);
   marks @9 :List(DrainMark);
+  newestRevision @10 :UInt64;
+  newestHost @11 :UInt64;
+  # The highest revision that the sender heard of, and a host that has it in force.
 }
 
 enum HostState {
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1068,11 +1068,19 @@
         pub fn has_marks(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
+        #[inline]
+        pub fn get_newest_revision(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_newest_host(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 8 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1266,6 +1274,22 @@
         pub fn has_marks(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
+        #[inline]
+        pub fn get_newest_revision(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_newest_revision(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_newest_host(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_newest_host(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1283,94 +1307,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 193] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 225] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(206, 166, 114, 117, 83, 204, 10, 251),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(104, 48, 79, 233, 193, 165, 183, 210),
             ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 80, 101, 101, 114, 68),
             ::capnp::word(105, 103, 101, 115, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 110, 100, 101, 114, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(58, 194, 225, 136, 8, 157, 205, 244),
@@ -1477,6 +1515,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 115, 116, 82, 101),
+            ::capnp::word(118, 105, 115, 105, 111, 110, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 119, 101, 115, 116, 72, 111),
+            ::capnp::word(115, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1490,6 +1546,8 @@
                 7 => <::capnp::struct_list::Owned<crate::peer_capnp::demand_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::peer_capnp::load_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::struct_list::Owned<crate::peer_capnp::drain_mark::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1503,9 +1561,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,7,2,8,9,5,1,0,6];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,3,7,2,8,9,11,10,5,1,0,6];
         pub(crate) const TYPE_ID: u64 = 0xfb0a_cc53_7572_a6ce;
     }
 }
--- a/src/peer_rpc.rs
+++ b/src/peer_rpc.rs
@@ -338,6 +338,8 @@
 fn write_digest(mut builder: wire::peer_digest::Builder<'_>, digest: &PeerDigest) {
     write_beat(builder.reborrow().init_sender(), &digest.sender);
     builder.set_revision(digest.revision);
+    builder.set_newest_revision(digest.newest_revision);
+    builder.set_newest_host(digest.newest_host);
     let mut echo = builder.reborrow().init_echo();
     echo.set_incarnation(digest.echo.incarnation);
     echo.set_heartbeat(digest.echo.heartbeat);
@@ -412,6 +414,8 @@
     Ok(PeerDigest {
         sender: read_beat(reader.get_sender()?)?,
         revision: reader.get_revision(),
+        newest_revision: reader.get_newest_revision(),
+        newest_host: reader.get_newest_host(),
         echo: read_echo(reader.get_echo()?),
         complete: reader.get_complete(),
         beats: beats?,
