Hosts that the platform lists but nobody hears are forgotten after a minute

Objects of killed hosts stay on the platform; counted as dead for ten minutes they outnumbered the hosts of a fresh fleet, which then held back its customers' parts.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -114,6 +114,8 @@
     pub dead_factor: u32,
     /// A dead host no longer counts in the fleet after this time.
     pub forget_after: Duration,
+    /// The same for a host that the platform lists and that was never heard.
+    pub forget_unheard_after: Duration,
     /// Whether a heartbeat counts only when it rises; only tests turn it off.
     pub rising_only: bool,
     /// Whether runs of a host's process are told apart; only tests turn it off.
@@ -131,6 +133,7 @@
             direct_per_host: Duration::from_millis(2000),
             dead_factor: 2,
             forget_after: Duration::from_secs(600),
+            forget_unheard_after: Duration::from_secs(60),
             rising_only: true,
             incarnations: true,
         }
@@ -155,6 +158,7 @@
     pub(crate) record: MemberRecord,
     pub(crate) sends_left: u32,
     learned: Instant,
+    ever_heard: bool,
     risen: Option<Instant>,
     direct: Option<DirectContact>,
     echo: Option<EchoContact>,
@@ -261,6 +265,7 @@
         }
         member.record.heartbeat = member.record.heartbeat.max(beat.heartbeat);
         member.risen = Some(now);
+        member.ever_heard = true;
         let changed = member.record.state != beat.state;
         member.record.state = member.record.state.max(beat.state);
         Some(changed)
@@ -460,7 +465,12 @@
     pub(crate) fn liveness_of(&self, now: Instant, member: &KnownMember) -> MemberLiveness {
         let age = member.age(now);
         let dead_after = self.dead_after();
-        if member.record.state == HostState::Left || age > dead_after + self.options.forget_after {
+        let forget_after = if member.ever_heard {
+            self.options.forget_after
+        } else {
+            self.options.forget_unheard_after
+        };
+        if member.record.state == HostState::Left || age > dead_after + forget_after {
             return MemberLiveness::Gone;
         }
         if age > dead_after {
@@ -480,8 +490,16 @@
     fn replace(&mut self, now: Instant, record: MemberRecord, risen: Option<Instant>) {
         self.names.insert(name_hash(&record.host), record.host.clone());
         let host = record.host.clone();
-        let member =
-            KnownMember { record, sends_left: 0, learned: now, risen, direct: None, echo: None };
+        let heard_before = self.members.get(&host).is_some_and(|member| member.ever_heard);
+        let member = KnownMember {
+            record,
+            sends_left: 0,
+            learned: now,
+            ever_heard: heard_before || risen.is_some(),
+            risen,
+            direct: None,
+            echo: None,
+        };
         self.members.insert(host, member);
     }
 }
