--- a/tests/membership_schedules.rs
+++ b/tests/membership_schedules.rs
@@ -6,6 +6,7 @@
 use jacinthrock_standins::peer_world::{HostIndex, PeerWorld, WorldOptions};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -26,6 +27,9 @@
 /// After this time without any fault, parts sum to at most the limit.
 const QUOTA_BOUND: Duration = Duration::from_secs(25);
 
+/// Window over which admitted requests are counted, once parts sum to at most the limit.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+
 /// Most that parts sum to at any time, in limits: the hosts that hear most others have the whole,
 /// the others keep what they had; a new or woken host adds a tenth for each.
 const WORST_PARTS: f64 = 2.5;
@@ -63,6 +67,7 @@
     PartsAboveLimit,
     PartsAboveWorst,
     RunningAboveLimit,
+    AdmittedAboveLimit,
     AwayUnnoticed,
 }
 
@@ -71,6 +76,7 @@
     rng: ChaCha8Rng,
     demand: [f64; HOSTS],
     running: Vec<(Instant, HostIndex, u64)>,
+    admitted: VecDeque<Instant>,
     last_fault: Instant,
     findings: Vec<WorldFinding>,
     worst_parts: f64,
@@ -88,6 +94,7 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             demand: [10.0; HOSTS],
             running: Vec::new(),
+            admitted: VecDeque::new(),
             findings: Vec::new(),
             worst_parts: 0.0,
             woken: Vec::new(),
@@ -148,6 +155,7 @@
         if core.keeper_mut().try_take(now, CUSTOMER).is_ok() {
             let served = Duration::from_millis(self.rng.random_range(50..400));
             self.running.push((now + served, host, incarnation));
+            self.admitted.push_back(now);
         }
     }
 
@@ -272,12 +280,28 @@
         if sum > 1.0 + 1e-6 {
             self.findings.push(WorldFinding::PartsAboveLimit);
         }
+        self.check_rate(quiet);
         if self.running.len() > CONCURRENT_LIMIT as usize + HOSTS {
             self.findings.push(WorldFinding::RunningAboveLimit);
         }
     }
 }
 
+impl WorldRun {
+    /// Every host admits its rate and one burst: a second of its part, or one request.
+    fn check_rate(&mut self, quiet: Duration) {
+        let now = self.world.now;
+        while self.admitted.front().is_some_and(|&at| now - at > RATE_WINDOW) {
+            self.admitted.pop_front();
+        }
+        let seconds = RATE_WINDOW.as_secs_f64() + STEP.as_secs_f64() + 1.0;
+        let bound = f64::from(RATE_LIMIT) * seconds + HOSTS as f64;
+        if quiet > QUOTA_BOUND + RATE_WINDOW && self.admitted.len() as f64 > bound {
+            self.findings.push(WorldFinding::AdmittedAboveLimit);
+        }
+    }
+}
+
 /// Runs one schedule: a few faults at random moments, then peace.
 fn run_schedule(gossip: GossipOptions, seed: u64) -> WorldRun {
     let mut run = WorldRun::new(gossip, seed);
