--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -34,6 +34,8 @@
                 required --out path: PathBuf
                 /// Address of a router that already runs; may be given more than once.
                 repeated --target address: String
+                /// Additional argument of every router; may be given more than once.
+                repeated --router-arg argument: String
                 /// Calls the endpoints past the routers, to compare.
                 optional --direct
             }
@@ -49,6 +51,8 @@
                 required --seconds seconds: u64
                 /// Directory for the reports.
                 required --out path: PathBuf
+                /// Additional argument of every router; may be given more than once.
+                repeated --router-arg argument: String
                 /// Calls the endpoints past the routers, to compare.
                 optional --direct
             }
@@ -115,7 +119,7 @@
 
 fn run_command(run: flags::Run) -> Result<bool, RunError> {
     let options = RunOptions {
-        scenario: load_scenario(&run.scenario)?,
+        scenario: with_router_args(load_scenario(&run.scenario)?, &run.router_arg),
         seed: run.seed.unwrap_or(1),
         rate: run.rate,
         length: Duration::from_secs(run.seconds),
@@ -142,7 +146,7 @@
 }
 
 fn sweep_command(sweep: &flags::Sweep) -> Result<bool, RunError> {
-    let scenario = load_scenario(&sweep.scenario)?;
+    let scenario = with_router_args(load_scenario(&sweep.scenario)?, &sweep.router_arg);
     let length = Duration::from_secs(sweep.seconds);
     let percents =
         if sweep.percent.is_empty() { DEFAULT_PERCENTS.to_vec() } else { sweep.percent.clone() };
@@ -220,6 +224,11 @@
     write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
 }
 
+fn with_router_args(mut scenario: LoadScenario, args: &[String]) -> LoadScenario {
+    scenario.fleet.router_args.extend(args.iter().map(|arg| arg.as_str().into()));
+    scenario
+}
+
 fn load_scenario(name: &str) -> Result<LoadScenario, RunError> {
     if let Some(scenario) = built_in(name) {
         return Ok(scenario);
--- a/crates/standins/src/fleet/plan.rs
+++ b/crates/standins/src/fleet/plan.rs
@@ -17,6 +17,9 @@
     pub routers: u16,
     /// Controllers.
     pub controllers: u16,
+    /// Additional arguments of every router.
+    #[serde(default)]
+    pub router_args: Vec<Box<str>>,
     /// Failure domains; routers and plain endpoints are spread over them in turn.
     pub domains: Vec<Box<str>>,
     /// Model service.
--- a/crates/standins/src/fleet/running.rs
+++ b/crates/standins/src/fleet/running.rs
@@ -259,7 +259,7 @@
                 operator_address: self.harness.free_address()?,
             };
             let peer_address = self.harness.free_address()?;
-            let args = flags(&[
+            let mut args = flags(&[
                 ("--name", &format!("host-{}", number + 1)),
                 ("--domain", &self.domain(number)),
                 ("--listen", &router.address),
@@ -267,6 +267,7 @@
                 ("--peer-listen", &peer_address),
                 ("--platform", &self.platform_url()),
             ]);
+            args.extend(self.plan.router_args.iter().map(ToString::to_string));
             self.harness.start(&router.name, "jacinthrock-router", &args)?;
             self.routers.push(router);
         }
--- a/crates/standins/src/load/scenario.rs
+++ b/crates/standins/src/load/scenario.rs
@@ -113,6 +113,7 @@
         root: "lasitaide".into(),
         routers: 3,
         controllers: 3,
+        router_args: Vec::new(),
         domains: domains.map(Into::into).into(),
         model,
         services: vec![
@@ -158,6 +159,7 @@
         root: "lasitaide".into(),
         routers: 7,
         controllers: 3,
+        router_args: Vec::new(),
         domains: domains.map(Into::into).into(),
         model: ModelPlan { chains: mixed_chains(&domains), ..guide_model() },
         services: vec![plain("bookings", "/bookings", "booking", 3)],
@@ -184,6 +186,7 @@
         root: "oficina".into(),
         routers: 7,
         controllers: 3,
+        router_args: Vec::new(),
         domains: domains.map(Into::into).into(),
         model,
         services: vec![plain("registry", "/registry", "registry", 3)],
