--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -2,7 +2,8 @@
 
 use jacinthrock_standins::load::{
     HostReport, LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in,
-    measure_hosts, render_text, run_direct, run_fleet, run_target, sweep_options, write_plots,
+    draw_faults, measure_hosts, render_text, run_direct, run_fleet, run_target, sweep_options,
+    write_plots,
 };
 use serde::Serialize;
 use std::path::{Path, PathBuf};
@@ -36,6 +37,8 @@
                 repeated --target address: String
                 /// Additional argument of every router; may be given more than once.
                 repeated --router-arg argument: String
+                /// Draws faults from the seed in place of the scenario's.
+                optional --random-faults
                 /// Calls the endpoints past the routers, to compare.
                 optional --direct
             }
@@ -118,12 +121,13 @@
 }
 
 fn run_command(run: flags::Run) -> Result<bool, RunError> {
-    let options = RunOptions {
-        scenario: with_router_args(load_scenario(&run.scenario)?, &run.router_arg),
-        seed: run.seed.unwrap_or(1),
-        rate: run.rate,
-        length: Duration::from_secs(run.seconds),
-    };
+    let seed = run.seed.unwrap_or(1);
+    let mut scenario = with_router_args(load_scenario(&run.scenario)?, &run.router_arg);
+    if run.random_faults {
+        scenario.faults = draw_faults(&scenario.fleet, seed, run.seconds as f64);
+    }
+    let options =
+        RunOptions { scenario, seed, rate: run.rate, length: Duration::from_secs(run.seconds) };
     let addresses = run.target.iter().map(|url| url.trim_start_matches("http://").into());
     let routers: Vec<Box<str>> = addresses.collect();
     let way = match (run.direct, routers) {
--- /dev/null
+++ b/crates/standins/src/load/fault_draw.rs
@@ -0,0 +1,113 @@
+//! Faults drawn from a seed, so that they meet one another at any step.
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::faults::{FaultKind, FaultPlan};
+use crate::fleet::FleetPlan;
+
+/// Mean time between two faults, in seconds.
+const MEAN_GAP_S: f64 = 1.0;
+
+/// Shortest and longest time until a frozen process wakes or an outage ends, in seconds.
+const OUTAGE_S: [f64; 2] = [0.3, 4.0];
+
+/// Longest additional time of a slowed engine's token, in microseconds.
+const MAX_SLOW_US: u64 = 50_000;
+
+/// Most calls in a row that lose their replies.
+const MAX_LOST_REPLIES: u32 = 4;
+
+struct FaultDraw<'a> {
+    rng: ChaCha8Rng,
+    plan: &'a FleetPlan,
+    length_s: f64,
+    faults: Vec<FaultPlan>,
+    killed: [bool; 3],
+}
+
+/// Draws faults for a run; one process of each sort at most is killed, the others come back.
+pub fn draw_faults(plan: &FleetPlan, seed: u64, seconds: f64) -> Vec<FaultPlan> {
+    let rng = ChaCha8Rng::seed_from_u64(seed);
+    let killed = [false; 3];
+    let mut draw = FaultDraw { rng, plan, length_s: seconds, faults: Vec::new(), killed };
+    let mut at_s = 0.0;
+    loop {
+        let uniform: f64 = draw.rng.random();
+        at_s += -(1.0 - uniform).ln() * MEAN_GAP_S;
+        if at_s >= seconds {
+            draw.faults.sort_by(|first, second| first.at_s.total_cmp(&second.at_s));
+            return draw.faults;
+        }
+        draw.add_fault(at_s);
+    }
+}
+
+impl FaultDraw<'_> {
+    fn add_fault(&mut self, at_s: f64) {
+        let end_s = at_s + self.rng.random_range(OUTAGE_S[0]..OUTAGE_S[1]);
+        let end_s = end_s.min(self.length_s);
+        let engine = self.index(self.engines());
+        let router = self.index(usize::from(self.plan.routers));
+        let controller = self.index(usize::from(self.plan.controllers));
+        match self.rng.random_range(0..10) {
+            0 => self.add_kill(at_s, 0, FaultKind::KillEngine { index: engine }),
+            1 => self.add_kill(at_s, 1, FaultKind::KillRouter { index: router }),
+            2 => self.add_kill(at_s, 2, FaultKind::KillController { index: controller }),
+            3 => {
+                self.add(at_s, FaultKind::FreezeEngine { index: engine });
+                self.add(end_s, FaultKind::WakeEngine { index: engine });
+            }
+            4 => {
+                self.add(at_s, FaultKind::FreezeRouter { index: router });
+                self.add(end_s, FaultKind::WakeRouter { index: router });
+            }
+            5 => {
+                self.add(at_s, FaultKind::FreezeController { index: controller });
+                self.add(end_s, FaultKind::WakeController { index: controller });
+            }
+            6 => {
+                self.add(at_s, FaultKind::Platform { down: true });
+                self.add(end_s, FaultKind::Platform { down: false });
+            }
+            7 => {
+                let extra_us = self.rng.random_range(0..MAX_SLOW_US);
+                self.add(at_s, FaultKind::SlowEngine { index: engine, extra_us });
+                self.add(end_s, FaultKind::SlowEngine { index: engine, extra_us: 0 });
+            }
+            8 => {
+                let count = self.rng.random_range(1..=MAX_LOST_REPLIES);
+                self.add(at_s, FaultKind::LoseWriteReplies { count });
+            }
+            _ => {
+                let count = self.rng.random_range(1..=MAX_LOST_REPLIES);
+                let index = self.index(self.services());
+                self.add(at_s, FaultKind::LoseServiceReplies { index, count });
+            }
+        }
+    }
+
+    fn add(&mut self, at_s: f64, kind: FaultKind) {
+        self.faults.push(FaultPlan { at_s, kind });
+    }
+
+    fn add_kill(&mut self, at_s: f64, sort: usize, kind: FaultKind) {
+        if !std::mem::replace(&mut self.killed[sort], true) {
+            self.add(at_s, kind);
+        }
+    }
+
+    fn index(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count.max(1))
+    }
+
+    fn engines(&self) -> usize {
+        let model = &self.plan.model;
+        let chains: u16 = model.chains.iter().map(|chain| chain.count).sum();
+        usize::from(chains * model.stages)
+    }
+
+    fn services(&self) -> usize {
+        self.plan.services.iter().map(|service| usize::from(service.endpoints)).sum()
+    }
+}
--- a/crates/standins/tests/load_checks.rs
+++ b/crates/standins/tests/load_checks.rs
@@ -4,7 +4,7 @@
 use jacinthrock_standins::fleet::declaration_tree;
 use jacinthrock_standins::load::{
     CallKind, CallResult, CallSample, CallTry, FaultKind, FaultPlan, LoadScenario, built_in,
-    call_arrivals, check_samples, recovery_report,
+    call_arrivals, check_samples, draw_faults, recovery_report,
 };
 use jacinthrock_standins::service::ServiceRecord;
 use std::collections::BTreeSet;
@@ -67,6 +67,20 @@
     assert!((850..1150).contains(&within(10, 15)), "the burst doubles: {}", within(10, 15));
 }
 
+#[test]
+fn drawn_faults_follow_their_seed_and_end_what_they_begin() {
+    let plan = built_in("demo").unwrap().fleet;
+    let faults = draw_faults(&plan, 7, 60.0);
+    assert_eq!(faults, draw_faults(&plan, 7, 60.0));
+    let count =
+        |wanted: fn(&FaultKind) -> bool| faults.iter().filter(|fault| wanted(&fault.kind)).count();
+    let frozen = count(|kind| matches!(kind, FaultKind::FreezeRouter { .. }));
+    assert!(frozen > 0);
+    assert_eq!(count(|kind| matches!(kind, FaultKind::WakeRouter { .. })), frozen);
+    assert!(count(|kind| matches!(kind, FaultKind::KillRouter { .. })) <= 1);
+    assert!(faults.is_sorted_by(|first, second| first.at_s <= second.at_s));
+}
+
 #[test]
 fn scenarios_survive_their_file_format() {
     for name in ["demo", "faults", "lasitaide", "oficina"] {
