--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -1,19 +1,16 @@
 //! Drives load against a fleet on stand-ins or a running system, and reports.
 
 use jacinthrock_standins::load::{
-    HostReport, LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow, built_in,
-    draw_faults, measure_hosts, render_text, run_direct, run_fleet, run_target, sweep_options,
-    write_plots,
+    CallWay, HostReport, LoadScenario, RunError, RunOptions, RunReport, SweepReport, SweepRow,
+    built_in, draw_faults, load_scenario, measure_hosts, read_report, render_text, run_scenario,
+    sweep_options, write_report, write_table,
 };
-use serde::Serialize;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
 
-const REPORT_FILE: &str = "report.json";
 const DEFAULT_PERCENTS: [f64; 5] = [50.0, 80.0, 95.0, 110.0, 150.0];
 const DEFAULT_HOST_COUNTS: [u16; 5] = [3, 6, 12, 24, 48];
-const TEXT_FILE: &str = "report.txt";
 
 mod flags {
     use std::path::PathBuf;
@@ -110,16 +107,6 @@
     }
 }
 
-/// What the calls go to.
-enum CallWay {
-    /// A fleet started for the run.
-    Fleet,
-    /// The endpoints of a fleet started for the run.
-    Direct,
-    /// Routers that already run.
-    Target(Vec<Box<str>>),
-}
-
 fn run_command(run: flags::Run) -> Result<bool, RunError> {
     let seed = run.seed.unwrap_or(1);
     let mut scenario = with_router_args(load_scenario(&run.scenario)?, &run.router_arg);
@@ -146,7 +133,7 @@
         rate: report.rate,
         length: Duration::from_secs(report.seconds),
     };
-    run_options(options, CallWay::Fleet, &repeat.out)
+    run_options(options, report.way, &repeat.out)
 }
 
 fn sweep_command(sweep: &flags::Sweep) -> Result<bool, RunError> {
@@ -161,6 +148,7 @@
         let out = sweep.out.join(format!("at-{percent}"));
         table.rows.push(SweepRow::new(&run_report(options, way, &out)?));
     }
+    print!("{}", table.render());
     write_table(&sweep.out, &table.render(), &table)?;
     Ok(table.rows.iter().all(|row| row.holds))
 }
@@ -175,6 +163,7 @@
         let out = hosts.out.join(format!("hosts-{count}"));
         table.rows.push(measure_hosts(&scenario.fleet, count, length, &out)?);
     }
+    print!("{}", table.render());
     write_table(&hosts.out, &table.render(), &table)?;
     Ok(true)
 }
@@ -186,21 +175,14 @@
 }
 
 fn run_report(options: RunOptions, way: CallWay, out: &Path) -> Result<RunReport, RunError> {
-    std::fs::create_dir_all(out).map_err(|error| report_error(out, &error.to_string()))?;
-    let report = match way {
-        CallWay::Fleet => run_fleet(options, out)?.0,
-        CallWay::Direct => run_direct(options, out)?,
-        CallWay::Target(routers) => run_target(options, routers),
-    };
-    let json = serde_json::to_string_pretty(&report).expect("reports serialize");
-    write_file(&out.join(REPORT_FILE), &json)?;
-    render(&report, out)?;
+    let report = run_scenario(options, way, out)?;
+    write_report(&report, out)?;
     Ok(report)
 }
 
 fn report_command(dir: &Path) -> Result<bool, RunError> {
     let report = read_report(dir)?;
-    render(&report, dir)?;
+    write_report(&report, dir)?;
     print!("{}", render_text(&report));
     Ok(report.checks.holds())
 }
@@ -211,43 +193,7 @@
     Ok(true)
 }
 
-fn write_table(out: &Path, text: &str, table: &impl Serialize) -> Result<(), RunError> {
-    print!("{text}");
-    write_file(&out.join(TEXT_FILE), text)?;
-    let json = serde_json::to_string_pretty(table).expect("tables serialize");
-    write_file(&out.join(REPORT_FILE), &json)
-}
-
-fn write_file(file: &Path, text: &str) -> Result<(), RunError> {
-    std::fs::write(file, text).map_err(|error| report_error(file, &error.to_string()))
-}
-
-fn render(report: &RunReport, dir: &Path) -> Result<(), RunError> {
-    let text = render_text(report);
-    write_file(&dir.join(TEXT_FILE), &text)?;
-    write_plots(report, dir).map_err(|error| report_error(dir, &error.to_string()))
-}
-
 fn with_router_args(mut scenario: LoadScenario, args: &[String]) -> LoadScenario {
     scenario.fleet.router_args.extend(args.iter().map(|arg| arg.as_str().into()));
     scenario
 }
-
-fn load_scenario(name: &str) -> Result<LoadScenario, RunError> {
-    if let Some(scenario) = built_in(name) {
-        return Ok(scenario);
-    }
-    let text = std::fs::read_to_string(name).map_err(|_| RunError::Scenario(name.into()))?;
-    toml::from_str(&text).map_err(|error| report_error(Path::new(name), &error.to_string()))
-}
-
-fn read_report(dir: &Path) -> Result<RunReport, RunError> {
-    let file: PathBuf = dir.join(REPORT_FILE);
-    let json = std::fs::read_to_string(&file);
-    let json = json.map_err(|error| report_error(&file, &error.to_string()))?;
-    serde_json::from_str(&json).map_err(|error| report_error(&file, &error.to_string()))
-}
-
-fn report_error(path: &Path, reason: &str) -> RunError {
-    RunError::Report { path: path.display().to_string().into(), reason: reason.into() }
-}
--- a/crates/standins/src/load/plot.rs
+++ b/crates/standins/src/load/plot.rs
@@ -19,7 +19,7 @@
 }
 
 /// Writes `timeline.svg` and `latency.svg` into a directory.
-pub fn write_plots(report: &RunReport, dir: &Path) -> PlotResult {
+pub(super) fn write_plots(report: &RunReport, dir: &Path) -> PlotResult {
     let seconds = || report.timeline.iter().enumerate();
     let due = seconds().map(|(at, second)| (at as f64, f64::from(second.due))).collect();
     let whole = seconds().map(|(at, second)| (at as f64, f64::from(second.whole))).collect();
--- a/crates/standins/src/load/report.rs
+++ b/crates/standins/src/load/report.rs
@@ -8,6 +8,7 @@
 
 use super::check::CheckReport;
 use super::recovery::{RecoveryReport, recovery_report};
+use super::run::CallWay;
 use super::sample::{CallResult, CallSample};
 use super::scenario::{CallKind, LoadScenario};
 use super::usage::UsageReport;
@@ -63,6 +64,8 @@
     pub rate: f64,
     /// Length, in seconds.
     pub seconds: u64,
+    /// What the calls went to.
+    pub way: CallWay,
     /// Calls by kind and result.
     pub results: BTreeMap<Box<str>, BTreeMap<Box<str>, u32>>,
     /// Refusals by numbered code, over all tries.
@@ -100,12 +103,13 @@
     pub(super) seed: u64,
     pub(super) rate: f64,
     pub(super) length: Duration,
+    pub(super) way: CallWay,
     pub(super) resumed: BTreeSet<RequestId>,
 }
 
 impl RunReport {
     pub(super) fn new(input: RunInput, samples: &[CallSample], checks: CheckReport) -> Self {
-        let RunInput { scenario, seed, rate, length, resumed } = input;
+        let RunInput { scenario, seed, rate, length, way, resumed } = input;
         let (words, tokens) = scenario.mean_answer();
         let seconds = length.as_secs_f64();
         let window = length.mul_f64(WARM_UP_PART)..length;
@@ -122,6 +126,7 @@
             seed,
             rate,
             seconds: length.as_secs(),
+            way,
             results: results(samples),
             refusals: refusals(samples),
             cut_tries: tries_by_router(samples, &CallEnd::Cut),
--- a/crates/standins/src/load/run.rs
+++ b/crates/standins/src/load/run.rs
@@ -1,6 +1,7 @@
 //! Runs a scenario against a fleet of its own, or against a running system.
 
 use jacinthrock::RequestId;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::path::Path;
 use std::time::Duration;
@@ -32,6 +33,18 @@
     pub length: Duration,
 }
 
+/// What the calls of a run go to.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CallWay {
+    /// Routers of a fleet started for the run.
+    Fleet,
+    /// Endpoints of a fleet started for the run, past the routers.
+    Direct,
+    /// Routers that already run, by address.
+    Target(Vec<Box<str>>),
+}
+
 /// Why a run gave no report.
 #[derive(Debug, thiserror::Error)]
 pub enum RunError {
@@ -51,6 +64,15 @@
     Scenario(Box<str>),
 }
 
+/// Runs a scenario one of the ways.
+pub fn run_scenario(options: RunOptions, way: CallWay, dir: &Path) -> Result<RunReport, RunError> {
+    match way {
+        CallWay::Fleet => run_fleet(options, dir).map(|(report, _)| report),
+        CallWay::Direct => run_direct(options, dir),
+        CallWay::Target(routers) => Ok(run_target(options, routers)),
+    }
+}
+
 /// Starts the scenario's fleet, runs the calls and faults, and checks the outcome.
 ///
 /// The fleet is returned, still running, for checks of its own.
@@ -62,13 +84,13 @@
         operator_addresses: operators.collect(),
         plan: fleet.plan.clone(),
     };
-    let report = drive(options, LoadDriver::new(target), &mut fleet);
+    let report = drive(options, CallWay::Fleet, LoadDriver::new(target), &mut fleet);
     save_metrics(&fleet, dir);
     Ok((report, fleet))
 }
 
 /// Runs the calls and faults of a scenario past the routers, in turn over chains and endpoints.
-pub fn run_direct(options: RunOptions, dir: &Path) -> Result<RunReport, RunError> {
+fn run_direct(options: RunOptions, dir: &Path) -> Result<RunReport, RunError> {
     let mut fleet = RunningFleet::start_endpoints(options.scenario.fleet.clone(), dir)?;
     let target = LoadTarget {
         routers: vec!["direct".into()],
@@ -77,10 +99,15 @@
     };
     let caller = DirectCaller::new(fleet.direct_target(), fleet.plan.patience());
     let driver = LoadDriver::with_caller(target, Box::new(caller));
-    Ok(drive(options, driver, &mut fleet))
+    Ok(drive(options, CallWay::Direct, driver, &mut fleet))
 }
 
-fn drive(options: RunOptions, mut driver: LoadDriver, fleet: &mut RunningFleet) -> RunReport {
+fn drive(
+    options: RunOptions,
+    way: CallWay,
+    mut driver: LoadDriver,
+    fleet: &mut RunningFleet,
+) -> RunReport {
     let mut faults = options.scenario.faults.clone();
     faults.sort_by(|first, second| first.at_s.total_cmp(&second.at_s));
     let mut faults = faults.into_iter().peekable();
@@ -100,13 +127,14 @@
     let checks = check_runs(&samples, &fleet.services);
     let usage = fleet_usage(fleet);
     let resumed = resumed_requests(&fleet.engines);
-    RunReport { usage, ..RunReport::new(input(options, resumed), &samples, checks) }
+    RunReport { usage, ..RunReport::new(input(options, way, resumed), &samples, checks) }
 }
 
 /// Runs the scenario's calls against routers that already run; nothing is started or broken.
-pub fn run_target(mut options: RunOptions, routers: Vec<Box<str>>) -> RunReport {
+fn run_target(mut options: RunOptions, routers: Vec<Box<str>>) -> RunReport {
     options.scenario.faults.clear();
     let plan = options.scenario.fleet.clone();
+    let way = CallWay::Target(routers.clone());
     let target = LoadTarget { routers, operator_addresses: Vec::new(), plan };
     let mut driver = LoadDriver::new(target);
     for arrival in arrivals(&options) {
@@ -115,7 +143,7 @@
     }
     let samples = driver.finish();
     let checks = check_runs(&samples, &[]);
-    RunReport::new(input(options, BTreeSet::new()), &samples, checks)
+    RunReport::new(input(options, way, BTreeSet::new()), &samples, checks)
 }
 
 /// Waits for a router that was asked to shut down; tells whether it ended with success.
@@ -129,7 +157,7 @@
     call_arrivals(&options.scenario, options.seed, options.rate, options.length)
 }
 
-fn input(options: RunOptions, resumed: BTreeSet<RequestId>) -> RunInput {
+fn input(options: RunOptions, way: CallWay, resumed: BTreeSet<RequestId>) -> RunInput {
     let RunOptions { scenario, seed, rate, length } = options;
-    RunInput { scenario, seed, rate, length, resumed }
+    RunInput { scenario, seed, rate, length, way, resumed }
 }
--- a/crates/standins/src/load/text.rs
+++ b/crates/standins/src/load/text.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 
 use super::report::RunReport;
+use super::run::CallWay;
 
 /// Writes a report for people.
 pub fn render_text(report: &RunReport) -> String {
@@ -16,8 +17,16 @@
 fn write_report(text: &mut String, report: &RunReport) -> std::fmt::Result {
     writeln!(
         text,
-        "scenario {}, seed {}, {} calls/s, {} s",
-        report.scenario.name, report.seed, report.rate, report.seconds
+        "scenario {}, seed {}, {:.1} calls/s, {} s, to {}",
+        report.scenario.name,
+        report.seed,
+        report.rate,
+        report.seconds,
+        match &report.way {
+            CallWay::Fleet => "routers".into(),
+            CallWay::Direct => "endpoints".into(),
+            CallWay::Target(routers) => routers.join(", "),
+        }
     )?;
     write_calls(text, report)?;
     write_latencies(text, report)?;
