--- a/crates/standins/src/bin/jacinthrock-load.rs
+++ b/crates/standins/src/bin/jacinthrock-load.rs
@@ -5,7 +5,7 @@
     built_in, draw_faults, load_scenario, measure_hosts, read_report, render_text, run_scenario,
     sweep_options, write_report, write_table,
 };
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::time::Duration;
 
