Routers learn of leaving endpoints from the platform's list and drain marks

Cause: the fleet took both sources, but nothing fed them; a drained endpoint got new work until it refused it itself. Two hosts of each failure domain read the platform once a second, the others hear marks from peers. Also: the status page names a rejected revision. Conclusion: wired; the drain of an endpoint is tried by hand next.

--- /dev/null
+++ b/src/leaving.rs
@@ -0,0 +1,104 @@
+//! Endpoints that are leaving, as the platform's list and the drain marks say.
+//!
+//! A few hosts of each failure domain read the platform; the others hear drain marks from peers.
+//! The third source, an endpoint's own refusal, reaches the fleet with the calls.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::controller::{DRAIN_PREFIX, HOST_LIST_PREFIX, HostMark};
+use crate::effective::{EffectiveConfig, ServiceTarget};
+use crate::fleet::{EndpointFleet, LeavingSource};
+use crate::follower::domain_place;
+use crate::ids::EndpointName;
+use crate::peer::PeerNetwork;
+use crate::peer_service::PeerService;
+use crate::platform::{PlatformStore, StoreError, StoreListing};
+
+/// Time between two reads of the platform.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for one read of the platform.
+const READ_TIMEOUT: Duration = Duration::from_millis(800);
+/// Hosts of each failure domain that read the platform.
+const READERS_PER_DOMAIN: usize = 2;
+
+/// Keeps a fleet's knowledge of leaving endpoints current.
+pub(crate) struct LeavingReader<'a> {
+    pub(crate) host: &'a str,
+    pub(crate) domain: &'a str,
+    pub(crate) store: &'a dyn PlatformStore,
+    pub(crate) peers: &'a PeerService,
+    pub(crate) fleet: &'a EndpointFleet,
+}
+
+impl LeavingReader<'_> {
+    /// Reads for ever; `config` gives the configuration in force.
+    pub(crate) async fn run(&self, config: impl Fn() -> Option<std::rc::Rc<EffectiveConfig>>) {
+        loop {
+            if let Some(config) = config() {
+                if self.is_reader() {
+                    // After a failure the marks of the last read go on to count.
+                    let _ = self.read(&config).await;
+                }
+                self.apply_marks(&config);
+            }
+            tokio::time::sleep(READ_INTERVAL).await;
+        }
+    }
+
+    fn is_reader(&self) -> bool {
+        let neighbours = self.peers.live_domain_hosts(self.domain);
+        domain_place(self.host, &neighbours).rank < READERS_PER_DOMAIN
+    }
+
+    async fn read(&self, config: &EffectiveConfig) -> Result<(), StoreError> {
+        let hosts = self.list(HOST_LIST_PREFIX).await?;
+        let drains = self.list(DRAIN_PREFIX).await?;
+        let leaving = leaving_names(&hosts);
+        let marked = drains.objects.iter().map(|object| name_of(&object.key, DRAIN_PREFIX));
+        let marked: BTreeSet<EndpointName> = marked.collect();
+        for endpoint in endpoint_names(config) {
+            let listed = leaving.contains(endpoint);
+            self.fleet.mark_leaving(endpoint, LeavingSource::PlatformList, listed);
+            if marked.contains(endpoint) != self.peers.is_draining(endpoint) {
+                let draining = marked.contains(endpoint);
+                self.peers.set_drain_mark(endpoint, drains.version, draining);
+            }
+        }
+        Ok(())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<StoreListing, StoreError> {
+        match tokio::time::timeout(READ_TIMEOUT, self.store.list(prefix)).await {
+            Ok(listing) => listing,
+            Err(_) => Err(StoreError::Unavailable("no answer in time".into())),
+        }
+    }
+
+    fn apply_marks(&self, config: &EffectiveConfig) {
+        for endpoint in endpoint_names(config) {
+            let draining = self.peers.is_draining(endpoint);
+            self.fleet.mark_leaving(endpoint, LeavingSource::DrainMark, draining);
+        }
+    }
+}
+
+fn leaving_names(hosts: &StoreListing) -> BTreeSet<EndpointName> {
+    let is_leaving = |value: &[u8]| matches!(serde_json::from_slice(value), Ok(HostMark::Leaving));
+    let leaving = hosts.objects.iter().filter(|object| is_leaving(&object.value));
+    leaving.map(|object| name_of(&object.key, HOST_LIST_PREFIX)).collect()
+}
+
+fn name_of(key: &str, prefix: &str) -> EndpointName {
+    key.strip_prefix(prefix).unwrap_or(key).into()
+}
+
+fn endpoint_names(config: &EffectiveConfig) -> impl Iterator<Item = &str> {
+    config.services.values().flat_map(|service| {
+        let endpoints = match &service.target {
+            ServiceTarget::Model(model) => &model.endpoints,
+            ServiceTarget::Plain(plain) => &plain.endpoints,
+        };
+        endpoints.iter().map(|endpoint| &*endpoint.name)
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -37,6 +37,7 @@
 mod keeper;
 mod keys;
 mod lease;
+mod leaving;
 mod ledger;
 mod link;
 mod logs;
--- a/src/router.rs
+++ b/src/router.rs
@@ -21,10 +21,11 @@
 use crate::endpoint::EndpointCaller;
 use crate::engine_http::HttpCaller;
 use crate::fleet::{EndpointFleet, FleetOptions};
-use crate::follower::{ConfigFollower, FollowerOptions, HostMember};
+use crate::follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember};
 use crate::gateway::{GatewayParts, RequestGateway};
 use crate::gossip::GossipOptions;
 use crate::ids::Incarnation;
+use crate::leaving::LeavingReader;
 use crate::ledger::{ClaimHolder, LedgerOptions, LedgerService};
 use crate::membership::{HostState, MemberRecord};
 use crate::operator::{self, HostStatus, OperatorBoard};
@@ -225,6 +226,7 @@
                 self.follower.run(),
                 self.apply_revisions(),
                 self.look_around(),
+                self.follow_leaving(),
                 registration.keep(self.store.clone()),
             );
         })
@@ -245,6 +247,17 @@
         }
     }
 
+    async fn follow_leaving(&self) {
+        let reader = LeavingReader {
+            host: &self.settings.name,
+            domain: &self.settings.domain,
+            store: &*self.store,
+            peers: &self.peers,
+            fleet: &self.fleet,
+        };
+        reader.run(|| self.follower.current()).await;
+    }
+
     async fn look_around(&self) {
         let mut ticks = 0;
         loop {
@@ -336,11 +349,18 @@
             open_requests: self.gateway.open_requests(),
             live_peers: self.peers.live_hosts(),
             endpoints: self.fleet.summary(Instant::now()),
-            detail: format!("{:?}", follower.state).into(),
+            detail: config_detail(&follower),
         }
     }
 }
 
+fn config_detail(status: &FollowerStatus) -> Box<str> {
+    match &status.rejected {
+        Some(rejected) => format!("{:?}; rejected revision {rejected:?}", status.state).into(),
+        None => format!("{:?}", status.state).into(),
+    }
+}
+
 fn own_record(settings: &RouterSettings, incarnation: Incarnation) -> MemberRecord {
     MemberRecord {
         host: settings.name.clone(),
