Heartbeats carry their age, so that passing them on does not make them newer

Cause: a heartbeat that came through another host counted as risen when it arrived, although it had risen some seconds before; with one relayed heartbeat in each digest the way grew longer. Ruled out: late messages (at most 20 ms) and restarts. Records of hosts no longer make them live, only heartbeats do.

--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -608,7 +608,7 @@
         let demands = self.choose_demands(receiver);
         let (newest_host, newest_revision) = self.newest_holder(now);
         PeerDigest {
-            sender: self.table.own().beat(),
+            sender: self.table.own().beat(Duration::ZERO),
             revision: self.table.own().revision,
             newest_revision,
             newest_host,
@@ -625,9 +625,9 @@
 
     fn choose_beats(&mut self, now: Instant, receiver: Option<&str>) -> Vec<MemberBeat> {
         let limit = if self.is_direct() { MAX_DIRECT_BEATS } else { MAX_BEATS };
-        let live: Vec<&MemberRecord> =
-            self.table.live(now).filter(|record| Some(&*record.host) != receiver).collect();
-        live.choose_multiple(&mut self.rng, limit).map(|record| record.beat()).collect()
+        let others = self.table.live_beats(now).filter(|(host, _)| Some(&***host) != receiver);
+        let beats: Vec<MemberBeat> = others.map(|(_, beat)| beat).collect();
+        beats.choose_multiple(&mut self.rng, limit).copied().collect()
     }
 
     fn choose_records(&mut self, receiver: Option<&str>) -> Vec<MemberRecord> {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -66,6 +66,8 @@
     pub heartbeat: HeartbeatCount,
     /// What the host does.
     pub state: HostState,
+    /// Time since the heartbeat rose, so that passing it on does not make it newer.
+    pub age: Duration,
 }
 
 /// Newest heartbeat that one host heard from another itself; all 0 for none.
@@ -118,6 +120,8 @@
     pub forget_unheard_after: Duration,
     /// Whether a heartbeat counts only when it rises; only tests turn it off.
     pub rising_only: bool,
+    /// Whether the age of a heartbeat counts when it is passed on; only tests turn it off.
+    pub relayed_age: bool,
     /// Whether runs of a host's process are told apart; only tests turn it off.
     pub incarnations: bool,
 }
@@ -135,6 +139,7 @@
             forget_after: Duration::from_secs(600),
             forget_unheard_after: Duration::from_secs(60),
             rising_only: true,
+            relayed_age: true,
             incarnations: true,
         }
     }
@@ -215,12 +220,13 @@
             self.superseded |= record.incarnation > self.own.incarnation;
             return false;
         }
-        let record = MemberRecord { heartbeat: 0, ..record.clone() };
-        self.replace(now, record, None);
+        self.replace(now, record.clone());
         true
     }
 
     /// Merges a record from another host. Returns whether it told anything new.
+    ///
+    /// A record tells that a run of a process exists; only its heartbeats make it live.
     pub fn merge_record(&mut self, now: Instant, record: &MemberRecord) -> bool {
         if record.host == self.own.host {
             self.superseded |= record.incarnation > self.own.incarnation;
@@ -228,21 +234,20 @@
         }
         let told_apart = self.options.incarnations;
         let Some(member) = self.members.get_mut(&record.host) else {
-            self.replace(now, record.clone(), Some(now));
+            self.replace(now, record.clone());
             return true;
         };
         if told_apart && record.incarnation < member.record.incarnation {
             return false;
         }
         if told_apart && record.incarnation > member.record.incarnation {
-            self.replace(now, record.clone(), Some(now));
+            self.replace(now, record.clone());
             return true;
         }
         let changed = member.take_revision(record.revision);
         member.record.address = record.address.clone();
         member.record.domain = record.domain.clone();
-        let beat = record.beat();
-        self.merge_beat(now, &beat).unwrap_or(false) || changed
+        member.take_state(record.state) || changed
     }
 
     /// Merges a heartbeat. Returns `None` if the host or its incarnation is not known.
@@ -264,11 +269,10 @@
             return Some(false);
         }
         member.record.heartbeat = member.record.heartbeat.max(beat.heartbeat);
-        member.risen = Some(now);
+        let age = if self.options.relayed_age { beat.age } else { Duration::ZERO };
+        member.risen = member.risen.max(now.checked_sub(age));
         member.ever_heard = true;
-        let changed = member.record.state != beat.state;
-        member.record.state = member.record.state.max(beat.state);
-        Some(changed)
+        Some(member.take_state(beat.state))
     }
 
     /// Notes that a message came from the host itself, with the heartbeat of this host that it
@@ -435,6 +439,15 @@
         self.members.get_mut(host)
     }
 
+    /// Heartbeats of the live hosts, with their ages.
+    pub(crate) fn live_beats(&self, now: Instant) -> impl Iterator<Item = (&HostName, MemberBeat)> {
+        let live = self
+            .members
+            .iter()
+            .filter(move |(_, member)| self.liveness_of(now, member) == MemberLiveness::Live);
+        live.map(move |(host, member)| (host, member.record.beat(member.age(now))))
+    }
+
     pub(crate) fn name_of(&self, hash: NameHash) -> Option<&HostName> {
         self.names.get(&hash)
     }
@@ -487,7 +500,8 @@
         member.heard_within(now, limit) && member.echoed_within(now, limit)
     }
 
-    fn replace(&mut self, now: Instant, record: MemberRecord, risen: Option<Instant>) {
+    fn replace(&mut self, now: Instant, record: MemberRecord) {
+        let record = MemberRecord { heartbeat: 0, ..record };
         self.names.insert(name_hash(&record.host), record.host.clone());
         let host = record.host.clone();
         let heard_before = self.members.get(&host).is_some_and(|member| member.ever_heard);
@@ -495,8 +509,8 @@
             record,
             sends_left: 0,
             learned: now,
-            ever_heard: heard_before || risen.is_some(),
-            risen,
+            ever_heard: heard_before,
+            risen: None,
             direct: None,
             echo: None,
         };
@@ -517,6 +531,12 @@
         self.echo.is_some_and(|echo| now.saturating_duration_since(echo.risen) <= limit)
     }
 
+    fn take_state(&mut self, state: HostState) -> bool {
+        let rises = state > self.record.state;
+        self.record.state = self.record.state.max(state);
+        rises
+    }
+
     fn take_revision(&mut self, revision: ConfigRevision) -> bool {
         let rises = revision > self.record.revision;
         self.record.revision = self.record.revision.max(revision);
@@ -525,13 +545,14 @@
 }
 
 impl MemberRecord {
-    /// The part of the record that changes all the time.
-    pub fn beat(&self) -> MemberBeat {
+    /// The part of the record that changes all the time, with the age of its heartbeat.
+    pub fn beat(&self, age: Duration) -> MemberBeat {
         MemberBeat {
             host: name_hash(&self.host),
             incarnation: self.incarnation,
             heartbeat: self.heartbeat,
             state: self.state,
+            age,
         }
     }
 }
--- a/src/peer.capnp
+++ b/src/peer.capnp
@@ -37,6 +37,8 @@
   incarnation @1 :UInt64;
   heartbeat @2 :UInt32;
   state @3 :HostState;
+  age @4 :UInt16;
+  # Hundredths of a second since the heartbeat rose at the sender of the digest.
 }
 
 struct HeartbeatEcho {
--- a/src/peer_capnp.rs
+++ b/src/peer_capnp.rs
@@ -1716,6 +1716,10 @@
         pub fn get_state(self) -> ::core::result::Result<crate::peer_capnp::HostState,::capnp::NotInSchema> {
             ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(10))
         }
+        #[inline]
+        pub fn get_age(self) -> u16 {
+            self.reader.get_data_field::<u16>(11)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -1802,6 +1806,14 @@
         pub fn set_state(&mut self, value: crate::peer_capnp::HostState)  {
             self.builder.set_data_field::<u16>(10, value as u16);
         }
+        #[inline]
+        pub fn get_age(self) -> u16 {
+            self.builder.get_data_field::<u16>(11)
+        }
+        #[inline]
+        pub fn set_age(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(11, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1813,7 +1825,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(58, 194, 225, 136, 8, 157, 205, 244),
             ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
@@ -1823,42 +1835,49 @@
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 77, 101, 109, 98, 101),
             ::capnp::word(114, 66, 101, 97, 116, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(104, 111, 115, 116, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1893,6 +1912,14 @@
             ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1900,6 +1927,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <crate::peer_capnp::HostState as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1913,9 +1941,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1,3];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[4,2,0,1,3];
         pub(crate) const TYPE_ID: u64 = 0xf4cd_9d08_88e1_c23a;
     }
 }
--- a/src/peer_rpc.rs
+++ b/src/peer_rpc.rs
@@ -37,7 +37,7 @@
 /// Pause after a failed accept, so that a lack of descriptors does not spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Load reports carry their age in this unit.
+/// Reports carry their age in this unit.
 const AGE_UNIT_MS: u128 = 10;
 
 /// Largest message that a peer may send, in words of 8 bytes: a configuration and some room.
@@ -375,6 +375,7 @@
     builder.set_incarnation(beat.incarnation);
     builder.set_heartbeat(beat.heartbeat);
     builder.set_state(wire_state(beat.state));
+    builder.set_age(wire_age(beat.age));
 }
 
 fn write_record(mut builder: wire::member_record::Builder<'_>, record: &MemberRecord) {
@@ -398,8 +399,7 @@
     builder.set_running(report.running);
     builder.set_waiting(report.waiting);
     builder.set_leaving(report.leaving);
-    let age = report.age.as_millis().div_ceil(AGE_UNIT_MS);
-    builder.set_age(age.min(u128::from(u16::MAX)) as u16);
+    builder.set_age(wire_age(report.age));
 }
 
 fn write_mark(mut builder: wire::drain_mark::Builder<'_>, mark: &DrainMark) {
@@ -433,6 +433,7 @@
         incarnation: reader.get_incarnation(),
         heartbeat: reader.get_heartbeat(),
         state: own_state(reader.get_state()?),
+        age: own_age(reader.get_age()),
     })
 }
 
@@ -463,7 +464,7 @@
         running: reader.get_running(),
         waiting: reader.get_waiting(),
         leaving: reader.get_leaving(),
-        age: Duration::from_millis(u64::from(reader.get_age()) * AGE_UNIT_MS as u64),
+        age: own_age(reader.get_age()),
     }
 }
 
@@ -475,6 +476,15 @@
     }
 }
 
+/// Rounds up, so that nothing seems newer than it is.
+fn wire_age(age: Duration) -> u16 {
+    age.as_millis().div_ceil(AGE_UNIT_MS).min(u128::from(u16::MAX)) as u16
+}
+
+fn own_age(age: u16) -> Duration {
+    Duration::from_millis(u64::from(age) * AGE_UNIT_MS as u64)
+}
+
 fn wire_state(state: HostState) -> wire::HostState {
     match state {
         HostState::Serving => wire::HostState::Serving,
--- a/tests/membership_schedules.rs
+++ b/tests/membership_schedules.rs
@@ -19,7 +19,7 @@
 const STEP: Duration = Duration::from_millis(250);
 
 /// A host that is down, stopped or replaced is no longer live anywhere after this time.
-const DEAD_BOUND: Duration = Duration::from_millis(6000);
+const DEAD_BOUND: Duration = Duration::from_millis(4250);
 
 /// After this time without any fault, every running host is live everywhere.
 const CONVERGENCE_BOUND: Duration = Duration::from_secs(12);
@@ -345,6 +345,13 @@
     assert_caught(gossip, WorldFinding::DeadHostLive);
 }
 
+#[test]
+fn heartbeats_that_are_new_again_when_passed_on_are_caught() {
+    let mut gossip = GossipOptions::default();
+    gossip.members.relayed_age = false;
+    assert_caught(gossip, WorldFinding::DeadHostLive);
+}
+
 #[test]
 fn runs_of_a_process_that_are_not_told_apart_are_caught() {
     let mut gossip = GossipOptions::default();
--- a/tests/membership_table.rs
+++ b/tests/membership_table.rs
@@ -16,6 +16,12 @@
     }
 }
 
+/// Merges a record with a heartbeat that just rose.
+fn hear(table: &mut MemberTable, now: Instant, record: &MemberRecord) {
+    table.merge_record(now, record);
+    table.merge_beat(now, &record.beat(Duration::ZERO));
+}
+
 fn table() -> (MemberTable, Instant) {
     let table = MemberTable::new(record("router-1", 5, 0), MemberOptions::default());
     (table, Instant::now())
@@ -25,7 +31,7 @@
 fn a_host_that_the_platform_lists_but_nobody_hears_is_soon_forgotten() {
     let (mut table, now) = table();
     table.learn(now, &record("router-2", 1, 9));
-    table.merge_record(now, &record("router-3", 1, 9));
+    hear(&mut table, now, &record("router-3", 1, 9));
     let liveness =
         |host: &str, seconds: u64| table.liveness(now + Duration::from_secs(seconds), host);
     assert_eq!(liveness("router-2", 1), Some(MemberLiveness::Silent));
@@ -39,24 +45,35 @@
 #[test]
 fn a_later_run_replaces_an_earlier_one_at_once_and_never_the_reverse() {
     let (mut table, now) = table();
-    table.merge_record(now, &record("router-2", 4, 900));
-    table.merge_record(now, &record("router-2", 5, 1));
+    hear(&mut table, now, &record("router-2", 4, 900));
+    hear(&mut table, now, &record("router-2", 5, 1));
     assert!(table.is_live(now, "router-2", 5));
     assert!(!table.is_live(now, "router-2", 4));
-    table.merge_record(now, &record("router-2", 4, 901));
+    hear(&mut table, now, &record("router-2", 4, 901));
     assert!(table.is_live(now, "router-2", 5));
     assert!(!table.is_superseded());
-    table.merge_record(now, &record("router-1", 6, 1));
+    hear(&mut table, now, &record("router-1", 6, 1));
     assert!(table.is_superseded());
 }
 
 #[test]
 fn a_host_that_left_is_not_live_and_its_old_heartbeats_do_not_bring_it_back() {
     let (mut table, now) = table();
-    table.merge_record(now, &record("router-2", 1, 9));
+    hear(&mut table, now, &record("router-2", 1, 9));
     let left = MemberRecord { state: HostState::Left, ..record("router-2", 1, 10) };
-    table.merge_record(now, &left);
+    hear(&mut table, now, &left);
     assert_eq!(table.liveness(now, "router-2"), Some(MemberLiveness::Gone));
-    table.merge_record(now, &record("router-2", 1, 9));
+    hear(&mut table, now, &record("router-2", 1, 9));
     assert_eq!(table.live(now).count(), 0);
 }
+
+#[test]
+fn a_heartbeat_that_was_passed_on_is_as_old_as_it_was() {
+    let (mut table, now) = table();
+    let record = record("router-2", 1, 9);
+    table.merge_record(now, &record);
+    assert!(!table.is_live(now, "router-2", 1));
+    table.merge_beat(now, &record.beat(Duration::from_secs(3)));
+    assert!(table.is_live(now, "router-2", 1));
+    assert!(!table.is_live(now + Duration::from_secs(1), "router-2", 1));
+}
