--- a/tests/membership_spread.rs
+++ b/tests/membership_spread.rs
@@ -1,6 +1,6 @@
 //! News spread to every host of fleets of several sizes.
 
-use jacinthrock::GossipOptions;
+use jacinthrock::{GossipOptions, QuotaLimits};
 use jacinthrock_standins::peer_world::{PeerWorld, WorldOptions};
 use std::time::Duration;
 
@@ -93,6 +93,38 @@
     }
 }
 
+#[test]
+fn limits_are_divided_in_fleets_too_large_to_exchange_with_all_at_once() {
+    const LIMIT: u32 = 40;
+    for hosts in [12] {
+        let mut world = world(hosts, 1);
+        let limits = QuotaLimits { requests_per_second: LIMIT, concurrent_requests: 100 };
+        for host in &mut world.hosts {
+            let core = host.core.as_mut().expect("it runs");
+            core.keeper_mut().set_limits(world.now, "parish", limits);
+        }
+        for second in 0..240 {
+            world.run_until(world.now + Duration::from_secs(1));
+            let now = world.now;
+            let favoured = if second < 120 { 0 } else { 1 };
+            let core = world.hosts[favoured].core.as_mut().expect("it runs");
+            for _ in 0..100 {
+                if core.keeper_mut().try_take(now, "parish").is_ok() {
+                    core.keeper_mut().release("parish");
+                }
+            }
+            let cores = world.hosts.iter().filter_map(|host| host.core.as_ref());
+            let parts = cores.filter_map(|core| core.keeper().rate_part(now, "parish"));
+            let sum: f64 = parts.sum();
+            assert!(second < 60 || sum <= f64::from(LIMIT) + 1e-6, "{hosts} {second} {sum}");
+        }
+        let core = world.hosts[1].core.as_ref().expect("it runs");
+        let part = core.keeper().rate_part(world.now, "parish").expect("limits are set");
+        println!("part of the favoured host of {hosts}: {part:.1} of {LIMIT}");
+        assert!(part > 0.8 * f64::from(LIMIT), "{hosts} {part}");
+    }
+}
+
 #[test]
 fn a_host_that_only_hears_is_told_apart() {
     let mut world = world(3, 1);
