A request refused at its turn does not count as a start of its class

Cause: the guard of the lower classes counted requests that were taken from the queue and refused for their deadline, so a lower class could start after fewer than 20 others. Ruled out: the checker's own count, which follows admissions.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -317,6 +317,7 @@
                 late.push((ticket, ResultCode::DeadlineUnreachable));
                 continue;
             }
+            service.queue.note_start(request.class);
             service.start(now, ticket, request.class);
             actions.push(GateAction::Admit(ticket));
         }
--- a/src/queue.rs
+++ b/src/queue.rs
@@ -103,7 +103,6 @@
         let class = self.next_class()?;
         let ticket = self.classes[class].pop()?;
         self.places.remove(&ticket);
-        self.note_start(class);
         Some(ticket)
     }
 
@@ -167,7 +166,9 @@
         starved.or_else(|| (0..CLASSES).find(waits))
     }
 
-    fn note_start(&mut self, served: usize) {
+    /// Counts the start of a request against the classes that wait meanwhile.
+    pub(crate) fn note_start(&mut self, served: PriorityClass) {
+        let served = served as usize;
         for class in 0..CLASSES {
             let waits = self.classes[class].length > 0;
             let count = self.passed_over[class].saturating_add(1);
--- a/tests/admission_schedules.rs
+++ b/tests/admission_schedules.rs
@@ -360,6 +360,12 @@
     assert!(found.is_empty(), "{:?}", &found[..found.len().min(5)]);
 }
 
+/// Tickets that were refused when their turn came counted as starts of their class.
+#[test]
+fn a_request_refused_at_its_turn_does_not_count_as_a_start() {
+    assert_eq!(findings_of(GateOptions::default(), 5277), BTreeSet::new());
+}
+
 fn assert_caught(options: GateOptions, expected: GateFinding) {
     let caught = (0..100).any(|seed| findings_of(options, seed).contains(&expected));
     assert!(caught, "{expected:?} was not found");
