The gate looks at deadlines before any event, when it was stopped past its timer

Cause: after a stop of the process, the first event was handled on deadlines that had passed meanwhile. Schedules now stop the process and drain the host as well.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -203,6 +203,9 @@
     /// Takes an event and returns what follows from it, in order.
     pub fn handle(&mut self, now: Instant, event: GateEvent) -> Vec<GateAction> {
         let mut actions = Vec::new();
+        if self.next_sweep.is_some_and(|due| due <= now) {
+            self.sweep(now, &mut actions);
+        }
         match event {
             GateEvent::Arrive(ticket, request) => self.arrive(now, ticket, request, &mut actions),
             GateEvent::Release(ticket) => self.release(now, ticket, true, &mut actions),
@@ -211,7 +214,8 @@
                 self.set_capacity(now, &service, slots, &mut actions);
             }
             GateEvent::Draining(draining) => self.draining = draining,
-            GateEvent::Timer => self.sweep(now, &mut actions),
+            // The sweep that was due came first.
+            GateEvent::Timer => {}
         }
         self.schedule_sweep(now);
         actions
--- a/tests/admission_schedules.rs
+++ b/tests/admission_schedules.rs
@@ -29,7 +29,7 @@
 const STEPS: usize = 200;
 
 /// Events and faults at the gate, with their weights.
-const EVENTS: [(GateFault, u32); 7] = [
+const EVENTS: [(GateFault, u32); 9] = [
     (GateFault::Arrive, 40),
     (GateFault::Flood, 2),
     (GateFault::Leave, 3),
@@ -37,6 +37,8 @@
     (GateFault::Capacity, 1),
     (GateFault::NoCapacity, 1),
     (GateFault::SlowDown, 1),
+    (GateFault::Freeze, 1),
+    (GateFault::Drain, 1),
 ];
 
 #[derive(Clone, Copy, Debug)]
@@ -48,6 +50,8 @@
     Capacity,
     NoCapacity,
     SlowDown,
+    Freeze,
+    Drain,
 }
 
 /// What the checker found.
@@ -64,6 +68,7 @@
     RetryTimesCollide,
     RetryTimeOutOfRange,
     TwoVerdicts,
+    ServedWhileDraining,
 }
 
 #[derive(Clone)]
@@ -132,6 +137,11 @@
                 self.arrive_any();
                 self.set_capacity(3);
             }
+            GateFault::Freeze => {
+                self.now += Duration::from_millis(self.rng.random_range(100..10_000));
+                self.arrive_any();
+            }
+            GateFault::Drain => self.drain(),
             GateFault::SlowDown => {
                 self.service_time = Duration::from_millis(self.rng.random_range(20..400));
             }
@@ -164,6 +174,17 @@
         self.handle(GateEvent::Arrive(ticket, request));
     }
 
+    /// A draining host refuses newcomers and serves those that wait.
+    fn drain(&mut self) {
+        self.handle(GateEvent::Draining(true));
+        let waiting = self.waiting.len();
+        self.arrive_any();
+        if self.waiting.len() > waiting {
+            self.findings.insert(GateFinding::ServedWhileDraining);
+        }
+        self.handle(GateEvent::Draining(false));
+    }
+
     fn leave(&mut self) {
         let waiting: Vec<_> = self.waiting.iter().copied().collect();
         if waiting.is_empty() {
@@ -360,10 +381,29 @@
     assert!(found.is_empty(), "{:?}", &found[..found.len().min(5)]);
 }
 
-/// Tickets that were refused when their turn came counted as starts of their class.
 #[test]
 fn a_request_refused_at_its_turn_does_not_count_as_a_start() {
-    assert_eq!(findings_of(GateOptions::default(), 5277), BTreeSet::new());
+    let now = Instant::now();
+    let request = |priority: PriorityClass, patience: u64| AdmissionRequest {
+        service: SERVICE.into(),
+        customer: "studio".into(),
+        share: 1,
+        priority,
+        deadline: now + Duration::from_millis(patience),
+        queue_length: QUEUE_LENGTH,
+    };
+    let options = GateOptions { guard_interval: 3, ..GateOptions::default() };
+    let mut gate = AdmissionGate::new(options, 1);
+    gate.handle(now, GateEvent::Capacity(SERVICE.into(), 1));
+    gate.handle(now, GateEvent::Arrive(1, request(PriorityClass::Guidance, 60_000)));
+    gate.handle(now, GateEvent::Arrive(2, request(PriorityClass::Batch, 60_000)));
+    for ticket in 3..6 {
+        gate.handle(now, GateEvent::Arrive(ticket, request(PriorityClass::Guidance, 5)));
+    }
+    gate.handle(now, GateEvent::Arrive(6, request(PriorityClass::Guidance, 60_000)));
+    let actions = gate.handle(now + Duration::from_millis(10), GateEvent::Release(1));
+    assert!(actions.contains(&GateAction::Admit(6)), "{actions:?}");
+    assert_eq!(actions.len(), 4);
 }
 
 fn assert_caught(options: GateOptions, expected: GateFinding) {
