--- a/src/admission.rs
+++ b/src/admission.rs
@@ -307,25 +307,17 @@
 
     /// Starts waiting requests while slots are free.
     fn admit(&mut self, now: Instant, name: &ServiceName, actions: &mut Vec<GateAction>) {
-        let options = self.options;
-        let mut late = Vec::new();
-        let service = self.service(name);
-        while service.has_free_slot() {
-            let Some(ticket) = service.queue.pop() else {
-                break;
-            };
-            let Some(request) = service.waiting.remove(&ticket) else {
-                continue;
-            };
-            if options.deadline_refusal && service.misses_deadline(now, now, request) {
-                late.push((ticket, ResultCode::DeadlineUnreachable));
+        while let Some((ticket, request)) = self.service(name).take_next() {
+            let enforced = self.options.deadline_refusal;
+            let service = self.service(name);
+            if enforced && service.misses_deadline(now, now, request) {
+                let refused = [(ticket, ResultCode::DeadlineUnreachable)];
+                self.refuse(now, name, &refused, actions);
                 continue;
             }
-            service.queue.note_start(request.class);
             service.start(now, ticket, request.class);
             actions.push(GateAction::Admit(ticket));
         }
-        self.refuse(now, name, &late, actions);
     }
 
     /// Refuses every waiting request that can no longer make its deadline.
@@ -420,17 +412,24 @@
         }
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.slots as usize
-    }
-
     fn enqueue(&mut self, ticket: TicketNumber, request: &AdmissionRequest) {
         let waiting = WaitingRequest { class: request.priority, deadline: request.deadline };
         self.waiting.insert(ticket, waiting);
         self.queue.push(ticket, request.priority, &request.customer, request.share);
     }
 
+    /// Takes the request to be served next out of the queue, if a slot is free.
+    fn take_next(&mut self) -> Option<(TicketNumber, WaitingRequest)> {
+        if self.running.len() >= self.slots as usize {
+            return None;
+        }
+        let ticket = self.queue.pop()?;
+        let request = self.waiting.remove(&ticket).expect("each queued ticket waits");
+        Some((ticket, request))
+    }
+
     fn start(&mut self, now: Instant, ticket: TicketNumber, class: PriorityClass) {
+        self.queue.note_start(class);
         self.running.insert(ticket, RunningRequest { class, started: now });
     }
 
--- a/src/gossip.rs
+++ b/src/gossip.rs
@@ -696,9 +696,7 @@
         chosen.extend(self.old_mark());
         chosen
     }
-}
 
-impl GossipCore {
     /// One mark that was spread before, for hosts that joined since.
     fn old_mark(&mut self) -> Option<DrainMark> {
         let spread = |known: &&KnownMark| known.mark.draining && known.sends_left == 0;
