--- a/src/admission.rs
+++ b/src/admission.rs
@@ -203,6 +203,9 @@
     /// Takes an event and returns what follows from it, in order.
     pub fn handle(&mut self, now: Instant, event: GateEvent) -> Vec<GateAction> {
         let mut actions = Vec::new();
+        if self.next_sweep.is_some_and(|due| due <= now) {
+            self.sweep(now, &mut actions);
+        }
         match event {
             GateEvent::Arrive(ticket, request) => self.arrive(now, ticket, request, &mut actions),
             GateEvent::Release(ticket) => self.release(now, ticket, true, &mut actions),
@@ -211,7 +214,8 @@
                 self.set_capacity(now, &service, slots, &mut actions);
             }
             GateEvent::Draining(draining) => self.draining = draining,
-            GateEvent::Timer => self.sweep(now, &mut actions),
+            // The sweep that was due came first.
+            GateEvent::Timer => {}
         }
         self.schedule_sweep(now);
         actions
@@ -303,24 +307,17 @@
 
     /// Starts waiting requests while slots are free.
     fn admit(&mut self, now: Instant, name: &ServiceName, actions: &mut Vec<GateAction>) {
-        let options = self.options;
-        let mut late = Vec::new();
-        let service = self.service(name);
-        while service.has_free_slot() {
-            let Some(ticket) = service.queue.pop() else {
-                break;
-            };
-            let Some(request) = service.waiting.remove(&ticket) else {
-                continue;
-            };
-            if options.deadline_refusal && service.misses_deadline(now, now, request) {
-                late.push((ticket, ResultCode::DeadlineUnreachable));
+        while let Some((ticket, request)) = self.service(name).take_next() {
+            let enforced = self.options.deadline_refusal;
+            let service = self.service(name);
+            if enforced && service.misses_deadline(now, now, request) {
+                let refused = [(ticket, ResultCode::DeadlineUnreachable)];
+                self.refuse(now, name, &refused, actions);
                 continue;
             }
             service.start(now, ticket, request.class);
             actions.push(GateAction::Admit(ticket));
         }
-        self.refuse(now, name, &late, actions);
     }
 
     /// Refuses every waiting request that can no longer make its deadline.
@@ -415,17 +412,24 @@
         }
     }
 
-    fn has_free_slot(&self) -> bool {
-        self.running.len() < self.slots as usize
-    }
-
     fn enqueue(&mut self, ticket: TicketNumber, request: &AdmissionRequest) {
         let waiting = WaitingRequest { class: request.priority, deadline: request.deadline };
         self.waiting.insert(ticket, waiting);
         self.queue.push(ticket, request.priority, &request.customer, request.share);
     }
 
+    /// Takes the request to be served next out of the queue, if a slot is free.
+    fn take_next(&mut self) -> Option<(TicketNumber, WaitingRequest)> {
+        if self.running.len() >= self.slots as usize {
+            return None;
+        }
+        let ticket = self.queue.pop()?;
+        let request = self.waiting.remove(&ticket).expect("each queued ticket waits");
+        Some((ticket, request))
+    }
+
     fn start(&mut self, now: Instant, ticket: TicketNumber, class: PriorityClass) {
+        self.queue.note_start(class);
         self.running.insert(ticket, RunningRequest { class, started: now });
     }
 
