--- a/src/controller.rs
+++ b/src/controller.rs
@@ -150,11 +150,16 @@
         self.stop.notify_waiters();
     }
 
+    /// Fence of the lease, if this host holds it now.
+    pub fn fence(&self) -> Option<FenceNumber> {
+        self.held().map(|held| held.fence)
+    }
+
     /// State of the controller.
     pub fn status(&self) -> ControllerStatus {
         let marks = self.marks.borrow();
         ControllerStatus {
-            fence: self.held().map(|held| held.fence),
+            fence: self.fence(),
             plan: self.plan.borrow().clone(),
             leaving: marks.as_ref().map(EndpointMarks::all).unwrap_or_default(),
         }
@@ -197,7 +202,7 @@
     }
 
     fn note_lease(&self) {
-        let fence = self.held().map(|held| held.fence);
+        let fence = self.fence();
         let before = self.fence.replace(fence);
         if before == fence {
             return;
--- /dev/null
+++ b/tests/lease_matrix.rs
@@ -0,0 +1,98 @@
+//! Fault matrix of the lease and of orders: every fault at every step.
+
+mod lease_support;
+
+use jacinthrock_standins::fake_store::StoreFaults;
+use jacinthrock_standins::host_gate::GateCall::{Order, Read, Status, Write};
+use jacinthrock_standins::host_gate::GateMoment::{After, Before};
+use jacinthrock_standins::host_gate::{GateFault, GatePoint};
+use jacinthrock_standins::order_engine::OrderFaults;
+use lease_support::{Change, LeaseScenario, ms, run};
+use std::time::Duration;
+
+const STEPS: [(&str, GatePoint); 9] = [
+    ("before the lease is read", GatePoint { call: Read, moment: Before, nth: 1 }),
+    ("lease decided", GatePoint { call: Write, moment: Before, nth: 1 }),
+    ("lease written", GatePoint { call: Write, moment: After, nth: 1 }),
+    ("renewal decided", GatePoint { call: Write, moment: Before, nth: 2 }),
+    ("renewal written", GatePoint { call: Write, moment: After, nth: 2 }),
+    ("state read", GatePoint { call: Status, moment: After, nth: 1 }),
+    ("order decided", GatePoint { call: Order, moment: Before, nth: 1 }),
+    ("order in effect", GatePoint { call: Order, moment: After, nth: 1 }),
+    ("later order decided", GatePoint { call: Order, moment: Before, nth: 3 }),
+];
+
+const FAULTS: [(&str, GateFault); 5] = [
+    ("kill", GateFault::Kill),
+    ("short freeze", GateFault::Freeze(Duration::from_secs(3))),
+    ("freeze past the lease", GateFault::Freeze(Duration::from_secs(20))),
+    ("call or reply lost", GateFault::Lose),
+    ("refused", GateFault::Refuse),
+];
+
+/// Moments: the first lease, the first orders, and when nothing is left to order.
+const MOMENTS: [u64; 3] = [50, 6000, 14_000];
+
+fn changes() -> [(&'static str, Change); 8] {
+    [
+        ("short outage", Change::Outage(ms(3000))),
+        ("outage past the lease", Change::Outage(ms(15_000))),
+        ("cut from the store", Change::Cut(0, ms(15_000))),
+        ("hand-over", Change::Stop(0)),
+        ("new host", Change::NewHost),
+        ("engine lost", Change::EngineDown(0, ms(15_000))),
+        ("leaving endpoint", Change::Leave(0)),
+        ("new version", Change::NewVersion),
+    ]
+}
+
+/// Host 0 takes the lease; host 1 comes at 3 s.
+fn scenario(checks_fence: bool) -> LeaseScenario {
+    LeaseScenario {
+        seed: 17,
+        hosts: 1,
+        engines: vec![checks_fence; 4],
+        stages: 2,
+        points: Vec::new(),
+        changes: vec![(ms(3000), Change::NewHost)],
+        store_faults: StoreFaults { longest_delay: ms(5), ..StoreFaults::default() },
+        order_faults: OrderFaults {
+            longest_delay: ms(1000),
+            longest_status_delay: ms(50),
+            ..OrderFaults::default()
+        },
+        lease_guard: None,
+        order_guard: None,
+    }
+}
+
+#[test]
+fn every_fault_at_every_step_keeps_the_promises() {
+    for checks_fence in [false, true] {
+        for (step, point) in STEPS {
+            for (name, fault) in FAULTS {
+                let mut scenario = scenario(checks_fence);
+                scenario.points.push((0, point, fault));
+                let report = run(&scenario);
+                let cell = format!("{step} x {name}, fence checked: {checks_fence}");
+                assert!(report.wrong.is_empty(), "{cell}: {:#?}", report.wrong);
+                println!("{cell}: {} tenures", report.highest_fence);
+            }
+        }
+    }
+}
+
+#[test]
+fn every_change_at_every_moment_keeps_the_promises() {
+    for checks_fence in [false, true] {
+        for at in MOMENTS {
+            for (name, change) in changes() {
+                let mut scenario = scenario(checks_fence);
+                scenario.changes.push((ms(at), change));
+                let report = run(&scenario);
+                let cell = format!("{name} at {at} ms, fence checked: {checks_fence}");
+                assert!(report.wrong.is_empty(), "{cell}: {:#?}", report.wrong);
+            }
+        }
+    }
+}
--- a/tests/lease_support/mod.rs
+++ b/tests/lease_support/mod.rs
@@ -1,4 +1,5 @@
 //! Runs controllers of several hosts on one store and one fleet of engines, and checks them.
+#![allow(dead_code)]
 
 use jacinthrock::{
     ControllerLoop, ControllerOptions, CounterRegistry, EffectiveConfig, EffectiveService,
@@ -167,7 +168,7 @@
 
     fn holders(&self) -> Vec<(usize, u64)> {
         let alive = self.hosts.iter().enumerate().filter(|(_, host)| !host.gate.is_dead());
-        alive.filter_map(|(index, host)| Some((index, host.controller.status().fence?))).collect()
+        alive.filter_map(|(index, host)| Some((index, host.controller.fence()?))).collect()
     }
 
     async fn change(&mut self, scenario: &LeaseScenario, change: Change) {
