--- a/src/ledger/expiry.rs
+++ b/src/ledger/expiry.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use crate::ids::ObjectVersion;
-use crate::ledger::key::{PAGE_PREFIX, bucket_at, bucket_of_page, bucket_prefix};
+use crate::ledger::key::{
+    PAGE_PREFIX, bucket_at, bucket_of_page, bucket_start, group_prefix, next_group,
+};
 use crate::ledger::options::LedgerOptions;
 use crate::platform::{PlatformStore, StoreError, StoredObject};
 
 /// Object that holds the floor.
 pub(crate) const FLOOR_NAME: &str = "ledger-floor";
-/// Buckets that one expiry visits, at most.
-const BUCKETS_PER_EXPIRY: u64 = 256;
+/// Groups of buckets that one expiry lists, at most.
+const GROUPS_PER_EXPIRY: u64 = 256;
 
 /// The lowest bucket whose pages may be used. It only rises.
 ///
@@ -54,21 +56,21 @@
     let object = store.get(FLOOR_NAME).await?;
     let version = object.as_ref().map_or(0, |object| object.version);
     let mut floor = decode(object.as_ref())?;
+    let kept = options.window + options.clock_margin;
+    let newest = bucket_start(newest_bucket, options).min(unix_now);
+    floor.bucket = floor.bucket.max(bucket_at(newest.saturating_sub(kept), options));
     if version == 0 {
-        floor.swept = oldest_bucket(store).await?;
+        floor.swept = oldest_bucket(store).await?.unwrap_or(floor.bucket);
     }
-    let kept = options.window + options.clock_margin;
-    let newest =
-        (options.page_span * u32::try_from(newest_bucket).unwrap_or(u32::MAX)).min(unix_now);
-    let target = bucket_at(newest.saturating_sub(kept), options);
-    floor.bucket = floor.bucket.max(target);
     let version = write_floor(store, version, floor).await?;
     let mut report = ExpiryReport { floor, deleted_pages: 0 };
-    let last = floor.bucket.min(floor.swept + BUCKETS_PER_EXPIRY);
-    for bucket in floor.swept..last {
-        report.deleted_pages += delete_bucket(store, bucket).await?;
+    for _ in 0..GROUPS_PER_EXPIRY {
+        if report.floor.swept >= floor.bucket {
+            break;
+        }
+        report.deleted_pages += delete_group(store, report.floor.swept, floor.bucket).await?;
+        report.floor.swept = next_group(report.floor.swept).min(floor.bucket);
     }
-    report.floor.swept = floor.swept.max(last);
     if report.floor != floor {
         write_floor(store, version, report.floor).await?;
     }
@@ -84,18 +86,24 @@
     store.put(FLOOR_NAME, version, value.into()).await
 }
 
-async fn oldest_bucket(store: &Rc<dyn PlatformStore>) -> Result<u64, StoreError> {
+async fn oldest_bucket(store: &Rc<dyn PlatformStore>) -> Result<Option<u64>, StoreError> {
     let listing = store.list(PAGE_PREFIX).await?;
-    let buckets = listing.objects.iter().filter_map(|object| bucket_of_page(&object.key));
-    Ok(buckets.min().unwrap_or(0))
+    Ok(listing.objects.iter().filter_map(|object| bucket_of_page(&object.key)).min())
 }
 
-async fn delete_bucket(store: &Rc<dyn PlatformStore>, bucket: u64) -> Result<u64, StoreError> {
-    let listing = store.list(&bucket_prefix(bucket)).await?;
+/// Deletes the pages below the floor in a bucket's group.
+async fn delete_group(
+    store: &Rc<dyn PlatformStore>,
+    bucket: u64,
+    floor: u64,
+) -> Result<u64, StoreError> {
+    let listing = store.list(&group_prefix(bucket)).await?;
     let mut deleted = 0;
     for object in listing.objects {
-        store.delete(&object.key, object.version).await?;
-        deleted += 1;
+        if bucket_of_page(&object.key).is_some_and(|bucket| bucket < floor) {
+            store.delete(&object.key, object.version).await?;
+            deleted += 1;
+        }
     }
     Ok(deleted)
 }
--- a/src/ledger/key.rs
+++ b/src/ledger/key.rs
@@ -10,6 +10,9 @@
 /// Prefix of every page on the platform.
 pub(crate) const PAGE_PREFIX: &str = "ledger/";
 
+/// Buckets that share a prefix of their names, and one listing.
+const GROUP_BUCKETS: u64 = 10;
+
 /// An idempotency key: a version 7 UUID, whose first 48 bits are its time.
 ///
 /// ```
@@ -71,7 +74,22 @@
     (time.as_millis() / options.page_span.as_millis().max(1)) as u64
 }
 
-pub(crate) fn bucket_prefix(bucket: u64) -> Box<str> {
+/// First time of a bucket, since the Unix epoch.
+pub(crate) fn bucket_start(bucket: u64, options: &LedgerOptions) -> Duration {
+    Duration::from_millis(bucket.saturating_mul(options.page_span.as_millis() as u64))
+}
+
+/// Prefix of the pages of the bucket's group: the buckets that differ in the last digit only.
+pub(crate) fn group_prefix(bucket: u64) -> Box<str> {
+    format!("{PAGE_PREFIX}{:011}", bucket / GROUP_BUCKETS).into()
+}
+
+/// First bucket of the next group.
+pub(crate) fn next_group(bucket: u64) -> u64 {
+    (bucket / GROUP_BUCKETS + 1) * GROUP_BUCKETS
+}
+
+fn bucket_prefix(bucket: u64) -> Box<str> {
     format!("{PAGE_PREFIX}{bucket:012}/").into()
 }
 
