--- /dev/null
+++ b/tests/plain_calls.rs
@@ -0,0 +1,199 @@
+//! Calls to plain services: retries, claims, callers that go away, and shutdown.
+
+use jacinthrock::{
+    CallOutcome, ClaimHolder, CounterRegistry, LedgerOptions, LedgerService, MetricName, PlainCall,
+    PlainContext, PlainDriver, PlainOptions, PlainRequest, ResultCode,
+};
+use jacinthrock_standins::fake_service::{FakeService, ListPicker, ServiceFaults};
+use jacinthrock_standins::fake_store::FakeStore;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+const KEY: &str = "018bcfe5-6800-7551-af75-0eef7b12e85e";
+const UNIX_NOW: Duration = Duration::from_secs(1_700_000_000);
+
+struct Bench {
+    store: FakeStore,
+    service: FakeService,
+    ledger: LedgerService,
+    driver: PlainDriver,
+    counters: Rc<CounterRegistry>,
+}
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+impl Bench {
+    fn new() -> Self {
+        let (store, service) = (FakeStore::new(1), FakeService::new(1));
+        let counters = Rc::new(CounterRegistry::new());
+        let holder = ClaimHolder { host: "a".into(), incarnation: 1 };
+        let ledger = LedgerService::new(
+            Rc::new(store.handle()),
+            holder,
+            Rc::new(|_, _| true),
+            LedgerOptions::default(),
+            counters.clone(),
+        );
+        let caller = Rc::new(service.clone());
+        let options = PlainOptions::default();
+        let driver = PlainDriver::new(caller, ledger.clone(), counters.clone(), options);
+        Self { store, service, ledger, driver, counters }
+    }
+
+    fn request(&self, idempotent: bool) -> PlainRequest {
+        PlainRequest {
+            service: "bookings".into(),
+            customer: "studio".into(),
+            idempotent,
+            key: Some(KEY.into()),
+            call: PlainCall {
+                method: "POST".into(),
+                path: "/slots".into(),
+                headers: Vec::new(),
+                body: b"bench".as_slice().into(),
+                timeout: Duration::ZERO,
+            },
+            deadline: Instant::now() + ms(2000),
+            unix_now: UNIX_NOW,
+        }
+    }
+}
+
+fn context(endpoints: usize, retries: bool) -> PlainContext {
+    PlainContext {
+        picker: Rc::new(ListPicker::new(endpoints)),
+        may_retry: Rc::new(move || retries),
+    }
+}
+
+fn run_paused<T>(future: impl Future<Output = T>) -> T {
+    let mut builder = tokio::runtime::Builder::new_current_thread();
+    let runtime = builder.enable_time().start_paused(true).build().expect("runtime");
+    tokio::task::LocalSet::new().block_on(&runtime, future)
+}
+
+fn lose_every_reply() -> ServiceFaults {
+    ServiceFaults { lost_reply: 1.0, ..ServiceFaults::default() }
+}
+
+#[test]
+fn an_idempotent_call_leaves_a_frozen_endpoint_within_its_deadline() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.service.freeze("endpoint-0", Duration::from_secs(60));
+        let result = bench.driver.run(bench.request(true), context(2, true)).await;
+        assert_eq!(result.outcome, CallOutcome::Done);
+        assert_eq!(bench.counters.value(MetricName::Retries, &["broken"]), 1);
+    });
+}
+
+#[test]
+fn no_retry_is_made_without_budget() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.service.leave("endpoint-0");
+        let result = bench.driver.run(bench.request(true), context(2, false)).await;
+        assert_eq!(result.outcome, CallOutcome::NotRun);
+        assert_eq!(result.code, Some(ResultCode::RetryBudgetSpent));
+        assert!(bench.service.runs().is_empty());
+    });
+}
+
+#[test]
+fn a_non_idempotent_call_is_refused_without_a_key() {
+    run_paused(async {
+        let bench = Bench::new();
+        let request = PlainRequest { key: None, ..bench.request(false) };
+        let result = bench.driver.run(request, context(1, true)).await;
+        assert_eq!(result.code, Some(ResultCode::IdempotencyKeyMissing));
+    });
+}
+
+#[test]
+fn a_booking_whose_reply_is_lost_is_unknown_and_never_sent_again() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.service.set_faults(lose_every_reply());
+        let result = bench.driver.run(bench.request(false), context(3, true)).await;
+        assert_eq!(result.outcome, CallOutcome::Unknown);
+        bench.ledger.drain().await;
+        let again = bench.driver.run(bench.request(false), context(3, true)).await;
+        assert_eq!(again.code, Some(ResultCode::ClaimUnknown));
+        assert_eq!(bench.service.runs().len(), 1);
+    });
+}
+
+#[test]
+fn a_refused_booking_tries_another_endpoint_under_the_same_claim() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.service.leave("endpoint-0");
+        let result = bench.driver.run(bench.request(false), context(2, true)).await;
+        assert_eq!(result.outcome, CallOutcome::Done);
+        assert_eq!(bench.counters.value(MetricName::LedgerClaims, &["granted"]), 1);
+    });
+}
+
+#[test]
+fn a_booking_that_did_not_run_may_be_tried_with_the_same_key() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.service.leave("endpoint-0");
+        let first = bench.driver.run(bench.request(false), context(1, true)).await;
+        assert_eq!(first.outcome, CallOutcome::NotRun);
+        assert!(first.retry_after.is_some());
+        let second = bench.driver.run(bench.request(false), context(2, true)).await;
+        assert_eq!(second.outcome, CallOutcome::Done);
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_does_not_leave_a_booking_half_way() {
+    run_paused(async {
+        let bench = Bench::new();
+        let faults = ServiceFaults { longest_delay: ms(300), ..ServiceFaults::default() };
+        bench.service.set_faults(faults);
+        let call = bench.driver.run(bench.request(false), context(1, true));
+        assert!(tokio::time::timeout(ms(20), call).await.is_err());
+        tokio::time::sleep(ms(1000)).await;
+        bench.ledger.drain().await;
+        let again = bench.driver.run(bench.request(false), context(1, true)).await;
+        assert_eq!(again.outcome, CallOutcome::Done);
+        assert_eq!(bench.service.runs().len(), 1);
+    });
+}
+
+#[test]
+fn a_platform_outage_refuses_bookings_and_lets_lookups_through() {
+    run_paused(async {
+        let bench = Bench::new();
+        bench.store.set_down(true);
+        let booking = bench.driver.run(bench.request(false), context(1, true)).await;
+        assert_eq!(booking.outcome, CallOutcome::NotRun);
+        assert_eq!(booking.code, Some(ResultCode::LedgerUnavailable));
+        assert!(booking.retry_after.is_some() && bench.service.runs().is_empty());
+        let lookup = bench.driver.run(bench.request(true), context(1, true)).await;
+        assert_eq!(lookup.outcome, CallOutcome::Done);
+    });
+}
+
+#[test]
+fn a_drain_waits_for_settlements_through_an_outage() {
+    run_paused(async {
+        let bench = Bench::new();
+        let result = bench.driver.run(bench.request(false), context(1, true)).await;
+        assert_eq!(result.outcome, CallOutcome::Done);
+        bench.store.set_down(true);
+        let early = tokio::time::timeout(Duration::from_secs(5), bench.ledger.drain()).await;
+        assert!(early.is_err());
+        bench.store.set_down(false);
+        bench.ledger.drain().await;
+        let again = bench.driver.run(bench.request(false), context(1, true)).await;
+        assert_eq!(again.reply, result.reply);
+        assert_eq!(bench.service.runs().len(), 1);
+    });
+}
