--- a/src/lease.rs
+++ b/src/lease.rs
@@ -128,6 +128,19 @@
 }
 
 /// The state machine of the lease on one host.
+///
+/// ```
+/// use jacinthrock::{LeaseAction, LeaseEvent, LeaseKeeper, LeaseOptions};
+/// use tokio::time::Instant;
+///
+/// let now = Instant::now();
+/// let mut keeper = LeaseKeeper::new("host-1", 1, LeaseOptions::default());
+/// assert_eq!(keeper.advance(now), LeaseAction::Read);
+/// keeper.observe(now, LeaseEvent::Read(Ok(None)));
+/// assert!(matches!(keeper.advance(now), LeaseAction::Write { expected: 0, .. }));
+/// keeper.observe(now, LeaseEvent::Write(Ok(1)));
+/// assert_eq!(keeper.held(now).map(|lease| lease.fence), Some(1));
+/// ```
 #[derive(Clone)]
 pub struct LeaseKeeper {
     host: HostName,
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -94,6 +94,38 @@
 /// The ledger as one host runs it; clones share it.
 ///
 /// Lives on a current-thread runtime inside a `LocalSet`.
+///
+/// ```
+/// use jacinthrock::{
+///     ClaimHolder, ClaimRequest, ClaimSettlement, ClaimVerdict, CounterRegistry, LedgerOptions,
+///     LedgerService,
+/// };
+/// use jacinthrock_standins::fake_store::FakeStore;
+/// use std::rc::Rc;
+/// use std::time::Duration;
+///
+/// # let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().unwrap();
+/// # tokio::task::LocalSet::new().block_on(&runtime, async {
+/// let ledger = LedgerService::new(
+///     Rc::new(FakeStore::new(1)),
+///     ClaimHolder { host: "host-1".into(), incarnation: 1 },
+///     Rc::new(|_, _| true),
+///     LedgerOptions::default(),
+///     Rc::new(CounterRegistry::new()),
+/// );
+/// let request = ClaimRequest {
+///     key: "018bcfe5-6800-7551-af75-0eef7b12e85e",
+///     fingerprint: "digest of the request".into(),
+///     customer: "studio".into(),
+///     deadline: Duration::from_secs(2),
+/// };
+/// let unix_now = Duration::from_secs(1_700_000_000);
+/// let ClaimVerdict::Granted(ticket) = ledger.claim(request, unix_now).await else {
+///     panic!("the key is new");
+/// };
+/// ledger.settle(ticket, ClaimSettlement::NotRun).await.unwrap();
+/// # });
+/// ```
 #[derive(Clone)]
 pub struct LedgerService {
     state: Rc<ServiceState>,
--- a/src/plain.rs
+++ b/src/plain.rs
@@ -1,5 +1,9 @@
 //! Calls to plain services: retries where they are safe, and one run where they are not.
 
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,13 +41,15 @@
 pub struct PlainOptions {
     /// Longest time that a caller waits until its call is recorded as not run.
     pub settle_wait: Duration,
+    /// Seed of the jitter in times to come back; hosts should differ.
+    pub jitter_seed: u64,
     /// Protection that is switched off; only for tests.
     pub disabled: Option<PlainGuard>,
 }
 
 impl Default for PlainOptions {
     fn default() -> Self {
-        Self { settle_wait: Duration::from_millis(250), disabled: None }
+        Self { settle_wait: Duration::from_millis(250), jitter_seed: 0, disabled: None }
     }
 }
 
@@ -111,6 +117,7 @@
     ledger: LedgerService,
     counters: Rc<CounterRegistry>,
     options: PlainOptions,
+    jitter: Rc<RefCell<ChaCha8Rng>>,
 }
 
 impl PlainDriver {
@@ -121,7 +128,8 @@
         counters: Rc<CounterRegistry>,
         options: PlainOptions,
     ) -> Self {
-        Self { caller, ledger, counters, options }
+        let jitter = Rc::new(RefCell::new(ChaCha8Rng::seed_from_u64(options.jitter_seed)));
+        Self { caller, ledger, counters, options, jitter }
     }
 
     /// Runs one call.
@@ -129,6 +137,13 @@
     /// A non-idempotent call goes on when this future is dropped: a caller that goes away must
     /// not leave it half-way.
     pub async fn run(&self, request: PlainRequest, context: PlainContext) -> PlainResult {
+        let result = self.run_once(request, context).await;
+        // Callers that were refused together must not come back together.
+        let share = self.jitter.borrow_mut().random_range(0.75..1.25);
+        PlainResult { retry_after: result.retry_after.map(|time| time.mul_f64(share)), ..result }
+    }
+
+    async fn run_once(&self, request: PlainRequest, context: PlainContext) -> PlainResult {
         if request.idempotent {
             return self.run_idempotent(&request, &context).await;
         }
