--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -5,7 +5,9 @@
 //! platform before the call is sent, and only the claim's own holder ever sends.
 //! docs/design/ledger.md gives the ways weighed and the proof.
 
+mod decision;
 mod expiry;
+mod intent;
 mod key;
 mod options;
 mod page;
@@ -14,6 +16,7 @@
 mod service;
 
 pub use expiry::{ExpiryReport, LedgerFloor};
+pub use intent::{IntentAnswer, IntentId, PageAction, PageEvent, PageIntent, PageStep};
 pub use key::ClaimKey;
 pub use options::{LedgerGuard, LedgerOptions};
 pub use page::LedgerPage;
@@ -22,5 +25,5 @@
     ClaimHolder, ClaimRecord, ClaimSettlement, ClaimTicket, RecordState, RequestFingerprint,
     StoredBody,
 };
-pub use round::{IntentAnswer, IntentId, PageAction, PageEvent, PageIntent, PageLedger, PageStep};
+pub use round::PageLedger;
 pub use service::{ClaimRequest, ClaimVerdict, HolderLiveness, LedgerError, LedgerService};
--- a/src/ledger/round.rs
+++ b/src/ledger/round.rs
@@ -12,115 +12,23 @@
 use tokio::time::Instant;
 
 use crate::codes::ResultCode;
-use crate::endpoint::PlainReply;
 use crate::ids::{Incarnation, ObjectVersion};
+use crate::ledger::decision::{
+    DecisionView, IntentDecision, confirm, finished, insert_or_refuse, refuse,
+};
+use crate::ledger::intent::{IntentAnswer, IntentId, PageAction, PageEvent, PageIntent, PageStep};
 use crate::ledger::options::{LedgerGuard, LedgerOptions};
 use crate::ledger::page::LedgerPage;
-use crate::ledger::record::{
-    ClaimHolder, ClaimId, ClaimRecord, ClaimSettlement, RecordState, RequestFingerprint,
-};
+use crate::ledger::record::{ClaimHolder, ClaimId, ClaimRecord, ClaimSettlement, RecordState};
 use crate::platform::{StoreError, StoredObject};
 
 /// Room that a record without an answer takes in a page, in bytes.
 const RECORD_BYTES: usize = 300;
 /// Wait that a caller is given for a key in flight, at most.
 const IN_FLIGHT_RETRY: Duration = Duration::from_secs(1);
-/// Wait that a caller is given when a page is full.
-const FULL_PAGE_RETRY: Duration = Duration::from_secs(5);
 /// Doublings of the backoff after which it grows no further.
 const MAX_DOUBLINGS: u32 = 10;
 
-/// Number of an intent on its page.
-pub type IntentId = u64;
-
-/// What a caller wants to happen on a page.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PageIntent {
-    /// Claim a key.
-    Claim {
-        /// Name of the record.
-        name: Box<str>,
-        /// Number of the claim, unique in the holder's run.
-        sequence: u64,
-        /// Digest of the request.
-        fingerprint: RequestFingerprint,
-        /// Time that the call may take.
-        deadline: Duration,
-    },
-    /// Record how a claimed call ended.
-    Settle {
-        /// Name of the record.
-        name: Box<str>,
-        /// Number of the claim.
-        sequence: u64,
-        /// How the call ended.
-        settlement: ClaimSettlement,
-    },
-}
-
-/// What became of an intent.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum IntentAnswer {
-    /// The claim stands on the platform, and the page was not deleted before.
-    Granted,
-    /// The key's call ran; this is its answer.
-    Finished(PlainReply),
-    /// The claim does not stand, and its call must not be sent.
-    Refused {
-        /// Why.
-        code: ResultCode,
-        /// When to come back.
-        retry_after: Option<Duration>,
-    },
-    /// The settlement stands, or another one that it may not change.
-    Settled,
-    /// The platform did not confirm the intent in time.
-    GaveUp {
-        /// Whether the claim may stand nevertheless.
-        doubtful: bool,
-    },
-}
-
-/// What the shell should do next for a page.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PageAction {
-    /// Nothing until the next intent.
-    Idle,
-    /// Nothing until then, or until the next intent.
-    Wait(Instant),
-    /// Read the page.
-    Read,
-    /// Read the floor.
-    ReadFloor,
-    /// Write the page.
-    Write {
-        /// Version that the page must have.
-        expected: ObjectVersion,
-        /// The page.
-        value: Box<[u8]>,
-    },
-}
-
-/// How the last action ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum PageEvent {
-    /// The page was read.
-    Read(Result<Option<StoredObject>, StoreError>),
-    /// The floor was read: the lowest bucket that may be used.
-    Floor(Result<u64, StoreError>),
-    /// The page was written.
-    Write(Result<ObjectVersion, StoreError>),
-}
-
-/// Answers and the next action.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PageStep {
-    /// Intents that are answered now.
-    pub answers: Vec<(IntentId, IntentAnswer)>,
-    /// What to do next.
-    pub action: PageAction,
-}
-
 #[derive(Clone)]
 struct PendingIntent {
     id: IntentId,
@@ -147,23 +55,6 @@
     intents: BTreeSet<IntentId>,
 }
 
-enum IntentDecision {
-    Answer(IntentAnswer),
-    Insert(ClaimRecord),
-    Update(RecordState),
-    Read,
-    ReadFloor,
-}
-
-/// What the decision on an intent may look at.
-struct DecisionView<'a> {
-    record: Option<&'a ClaimRecord>,
-    fresh: bool,
-    floor_passed: bool,
-    closed: bool,
-    room: bool,
-}
-
 /// The state machine of one page on one host.
 #[derive(Clone)]
 pub struct PageLedger {
@@ -640,56 +531,3 @@
         format!("{}/{}", self.creation_prefix, self.creations).into()
     }
 }
-
-impl PageIntent {
-    fn name(&self) -> &str {
-        match self {
-            Self::Claim { name, .. } | Self::Settle { name, .. } => name,
-        }
-    }
-
-    fn sequence(&self) -> u64 {
-        match self {
-            Self::Claim { sequence, .. } | Self::Settle { sequence, .. } => *sequence,
-        }
-    }
-}
-
-fn refuse(code: ResultCode, retry_after: Option<Duration>) -> IntentDecision {
-    IntentDecision::Answer(IntentAnswer::Refused { code, retry_after })
-}
-
-fn insert_or_refuse(claim: ClaimRecord, view: &DecisionView<'_>) -> IntentDecision {
-    if view.closed {
-        return refuse(ResultCode::IdempotencyKeyExpired, None);
-    }
-    if view.room {
-        return IntentDecision::Insert(claim);
-    }
-    if !view.fresh {
-        return IntentDecision::Read;
-    }
-    refuse(ResultCode::LedgerFull, Some(FULL_PAGE_RETRY))
-}
-
-/// Grants a claim that stands, unless its page is a deleted one made anew.
-fn confirm(view: &DecisionView<'_>) -> IntentDecision {
-    if !view.floor_passed {
-        return IntentDecision::ReadFloor;
-    }
-    if view.closed {
-        return refuse(ResultCode::IdempotencyKeyExpired, None);
-    }
-    IntentDecision::Answer(IntentAnswer::Granted)
-}
-
-fn finished(state: &RecordState) -> IntentDecision {
-    let RecordState::Done { status, content_type, body } = state else {
-        return refuse(ResultCode::ClaimUnknown, None);
-    };
-    let Some(body) = body.as_ref().and_then(|body| body.to_bytes()) else {
-        return refuse(ResultCode::AnswerNotKept, None);
-    };
-    let (status, content_type) = (*status, content_type.clone());
-    IntentDecision::Answer(IntentAnswer::Finished(PlainReply { status, content_type, body }))
-}
--- a/src/ledger/service.rs
+++ b/src/ledger/service.rs
@@ -12,15 +12,14 @@
 use crate::endpoint::PlainReply;
 use crate::ids::{CustomerName, Incarnation};
 use crate::ledger::expiry::{self, ExpiryReport, FLOOR_NAME, floor_bucket};
+use crate::ledger::intent::{IntentAnswer, IntentId, PageAction, PageEvent, PageIntent, PageStep};
 use crate::ledger::key::ClaimKey;
 use crate::ledger::options::LedgerOptions;
 use crate::ledger::page::record_name;
 use crate::ledger::record::{
     ClaimHolder, ClaimId, ClaimSettlement, ClaimTicket, RequestFingerprint,
 };
-use crate::ledger::round::{
-    IntentAnswer, IntentId, PageAction, PageEvent, PageIntent, PageLedger, PageStep,
-};
+use crate::ledger::round::PageLedger;
 use crate::platform::{PlatformStore, StoreError};
 
 /// Wait that a caller is given when a claim could not be recorded.
