--- a/tests/lease_support/mod.rs
+++ b/tests/lease_support/mod.rs
@@ -1,4 +1,5 @@
 //! Runs controllers of several hosts on one store and one fleet of engines, and checks them.
+#![allow(dead_code)]
 
 use jacinthrock::{
     ControllerLoop, ControllerOptions, CounterRegistry, EffectiveConfig, EffectiveService,
@@ -92,6 +93,8 @@
     pub(crate) wrong: Vec<String>,
     pub(crate) effects: Vec<OrderEffect>,
     pub(crate) highest_fence: u64,
+    /// Planned steps that no host reached.
+    pub(crate) unreached: usize,
 }
 
 fn config_of(scenario: &LeaseScenario, version: &str) -> Rc<EffectiveConfig> {
@@ -167,7 +170,7 @@
 
     fn holders(&self) -> Vec<(usize, u64)> {
         let alive = self.hosts.iter().enumerate().filter(|(_, host)| !host.gate.is_dead());
-        alive.filter_map(|(index, host)| Some((index, host.controller.status().fence?))).collect()
+        alive.filter_map(|(index, host)| Some((index, host.controller.fence()?))).collect()
     }
 
     async fn change(&mut self, scenario: &LeaseScenario, change: Change) {
@@ -257,6 +260,7 @@
     LeaseReport {
         wrong: wrong.into_iter().collect(),
         effects: world.fleet.effects(),
+        unreached: world.hosts.iter().map(|host| host.gate.unreached()).sum(),
         highest_fence: owners.keys().last().copied().unwrap_or(0),
     }
 }
