Try an engine once more after a pause that looked like a freeze

An engine that did not answer a probe was out for the rest of the request, so a pause of 300 ms in the only chain lost the answer (no_chain). A silent engine is now steered away from, and out only after the second time. The finding of the first attempt also ended the second at once, as both carry the same instant; only a later finding counts now. The probe's longest timeout rises from 120 to 250 ms for hosts whose replies are slow; where they are fast the shortest still holds.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -87,7 +87,7 @@
             shortest_suspicion: Duration::from_millis(40),
             longest_suspicion: Duration::from_millis(120),
             shortest_probe: Duration::from_millis(40),
-            longest_probe: Duration::from_millis(120),
+            longest_probe: Duration::from_millis(250),
             shortest_gap: Duration::from_millis(250),
         }
     }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -400,8 +400,9 @@
                 self.avoid(run, endpoint, true);
                 run.holders.remove(endpoint);
             }
+            // Not certain: an engine that only paused may be in the last chain that is left.
             AttemptFault::Frozen(endpoint) => {
-                self.avoid(run, endpoint, true);
+                self.avoid(run, endpoint, false);
                 run.holders.remove(endpoint);
             }
             AttemptFault::Slow => {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -336,7 +336,7 @@
         self.silence.notify_waiters();
     }
 
-    /// Waits until one of the endpoints was found silent at or after `since`, and names it.
+    /// Waits until one of the endpoints was found silent after `since`, and names it.
     pub(crate) async fn silent_since(
         &self,
         since: Instant,
@@ -473,7 +473,7 @@
 
     fn was_silent_since(&self, since: Instant, endpoint: &str) -> bool {
         let known = self.endpoints.get(endpoint);
-        known.and_then(|known| known.last_silence).is_some_and(|at| at >= since)
+        known.and_then(|known| known.last_silence).is_some_and(|at| at > since)
     }
 
     pub(crate) fn observe_reply(&mut self, elapsed: Duration) {
--- a/tests/answer_driver.rs
+++ b/tests/answer_driver.rs
@@ -296,3 +296,20 @@
         assert_eq!(bed.engines.late_arrivals(), vec![]);
     });
 }
+
+#[test]
+fn a_short_pause_of_the_only_chain_loses_no_answer() {
+    on_clock(async {
+        let bed = start(1).await;
+        let pause = async {
+            tokio::time::sleep(Duration::from_millis(95)).await;
+            bed.engines.strike("10.0.1.0:80", EngineFault::Freeze);
+            tokio::time::sleep(Duration::from_millis(300)).await;
+            bed.engines.wake("10.0.1.0:80");
+        };
+        let (answer, ()) = tokio::join!(bed.answer(Duration::from_secs(10), true), pause);
+        assert_matches!(answer.0, AnswerResult::Done { tokens: LENGTH, .. });
+        assert_eq!(answer.1, token::whole_answer("guide", "3", "how hot", LAYERS, LENGTH));
+        assert_eq!(bed.counters.value(MetricName::Retries, &["frozen"]), 1);
+    });
+}
