--- a/src/driver.rs
+++ b/src/driver.rs
@@ -8,12 +8,15 @@
 
 use crate::answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
 use crate::attempt::{AttemptFault, SilenceOptions, TokenClock};
+use crate::avoid::AvoidSet;
 use crate::chain::PlannedChain;
 use crate::codes::ResultCode;
 use crate::counters::{CounterRegistry, MetricName};
 use crate::declaration::ModelDeclaration;
-use crate::endpoint::{CallFailure, EndpointCaller, GenerateCall, GenerateEvent, PriorityClass};
-use crate::fleet::{AvoidSet, ChainDemand, EndpointFleet};
+use crate::endpoint::{
+    CallFailure, EndpointCaller, EventReceiver, GenerateCall, GenerateEvent, PriorityClass,
+};
+use crate::fleet::{ChainDemand, EndpointFleet};
 use crate::ids::{EndpointName, RequestId, TokenPosition};
 use crate::outcome::CallOutcome;
 use crate::probe::StatusProber;
@@ -104,6 +107,14 @@
     last_fault: Option<AttemptFault>,
 }
 
+struct OpenAttempt<'a> {
+    chain: &'a PlannedChain,
+    endpoints: Vec<EndpointName>,
+    receiver: EventReceiver,
+    clock: TokenClock,
+    last_token: Option<Instant>,
+}
+
 enum AttemptEnd {
     Whole(Box<str>),
     Fault(AttemptFault),
@@ -220,50 +231,18 @@
     }
 
     async fn attempt(&self, run: &mut AnswerRun, chain: &PlannedChain) -> AttemptEnd {
-        let call = self.call(run, chain);
-        let remaining = run.order.deadline.saturating_duration_since(Instant::now());
-        let mut receiver = self.caller.generate(call, remaining);
-        let silence = self.options.silence.clone();
-        let mut clock = TokenClock::new(silence, run.order.priority, chain.token_time);
-        let endpoints: Vec<_> = chain.stages.iter().map(|stage| stage.endpoint.clone()).collect();
-        let _flight = self.fleet.start_flight(endpoints.iter().cloned());
-        let mut last_token: Option<Instant> = None;
-        run.silent_since = Instant::now();
+        let mut open = self.open(run, chain);
+        let _flight = self.fleet.start_flight(open.endpoints.iter().cloned());
         loop {
-            let silent_since = run.silent_since;
-            let limit = match last_token {
-                Some(_) => clock.give_up_after(run.order.token_gap, run.given_up),
-                None => run.order.first_token_timeout,
+            let event = match self.next_event(run, &mut open).await {
+                Ok(event) => event,
+                Err(end) => return end,
             };
-            let event = tokio::select! {
-                biased;
-                () = sleep_until(run.order.deadline) => return AttemptEnd::DeadlinePassed,
-                () = run.sink.closed() => return AttemptEnd::CallerGone,
-                event = receiver.recv() => event,
-                endpoint = self.find_frozen(chain, silent_since, &clock) => {
-                    return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
-                }
-                endpoint = self.fleet.silent_since(silent_since, &endpoints) => {
-                    return AttemptEnd::Fault(AttemptFault::Frozen(endpoint));
-                }
-                () = sleep_until(silent_since + limit) => {
-                    return AttemptEnd::Fault(AttemptFault::Slow);
-                }
-            };
-            let step = match event {
-                None => return AttemptEnd::Fault(AttemptFault::Truncated),
-                Some(Err(failure)) => return AttemptEnd::Fault(self.call_fault(chain, &failure)),
-                Some(Ok(event)) => self.take(run, &event),
-            };
-            match step {
+            match self.take(run, &event) {
                 AnswerStep::Accepted(token) => {
-                    let now = Instant::now();
-                    self.learn(run, chain, &mut clock, last_token.replace(now));
-                    if let Some(end) = forward(run, token).await {
+                    if let Some(end) = self.accept(run, &mut open, token).await {
                         return end;
                     }
-                    run.silent_since = Instant::now();
-                    last_token = Some(run.silent_since);
                 }
                 AnswerStep::Duplicate | AnswerStep::Stray => {}
                 AnswerStep::Whole(digest) => return AttemptEnd::Whole(digest),
@@ -272,6 +251,69 @@
         }
     }
 
+    fn open<'a>(&self, run: &mut AnswerRun, chain: &'a PlannedChain) -> OpenAttempt<'a> {
+        let call = self.call(run, chain);
+        let now = Instant::now();
+        run.silent_since = now;
+        let silence = self.options.silence.clone();
+        OpenAttempt {
+            chain,
+            endpoints: chain.stages.iter().map(|stage| stage.endpoint.clone()).collect(),
+            receiver: self.caller.generate(call, run.order.deadline.saturating_duration_since(now)),
+            clock: TokenClock::new(silence, run.order.priority, chain.token_time),
+            last_token: None,
+        }
+    }
+
+    /// Waits for the attempt's next event, or for the reason why none is waited for any more.
+    async fn next_event(
+        &self,
+        run: &AnswerRun,
+        open: &mut OpenAttempt<'_>,
+    ) -> Result<GenerateEvent, AttemptEnd> {
+        let OpenAttempt { chain, endpoints, receiver, clock, last_token } = open;
+        let silent_since = run.silent_since;
+        let limit = match last_token {
+            Some(_) => clock.give_up_after(run.order.token_gap, run.given_up),
+            None => run.order.first_token_timeout,
+        };
+        let fault = tokio::select! {
+            biased;
+            () = sleep_until(run.order.deadline) => return Err(AttemptEnd::DeadlinePassed),
+            () = run.sink.closed() => return Err(AttemptEnd::CallerGone),
+            event = receiver.recv() => match event {
+                Some(Ok(event)) => return Ok(event),
+                Some(Err(failure)) => self.call_fault(chain, &failure),
+                None => AttemptFault::Truncated,
+            },
+            endpoint = self.find_frozen(chain, silent_since, clock) => {
+                AttemptFault::Frozen(endpoint)
+            }
+            endpoint = self.fleet.silent_since(silent_since, endpoints) => {
+                AttemptFault::Frozen(endpoint)
+            }
+            () = sleep_until(silent_since + limit) => AttemptFault::Slow,
+        };
+        Err(AttemptEnd::Fault(fault))
+    }
+
+    /// Learns from an accepted token and passes it on.
+    async fn accept(
+        &self,
+        run: &mut AnswerRun,
+        open: &mut OpenAttempt<'_>,
+        token: u64,
+    ) -> Option<AttemptEnd> {
+        let previous = open.last_token;
+        self.learn(run, open.chain, &mut open.clock, previous);
+        if let Some(end) = forward(run, token).await {
+            return Some(end);
+        }
+        run.silent_since = Instant::now();
+        open.last_token = Some(run.silent_since);
+        None
+    }
+
     fn call(&self, run: &mut AnswerRun, chain: &PlannedChain) -> GenerateCall {
         let order = &run.order;
         let holders = run.holders.iter().filter(|name| self.may_export(run, name));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer;
 mod attempt;
+mod avoid;
 mod chain;
 mod choice;
 mod codes;
@@ -26,6 +27,7 @@
 
 pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
 pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
+pub use avoid::AvoidSet;
 pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, PlannerOptions, StageCandidate};
 pub use choice::PlainPicker;
 pub use codes::{CodeRow, ResultCode};
@@ -41,7 +43,7 @@
     CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
-pub use fleet::{AvoidSet, ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource};
+pub use fleet::{ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource};
 pub use ids::{
     AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
     Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
