Let only replies teach the probe's timeout

When a whole failure domain froze, each probe that timed out lengthened the next, up to 250 ms. Only replies teach it now; where the network is slow the polls, which wait longer, do.

--- a/crates/standins/src/bin/jacinthrock-sweep.rs
+++ b/crates/standins/src/bin/jacinthrock-sweep.rs
@@ -31,7 +31,7 @@
         optional --stages stages: u16
         /// Seconds that are counted.
         optional --window seconds: u64
-        /// Only this policy's points.
+        /// Only this policy's points, or this fault's rows.
         optional --only policy: String
         /// Measures recovery with this many trials a row, in place of the sweep.
         optional --recovery trials: u64
@@ -41,7 +41,7 @@
         optional --json
     };
     if let Some(trials) = flags.recovery {
-        let rows = run_rows(trials);
+        let rows = run_rows(trials, flags.only.as_deref());
         if flags.json {
             println!("{}", serde_json::to_string_pretty(&rows).expect("rows are valid JSON"));
             return;
@@ -115,7 +115,7 @@
 
 /// Faults of an engine and of a whole failure domain by stages; then cache import against
 /// computing, for a kill.
-fn run_rows(trials: u64) -> Vec<RecoveryRow> {
+fn run_rows(trials: u64, only: Option<&str>) -> Vec<RecoveryRow> {
     let base = RecoveryOptions {
         fault: EngineFault::Kill,
         whole_domain: false,
@@ -143,6 +143,7 @@
             rows.push(RecoveryOptions { stages, accepted, imports, answers: 4, ..base.clone() });
         }
     }
+    rows.retain(|row| only.is_none_or(|only| *only == *format!("{:?}", row.fault)));
     rows.iter().map(run_row).collect()
 }
 
--- a/src/probe.rs
+++ b/src/probe.rs
@@ -82,11 +82,12 @@
         let asked = self.caller.status(address, timeout);
         let reply = tokio::time::timeout(timeout, asked).await;
         let now = Instant::now();
-        // A timeout lengthens the next one, so that a slow network does not look like a frozen one.
-        self.fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
         self.open.borrow_mut().remove(endpoint);
         match reply {
+            // Only replies teach the timeout: a frozen failure domain would lengthen it, and the
+            // polls, which wait longer, teach it where the network is slow.
             Ok(Ok(status)) if *status.endpoint == *endpoint => {
+                self.fleet.with(|state| state.observe_reply(now.duration_since(asked_at)));
                 self.fleet.observe_status(now, status);
                 true
             }
