--- /dev/null
+++ b/crates/standins/src/load.rs
@@ -0,0 +1,37 @@
+//! Open-loop load, faults on a timeline, checks and reports.
+
+mod arrival;
+mod balancer;
+mod check;
+mod driver;
+mod fault_draw;
+mod faults;
+mod files;
+mod hosts;
+mod layers;
+mod plot;
+mod recovery;
+mod report;
+mod run;
+mod sample;
+mod scenario;
+mod sweep;
+mod text;
+mod usage;
+
+pub use arrival::{CallArrival, call_arrivals};
+pub use check::{CheckReport, check_runs, check_samples};
+pub use driver::{LoadDriver, LoadTarget};
+pub use fault_draw::draw_faults;
+pub use faults::{FaultKind, FaultPlan};
+pub use files::{load_scenario, read_report, write_report, write_table};
+pub use hosts::{HostReport, HostRow, measure_hosts};
+pub use layers::{LayerReport, check_layers, compare_layers};
+pub use recovery::{RecoveryReport, recovery_report};
+pub use report::{LatencyReport, RunReport, SecondReport};
+pub use run::{CallWay, RunError, RunOptions, router_ended_well, run_fleet, run_scenario};
+pub use sample::{CallResult, CallSample, CallTry};
+pub use scenario::{BurstPlan, CallKind, LoadScenario, MixPlan, built_in};
+pub use sweep::{SweepReport, SweepRow, sweep_options};
+pub use text::render_text;
+pub use usage::{ProcessUsage, UsageReport};
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -86,6 +86,7 @@
     ClaimUnknown = 4002, "claim_unknown", 409, false, "The outcome under this key is unknown; it is never sent again.";
     LedgerUnavailable = 4003, "ledger_unavailable", 503, true, "The claim could not be recorded, so the call was not sent.";
     LedgerFull = 4004, "ledger_full", 503, true, "The ledger shard holds as many records as it may.";
+    AnswerNotKept = 4005, "answer_not_kept", 409, false, "The call under this key ran; its answer was too large to keep.";
     // 5xxx: the platform's store.
     StoreUnavailable = 5001, "store_unavailable", 0, true, "The platform's store did not answer.";
     StoreConflict = 5002, "store_conflict", 0, false, "The object has another version than expected.";
@@ -99,6 +100,15 @@
     DeclarationRange = 6004, "declaration_range", 0, false, "The value is out of range.";
     DeclarationDuplicate = 6005, "declaration_duplicate", 0, false, "The name is declared twice.";
     DeclarationIncomplete = 6006, "declaration_incomplete", 0, false, "A required value is neither set nor inherited.";
+    DeclarationUnknownField = 6007, "declaration_unknown_field", 0, false, "The field is not known.";
+    DeclarationUnreadable = 6008, "declaration_unreadable", 0, false, "The file could not be read.";
+    ConfigCorrupt = 6101, "config_corrupt", 0, false, "The root object's value is not of the declared shape.";
+    ConfigConflict = 6102, "config_conflict", 0, false, "Another change was accepted since the base revision.";
+    ConfigUnsettled = 6103, "config_unsettled", 0, false, "The outcome of the commit is unknown.";
+    ConfigLagging = 6104, "config_lagging", 0, true, "The revision is accepted but not yet in force on every host.";
+    ConfigMissing = 6105, "config_missing", 0, false, "No configuration has been accepted yet.";
+    HostUnreachable = 6106, "host_unreachable", 0, true, "The host's operator port did not answer.";
+    NameUnknown = 6107, "name_unknown", 0, false, "No node, host or endpoint has the name.";
     // 7xxx: process start.
     SettingInvalid = 7001, "setting_invalid", 0, false, "A flag or environment variable has an invalid value.";
     SettingMissing = 7002, "setting_missing", 0, false, "A required flag or environment variable is not set.";
