--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -26,7 +26,7 @@
         let mut human = describe_plan(base, &plan);
         if !plan.is_empty() {
             let directory = self.directory.display();
-            human.push_str(&format!("apply with: jacinthrock apply {directory} --base {base}\n"));
+            human.push_str(&format!("\napply with: jacinthrock apply {directory} --base {base}\n"));
         }
         context.printer.result(&human, &plan_json(base, &plan))
     }
@@ -38,16 +38,33 @@
     ConfigPlan::between(&in_force.unwrap_or_default(), wanted)
 }
 
-/// A plan for people: one line for each change and each stranded use.
+/// A plan for people: a line for each change and each stranded use; one for a whole new node.
 pub(crate) fn describe_plan(base: ConfigRevision, plan: &ConfigPlan) -> String {
     let mut text = format!("{} changes against revision {base}\n", plan.changes.len());
-    for change in &plan.changes {
-        text.push_str(&describe_change(change));
+    for changes in plan.changes.chunk_by(|left, right| left.node == right.node) {
+        match whole_node(changes) {
+            Some(line) => text.push_str(&line),
+            None => changes.iter().for_each(|change| text.push_str(&describe_change(change))),
+        }
     }
     for used in &plan.stranded {
         text.push_str(&format!("! {}: {}\n", used.node, used.effect));
     }
-    text
+    text.trim_end().into()
+}
+
+/// The one line of a node that is new or goes.
+fn whole_node(changes: &[FieldChange]) -> Option<String> {
+    let name = changes.iter().find(|change| &*change.field == "name")?;
+    let kind = changes.iter().find(|change| &*change.field == "kind")?;
+    let count = changes.len();
+    let node = &name.node;
+    let text = |kind: &Option<Value>| kind.as_ref().and_then(Value::as_str).map(str::to_owned);
+    match (text(&kind.before), text(&kind.after)) {
+        (None, Some(kind)) => Some(format!("+ {node}: new {kind} with {count} fields\n")),
+        (Some(kind), None) => Some(format!("- {node}: the {kind} goes with {count} fields\n")),
+        _ => None,
+    }
 }
 
 fn describe_change(change: &FieldChange) -> String {
