--- a/src/membership.rs
+++ b/src/membership.rs
@@ -114,6 +114,8 @@
     pub dead_factor: u32,
     /// A dead host no longer counts in the fleet after this time.
     pub forget_after: Duration,
+    /// The same for a host that the platform lists and that was never heard.
+    pub forget_unheard_after: Duration,
     /// Whether a heartbeat counts only when it rises; only tests turn it off.
     pub rising_only: bool,
     /// Whether runs of a host's process are told apart; only tests turn it off.
@@ -127,10 +129,11 @@
     fn default() -> Self {
         Self {
             silent_after: Duration::from_millis(3500),
-            silent_per_host: Duration::from_millis(150),
-            direct_per_host: Duration::from_millis(500),
+            silent_per_host: Duration::from_millis(600),
+            direct_per_host: Duration::from_millis(2000),
             dead_factor: 2,
             forget_after: Duration::from_secs(600),
+            forget_unheard_after: Duration::from_secs(60),
             rising_only: true,
             incarnations: true,
         }
@@ -144,6 +147,7 @@
 pub struct MemberTable {
     options: MemberOptions,
     own: MemberRecord,
+    own_hash: NameHash,
     members: BTreeMap<HostName, KnownMember>,
     names: BTreeMap<NameHash, HostName>,
     superseded: bool,
@@ -154,6 +158,7 @@
     pub(crate) record: MemberRecord,
     pub(crate) sends_left: u32,
     learned: Instant,
+    ever_heard: bool,
     risen: Option<Instant>,
     direct: Option<DirectContact>,
     echo: Option<EchoContact>,
@@ -175,7 +180,15 @@
 impl MemberTable {
     /// A table that knows only its own host.
     pub fn new(own: MemberRecord, options: MemberOptions) -> Self {
-        Self { options, own, members: BTreeMap::new(), names: BTreeMap::new(), superseded: false }
+        let own_hash = name_hash(&own.host);
+        Self {
+            options,
+            own,
+            own_hash,
+            members: BTreeMap::new(),
+            names: BTreeMap::new(),
+            superseded: false,
+        }
     }
 
     /// This host's own record.
@@ -234,7 +247,7 @@
 
     /// Merges a heartbeat. Returns `None` if the host or its incarnation is not known.
     pub fn merge_beat(&mut self, now: Instant, beat: &MemberBeat) -> Option<bool> {
-        if beat.host == name_hash(&self.own.host) {
+        if beat.host == self.own_hash {
             self.superseded |= beat.incarnation > self.own.incarnation;
             return Some(false);
         }
@@ -252,6 +265,7 @@
         }
         member.record.heartbeat = member.record.heartbeat.max(beat.heartbeat);
         member.risen = Some(now);
+        member.ever_heard = true;
         let changed = member.record.state != beat.state;
         member.record.state = member.record.state.max(beat.state);
         Some(changed)
@@ -339,6 +353,23 @@
             .map(|member| &member.record)
     }
 
+    pub(crate) fn own_hash(&self) -> NameHash {
+        self.own_hash
+    }
+
+    pub(crate) fn live_with_hash(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (NameHash, &MemberRecord)> {
+        let members = self.names.iter().filter_map(|(&hash, name)| {
+            let member = self.members.get(name)?;
+            Some((hash, member))
+        });
+        members
+            .filter(move |(_, member)| self.liveness_of(now, member) == MemberLiveness::Live)
+            .map(|(hash, member)| (hash, &member.record))
+    }
+
     /// Whether this incarnation of a host was heard lately.
     pub fn is_live(&self, now: Instant, host: &str, incarnation: Incarnation) -> bool {
         let Some(member) = self.members.get(host) else {
@@ -434,7 +465,12 @@
     pub(crate) fn liveness_of(&self, now: Instant, member: &KnownMember) -> MemberLiveness {
         let age = member.age(now);
         let dead_after = self.dead_after();
-        if member.record.state == HostState::Left || age > dead_after + self.options.forget_after {
+        let forget_after = if member.ever_heard {
+            self.options.forget_after
+        } else {
+            self.options.forget_unheard_after
+        };
+        if member.record.state == HostState::Left || age > dead_after + forget_after {
             return MemberLiveness::Gone;
         }
         if age > dead_after {
@@ -454,8 +490,16 @@
     fn replace(&mut self, now: Instant, record: MemberRecord, risen: Option<Instant>) {
         self.names.insert(name_hash(&record.host), record.host.clone());
         let host = record.host.clone();
-        let member =
-            KnownMember { record, sends_left: 0, learned: now, risen, direct: None, echo: None };
+        let heard_before = self.members.get(&host).is_some_and(|member| member.ever_heard);
+        let member = KnownMember {
+            record,
+            sends_left: 0,
+            learned: now,
+            ever_heard: heard_before || risen.is_some(),
+            risen,
+            direct: None,
+            echo: None,
+        };
         self.members.insert(host, member);
     }
 }
