--- a/src/lib.rs
+++ b/src/lib.rs
@@ -75,50 +75,90 @@
 mod streaming;
 mod tree;
 
-pub use admission::{AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction, GateEvent, GateOptions, ServiceLoad};
+pub use admission::{
+    AdmissionGate, AdmissionPass, AdmissionRefusal, AdmissionRequest, AdmissionService, GateAction,
+    GateEvent, GateOptions, ServiceLoad,
+};
 pub use answer::{AnswerAssembler, AnswerChecks, AnswerShape, AnswerStep};
 pub use attempt::{AttemptFault, SilenceOptions, TokenClock};
-pub use avoid::{AvoidSet};
+pub use avoid::AvoidSet;
 pub use budget::{BudgetOptions, BudgetRefusals, RetryBudget};
-pub use capacity::{CapacityView};
+pub use capacity::CapacityView;
 pub use chain::{ChainPlanner, ChainPolicy, PlannedChain, PlannerOptions, StageCandidate};
-pub use choice::{PlainPicker};
+pub use choice::PlainPicker;
 pub use cmd::{ExitRow, exit_codes, run_operator};
 pub use codes::{CodeRow, ResultCode};
 pub use config::{SETTINGS, SettingError, SettingRow};
-pub use controller::{ConfigReader, ControllerLoop, ControllerOptions, ControllerStatus, DRAIN_PREFIX, DrainObject, HOST_LIST_PREFIX, HostMark};
+pub use controller::{
+    ConfigReader, ControllerLoop, ControllerOptions, ControllerStatus, DRAIN_PREFIX, DrainObject,
+    HOST_LIST_PREFIX, HostMark,
+};
 pub use counters::{CounterRegistry, MetricKind, MetricName, MetricRow};
 pub use daemon::{run_controller, run_router};
-pub use declaration::{CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration, NodeKind, NodeSettings, OperationDeclaration, PlainDeclaration};
+pub use declaration::{
+    CustomerDeclaration, EndpointDeclaration, LinkDeclaration, ModelDeclaration, NodeDeclaration,
+    NodeKind, NodeSettings, OperationDeclaration, PlainDeclaration,
+};
 pub use driver::{AnswerDriver, AnswerOrder, AnswerResult, DriverOptions};
 pub use effective::{EffectiveConfig, EffectiveCustomer, EffectiveService, ServiceTarget};
 pub use ejection::{EjectionOptions, EjectionTable, EndpointHealth};
-pub use endpoint::{CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall, GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport};
-pub use engine_http::{HttpCaller};
+pub use endpoint::{
+    CallFailure, EndpointCaller, EngineOrder, EngineStatus, EventReceiver, GenerateCall,
+    GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
+};
+pub use engine_http::HttpCaller;
 pub use fleet::{ChainDemand, EndpointFleet, FleetOptions, FlightGuard, LeavingSource, ModelLoad};
 pub use follower::{ConfigFollower, FollowerOptions, FollowerStatus, HostMember, domain_place};
 pub use gossip::{DrainMark, GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
-pub use ids::{AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName, Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition};
-pub use keeper::{DomainPlace, KeeperAction, KeeperEvent, KeeperGuard, KeeperOptions, KeeperState, RejectedRevision, RevisionKeeper, RevisionSource};
-pub use lease::{HeldLease, LEASE_KEY, LeaseAction, LeaseEvent, LeaseGuard, LeaseKeeper, LeaseOptions, LeaseRecord};
-pub use ledger::{ClaimHolder, ClaimKey, ClaimRecord, ClaimRequest, ClaimSettlement, ClaimTicket, ClaimVerdict, ExpiryReport, HolderLiveness, IntentAnswer, IntentId, LedgerError, LedgerFloor, LedgerGuard, LedgerOptions, LedgerPage, LedgerService, PageAction, PageEvent, PageIntent, PageLedger, PageStep, RecordState, RequestFingerprint, StoredBody};
-pub use link::{LinkTable};
-pub use membership::{HeartbeatCount, HeartbeatEcho, HostState, MemberBeat, MemberLiveness, MemberOptions, MemberRecord, MemberTable, NameHash, PeerStatus, name_hash};
+pub use ids::{
+    AttemptNumber, ConfigRevision, CustomerName, DomainName, EndpointName, FenceNumber, HostName,
+    Incarnation, LayerIndex, ObjectVersion, RequestId, ServiceName, TokenPosition,
+};
+pub use keeper::{
+    DomainPlace, KeeperAction, KeeperEvent, KeeperGuard, KeeperOptions, KeeperState,
+    RejectedRevision, RevisionKeeper, RevisionSource,
+};
+pub use lease::{
+    HeldLease, LEASE_KEY, LeaseAction, LeaseEvent, LeaseGuard, LeaseKeeper, LeaseOptions,
+    LeaseRecord,
+};
+pub use ledger::{
+    ClaimHolder, ClaimKey, ClaimRecord, ClaimRequest, ClaimSettlement, ClaimTicket, ClaimVerdict,
+    ExpiryReport, HolderLiveness, IntentAnswer, IntentId, LedgerError, LedgerFloor, LedgerGuard,
+    LedgerOptions, LedgerPage, LedgerService, PageAction, PageEvent, PageIntent, PageLedger,
+    PageStep, RecordState, RequestFingerprint, StoredBody,
+};
+pub use link::LinkTable;
+pub use membership::{
+    HeartbeatCount, HeartbeatEcho, HostState, MemberBeat, MemberLiveness, MemberOptions,
+    MemberRecord, MemberTable, NameHash, PeerStatus, name_hash,
+};
 pub use order::{OrderAction, OrderGuard, OrderKeeper, OrderOptions};
-pub use outcome::{CallOutcome};
-pub use peer::{ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport};
+pub use outcome::CallOutcome;
+pub use peer::{
+    ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport,
+};
 pub use peer_rpc::{RpcListener, RpcTransport, digest_bytes};
 pub use peer_service::{PeerService, PeerSetup};
-pub use picker::{EndpointPicker};
-pub use placement::{DesiredEngine, EngineKnowledge, LayerRange, PlacementPlan, place, stage_ranges};
+pub use picker::EndpointPicker;
+pub use placement::{
+    DesiredEngine, EngineKnowledge, LayerRange, PlacementPlan, place, stage_ranges,
+};
 pub use plain::{PlainContext, PlainDriver, PlainGuard, PlainOptions, PlainRequest, PlainResult};
 pub use plan::{ConfigPlan, FieldChange, StrandedUse};
-pub use platform::{MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject};
-pub use probe::{poll_engines};
-pub use publish::{AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError, PublishOptions, RaceHandling, RacingChange};
-pub use queue::{TicketNumber};
+pub use platform::{
+    MAX_VALUE_BYTES, PlatformStore, StoreChange, StoreError, StoreListing, StoredObject,
+};
+pub use probe::poll_engines;
+pub use publish::{
+    AcceptedConfig, ConfigEdit, ConfigPublisher, PublishError, PublishOptions, RaceHandling,
+    RacingChange,
+};
+pub use queue::TicketNumber;
 pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
-pub use revision::{ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value};
+pub use revision::{
+    ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
+};
 pub use shape::{DeclarationField, declaration_fields};
 pub use spread::{HostAnswer, HostReport, SpreadCheck, SpreadVerdict};
 pub use store_http::{HttpStore, HttpStoreOptions};
