Take IP numbers as they are instead of resolving them on a thread

Cause: the HTTP library starts a resolver's thread for each call that has a timeout, even to an IP number; every poll, order, platform call and stream paid for one. Ruled out: timeouts by phase instead of over the whole call, which would let a slow endpoint stretch a call beyond its deadline. The rest of an idle router's time is elsewhere.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! only start them. docs/DESIGN.md gives the design, docs/GLOSSARY.md the words.
 
 mod admission;
+mod agent;
 mod answer;
 mod attempt;
 mod avoid;
