--- a/crates/standins/src/harness.rs
+++ b/crates/standins/src/harness.rs
@@ -85,9 +85,14 @@
 
 impl ProcessHarness {
     /// A harness for the programs beside the running one; logs go to `log_dir`.
+    ///
+    /// A test program lies one directory below the others.
     pub fn beside_this_program(log_dir: &Path) -> Result<Self, HarnessError> {
         let program = std::env::current_exe().map_err(|source| file_error(log_dir, source))?;
-        Self::new(program.parent().unwrap_or(Path::new(".")), log_dir)
+        let beside = program.parent().unwrap_or(Path::new("."));
+        let is_test = beside.file_name().is_some_and(|name| name == "deps");
+        let programs = if is_test { beside.parent().unwrap_or(beside) } else { beside };
+        Self::new(programs, log_dir)
     }
 
     /// A harness for the programs in `program_dir`; logs go to `log_dir`.
--- a/src/control.rs
+++ b/src/control.rs
@@ -13,15 +13,18 @@
 use crate::follower::{ConfigFollower, FollowerOptions, HostMember};
 use crate::ids::{ConfigRevision, HostName, Incarnation};
 use crate::lease::LeaseOptions;
+use crate::ledger::{ClaimHolder, LedgerOptions, LedgerService};
 use crate::operator::{self, HostStatus, OperatorBoard};
 use crate::peer::{ConfigSnapshot, PeerError, PeerNetwork};
 use crate::platform::PlatformStore;
-use crate::router::{StartError, bind_error, new_incarnation};
+use crate::router::{StartError, bind_error, new_incarnation, unix_now};
 use crate::signals;
 use crate::store_http::{HttpStore, HttpStoreOptions};
 
 /// Time between two looks at the lease.
 const TICK: Duration = Duration::from_millis(200);
+/// Time between two sweeps of the ledger.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(60);
 /// Time for orders in flight to end and the lease to be released.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -68,6 +71,13 @@
         FollowerOptions::default(),
         shared,
     ));
+    let ledger = LedgerService::new(
+        store.clone(),
+        ClaimHolder { host: settings.name.clone(), incarnation },
+        Rc::new(|_, _| true),
+        LedgerOptions { jitter_seed: incarnation, ..LedgerOptions::default() },
+        counters.clone(),
+    );
     let config = follower.clone();
     let controller = ControllerLoop::new(
         store,
@@ -89,6 +99,7 @@
     tokio::select! {
         () = signals::stop_asked(&board) => {}
         () = follow_while_holder(&controller, &follower) => {}
+        () = sweep_ledger(&controller, &ledger) => {}
         () = report(&settings, incarnation, &controller, &follower, &board) => {}
     }
     board.set_ready(false);
@@ -103,7 +114,7 @@
 /// Follows the configuration only while it is needed, so that idle controllers cost no watch.
 async fn follow_while_holder(controller: &ControllerLoop, follower: &ConfigFollower) {
     loop {
-        if controller.status().fence.is_some() {
+        if controller.fence().is_some() {
             tokio::select! {
                 () = follower.run() => {}
                 () = lease_lost(controller) => {}
@@ -113,8 +124,19 @@
     }
 }
 
+/// Removes the ledger's pages that are past their window, from one host of all.
+async fn sweep_ledger(controller: &ControllerLoop, ledger: &LedgerService) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        if controller.fence().is_some() {
+            // What a failure leaves is removed by the next sweep.
+            let _ = ledger.expire(unix_now()).await;
+        }
+    }
+}
+
 async fn lease_lost(controller: &ControllerLoop) {
-    while controller.status().fence.is_some() {
+    while controller.fence().is_some() {
         tokio::time::sleep(TICK).await;
     }
 }
--- a/src/lease.rs
+++ b/src/lease.rs
@@ -237,7 +237,9 @@
         let free_at = self.free_at(seen);
         if now < free_at {
             self.must_read = true;
-            return LeaseAction::Wait(free_at.min(now + self.options.poll_every));
+            let until = free_at.min(now + self.options.poll_every);
+            self.not_before = Some(until);
+            return LeaseAction::Wait(until);
         }
         let rise = u64::from(self.options.guards(LeaseGuard::FenceRises));
         let fence = seen.record.as_ref().map_or(0, |record| record.fence) + rise;
--- a/src/router.rs
+++ b/src/router.rs
@@ -46,8 +46,6 @@
 const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for the last exchanges with the platform in a shutdown.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Ticks between two sweeps of the ledger's old pages.
-const LEDGER_SWEEP_TICKS: u64 = 3_000;
 /// Ticks between two clean-ups of retry budgets.
 const PRUNE_TICKS: u64 = 300;
 
@@ -265,15 +263,13 @@
             if let Some(config) = &config {
                 self.set_capacities(config);
             }
-            self.board.set_ready(config.is_some() && !self.draining.get());
+            let ready = config.is_some() && self.peers.is_warm() && !self.draining.get();
+            self.board.set_ready(ready);
             self.board.set_status(self.status());
             ticks += 1;
             if ticks % PRUNE_TICKS == 0 {
                 self.retries.prune();
             }
-            if ticks % LEDGER_SWEEP_TICKS == 0 {
-                let _ = self.ledger.expire(unix_now()).await;
-            }
             tokio::time::sleep(TICK).await;
         }
     }
@@ -390,6 +386,6 @@
     unix_now().as_millis() as Incarnation
 }
 
-fn unix_now() -> Duration {
+pub(crate) fn unix_now() -> Duration {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
