One type for a host's registration, one name for each prefix

Cause: the registration of a host stood in three modules and the prefix of drain marks in two, so that a change of one would have parted them.

--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -7,11 +7,9 @@
 use super::hosts::{HostEntry, drain_host, registered_hosts};
 use super::{CommandContext, Run, env};
 use crate::check::endpoints_of;
+use crate::controller::DRAIN_PREFIX;
 use crate::platform::{PlatformStore, StoredObject};
 
-/// Prefix of the objects that mark endpoints as draining.
-const DRAIN_PREFIX: &str = "drain/";
-
 /// What the operator named.
 enum DrainTarget {
     Endpoint,
--- a/src/cmd/forget.rs
+++ b/src/cmd/forget.rs
@@ -4,8 +4,9 @@
 
 use super::error::CommandError;
 use super::flags::Forget;
-use super::hosts::{HOST_PREFIX, ask_hosts, registered_hosts};
+use super::hosts::{ask_hosts, registered_hosts};
 use super::{CommandContext, Run};
+use crate::registration::HOST_PREFIX;
 
 impl Run for Forget {
     async fn run(&self, context: &CommandContext) -> Result<(), CommandError> {
--- a/src/cmd/hosts.rs
+++ b/src/cmd/hosts.rs
@@ -8,10 +8,9 @@
 use super::error::CommandError;
 use crate::ids::{DomainName, HostName, Incarnation, ObjectVersion};
 use crate::platform::PlatformStore;
+use crate::registration::HOST_PREFIX;
 use crate::spread::{HostAnswer, HostReport};
 
-/// Prefix of the objects by which hosts register.
-pub(crate) const HOST_PREFIX: &str = "routers/";
 /// Time for an operator port to answer.
 const OPERATOR_TIMEOUT: Duration = Duration::from_secs(1);
 /// Operator ports asked at once.
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -35,6 +35,8 @@
 const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 /// Headers that a plain service receives.
 const PASSED_HEADERS: [&str; 3] = ["content-type", "accept", IDEMPOTENCY_HEADER];
+/// Shortest time that an attempt may take until its first token.
+const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time until a host that has no configuration yet may have one.
 const NOT_READY_RETRY: Duration = Duration::from_secs(1);
 
@@ -265,7 +267,7 @@
         result: Option<AnswerResult>,
         service: &EffectiveService,
     ) -> Result<AnswerSeal, CallRefusal> {
-        let sealed = answer_seal(result, service);
+        let sealed = seal_of(result, &service.name);
         let outcome = sealed.as_ref().map_or_else(|refusal| refusal.outcome, |_| CallOutcome::Done);
         self.count_request(service, outcome);
         sealed
@@ -334,18 +336,7 @@
     }
 }
 
-/// Shortest time that an attempt may take until its first token.
-const FIRST_TOKEN_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// The end of an answer: its seal, or why there is none.
-pub(crate) fn answer_seal(
-    result: Option<AnswerResult>,
-    service: &EffectiveService,
-) -> Result<AnswerSeal, CallRefusal> {
-    seal_of(result, &service.name)
-}
-
-/// As [`answer_seal`], for code that has only the service's name.
 pub(crate) fn seal_of(
     result: Option<AnswerResult>,
     service: &str,
--- a/src/peer_service.rs
+++ b/src/peer_service.rs
@@ -4,7 +4,6 @@
 use futures::future::LocalBoxFuture;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::Deserialize;
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::io;
@@ -18,7 +17,7 @@
 use crate::counters::{CounterRegistry, MetricName};
 use crate::effective::EffectiveConfig;
 use crate::gossip::{GossipAction, GossipCore, GossipOptions, LoadReport, PeerDigest};
-use crate::ids::{ConfigRevision, DomainName, HostName, Incarnation, ObjectVersion};
+use crate::ids::{ConfigRevision, HostName, Incarnation, ObjectVersion};
 use crate::membership::{HostState, MemberRecord, PeerStatus};
 use crate::peer::{
     ConfigSnapshot, ConfigSource, PeerError, PeerNetwork, PeerResponder, PeerTransport,
@@ -26,9 +25,7 @@
 use crate::peer_rpc::{RpcListener, RpcTransport};
 use crate::platform::PlatformStore;
 use crate::quota::QuotaLimits;
-
-/// Prefix of the objects that hosts write about themselves.
-const HOST_PREFIX: &str = "routers/";
+use crate::registration::{HOST_PREFIX, HostRegistration};
 
 /// Time between two listings of the hosts on the platform.
 const DISCOVERY_INTERVAL: Duration = Duration::from_secs(30);
@@ -78,15 +75,6 @@
     seed: u64,
 }
 
-/// A host's object on the platform.
-#[derive(Deserialize)]
-struct HostObject {
-    host: HostName,
-    domain: DomainName,
-    peer: Box<str>,
-    incarnation: Incarnation,
-}
-
 impl PeerService {
     /// Listens for peers over capnp-rpc and starts to exchange with them.
     ///
@@ -363,7 +351,7 @@
 }
 
 fn read_host_object(value: &[u8]) -> Option<MemberRecord> {
-    let object: HostObject = serde_json::from_slice(value).ok()?;
+    let object: HostRegistration = serde_json::from_slice(value).ok()?;
     Some(MemberRecord {
         host: object.host,
         domain: object.domain,
