Admission counts each stage's slots for requests of their own

A host's capacity counted an engine's slots by the part of the layers that it holds, as if a request were at every stage of its chain at once. Test: two engines of four slots have room for eight; failed before with four. Also: one function reads the wall clock.

--- a/src/control.rs
+++ b/src/control.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::clock::unix_now;
 use crate::config::ControllerSettings;
 use crate::controller::{ControllerLoop, ControllerOptions};
 use crate::counters::CounterRegistry;
@@ -17,7 +18,7 @@
 use crate::operator::{self, HostStatus, OperatorBoard};
 use crate::peer::{ConfigSnapshot, PeerError, PeerNetwork};
 use crate::platform::PlatformStore;
-use crate::router::{StartError, bind_error, new_incarnation, unix_now};
+use crate::router::{StartError, bind_error, new_incarnation};
 use crate::signals;
 use crate::store_http::{HttpStore, HttpStoreOptions};
 
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -84,12 +84,12 @@
     }
 }
 
-/// Room at a model's engines, counted in whole chains.
+/// Room at a model's engines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ModelLoad {
-    /// Requests that the engines in use work on at once without slowing down.
+    /// Requests that fill the slots of the engines in use: each is at one stage at a time.
     pub slots: u32,
-    /// Requests at them, of every host.
+    /// Requests in flight over them, of every host.
     pub running: u32,
 }
 
@@ -496,7 +496,7 @@
                 continue;
             }
             let part = f64::from(last - first + 1) / f64::from(model.layers);
-            slots += known.slots * part;
+            slots += known.slots;
             running += known.load() * part;
         }
         ModelLoad { slots: slots.round() as u32, running: running.round() as u32 }
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 use uuid::Uuid;
@@ -15,6 +15,7 @@
 use crate::admission::{AdmissionPass, AdmissionRequest, AdmissionService};
 use crate::callers::CallerHandler;
 use crate::chat::{self, AnswerSeal, ChatLabel, ChatRequest};
+use crate::clock::unix_now;
 use crate::codes::ResultCode;
 use crate::config::CallerLimits;
 use crate::counters::{CounterRegistry, MetricName};
@@ -396,7 +397,3 @@
     };
     PASSED_HEADERS.iter().filter_map(|name| passed(name)).collect()
 }
-
-fn unix_now() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 mod chat;
 mod check;
 mod choice;
+mod clock;
 mod cmd;
 mod codes;
 mod config;
--- a/src/router.rs
+++ b/src/router.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -13,6 +13,7 @@
 use crate::callers::CallerServer;
 use crate::capacity::CapacityView;
 use crate::chain::PlannerOptions;
+use crate::clock::unix_now;
 use crate::codes::ResultCode;
 use crate::config::RouterSettings;
 use crate::counters::CounterRegistry;
@@ -394,7 +395,3 @@
 pub(crate) fn new_incarnation() -> Incarnation {
     unix_now().as_millis() as Incarnation
 }
-
-pub(crate) fn unix_now() -> Duration {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
-}
--- a/tests/choice_fleet.rs
+++ b/tests/choice_fleet.rs
@@ -263,3 +263,15 @@
         assert!(chosen(&fleet, &model, Instant::now()).is_empty());
     });
 }
+
+#[test]
+fn each_stage_of_a_chain_has_its_own_requests_in_flight() {
+    let now = Instant::now();
+    let model = model(2);
+    let fleet = fleet(ServiceTarget::Model(model.clone()), FleetOptions::default());
+    fleet.observe_status(now, EngineStatus { last_layer: 1, ..status("e0", 3) });
+    fleet.observe_status(now, EngineStatus { first_layer: 2, ..status("e1", 3) });
+    let load = fleet.model_load(now, &model);
+    // Two engines of four slots each; the three requests are at both, one stage at a time.
+    assert_eq!((load.slots, load.running), (8, 3));
+}
