--- a/crates/standins/src/load/faults.rs
+++ b/crates/standins/src/load/faults.rs
@@ -1,5 +1,6 @@
 //! Faults on a run's timeline.
 
+use jacinthrock::EngineStatus;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::time::Duration;
@@ -83,6 +84,8 @@
         /// Whether it is down from now on.
         down: bool,
     },
+    /// Kills the engine with the most requests by its own report.
+    KillBusiestEngine,
     /// Loses the replies of the platform's next writes, which take effect.
     LoseWriteReplies {
         /// Number of writes.
@@ -112,6 +115,9 @@
     pub fn apply(&self, fleet: &mut RunningFleet) {
         match &self.kind {
             FaultKind::KillEngine { index } => signal_engine(fleet, *index, ProcessSignal::Kill),
+            FaultKind::KillBusiestEngine => {
+                signal_engine(fleet, busiest_engine(fleet), ProcessSignal::Kill);
+            }
             FaultKind::FreezeEngine { index } => {
                 signal_engine(fleet, *index, ProcessSignal::Freeze);
             }
@@ -175,3 +181,14 @@
     // A stand-in that is gone can't be made to fail further.
     let _ = ureq::post(format!("http://{address}/control/faults")).send_json(faults);
 }
+
+fn busiest_engine(fleet: &RunningFleet) -> usize {
+    let load = |index: &usize| engine_load(&fleet.engines[*index].address);
+    (0..fleet.engines.len()).max_by_key(load).unwrap_or_default()
+}
+
+fn engine_load(address: &str) -> u32 {
+    let reply = ureq::get(format!("http://{address}/v1/status")).call();
+    let status = reply.ok().and_then(|mut reply| reply.body_mut().read_json::<EngineStatus>().ok());
+    status.map_or(0, |status| status.running + status.waiting)
+}
--- a/crates/standins/src/load/scenario.rs
+++ b/crates/standins/src/load/scenario.rs
@@ -127,7 +127,7 @@
     mix.push(plain_mix(CallKind::Run, 15, "/registry"));
     mix.push(plain_mix(CallKind::LookUp, 15, "/registry"));
     let faults = vec![
-        fault(5.0, FaultKind::KillEngine { index: 1 }),
+        fault(5.0, FaultKind::KillBusiestEngine),
         fault(10.0, FaultKind::KillRouter { index: 0 }),
         fault(15.0, FaultKind::StopRouter { index: 1 }),
     ];
