--- a/src/answer.rs
+++ b/src/answer.rs
@@ -1,10 +1,10 @@
 //! Assembly of one answer from the tokens of its attempts.
 
 use sha2::{Digest, Sha256};
-use std::fmt::Write;
 
 use crate::attempt::AttemptFault;
 use crate::endpoint::{GenerateEvent, RouteStage, StageReport};
+use crate::hex::hexadecimal;
 use crate::ids::{AttemptNumber, EndpointName, LayerIndex, TokenPosition};
 
 /// Checks of an assembler; only tests turn one off, to see the others' checks catch it.
@@ -166,11 +166,3 @@
         | GenerateEvent::Failed { attempt, .. } => *attempt,
     }
 }
-
-fn hexadecimal(bytes: &[u8]) -> Box<str> {
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        write!(text, "{byte:02x}").expect("writing to a string succeeds");
-    }
-    text.into()
-}
--- a/src/ledger/record.rs
+++ b/src/ledger/record.rs
@@ -2,10 +2,10 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use std::fmt::Write as _;
 use std::time::Duration;
 
 use crate::endpoint::{PlainCall, PlainReply};
+use crate::hex::hexadecimal;
 use crate::ids::{CustomerName, HostName, Incarnation};
 use crate::ledger::key::ClaimKey;
 
@@ -145,14 +145,6 @@
     hexadecimal(&hasher.finalize()[..FINGERPRINT_BYTES])
 }
 
-fn hexadecimal(bytes: &[u8]) -> Box<str> {
-    let mut text = String::with_capacity(bytes.len() * 2);
-    for byte in bytes {
-        let _ = write!(text, "{byte:02x}");
-    }
-    text.into()
-}
-
 fn bytes_of(text: &str) -> Option<Box<[u8]>> {
     let pairs = text.as_bytes().chunks(2);
     pairs.map(|pair| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()).collect()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 mod follower;
 mod gateway;
 mod gossip;
+mod hex;
 mod ids;
 mod inherit;
 mod intake;
--- a/src/revision.rs
+++ b/src/revision.rs
@@ -6,6 +6,7 @@
 
 use crate::codes::ResultCode;
 use crate::effective::EffectiveConfig;
+use crate::hex::hexadecimal;
 use crate::ids::ConfigRevision;
 use crate::tree::{DeclarationError, DeclarationTree};
 
@@ -211,8 +212,7 @@
 }
 
 fn tree_digest(tree: &Value) -> Box<str> {
-    let digest = Sha256::digest(tree.to_string().as_bytes());
-    digest.iter().map(|byte| format!("{byte:02x}")).collect::<String>().into()
+    hexadecimal(&Sha256::digest(tree.to_string().as_bytes()))
 }
 
 fn first_fault(errors: &[DeclarationError]) -> String {
