--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,294 @@
+//! The duty of placing models: one host holds it and orders endpoints to hold layers.
+//!
+//! The holder renews a note in the registry. Two holders at once do no harm: each order names the
+//! number of orders that the endpoint must have accepted before, so that of two orders one fails.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+use jacinthrock::{EndpointName, MetricName};
+use tokio::time::{Instant, sleep};
+
+use crate::dialect::{EndpointReport, NoteGroup, RegistryError};
+use crate::endpoints::{EndpointEntry, LayerSpan, RegistryVersion};
+use crate::layout::{CardView, LayoutOrder, ModelShape, layout_orders};
+use crate::pool::SendOptions;
+use crate::sending::host_value;
+use crate::state::EntryState;
+
+/// Name of the duty's note.
+const PLACEMENT_DUTY: &str = "placement";
+/// Time between two renewals.
+const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Time without a renewal after which another host takes the duty over.
+const TAKEOVER_AFTER: Duration = Duration::from_millis(2_500);
+/// Time between two looks at the cards.
+const PLAN_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which the list of endpoints must be unchanged before the first orders, so that the
+/// layout is made for all cards and not for the first that registered.
+const SETTLE_TIME: Duration = Duration::from_millis(400);
+/// Time for the answer to an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time beyond the expected loading after which an order without a visible effect is looked into.
+const ORDER_SLACK: Duration = Duration::from_millis(2_500);
+/// Pause before an endpoint that refused an order gets another.
+const REFUSED_PAUSE: Duration = Duration::from_millis(500);
+
+struct PendingOrder {
+    span: LayerSpan,
+    until: Instant,
+}
+
+/// Orders whose effect the registry does not show yet.
+#[derive(Default)]
+struct DutyBook {
+    pending: BTreeMap<EndpointName, PendingOrder>,
+}
+
+/// Takes the duty whenever nobody else holds it, until the process ends.
+pub(crate) async fn run(state: Rc<EntryState>) {
+    let mut seen: Option<(RegistryVersion, Instant)> = None;
+    loop {
+        let free = match state.registry.notes(NoteGroup::Duties).await {
+            Ok(notes) => {
+                let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
+                let version = note.map_or(0, |note| note.version);
+                let now = Instant::now();
+                let since = match seen {
+                    Some((known, since)) if known == version => since,
+                    _ => now,
+                };
+                seen = Some((version, since));
+                let is_free = version == 0 || note.is_some_and(|note| note.text.is_empty());
+                (is_free || now - since >= TAKEOVER_AFTER).then_some(version)
+            }
+            Err(_) => None,
+        };
+        if let Some(version) = free.filter(|_| !state.is_leaving.get() && state.rules().is_some()) {
+            let host = state.options.host.clone();
+            let taken =
+                state.registry.write_note(NoteGroup::Duties, PLACEMENT_DUTY.into(), version, host);
+            if let Ok(version) = taken.await {
+                hold(&state, version).await;
+                seen = None;
+            }
+        }
+        sleep(RENEW_INTERVAL).await;
+    }
+}
+
+/// Holds the duty until it is lost or the process ends.
+async fn hold(state: &Rc<EntryState>, mut version: RegistryVersion) {
+    log::info!(event = "duty_taken", duty = PLACEMENT_DUTY, version; "placement duty taken");
+    state.counters.set(MetricName::LeaseHeld, &[], 1);
+    let planning = tokio::task::spawn_local(plan(state.clone()));
+    let mut renewed = Instant::now();
+    while !state.is_leaving.get() {
+        sleep(RENEW_INTERVAL).await;
+        let text: Box<str> = format!("{} {}", state.options.host, version).into();
+        let write =
+            state.registry.write_note(NoteGroup::Duties, PLACEMENT_DUTY.into(), version, text);
+        match write.await {
+            Ok(next) => {
+                version = next;
+                renewed = Instant::now();
+            }
+            Err(RegistryError::Conflict) => {
+                // An own renewal whose answer was lost looks like another host's.
+                if !is_own(state).await {
+                    break;
+                }
+            }
+            // While nobody can write, nobody can take the duty over.
+            Err(error) => {
+                let age_ms = renewed.elapsed().as_millis() as u64;
+                log::info!(event = "duty_unrenewed", age_ms, error:% = error; "duty not renewed");
+                continue;
+            }
+        }
+        if let Ok(notes) = state.registry.notes(NoteGroup::Duties).await
+            && let Some(note) = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY)
+        {
+            version = version.max(note.version);
+        }
+    }
+    planning.abort();
+    if state.is_leaving.get() {
+        let released =
+            state.registry.write_note(NoteGroup::Duties, PLACEMENT_DUTY.into(), version, "".into());
+        if let Err(error) = released.await {
+            log::info!(event = "duty_kept", error:% = error; "duty not released");
+        }
+    }
+    state.counters.set(MetricName::LeaseHeld, &[], 0);
+    log::info!(event = "duty_left", duty = PLACEMENT_DUTY; "placement duty left");
+}
+
+async fn is_own(state: &EntryState) -> bool {
+    let Ok(notes) = state.registry.notes(NoteGroup::Duties).await else { return true };
+    let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
+    note.is_some_and(|note| note.text.split(' ').next() == Some(&state.options.host))
+}
+
+/// Looks at the cards again and again and sends the orders that are due.
+async fn plan(state: Rc<EntryState>) {
+    let book = Rc::new(std::cell::RefCell::new(DutyBook::default()));
+    let (mut count, mut since) = (0, Instant::now());
+    loop {
+        sleep(PLAN_INTERVAL).await;
+        let known = state.endpoints.borrow().entries().count();
+        if known != count {
+            (count, since) = (known, Instant::now());
+        }
+        let Some(rules) = state.rules() else { continue };
+        for (service, rule) in &rules.rules().services {
+            let Some(engine) = &rule.engine else { continue };
+            let cards = card_views(&state, service, &mut book.borrow_mut());
+            let is_fresh = cards.iter().all(|card| card.held.is_none());
+            if is_fresh && since.elapsed() < SETTLE_TIME {
+                continue;
+            }
+            let shape = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
+            for order in layout_orders(shape, &cards) {
+                let card = cards.iter().find(|card| card.name == order.name);
+                let held = card.and_then(|card| card.held);
+                let new = order.span.count() - held.map_or(0, LayerSpan::count);
+                let load = engine.load.mul_f64(f64::from(new) / f64::from(engine.layers.max(1)));
+                tokio::task::spawn_local(send_order(state.clone(), book.clone(), order, load));
+            }
+        }
+    }
+}
+
+fn card_views(state: &EntryState, service: &str, book: &mut DutyBook) -> Vec<CardView> {
+    let now = Instant::now();
+    let (endpoints, beliefs) = (state.endpoints.borrow(), state.beliefs.borrow());
+    let rules = state.rules();
+    let engine = rules.as_ref().and_then(|rules| rules.engine(service));
+    let mut views = Vec::new();
+    for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
+        if entry.is_draining || beliefs.is_down(&entry.name) {
+            book.pending.remove(&entry.name);
+            continue;
+        }
+        let card = entry.card.as_deref().zip(engine).and_then(|(kind, e)| e.cards.get(kind));
+        let Some(card) = card else { continue };
+        let pending = book.pending.get(&entry.name);
+        let is_done =
+            pending.is_some_and(|order| entry.layers == Some(order.span) || now >= order.until);
+        if is_done {
+            book.pending.remove(&entry.name);
+        }
+        let pending = book.pending.get(&entry.name);
+        views.push(CardView {
+            name: entry.name.clone(),
+            domain: entry.domain.clone(),
+            memory_mb: card.memory_mb,
+            step_factor: card.step_factor,
+            held: pending.map(|order| order.span).or(entry.layers),
+            is_free: pending.is_none(),
+        });
+    }
+    views
+}
+
+async fn send_order(
+    state: Rc<EntryState>,
+    book: Rc<std::cell::RefCell<DutyBook>>,
+    order: LayoutOrder,
+    load: Duration,
+) {
+    let Some(entry) = state.endpoint(&order.name) else { return };
+    let pending = |until| PendingOrder { span: order.span, until };
+    let now = Instant::now();
+    book.borrow_mut().pending.insert(order.name.clone(), pending(now + ORDER_TIMEOUT * 3));
+    // The registry's count may be old; only the endpoint's own says what the order follows.
+    let Some(report) = report(&state, &entry).await else {
+        log::info!(event = "order_unsent", endpoint = &*order.name; "endpoint gave no report");
+        return;
+    };
+    let held = report.layers.filter(|span| span.count() > 0);
+    let is_stale = report.is_busy || held != entry.layers.filter(|span| span.count() > 0);
+    if is_stale && held != Some(order.span) {
+        log::info!(
+            event = "order_unsent", endpoint = &*order.name, held:? = held, busy = report.is_busy;
+            "endpoint differs from the registry"
+        );
+        let until = Instant::now() + REFUSED_PAUSE;
+        book.borrow_mut()
+            .pending
+            .insert(order.name.clone(), PendingOrder { span: held.unwrap_or(order.span), until });
+        return;
+    }
+    let status = post(&state, &entry, order.span, report.orders).await;
+    let (label, until) = match status {
+        Some(StatusCode::ACCEPTED) => ("accepted", Instant::now() + load * 2 + ORDER_SLACK),
+        Some(StatusCode::OK) => ("done", Instant::now() + ORDER_SLACK),
+        Some(_) => ("refused", Instant::now() + REFUSED_PAUSE),
+        // It may still be carried out; a second one would then fail on the count of orders.
+        None => ("unanswered", Instant::now() + REFUSED_PAUSE),
+    };
+    state.counters.count(MetricName::Orders, &[label]);
+    log::info!(
+        event = "order", endpoint = &*order.name, from = order.span.from, to = order.span.to,
+        after = report.orders, status = status.map_or(0, |status| status.as_u16()),
+        load_ms = load.as_millis() as u64; "order to hold layers"
+    );
+    let pending = PendingOrder { span: order.span, until };
+    book.borrow_mut().pending.insert(order.name.clone(), pending);
+}
+
+async fn report(state: &EntryState, entry: &EndpointEntry) -> Option<EndpointReport> {
+    let uri = Uri::from_static(state.dialect.report_path());
+    let request = own_request(entry, Method::GET, uri, Vec::new());
+    let fetched = state.pool.fetch(entry.address, request, order_options()).await;
+    let (parts, body) = fetched.ok()?;
+    parts.status.is_success().then(|| state.dialect.read_report(&body)).flatten()
+}
+
+async fn post(
+    state: &EntryState,
+    entry: &EndpointEntry,
+    span: LayerSpan,
+    orders: u64,
+) -> Option<StatusCode> {
+    let body = state.dialect.place_order(span, orders);
+    let uri = Uri::from_static(state.dialect.order_path());
+    let mut request = own_request(entry, Method::POST, uri, body);
+    state.dialect.expect_endpoint(request.headers_mut(), &entry.name);
+    let fetched = state.pool.fetch(entry.address, request, order_options()).await;
+    match fetched {
+        Ok((parts, _)) => Some(parts.status),
+        Err(error) => {
+            log::info!(event = "order_unanswered", endpoint = &*entry.name, error:% = error; "no answer");
+            None
+        }
+    }
+}
+
+fn own_request(
+    entry: &EndpointEntry,
+    method: Method,
+    uri: Uri,
+    body: Vec<u8>,
+) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    request.headers_mut().insert(HOST, host_value(entry));
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    request
+}
+
+fn order_options() -> SendOptions {
+    SendOptions {
+        max_idle: Duration::from_secs(1),
+        connect_timeout: ORDER_TIMEOUT,
+        head_timeout: ORDER_TIMEOUT,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flights.rs
@@ -0,0 +1,181 @@
+//! Streams in flight on this host.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jacinthrock::EndpointName;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::path::PathStage;
+use crate::silence::{StreamNumber, StreamView};
+
+/// Weight of the newest interval between events in a stream's pace.
+const NEWEST_WEIGHT: f64 = 0.2;
+
+/// One stream on one path.
+#[derive(Debug)]
+pub struct StreamRecord {
+    number: StreamNumber,
+    path: Rc<[PathStage]>,
+    tokens: u32,
+    heard: Cell<Instant>,
+    pace: Cell<Option<Duration>>,
+    is_waiting: Cell<bool>,
+    /// Told when the stream should go on over another path.
+    pub abandon: Notify,
+}
+
+impl StreamRecord {
+    /// Stages that the stream runs through.
+    pub fn path(&self) -> &[PathStage] {
+        &self.path
+    }
+
+    /// Records an event.
+    pub fn event(&self, now: Instant) {
+        let interval = now.saturating_duration_since(self.heard.replace(now));
+        // The first interval holds the reading of the prompt and says nothing of the pace.
+        let pace = match self.pace.get() {
+            None => Duration::from_millis(30),
+            Some(pace) => pace.mul_f64(1.0 - NEWEST_WEIGHT) + interval.mul_f64(NEWEST_WEIGHT),
+        };
+        self.pace.set(Some(pace));
+    }
+
+    /// Sets whether this host waits for the endpoint, and not for the caller to read.
+    pub fn set_waiting(&self, is_waiting: bool, now: Instant) {
+        if is_waiting && !self.is_waiting.replace(true) {
+            self.heard.set(now);
+        }
+        self.is_waiting.set(is_waiting);
+    }
+}
+
+/// What runs through one endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StageLoad {
+    /// Streams.
+    pub streams: u32,
+    /// Tokens times layers that the streams hold at most.
+    pub token_layers: u64,
+}
+
+/// Every stream of this host.
+#[derive(Debug, Default)]
+pub struct FlightTable {
+    records: BTreeMap<StreamNumber, Rc<StreamRecord>>,
+    loads: BTreeMap<EndpointName, StageLoad>,
+    next: StreamNumber,
+}
+
+impl FlightTable {
+    /// What this host runs through the endpoint.
+    pub fn load(&self, name: &str) -> StageLoad {
+        self.loads.get(name).copied().unwrap_or_default()
+    }
+
+    /// Streams that wait for their endpoints.
+    pub fn views(&self) -> Vec<StreamView> {
+        let waiting = self.records.values().filter(|record| record.is_waiting.get());
+        waiting
+            .map(|record| StreamView {
+                number: record.number,
+                path: record.path.clone(),
+                heard: record.heard.get(),
+                pace: record.pace.get(),
+            })
+            .collect()
+    }
+
+    /// Number of streams.
+    pub fn count(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Tells one stream to leave its path.
+    pub fn abandon(&self, number: StreamNumber) {
+        if let Some(record) = self.records.get(&number) {
+            record.abandon.notify_one();
+        }
+    }
+
+    /// Tells all streams through an endpoint to leave their paths; returns how many.
+    pub fn abandon_through(&self, name: &str) -> usize {
+        let through = self.records.values().filter(|record| {
+            record.is_waiting.get() && record.path.iter().any(|stage| &*stage.name == name)
+        });
+        through.map(|record| record.abandon.notify_one()).count()
+    }
+
+    /// Takes the silence so far from every stream, after this host itself stood still.
+    pub fn forgive_silence(&self, now: Instant) {
+        self.records.values().for_each(|record| record.heard.set(now));
+    }
+
+    fn insert(&mut self, path: Rc<[PathStage]>, tokens: u32, now: Instant) -> Rc<StreamRecord> {
+        self.next += 1;
+        for stage in path.iter() {
+            let load = self.loads.entry(stage.name.clone()).or_default();
+            load.streams += 1;
+            load.token_layers += u64::from(tokens) * u64::from(stage.span.count());
+        }
+        let record = Rc::new(StreamRecord {
+            number: self.next,
+            path,
+            tokens,
+            heard: Cell::new(now),
+            pace: Cell::new(None),
+            is_waiting: Cell::new(true),
+            abandon: Notify::new(),
+        });
+        self.records.insert(self.next, record.clone());
+        record
+    }
+
+    fn remove(&mut self, record: &StreamRecord) {
+        self.records.remove(&record.number);
+        for stage in record.path.iter() {
+            let Some(load) = self.loads.get_mut(&stage.name) else { continue };
+            load.streams = load.streams.saturating_sub(1);
+            let held = u64::from(record.tokens) * u64::from(stage.span.count());
+            load.token_layers = load.token_layers.saturating_sub(held);
+            if load.streams == 0 {
+                self.loads.remove(&stage.name);
+            }
+        }
+    }
+}
+
+/// Counts a stream as in flight until it is dropped.
+#[derive(Debug)]
+pub struct StreamFlight {
+    table: Rc<RefCell<FlightTable>>,
+    record: Rc<StreamRecord>,
+}
+
+impl StreamFlight {
+    /// Enters a stream of so many tokens on a path.
+    pub fn new(
+        table: Rc<RefCell<FlightTable>>,
+        path: Rc<[PathStage]>,
+        tokens: u32,
+        now: Instant,
+    ) -> Self {
+        let record = table.borrow_mut().insert(path, tokens, now);
+        Self { table, record }
+    }
+
+    /// The stream's record.
+    pub fn record(&self) -> &StreamRecord {
+        &self.record
+    }
+}
+
+impl Drop for StreamFlight {
+    fn drop(&mut self) {
+        self.table.borrow_mut().remove(&self.record);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,197 @@
+//! Follows the registry: rules, endpoints, other hosts.
+//!
+//! Where the registry turns this host away, the other hosts are asked for what they know.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+
+use crate::dialect::{NoteGroup, RegistryError};
+use crate::peers;
+use crate::state::{EntryState, PeerHost};
+
+/// Longest time of one watch. A connection that went silent is noticed by keep-alive probes
+/// sooner.
+const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Pause after a watch's answer, so that changes in quick succession come together.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+/// First pause after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause after failures: within the time in which rules must be in force.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// Time between two readings of the list of hosts.
+const HOSTS_INTERVAL: Duration = Duration::from_secs(3);
+/// Time between two clean-ups.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Idle connections older than this are closed.
+const MAX_IDLE: Duration = Duration::from_secs(3);
+
+struct RetryPause {
+    next: Duration,
+}
+
+impl RetryPause {
+    fn new() -> Self {
+        Self { next: RETRY_PAUSE }
+    }
+
+    async fn wait(&mut self) {
+        sleep(self.next).await;
+        self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
+    }
+}
+
+/// Follows the rules until the process ends.
+pub(crate) async fn follow_rules(state: Rc<EntryState>) {
+    let mut pause = RetryPause::new();
+    loop {
+        match state.registry.rules().await {
+            Ok((version, rules)) => {
+                pause = RetryPause::new();
+                if let Some(rules) = rules {
+                    state.take_rules(version, rules, "list");
+                }
+                watch_rules(&state, version).await;
+            }
+            Err(error) => {
+                log::warn!(event = "store_lost", what = "rules", error:% = error; "rules not read");
+                peers::ask(&state).await;
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+async fn watch_rules(state: &EntryState, mut version: u64) {
+    loop {
+        match state.registry.watch_rules(version, WATCH_WAIT).await {
+            Ok((next, rules)) => {
+                version = version.max(next);
+                if let Some(rules) = rules {
+                    state.take_rules(version, rules, "watch");
+                    sleep(WATCH_PAUSE).await;
+                }
+            }
+            Err(error) => {
+                log::info!(event = "watch_ended", what = "rules", error:% = error; "watch ended");
+                return;
+            }
+        }
+    }
+}
+
+/// Follows the endpoints until the process ends.
+pub(crate) async fn follow_endpoints(state: Rc<EntryState>) {
+    let mut pause = RetryPause::new();
+    let mut was_away = false;
+    loop {
+        match state.registry.endpoints().await {
+            Ok((version, entries)) => {
+                pause = RetryPause::new();
+                if std::mem::take(&mut was_away) {
+                    log::info!(event = "store_regained", registry = version; "store answers again");
+                    state.endpoints.borrow_mut().store_was_away(Instant::now());
+                }
+                let count = entries.len();
+                state.endpoints.borrow_mut().replace(version, entries, Instant::now());
+                log::info!(event = "endpoints", registry = version, count; "endpoints listed");
+                endpoints_changed(&state);
+                was_away = watch_endpoints(&state, version).await != RegistryError::Gap;
+            }
+            Err(error) => {
+                was_away = true;
+                log::warn!(
+                    event = "store_lost", what = "endpoints", error:% = error;
+                    "endpoints not listed"
+                );
+                state.endpoints.borrow_mut().store_was_away(Instant::now());
+                pause.wait().await;
+            }
+        }
+    }
+}
+
+async fn watch_endpoints(state: &EntryState, mut version: u64) -> RegistryError {
+    loop {
+        match state.registry.watch_endpoints(version, WATCH_WAIT).await {
+            Ok((next, changes)) => {
+                version = version.max(next);
+                if changes.is_empty() {
+                    continue;
+                }
+                log::info!(
+                    event = "endpoints", registry = version, count = changes.len();
+                    "endpoints changed"
+                );
+                state.endpoints.borrow_mut().apply(version, changes, Instant::now());
+                endpoints_changed(state);
+                sleep(WATCH_PAUSE).await;
+            }
+            Err(error) => {
+                log::info!(event = "watch_ended", what = "endpoints", error:% = error; "watch ended");
+                return error;
+            }
+        }
+    }
+}
+
+/// Acts on a new list of endpoints.
+pub(crate) fn endpoints_changed(state: &EntryState) {
+    let endpoints = state.endpoints.borrow();
+    state.beliefs.borrow_mut().retain(|name| endpoints.get(name).is_some());
+    drop(endpoints);
+    state.changed.notify_waiters();
+}
+
+/// Drops endpoints that did not come back, and idle connections.
+pub(crate) async fn expire(state: Rc<EntryState>) {
+    loop {
+        sleep(EXPIRY_INTERVAL).await;
+        state.pool.prune(MAX_IDLE);
+        let gone = state.endpoints.borrow_mut().expire(Instant::now());
+        if !gone.is_empty() {
+            log::info!(event = "endpoints_gone", names:? = gone; "endpoints did not come back");
+            endpoints_changed(&state);
+        }
+    }
+}
+
+/// Registers this host and follows the list of the others.
+pub(crate) async fn follow_hosts(state: Rc<EntryState>) {
+    let name = &state.options.host;
+    let text: Box<str> = format!("{} {}", state.options.peer, state.options.domain).into();
+    let mut pause = RetryPause::new();
+    loop {
+        let written =
+            state.registry.write_note(NoteGroup::Hosts, name.clone(), 0, text.clone()).await;
+        match written {
+            Ok(_) => break,
+            // The note of an earlier start of this host holds the same address.
+            Err(RegistryError::Conflict) => break,
+            Err(error) => {
+                log::info!(event = "store_lost", what = "hosts", error:% = error; "not registered");
+                pause.wait().await;
+            }
+        }
+    }
+    loop {
+        match state.registry.notes(NoteGroup::Hosts).await {
+            Ok(notes) => {
+                let others = notes.into_iter().filter(|note| note.name != *name);
+                let hosts = others.filter_map(|note| Some((note.name, peer_host(&note.text)?)));
+                *state.peers.borrow_mut() = hosts.collect();
+            }
+            Err(error) => {
+                log::info!(event = "store_lost", what = "hosts", error:% = error; "hosts not listed");
+            }
+        }
+        sleep(HOSTS_INTERVAL).await;
+    }
+}
+
+/// Reads the note of another host: its address and its failure domain.
+fn peer_host(text: &str) -> Option<PeerHost> {
+    let (address, domain) = text.split_once(' ')?;
+    Some(PeerHost { address: address.parse().ok()?, domain: domain.into() })
+}
--- /dev/null
+++ b/crates/entry/src/layout.rs
@@ -0,0 +1,212 @@
+//! Which endpoint holds which layers.
+//!
+//! Load pattern: streams arrive evenly while cards come, leave and die one by one. Each failure
+//! domain should keep a whole copy of the model, since activations between domains share one
+//! narrow pipe; the loss of a card must be healed by loading few layers.
+//!
+//! Cards are placed one after the other, fast ones first, each over the layers that its domain
+//! covers least. A gap is closed by empty cards, then by extending the neighbours of the gap, so
+//! that nothing that serves is given up.
+
+use std::collections::BTreeMap;
+
+use jacinthrock::{DomainName, EndpointName};
+
+use crate::endpoints::LayerSpan;
+
+/// Share of a card's memory that weights take at first; the rest holds the tokens of requests.
+/// At 0.7 each layer of the milestone's model leaves room for 100,000 tokens, three times what a
+/// domain's streams hold at the usual load.
+const WEIGHT_SHARE: f64 = 0.7;
+/// Share of a card's memory that weights may take when a gap has to be closed.
+const GAP_WEIGHT_SHARE: f64 = 0.9;
+/// Weight of a layer's copies in other domains against those in the own domain.
+const FOREIGN_COPY_WEIGHT: f64 = 0.01;
+
+/// The model to place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ModelShape {
+    /// Layers of the model.
+    pub layers: u16,
+    /// Memory of one layer's weights, in MB.
+    pub layer_mb: f64,
+}
+
+/// One endpoint that can hold layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CardView {
+    /// Endpoint.
+    pub name: EndpointName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Memory, in MB.
+    pub memory_mb: f64,
+    /// Factor on the time of steps; lower is faster.
+    pub step_factor: f64,
+    /// Layers that it holds or loads.
+    pub held: Option<LayerSpan>,
+    /// Whether it can take an order now.
+    pub is_free: bool,
+}
+
+/// An order to hold layers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LayoutOrder {
+    /// Endpoint.
+    pub name: EndpointName,
+    /// Layers that it holds once the order is done.
+    pub span: LayerSpan,
+}
+
+/// The orders that bring the cards nearer to a layout without gaps.
+///
+/// No order gives up a layer, so that the layers held and ordered always fit a card together.
+///
+/// ```
+/// use jacinthrock_entry::{CardView, LayerSpan, ModelShape, layout_orders};
+///
+/// let card = CardView {
+///     name: "a".into(),
+///     domain: "north".into(),
+///     memory_mb: 100.0,
+///     step_factor: 1.0,
+///     held: None,
+///     is_free: true,
+/// };
+/// let orders = layout_orders(ModelShape { layers: 4, layer_mb: 10.0 }, &[card]);
+/// assert_eq!(orders[0].span, LayerSpan { from: 0, to: 4 });
+/// ```
+pub fn layout_orders(shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
+    let mut draft = LayoutDraft::new(shape, cards);
+    draft.place_empty_cards();
+    draft.close_gaps();
+    draft.orders()
+}
+
+struct LayoutDraft<'a> {
+    shape: ModelShape,
+    cards: &'a [CardView],
+    spans: Vec<Option<LayerSpan>>,
+    copies: BTreeMap<&'a str, Vec<u32>>,
+}
+
+impl<'a> LayoutDraft<'a> {
+    fn new(shape: ModelShape, cards: &'a [CardView]) -> Self {
+        let spans: Vec<_> = cards.iter().map(|card| card.held.filter(|s| s.count() > 0)).collect();
+        let mut draft = Self { shape, cards, spans, copies: BTreeMap::new() };
+        for card in cards {
+            draft.copies.entry(&card.domain).or_insert_with(|| vec![0; usize::from(shape.layers)]);
+        }
+        for index in 0..cards.len() {
+            if let Some(span) = draft.spans[index] {
+                draft.cover(index, span);
+            }
+        }
+        draft
+    }
+
+    fn cover(&mut self, index: usize, span: LayerSpan) {
+        let domain = &*self.cards[index].domain;
+        let copies = self.copies.get_mut(domain).expect("every domain of a card has a row");
+        for layer in span.from..span.to.min(self.shape.layers) {
+            copies[usize::from(layer)] += 1;
+        }
+    }
+
+    fn most_layers(&self, card: &CardView, share: f64) -> u16 {
+        let fits = (card.memory_mb * share / self.shape.layer_mb).floor();
+        // One layer at least, if the card can hold it at all.
+        let floor = if card.memory_mb >= self.shape.layer_mb { 1.0 } else { 0.0 };
+        fits.max(floor).min(f64::from(self.shape.layers)) as u16
+    }
+
+    fn place_empty_cards(&mut self) {
+        let mut empty: Vec<usize> = (0..self.cards.len())
+            .filter(|index| self.spans[*index].is_none() && self.cards[*index].is_free)
+            .collect();
+        empty.sort_by(|a, b| {
+            let (a, b) = (&self.cards[*a], &self.cards[*b]);
+            a.step_factor.total_cmp(&b.step_factor).then_with(|| a.name.cmp(&b.name))
+        });
+        for index in empty {
+            let count = self.most_layers(&self.cards[index], WEIGHT_SHARE);
+            if count == 0 {
+                continue;
+            }
+            let span = self.least_covered(index, count);
+            self.spans[index] = Some(span);
+            self.cover(index, span);
+        }
+    }
+
+    fn least_covered(&self, index: usize, count: u16) -> LayerSpan {
+        let weights = self.layer_weights(&self.cards[index].domain);
+        let starts = 0..=self.shape.layers - count;
+        let weight_of = |from: &u16| -> f64 {
+            weights[usize::from(*from)..usize::from(from + count)].iter().sum()
+        };
+        let from = starts.min_by(|a, b| weight_of(a).total_cmp(&weight_of(b))).unwrap_or(0);
+        LayerSpan { from, to: from + count }
+    }
+
+    /// Copies of each layer, those of other domains counted lightly.
+    fn layer_weights(&self, domain: &str) -> Vec<f64> {
+        let mut weights = vec![0.0; usize::from(self.shape.layers)];
+        for (name, copies) in &self.copies {
+            let factor = if *name == domain { 1.0 } else { FOREIGN_COPY_WEIGHT };
+            for (weight, count) in weights.iter_mut().zip(copies) {
+                *weight += factor * f64::from(*count);
+            }
+        }
+        weights
+    }
+
+    fn close_gaps(&mut self) {
+        let domains: Vec<&str> = self.copies.keys().copied().collect();
+        for domain in domains {
+            while let Some((index, span)) = self.best_extension(domain) {
+                let held = self.spans[index].expect("only holders are extended");
+                for layer in [span.from, span.to - 1] {
+                    if !held.holds(layer) {
+                        self.cover(index, LayerSpan { from: layer, to: layer + 1 });
+                    }
+                }
+                self.spans[index] = Some(span);
+            }
+        }
+    }
+
+    /// The neighbour of a gap that has most memory left for each layer once it takes one more.
+    fn best_extension(&self, domain: &str) -> Option<(usize, LayerSpan)> {
+        let copies = &self.copies[domain];
+        let is_gap = |layer: u16| copies.get(usize::from(layer)).is_some_and(|count| *count == 0);
+        let mut best: Option<(f64, usize, LayerSpan)> = None;
+        for (index, card) in self.cards.iter().enumerate() {
+            let Some(span) = self.spans[index].filter(|_| card.is_free) else { continue };
+            if &*card.domain != domain || span.count() >= self.most_layers(card, GAP_WEIGHT_SHARE) {
+                continue;
+            }
+            let longer = if is_gap(span.to) {
+                LayerSpan { to: span.to + 1, ..span }
+            } else if span.from > 0 && is_gap(span.from - 1) {
+                LayerSpan { from: span.from - 1, ..span }
+            } else {
+                continue;
+            };
+            let room = card.memory_mb / f64::from(longer.count());
+            if best.is_none_or(|(other, ..)| room > other) {
+                best = Some((room, index, longer));
+            }
+        }
+        best.map(|(_, index, span)| (index, span))
+    }
+
+    fn orders(&self) -> Vec<LayoutOrder> {
+        let changed = self.cards.iter().zip(&self.spans).filter(|(card, span)| card.held != **span);
+        changed
+            .filter_map(|(card, span)| {
+                span.map(|span| LayoutOrder { name: card.name.clone(), span })
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,50 @@
+//! The process on an entry host.
+//!
+//! It takes callers' requests, sends them to endpoints, and one of the hosts places models on
+//! endpoints. Decisions are free of input and output and stand in modules of their own:
+//! `layout`, `path`, `silence`, `belief`. docs/design/platform.md gives the design.
+
+mod answer;
+mod belief;
+mod call;
+mod dialect;
+mod duty;
+mod endpoints;
+mod events;
+mod flights;
+mod follow;
+mod front;
+mod journal;
+mod layout;
+mod path;
+mod peers;
+mod plain;
+mod pool;
+mod rules;
+mod run;
+mod sending;
+mod silence;
+mod state;
+mod stream;
+mod watchdog;
+
+pub use belief::{BeliefTable, CallEnd};
+pub use dialect::{
+    CallDialect, CallHead, EndpointReport, NoteGroup, RegistryError, RegistryLink, RegistryNote,
+    RegistryResult, ReplyHead, SendHead,
+};
+pub use endpoints::{EndpointChange, EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
+pub use events::EventCutter;
+pub use flights::{FlightTable, StageLoad, StreamFlight, StreamRecord};
+pub use jacinthrock::{DomainName, EndpointName, ServiceName};
+pub use journal::start_logs;
+pub use layout::{CardView, LayoutOrder, ModelShape, layout_orders};
+pub use path::{PathStage, StageView, cheapest_path};
+pub use pool::{ConnectionLease, ConnectionPool, PooledReply, SendFault, SendOptions};
+pub use rules::{
+    CallerLimits, CardRule, CustomerRule, EngineRule, KeyVerdict, RepeatRule, RouteRule, RuleIndex,
+    RulesVersion, ServiceRule, ServingRules,
+};
+pub use run::{EntryError, run_entry};
+pub use silence::{SilentStream, StreamNumber, StreamView, silent_streams};
+pub use state::{EntryOptions, EntryState, PathDemand, PeerHost};
--- /dev/null
+++ b/crates/entry/src/path.rs
@@ -0,0 +1,171 @@
+//! Which endpoints a stream runs through.
+//!
+//! Load pattern: many streams at once over cards of unlike speed whose spans overlap. Each stream
+//! takes the path with the least expected time for a token, where every stage counts its own step,
+//! the streams that this host already runs there, and what it still has to prove after a fault.
+//! Crossing between failure domains costs more than it takes, since all streams share one pipe.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jacinthrock::{DomainName, EndpointName};
+
+use crate::endpoints::LayerSpan;
+
+/// Extra cost of a crossing between failure domains, in ms a token: about the whole time of a
+/// path, so that a stream crosses only where its domain has no path or a much slower one.
+const CROSSING_MS: f64 = 12.0;
+/// Cost of starting in another failure domain than the caller's host, in ms a token.
+const REMOTE_START_MS: f64 = 2.0;
+/// Cost of each stage beside its computing, in ms a token: the hop over the network.
+const HOP_MS: f64 = 0.3;
+/// Streams on a stage that double its expected time.
+const DOUBLING_STREAMS: f64 = 40.0;
+/// Share of memory from which on a stage's cost rises steeply.
+const HIGH_FILL: f64 = 0.75;
+/// Bound on the estimated share, since it rests on this host's streams alone.
+const MAX_FILL: f64 = 1.5;
+/// Most stages that a path may have; the engines take no more.
+const MAX_STAGES: usize = 32;
+
+/// One endpoint that holds layers.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StageView {
+    /// Endpoint.
+    pub name: EndpointName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Layers that it holds.
+    pub span: LayerSpan,
+    /// Time of a token in one layer, in ms.
+    pub layer_ms: f64,
+    /// Streams that run through it, as far as this host can tell.
+    pub streams: f64,
+    /// Share of its memory for tokens that is taken by all hosts, as far as this host can tell.
+    pub fill: f64,
+    /// Whether this host's own streams leave room for one more.
+    pub has_room: bool,
+    /// Cost of using it despite doubts, in ms a token.
+    pub doubt_ms: f64,
+    /// Whether a path may begin here.
+    pub may_start: bool,
+}
+
+/// One stage of a path.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PathStage {
+    /// Endpoint.
+    pub name: EndpointName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Layers that it runs for this stream.
+    pub span: LayerSpan,
+}
+
+/// Finds the cheapest path over all layers, or nothing where some layer has no holder.
+///
+/// `home` is the failure domain of the host that sends the request.
+pub fn cheapest_path(layers: u16, home: &str, stages: &[StageView]) -> Option<Vec<PathStage>> {
+    let mut cuts: Vec<u16> =
+        stages.iter().flat_map(|stage| [stage.span.from, stage.span.to]).collect();
+    cuts.extend([0, layers]);
+    cuts.sort_unstable();
+    cuts.dedup();
+    cuts.retain(|cut| *cut <= layers);
+    // best[cut][stage]: least cost of a path over the layers before the cut that ends on the stage.
+    let mut best: Vec<BTreeMap<usize, Reached>> = vec![BTreeMap::new(); cuts.len()];
+    for position in 0..cuts.len().saturating_sub(1) {
+        for (index, stage) in stages.iter().enumerate() {
+            if !stage.span.holds(cuts[position]) || !stage.has_room {
+                continue;
+            }
+            let Some(entry) = entry_cost(position, index, home, stages, &best) else { continue };
+            for end in position + 1..cuts.len() {
+                if cuts[end] > stage.span.to {
+                    break;
+                }
+                let cost = entry.cost + stage_cost(stage, cuts[end] - cuts[position]);
+                let reached = Reached { cost, stages: entry.stages + 1, start: position, ..entry };
+                let slot = best[end].entry(index).or_insert(reached);
+                if reached.cost < slot.cost {
+                    *slot = reached;
+                }
+            }
+        }
+    }
+    walk_back(&cuts, stages, &best)
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Reached {
+    cost: f64,
+    stages: usize,
+    start: usize,
+    previous: Option<usize>,
+}
+
+fn stage_cost(stage: &StageView, layers: u16) -> f64 {
+    let crowd = 1.0 + stage.streams / DOUBLING_STREAMS;
+    // Memory that is nearly full makes the engine put requests off; the cost rises steeply.
+    let pressure = 1.0 + (stage.fill.min(MAX_FILL) / HIGH_FILL).powi(4);
+    f64::from(layers) * stage.layer_ms * crowd * pressure + HOP_MS + stage.doubt_ms
+}
+
+/// Least cost of getting to a stage at a cut, with the stage that the path comes from.
+fn entry_cost(
+    position: usize,
+    index: usize,
+    home: &str,
+    stages: &[StageView],
+    best: &[BTreeMap<usize, Reached>],
+) -> Option<Reached> {
+    let stage = &stages[index];
+    if position == 0 {
+        if !stage.may_start {
+            return None;
+        }
+        let cost = if &*stage.domain == home { 0.0 } else { REMOTE_START_MS };
+        return Some(Reached { cost, stages: 0, start: 0, previous: None });
+    }
+    let mut least: Option<Reached> = None;
+    for (previous, reached) in &best[position] {
+        if *previous == index || reached.stages + 1 >= MAX_STAGES {
+            continue;
+        }
+        let crossing = if stages[*previous].domain == stage.domain { 0.0 } else { CROSSING_MS };
+        let cost = reached.cost + crossing;
+        if least.is_none_or(|other| cost < other.cost) {
+            let previous = Some(*previous);
+            least = Some(Reached { cost, stages: reached.stages, start: position, previous });
+        }
+    }
+    least
+}
+
+fn walk_back(
+    cuts: &[u16],
+    stages: &[StageView],
+    best: &[BTreeMap<usize, Reached>],
+) -> Option<Vec<PathStage>> {
+    let mut position = cuts.len() - 1;
+    let (mut index, _) = best[position].iter().min_by(|a, b| a.1.cost.total_cmp(&b.1.cost))?;
+    let mut path = Vec::new();
+    loop {
+        let reached = best[position].get(index)?;
+        let stage = &stages[*index];
+        let span = LayerSpan { from: cuts[reached.start], to: cuts[position] };
+        path.push(PathStage { name: stage.name.clone(), address: stage.address, span });
+        let Some(previous) = &reached.previous else { break };
+        position = reached.start;
+        index = best[position].get_key_value(previous)?.0;
+    }
+    path.reverse();
+    visits_once(&path).then_some(path)
+}
+
+/// An endpoint may appear once; the search forbids only direct returns.
+fn visits_once(path: &[PathStage]) -> bool {
+    (1..path.len()).all(|index| path[..index].iter().all(|stage| stage.name != path[index].name))
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,104 @@
+//! Start and stop of an entry process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, sleep};
+
+use crate::dialect::NoteGroup;
+use crate::state::EntryState;
+use crate::{duty, follow, front, peers, watchdog};
+
+/// Time after SIGTERM for which connections stay open: the readiness check is asked once a second
+/// and two misses take the host out of the rotation.
+const ROTATION_TIME: Duration = Duration::from_millis(2_600);
+/// Least time between SIGTERM and the end, for callers whose opening packets are on their way.
+const MIN_LEAVING_TIME: Duration = Duration::from_millis(3_200);
+/// Time before SIGKILL at which the process ends by itself.
+const END_MARGIN: Duration = Duration::from_millis(300);
+/// Time between two looks for requests that are still open.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Time for calls to the registry on leaving.
+const FAREWELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why an entry process could not start.
+#[derive(Debug, thiserror::Error)]
+pub enum EntryError {
+    /// An address could not be bound.
+    #[error("[7003] cannot listen on {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What failed.
+        source: io::Error,
+    },
+    /// Signals could not be taken.
+    #[error("[7004] cannot take signals: {0}")]
+    Signals(io::Error),
+}
+
+/// Runs an entry process until it is told to stop. Needs a `LocalSet`.
+pub async fn run_entry(state: Rc<EntryState>) -> Result<(), EntryError> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(EntryError::Signals)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(EntryError::Signals)?;
+    let bind =
+        |address| front::bind(address).map_err(|source| EntryError::Bind { address, source });
+    let callers = bind(state.options.front)?;
+    let ready = bind(state.options.ready)?;
+    let peer = bind(state.options.peer)?;
+    let metrics = state.options.metrics.map(bind).transpose()?;
+    let (close, closing) = watch::channel(false);
+    log::info!(
+        event = "start", host = &*state.options.host, domain = &*state.options.domain,
+        front:% = state.options.front; "entry process starts"
+    );
+    tokio::task::spawn_local(follow::follow_rules(state.clone()));
+    tokio::task::spawn_local(follow::follow_endpoints(state.clone()));
+    tokio::task::spawn_local(follow::follow_hosts(state.clone()));
+    tokio::task::spawn_local(follow::expire(state.clone()));
+    tokio::task::spawn_local(duty::run(state.clone()));
+    tokio::task::spawn_local(watchdog::run(state.clone()));
+    tokio::task::spawn_local(peers::serve(state.clone(), peer));
+    tokio::task::spawn_local(front::serve_ready(state.clone(), ready));
+    tokio::task::spawn_local(front::serve_callers(state.clone(), callers, closing));
+    if let Some(listener) = metrics {
+        tokio::task::spawn_local(front::serve_metrics(state.clone(), listener));
+    }
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // Addresses stay the same while a process runs; rules come from the registry.
+            _ = hangup.recv() => log::info!(event = "reload"; "settings file may have changed"),
+        }
+    }
+    leave(&state, &close).await;
+    Ok(())
+}
+
+async fn leave(state: &Rc<EntryState>, close: &watch::Sender<bool>) {
+    let started = Instant::now();
+    state.is_leaving.set(true);
+    log::info!(event = "stop", open = state.open_requests.get(); "entry process stops");
+    let end = started + state.options.grace.saturating_sub(END_MARGIN);
+    let farewell = state.registry.delete_note(NoteGroup::Hosts, state.options.host.clone());
+    if tokio::time::timeout(FAREWELL_TIMEOUT, farewell).await.is_err() {
+        log::info!(event = "store_lost", what = "hosts"; "host not taken from the list");
+    }
+    while Instant::now() < end {
+        if started.elapsed() >= ROTATION_TIME {
+            close.send_replace(true);
+        }
+        if started.elapsed() >= MIN_LEAVING_TIME && state.open_requests.get() == 0 {
+            break;
+        }
+        sleep(DRAIN_LOOK).await;
+    }
+    log::info!(
+        event = "end", open = state.open_requests.get(),
+        after_ms = started.elapsed().as_millis() as u64; "entry process ends"
+    );
+}
--- /dev/null
+++ b/crates/entry/src/sending.rs
@@ -0,0 +1,157 @@
+//! A request on its way to an endpoint: its head, its connection, what its answer means.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::{Request, StatusCode, Version};
+use jacinthrock::EndpointName;
+
+use crate::answer::end_to_end_headers;
+use crate::call::AllowedCall;
+use crate::dialect::{ReplyHead, SendHead};
+use crate::endpoints::EndpointEntry;
+use crate::path::PathStage;
+use crate::pool::{PooledReply, SendFault, SendOptions};
+use crate::state::EntryState;
+
+/// Time for a new connection to an endpoint; links take under 1 ms and the endpoint 1 ms.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Idle time after which a connection is not used for a request that runs at most once: a reset on
+/// a kept connection would leave its outcome unknown.
+const ONCE_MAX_IDLE: Duration = Duration::ZERO;
+/// Idle time after which a connection is not used for other requests; endpoints close theirs
+/// later, as their answers say.
+const MAX_IDLE: Duration = Duration::from_secs(2);
+
+/// One send of a call.
+pub(crate) struct CallSend<'a> {
+    /// Endpoint.
+    pub(crate) endpoint: &'a EndpointEntry,
+    /// Stages of a stream; empty for plain calls.
+    pub(crate) path: &'a [PathStage],
+    /// Event after which a stream goes on.
+    pub(crate) resume_after: Option<u64>,
+    /// Urgency at the endpoint.
+    pub(crate) urgency: Option<u8>,
+}
+
+/// An endpoint's answer with what its head says.
+pub(crate) struct SentReply {
+    /// The answer.
+    pub(crate) reply: PooledReply,
+    /// What its head says.
+    pub(crate) head: ReplyHead,
+}
+
+impl SentReply {
+    /// Whether the endpoint promises that the request has not run.
+    pub(crate) fn is_not_run(&self) -> bool {
+        let status = self.reply.parts.status;
+        self.head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST
+    }
+
+    /// Whether the answer is the endpoint's own, for this request, and readable.
+    pub(crate) fn is_genuine(&self) -> bool {
+        self.head.is_for_attempt && self.head.is_signed && !self.head.is_encoded
+    }
+}
+
+/// Sends a call to an endpoint and waits for the head of its answer.
+pub(crate) async fn send(
+    state: &EntryState,
+    call: &AllowedCall,
+    send: CallSend<'_>,
+) -> Result<SentReply, SendFault> {
+    let left = call.left();
+    let head = SendHead {
+        endpoint: &send.endpoint.name,
+        deadline: left,
+        customer: call.customer.as_deref(),
+        path: send.path,
+        resume_after: send.resume_after,
+        urgency: send.urgency,
+    };
+    let kept = end_to_end_headers(&call.parts.headers);
+    let mut headers = state.dialect.endpoint_headers(&kept, &head);
+    headers.remove(CONTENT_LENGTH);
+    if !call.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    }
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = call.parts.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    let options = SendOptions {
+        max_idle: if call.route.repeat.is_repeatable() { MAX_IDLE } else { ONCE_MAX_IDLE },
+        connect_timeout: CONNECT_TIMEOUT.min(left),
+        head_timeout: left,
+    };
+    let reply = state.pool.send(send.endpoint.address, request, options).await?;
+    let head =
+        state.dialect.read_reply(&call.head.attempt, reply.parts.status, &reply.parts.headers);
+    Ok(SentReply { reply, head })
+}
+
+/// Asks an endpoint for its state; an endpoint that does not answer is taken as down.
+pub(crate) async fn probe(state: Rc<EntryState>, name: EndpointName) {
+    /// Time for the answer to a probe: endpoints answer reports within some ms, also when full.
+    const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+    let Some(entry) = state.endpoint(&name) else { return };
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = hyper::Uri::from_static(state.dialect.report_path());
+    request.headers_mut().insert(hyper::header::HOST, host_value(&entry));
+    let options = SendOptions {
+        max_idle: Duration::ZERO,
+        connect_timeout: CONNECT_TIMEOUT,
+        head_timeout: PROBE_TIMEOUT,
+    };
+    match state.pool.fetch(entry.address, request, options).await {
+        Ok((parts, body)) if parts.status.is_success() => {
+            state.clear_doubt(&name);
+            if state.beliefs.borrow_mut().mark_up(&name) {
+                log::info!(event = "endpoint_up", endpoint = &*name; "endpoint answers again");
+                state.changed.notify_waiters();
+            }
+            let report = state.dialect.read_report(&body);
+            let stalled = report.map(|report| report.stalled).unwrap_or_default();
+            for address in stalled {
+                if let Some(other) = state.endpoint_at(address) {
+                    suspect(&state, &other, "reported by the first stage");
+                }
+            }
+        }
+        Ok((parts, _)) => {
+            let status = parts.status.as_u16();
+            log::info!(event = "probe_refused", endpoint = &*name, status; "probe refused");
+        }
+        Err(error) => {
+            if state.beliefs.borrow_mut().mark_down(&name) {
+                let moved = state.flights.borrow().abandon_through(&name);
+                log::warn!(
+                    event = "endpoint_down", endpoint = &*name, streams = moved, error:% = error;
+                    "endpoint does not answer"
+                );
+                state.changed.notify_waiters();
+            }
+        }
+    }
+}
+
+/// Doubts an endpoint and asks it for its state.
+pub(crate) fn suspect(state: &Rc<EntryState>, name: &EndpointName, reason: &str) {
+    if state.beliefs.borrow().is_down(name) || !state.doubt(name) {
+        return;
+    }
+    log::info!(event = "endpoint_doubted", endpoint = &**name, reason; "endpoint is doubted");
+    tokio::task::spawn_local(probe(state.clone(), name.clone()));
+}
+
+/// `Host` of a request to an endpoint itself.
+pub(crate) fn host_value(entry: &EndpointEntry) -> HeaderValue {
+    HeaderValue::from_str(&entry.address.to_string())
+        .unwrap_or_else(|_| HeaderValue::from_static("endpoint"))
+}
--- /dev/null
+++ b/crates/entry/src/state.rs
@@ -0,0 +1,289 @@
+//! What one entry process knows and counts.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jacinthrock::{
+    BudgetOptions, CounterRegistry, DomainName, EndpointName, HostName, RetryBudget,
+};
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::belief::BeliefTable;
+use crate::dialect::{CallDialect, RegistryLink};
+use crate::endpoints::{EndpointEntry, EndpointTable, RegistryVersion};
+use crate::flights::FlightTable;
+use crate::path::{PathStage, StageView, cheapest_path};
+use crate::pool::ConnectionPool;
+use crate::rules::{EngineRule, RuleIndex, ServingRules};
+
+/// Cost of a stage that may be dead, in ms a token: more than a whole path over other cards.
+const DOUBT_MS: f64 = 40.0;
+/// Time for which a suspicion holds without a probe's answer.
+const DOUBT_TIME: Duration = Duration::from_millis(1_500);
+/// Share of the budget of retries that this host may use when all hosts are equally loaded; the
+/// rest allows for uneven load.
+const BUDGET_SHARE: f64 = 0.8;
+
+/// Share of a stage's memory for tokens that the streams of one host may take.
+const OWN_ROOM_SHARE: f64 = 0.95;
+
+/// Another host of the system.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PeerHost {
+    /// Address for other hosts.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+}
+
+/// Settings of an entry process.
+#[derive(Clone, Debug)]
+pub struct EntryOptions {
+    /// Name of this host.
+    pub host: HostName,
+    /// Failure domain of this host.
+    pub domain: DomainName,
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
+    /// Address for other hosts of the system.
+    pub peer: SocketAddr,
+    /// Address of metrics, where they are served.
+    pub metrics: Option<SocketAddr>,
+    /// Time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// Retries allowed for each request, over all hosts.
+    pub retry_ratio: f64,
+    /// Retries allowed on top in each window, over all hosts.
+    pub retry_slack: u32,
+    /// Window of the two limits above.
+    pub retry_window: Duration,
+    /// Sockets that the process may open.
+    pub max_sockets: usize,
+}
+
+/// Everything that the tasks of an entry process share.
+pub struct EntryState {
+    /// Settings.
+    pub options: EntryOptions,
+    /// Names of the platform.
+    pub dialect: Box<dyn CallDialect>,
+    /// The platform's registry.
+    pub registry: Box<dyn RegistryLink>,
+    /// Connections to endpoints.
+    pub pool: ConnectionPool,
+    /// Metrics.
+    pub counters: CounterRegistry,
+    /// Endpoints as listed.
+    pub endpoints: RefCell<EndpointTable>,
+    /// Beliefs about endpoints.
+    pub beliefs: RefCell<BeliefTable>,
+    /// Streams in flight.
+    pub flights: Rc<RefCell<FlightTable>>,
+    /// Told whenever a path may have become possible.
+    pub changed: Notify,
+    /// The other hosts of the system.
+    pub peers: RefCell<BTreeMap<HostName, PeerHost>>,
+    /// Whether the process is about to end.
+    pub is_leaving: Cell<bool>,
+    /// Requests in progress.
+    pub open_requests: Cell<usize>,
+    rules: RefCell<Rc<RuleIndex>>,
+    rules_version: Cell<Option<RegistryVersion>>,
+    doubts: RefCell<BTreeMap<EndpointName, Instant>>,
+    budget: RefCell<RetryBudget>,
+    budget_hosts: Cell<usize>,
+}
+
+/// What a path is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct PathDemand<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Most tokens that the stream will hold.
+    pub tokens: u32,
+    /// Endpoints that the path must begin at; any where none are named.
+    pub starts: Option<&'a BTreeSet<EndpointName>>,
+    /// Endpoints to leave out.
+    pub avoid: &'a BTreeSet<EndpointName>,
+}
+
+impl EntryState {
+    /// An entry process that knows nothing yet.
+    pub fn new(
+        options: EntryOptions,
+        dialect: Box<dyn CallDialect>,
+        registry: Box<dyn RegistryLink>,
+    ) -> Self {
+        let budget = RetryBudget::new(budget_options(&options, 1));
+        Self {
+            options,
+            dialect,
+            registry,
+            pool: ConnectionPool::default(),
+            counters: CounterRegistry::new(),
+            endpoints: RefCell::default(),
+            beliefs: RefCell::default(),
+            flights: Rc::default(),
+            changed: Notify::new(),
+            peers: RefCell::default(),
+            is_leaving: Cell::new(false),
+            open_requests: Cell::new(0),
+            rules: RefCell::default(),
+            rules_version: Cell::new(None),
+            doubts: RefCell::default(),
+            budget: RefCell::new(budget),
+            budget_hosts: Cell::new(1),
+        }
+    }
+
+    /// The rules in force; none before the first are known.
+    pub fn rules(&self) -> Option<Rc<RuleIndex>> {
+        self.rules_version.get().map(|_| self.rules.borrow().clone())
+    }
+
+    /// Registry version of the rules in force, 0 before the first.
+    pub fn rules_version(&self) -> RegistryVersion {
+        self.rules_version.get().unwrap_or(0)
+    }
+
+    /// Takes rules unless newer ones are in force.
+    pub fn take_rules(&self, version: RegistryVersion, rules: ServingRules, source: &str) {
+        if self.rules_version.get().is_some_and(|current| version <= current) {
+            return;
+        }
+        log::info!(
+            event = "rules", version = rules.version, registry = version,
+            routes = rules.routes.len(), source; "rules in force"
+        );
+        *self.rules.borrow_mut() = Rc::new(RuleIndex::new(rules));
+        self.rules_version.set(Some(version));
+        self.changed.notify_waiters();
+    }
+
+    /// Hosts that serve callers, this one included.
+    pub fn host_count(&self) -> usize {
+        self.peers.borrow().len() + 1
+    }
+
+    /// Hosts in this host's failure domain, this one included.
+    fn neighbours(&self) -> usize {
+        let peers = self.peers.borrow();
+        peers.values().filter(|peer| peer.domain == self.options.domain).count() + 1
+    }
+
+    /// Records the first attempt of a request for a service.
+    pub fn record_first(&self, service: &str) {
+        let hosts = self.host_count();
+        if self.budget_hosts.replace(hosts) != hosts {
+            *self.budget.borrow_mut() = RetryBudget::new(budget_options(&self.options, hosts));
+        }
+        self.budget.borrow_mut().record_first(Instant::now(), service, service);
+    }
+
+    /// Takes one retry for a service from this host's share of the budget.
+    pub fn allow_retry(&self, service: &str, reason: &str) -> bool {
+        let allowed = self.budget.borrow_mut().allow(Instant::now(), service, service);
+        let label = if allowed { reason } else { "budget_spent" };
+        self.counters.count(jacinthrock::MetricName::Retries, &[label]);
+        allowed
+    }
+
+    /// Doubts an endpoint until a probe answers; returns whether that is new.
+    pub fn doubt(&self, name: &EndpointName) -> bool {
+        let now = Instant::now();
+        let until = self.doubts.borrow_mut().insert(name.clone(), now + DOUBT_TIME);
+        until.is_none_or(|until| until <= now)
+    }
+
+    /// Takes a doubt back.
+    pub fn clear_doubt(&self, name: &str) {
+        self.doubts.borrow_mut().remove(name);
+    }
+
+    /// The cheapest path for a stream; nothing where none has room.
+    pub fn find_path(&self, demand: &PathDemand<'_>) -> Option<Rc<[PathStage]>> {
+        let rules = self.rules()?;
+        let engine = rules.engine(demand.service)?;
+        let stages = self.stage_views(engine, demand);
+        cheapest_path(engine.layers, &self.options.domain, &stages).map(Into::into)
+    }
+
+    fn stage_views(&self, engine: &EngineRule, demand: &PathDemand<'_>) -> Vec<StageView> {
+        let now = Instant::now();
+        let neighbours = self.neighbours() as f64;
+        let (endpoints, beliefs) = (self.endpoints.borrow(), self.beliefs.borrow());
+        let (flights, doubts) = (self.flights.borrow(), self.doubts.borrow());
+        let usable = endpoints.entries().filter(|entry| {
+            &*entry.service == demand.service
+                && !entry.is_draining
+                && !beliefs.is_down(&entry.name)
+                && !demand.avoid.contains(&entry.name)
+        });
+        usable
+            .filter_map(|entry| {
+                let span = entry.layers.filter(|span| span.count() > 0)?;
+                let card = engine.cards.get(entry.card.as_deref()?)?;
+                let load = flights.load(&entry.name);
+                let weights = f64::from(span.count()) * engine.layer_mb;
+                let room = (card.memory_mb - weights).max(0.0) / engine.token_layer_mb;
+                let new = f64::from(demand.tokens) * f64::from(span.count());
+                // Hosts of the same domain are taken to use the stage as much as this one does;
+                // others come only where their own paths are broken or crowded.
+                let hosts = if entry.domain == self.options.domain { neighbours } else { 1.0 };
+                let own = (load.token_layers as f64 + new) / room.max(1.0);
+                let doubtful = doubts.get(&entry.name).is_some_and(|until| now < *until);
+                Some(StageView {
+                    name: entry.name.clone(),
+                    address: entry.address,
+                    domain: entry.domain.clone(),
+                    span,
+                    layer_ms: card.step_factor * engine.step_ms / f64::from(engine.layers),
+                    streams: f64::from(load.streams) * hosts,
+                    fill: own * hosts,
+                    has_room: own < OWN_ROOM_SHARE,
+                    doubt_ms: if doubtful { DOUBT_MS } else { 0.0 },
+                    may_start: demand.starts.is_none_or(|starts| starts.contains(&entry.name)),
+                })
+            })
+            .collect()
+    }
+
+    /// Endpoint at an address.
+    pub fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointName> {
+        let endpoints = self.endpoints.borrow();
+        endpoints.entries().find(|entry| entry.address == address).map(|entry| entry.name.clone())
+    }
+
+    /// Entry of an endpoint.
+    pub fn endpoint(&self, name: &str) -> Option<EndpointEntry> {
+        self.endpoints.borrow().get(name).cloned()
+    }
+
+    /// Whether requests can be served: rules are known, and each model has a path.
+    pub fn is_ready(&self) -> bool {
+        let Some(rules) = self.rules().filter(|_| !self.is_leaving.get()) else { return false };
+        let none = BTreeSet::new();
+        rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
+            |(name, _)| {
+                let demand = PathDemand { service: name, tokens: 1, starts: None, avoid: &none };
+                self.find_path(&demand).is_some()
+            },
+        )
+    }
+}
+
+fn budget_options(options: &EntryOptions, hosts: usize) -> BudgetOptions {
+    let floor = f64::from(options.retry_slack) * BUDGET_SHARE / hosts as f64;
+    BudgetOptions {
+        ratio: options.retry_ratio * BUDGET_SHARE,
+        floor: floor as u32,
+        window_buckets: options.retry_window.as_secs().max(1) as u32,
+        enforced: true,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/stream.rs
@@ -0,0 +1,397 @@
+//! Streams: one answer of many events, which another path may continue.
+
+use std::collections::BTreeSet;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::{Response, StatusCode};
+use jacinthrock::{CallRefusal, EndpointName, ResultCode};
+use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
+
+use crate::answer::{BrokenAnswer, CallerBody, endpoint_answer, not_run, unknown, whole_body};
+use crate::call::{AllowedCall, OpenRequest, count_end};
+use crate::events::EventCutter;
+use crate::flights::StreamFlight;
+use crate::path::PathStage;
+use crate::pool::{ConnectionLease, SendFault};
+use crate::sending::{CallSend, probe, send, suspect};
+use crate::state::{EntryState, PathDemand};
+
+/// Longest wait for a path when none has room: most of the time to the first event that callers
+/// accept, beyond which a refusal with a time to come back serves them better.
+const PATH_WAIT: Duration = Duration::from_millis(350);
+/// Time after which a caller may come back when no path has room: a range of layers is loaded
+/// within one to two seconds.
+const NO_PATH_RETRY: Duration = Duration::from_millis(900);
+/// Urgency of a stream that goes on after a fault: its caller waits in the middle of an answer.
+const RESUMED_URGENCY: u8 = 0;
+/// Urgency of a new stream of rank 0; each rank adds one.
+const NEW_URGENCY: u8 = 3;
+/// Lowest urgency.
+const LAST_URGENCY: u8 = 9;
+/// Sends of one stream, whatever the rules allow: more would only add to an overload.
+const MAX_SENDS: u32 = 4;
+/// Time since the last event after which a broken stream is not continued: callers have left.
+const CALLER_PATIENCE: Duration = Duration::from_millis(1_900);
+
+/// A stream that an endpoint has begun to answer.
+struct OpenStream {
+    flight: StreamFlight,
+    status: StatusCode,
+    headers: hyper::HeaderMap,
+    body: Incoming,
+    lease: ConnectionLease,
+}
+
+/// Why a send gave no stream.
+enum SendEnd {
+    /// An answer that is not a stream, for the caller.
+    Answer(Box<Response<CallerBody>>),
+    /// It has not run.
+    NotRun(Box<str>),
+    /// It may have run.
+    Unknown(Box<str>),
+    /// No path has room.
+    NoPath,
+    /// The time is over.
+    Late,
+}
+
+struct StreamRelay {
+    state: Rc<EntryState>,
+    call: Rc<AllowedCall>,
+    cutter: EventCutter,
+    open: Option<OpenStream>,
+    sent_to: BTreeSet<EndpointName>,
+    avoid: BTreeSet<EndpointName>,
+    sends: u32,
+    last_event: Instant,
+    deadline: Pin<Box<Sleep>>,
+    is_over: bool,
+    _request: OpenRequest,
+}
+
+/// Serves a stream.
+pub(crate) async fn serve(
+    state: &Rc<EntryState>,
+    call: Rc<AllowedCall>,
+    request: OpenRequest,
+) -> Result<Response<CallerBody>, CallRefusal> {
+    let mut relay = StreamRelay {
+        state: state.clone(),
+        cutter: EventCutter::default(),
+        open: None,
+        sent_to: BTreeSet::new(),
+        avoid: BTreeSet::new(),
+        sends: 0,
+        last_event: call.arrived,
+        deadline: Box::pin(sleep_until(call.deadline)),
+        is_over: false,
+        call,
+        _request: request,
+    };
+    let mut may_have_run = false;
+    let mut fault: Box<str> = "".into();
+    loop {
+        match relay.open_stream(relay.call.head.resume_after).await {
+            Ok(open) => {
+                let (status, headers) = (open.status, open.headers.clone());
+                relay.open = Some(open);
+                match relay.next_whole().await {
+                    Ok(first) => return Ok(relay.into_answer(status, &headers, first)),
+                    Err(reason) => {
+                        relay.leave(&reason);
+                        may_have_run = true;
+                        fault = reason;
+                    }
+                }
+            }
+            Err(SendEnd::Answer(answer)) => {
+                count_end(state, &relay.call.service, "endpoint_failed");
+                return Ok(*answer);
+            }
+            Err(SendEnd::NotRun(reason)) => fault = reason,
+            Err(SendEnd::Unknown(reason)) => {
+                may_have_run = true;
+                fault = reason;
+            }
+            Err(SendEnd::NoPath) => {
+                if fault.is_empty() {
+                    fault = "no path over all layers has room".into();
+                }
+                break;
+            }
+            Err(SendEnd::Late) => break,
+        }
+        if may_have_run && !relay.call.route.repeat.is_repeatable() {
+            break;
+        }
+        if !relay.may_send_again() {
+            break;
+        }
+    }
+    let (service, is_late) = (&relay.call.service, relay.call.left().is_zero());
+    if may_have_run || is_late {
+        count_end(state, service, "unknown");
+        let code = if is_late { ResultCode::DeadlinePassed } else { ResultCode::EndpointFailed };
+        return Err(unknown(code, fault));
+    }
+    count_end(state, service, "not_run");
+    Err(not_run(ResultCode::NoChain, fault, NO_PATH_RETRY))
+}
+
+impl StreamRelay {
+    fn may_send_again(&mut self) -> bool {
+        self.sends < MAX_SENDS
+            && !self.call.left().is_zero()
+            && self.state.allow_retry(&self.call.service, "stream")
+    }
+
+    /// Most tokens that the stream is expected to hold.
+    fn tokens(&self) -> u32 {
+        let rules = self.state.rules();
+        let usual = rules.as_ref().and_then(|rules| rules.engine(&self.call.service));
+        let (prompt, answer) = usual.map_or((0, 0), |e| (e.usual_prompt, e.usual_answer));
+        let head = &self.call.head;
+        let answer = head.answer_hint.unwrap_or(answer).min(head.answer_tokens.unwrap_or(u32::MAX));
+        head.prompt_tokens.unwrap_or(prompt) + answer
+    }
+
+    async fn open_stream(&mut self, resume_after: Option<u64>) -> Result<OpenStream, SendEnd> {
+        let path = self.wait_for_path().await?;
+        let state = self.state.clone();
+        let Some(first) = state.endpoint(&path[0].name) else {
+            return Err(SendEnd::NotRun("first stage has left".into()));
+        };
+        self.sends += 1;
+        self.sent_to.insert(first.name.clone());
+        let flights = state.flights.clone();
+        let flight = StreamFlight::new(flights, path, self.tokens(), Instant::now());
+        let urgency = match self.sends {
+            1 => (NEW_URGENCY + self.call.priority).min(LAST_URGENCY),
+            _ => RESUMED_URGENCY,
+        };
+        let stream = CallSend {
+            endpoint: &first,
+            path: flight.record().path(),
+            resume_after,
+            urgency: Some(urgency),
+        };
+        let sent = tokio::select! {
+            sent = send(&state, &self.call, stream) => sent,
+            () = flight.record().abandon.notified() => {
+                return Err(self.note(&flight, SendEnd::Unknown("silent before its head".into())));
+            }
+            () = &mut self.deadline => return Err(SendEnd::Late),
+        };
+        let sent = match sent {
+            Ok(sent) => sent,
+            Err(fault) => {
+                let is_unsent = matches!(fault, SendFault::NotSent { .. });
+                tokio::task::spawn_local(probe(state.clone(), first.name.clone()));
+                self.avoid.insert(first.name.clone());
+                let text: Box<str> = fault.to_string().into();
+                if is_unsent {
+                    self.sent_to.remove(&first.name);
+                    return Err(self.note(&flight, SendEnd::NotRun(text)));
+                }
+                return Err(self.note(&flight, SendEnd::Unknown(text)));
+            }
+        };
+        let status = sent.reply.parts.status;
+        if sent.is_not_run() {
+            let at = sent.head.fault_at.and_then(|address| state.endpoint_at(address));
+            let culprit = at.unwrap_or_else(|| first.name.clone());
+            suspect(&state, &culprit, "refused a stream");
+            self.avoid.insert(culprit.clone());
+            sent.reply.lease.give_back();
+            let text = format!("{culprit} refused with {status}");
+            return Err(self.note(&flight, SendEnd::NotRun(text.into())));
+        }
+        if !sent.is_genuine() {
+            return Err(self.note(&flight, SendEnd::Unknown("answer is not the endpoint's".into())));
+        }
+        if status != StatusCode::OK {
+            let text = format!("first stage answered {status}");
+            if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+                self.avoid.insert(first.name.clone());
+                return Err(self.note(&flight, SendEnd::Unknown(text.into())));
+            }
+            let body = timeout_at(self.call.deadline, sent.reply.body.collect()).await;
+            let Ok(Ok(body)) = body else {
+                return Err(self.note(&flight, SendEnd::Unknown(text.into())));
+            };
+            sent.reply.lease.give_back();
+            let body = whole_body(body.to_bytes());
+            let answer = endpoint_answer(status, &sent.reply.parts.headers, body);
+            return Err(SendEnd::Answer(Box::new(answer)));
+        }
+        Ok(OpenStream {
+            flight,
+            status,
+            headers: sent.reply.parts.headers,
+            body: sent.reply.body,
+            lease: sent.reply.lease,
+        })
+    }
+
+    fn note(&self, flight: &StreamFlight, end: SendEnd) -> SendEnd {
+        if let SendEnd::NotRun(fault) | SendEnd::Unknown(fault) = &end {
+            self.log_fault(flight.record().path(), fault);
+        }
+        end
+    }
+
+    fn log_fault(&self, path: &[PathStage], fault: &str) {
+        let stages: Vec<&str> = path.iter().map(|stage| &*stage.name).collect();
+        log::info!(
+            event = "stream_fault", attempt = &*self.call.head.attempt, sends = self.sends, fault,
+            stages:? = stages, last_event = self.cutter.last_event().unwrap_or(0),
+            silent_ms = self.last_event.elapsed().as_millis() as u64,
+            age_ms = self.call.arrived.elapsed().as_millis() as u64; "stream left its path"
+        );
+    }
+
+    /// Waits for a path with room, as long as that serves the caller.
+    async fn wait_for_path(&mut self) -> Result<Rc<[PathStage]>, SendEnd> {
+        let until = (Instant::now() + PATH_WAIT).min(self.call.deadline);
+        loop {
+            let state = self.state.clone();
+            let changed = state.changed.notified();
+            // Endpoints that have ended meanwhile do not count as attempts.
+            self.sent_to.retain(|name| {
+                state.endpoint(name).is_some() && !state.beliefs.borrow().is_down(name)
+            });
+            let is_spent = self.sent_to.len() >= self.call.route.max_attempts.max(1) as usize;
+            let demand = PathDemand {
+                service: &self.call.service,
+                tokens: self.tokens(),
+                starts: is_spent.then_some(&self.sent_to),
+                avoid: &self.avoid,
+            };
+            if let Some(path) = state.find_path(&demand) {
+                return Ok(path);
+            }
+            if timeout_at(until, changed).await.is_err() {
+                return Err(SendEnd::NoPath);
+            }
+        }
+    }
+
+    /// Waits for the next whole events; `None` at the end of the stream.
+    async fn next_whole(&mut self) -> Result<Option<Bytes>, Box<str>> {
+        let Some(open) = self.open.as_mut() else { return Ok(None) };
+        let record = open.flight.record();
+        record.set_waiting(true, Instant::now());
+        let result = loop {
+            let frame = tokio::select! {
+                biased;
+                frame = open.body.frame() => frame,
+                () = record.abandon.notified() => break Err("silent for too long".into()),
+                () = &mut self.deadline => break Err("the request's time is over".into()),
+            };
+            let bytes = match frame {
+                None if self.cutter.has_unfinished() => break Err("ended within an event".into()),
+                None => break Ok(None),
+                Some(Err(error)) => break Err(format!("broke off: {error}").into()),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    Err(_trailers) => continue,
+                },
+            };
+            let now = Instant::now();
+            record.event(now);
+            self.last_event = now;
+            if let Some(whole) = self.cutter.push(bytes) {
+                break Ok(Some(whole));
+            }
+            if self.cutter.is_overfull() {
+                break Err("an event is too large".into());
+            }
+        };
+        record.set_waiting(false, Instant::now());
+        if let Ok(None) = &result
+            && let Some(open) = self.open.take()
+        {
+            open.lease.give_back();
+        }
+        result
+    }
+
+    /// Drops the current path after a fault.
+    fn leave(&mut self, fault: &str) {
+        self.cutter.drop_unfinished();
+        if let Some(open) = self.open.take() {
+            self.log_fault(open.flight.record().path(), fault);
+        }
+    }
+
+    fn into_answer(
+        mut self,
+        status: StatusCode,
+        headers: &hyper::HeaderMap,
+        first: Option<Bytes>,
+    ) -> Response<CallerBody> {
+        if first.is_none() {
+            self.is_over = true;
+        }
+        let later = stream::unfold(self, |mut relay| async move {
+            let item = relay.next_item().await?;
+            Some((item, relay))
+        });
+        let first = first.map(|bytes| Ok(Frame::data(bytes)));
+        let frames = futures::StreamExt::chain(stream::iter(first), later);
+        endpoint_answer(status, headers, Box::pin(StreamBody::new(frames)))
+    }
+
+    async fn next_item(&mut self) -> Option<Result<Frame<Bytes>, BrokenAnswer>> {
+        if self.is_over {
+            return None;
+        }
+        loop {
+            match self.next_whole().await {
+                Ok(Some(bytes)) => return Some(Ok(Frame::data(bytes))),
+                Ok(None) => {
+                    self.is_over = true;
+                    count_end(&self.state, &self.call.service, "answered");
+                    return None;
+                }
+                Err(fault) => self.leave(&fault),
+            }
+            if !self.resume().await {
+                self.is_over = true;
+                count_end(&self.state, &self.call.service, "broken_off");
+                log::warn!(
+                    event = "stream_broken", attempt = &*self.call.head.attempt,
+                    sends = self.sends, last_event = self.cutter.last_event().unwrap_or(0),
+                    age_ms = self.call.arrived.elapsed().as_millis() as u64; "stream broken off"
+                );
+                return Some(Err(BrokenAnswer));
+            }
+        }
+    }
+
+    /// Goes on after the last whole event over another path.
+    async fn resume(&mut self) -> bool {
+        let Some(last) = self.cutter.last_event() else { return false };
+        if !self.call.route.repeat.is_repeatable() {
+            return false;
+        }
+        while self.last_event.elapsed() < CALLER_PATIENCE && self.may_send_again() {
+            match self.open_stream(Some(last)).await {
+                Ok(open) => {
+                    self.open = Some(open);
+                    return true;
+                }
+                Err(SendEnd::NotRun(_) | SendEnd::Unknown(_)) => {}
+                Err(SendEnd::Answer(_) | SendEnd::NoPath | SendEnd::Late) => return false,
+            }
+        }
+        false
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -160,6 +160,7 @@
 };
 pub use queue::TicketNumber;
 pub use quota::{CustomerDemand, DemandReport, FleetView, QuotaKeeper, QuotaLimits, QuotaOptions};
+pub use refusal::CallRefusal;
 pub use revision::{
     ChangeRecord, HISTORY_LENGTH, PastChange, ROOT_KEY, RevisionError, RootDocument, resolve_value,
 };
--- a/src/refusal.rs
+++ b/src/refusal.rs
@@ -16,16 +16,23 @@
 pub(crate) type AnswerBody = BoxBody<Bytes, Infallible>;
 
 /// Why a request got no answer.
+///
+/// ```
+/// use jacinthrock::{CallRefusal, ResultCode};
+///
+/// let refusal = CallRefusal::not_run(ResultCode::NoChain, "service guide");
+/// assert!(String::from_utf8(refusal.body()).unwrap().contains("\"code\":3001"));
+/// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct CallRefusal {
+pub struct CallRefusal {
     /// Numbered reason.
-    pub(crate) code: ResultCode,
+    pub code: ResultCode,
     /// Whether the request may have run.
-    pub(crate) outcome: CallOutcome,
+    pub outcome: CallOutcome,
     /// When to come back.
-    pub(crate) retry_after: Option<Duration>,
+    pub retry_after: Option<Duration>,
     /// What failed on which thing.
-    pub(crate) detail: Box<str>,
+    pub detail: Box<str>,
 }
 
 #[derive(Serialize)]
@@ -52,18 +59,18 @@
 
 impl CallRefusal {
     /// A refusal of a request that no endpoint has seen.
-    pub(crate) fn not_run(code: ResultCode, detail: impl Into<Box<str>>) -> Self {
+    pub fn not_run(code: ResultCode, detail: impl Into<Box<str>>) -> Self {
         Self { code, outcome: CallOutcome::NotRun, retry_after: None, detail: detail.into() }
     }
 
     /// The same refusal with the time to come back.
-    pub(crate) fn retry_after(mut self, retry_after: Duration) -> Self {
+    pub fn retry_after(mut self, retry_after: Duration) -> Self {
         self.retry_after = Some(retry_after);
         self
     }
 
     /// The refusal as JSON.
-    pub(crate) fn body(&self) -> Vec<u8> {
+    pub fn body(&self) -> Vec<u8> {
         let row = self.code.row();
         let problem = ProblemBody {
             r#type: format!("urn:jacinthrock:result:{}", row.number).into(),
