--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -11,7 +11,7 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
-use jacinthrock::{EndpointName, MetricName};
+use jacinthrock::{EndpointName, HostName, MetricName};
 use tokio::time::{Instant, sleep};
 
 use crate::dialect::{EndpointReport, NoteGroup, RegistryError};
@@ -64,6 +64,7 @@
                     _ => now,
                 };
                 seen = Some((version, since));
+                *state.duty_holder.borrow_mut() = note.and_then(|note| holder_of(&note.text));
                 let is_free = version == 0 || note.is_some_and(|note| note.text.is_empty());
                 (is_free || now - since >= TAKEOVER_AFTER).then_some(version)
             }
@@ -86,6 +87,7 @@
 async fn hold(state: &Rc<EntryState>, mut version: RegistryVersion) {
     log::info!(event = "duty_taken", duty = PLACEMENT_DUTY, version; "placement duty taken");
     state.counters.set(MetricName::LeaseHeld, &[], 1);
+    *state.duty_holder.borrow_mut() = Some(state.options.host.clone());
     let planning = tokio::task::spawn_local(plan(state.clone()));
     let mut renewed = Instant::now();
     while !state.is_leaving.get() {
@@ -132,7 +134,13 @@
 async fn is_own(state: &EntryState) -> bool {
     let Ok(notes) = state.registry.notes(NoteGroup::Duties).await else { return true };
     let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
-    note.is_some_and(|note| note.text.split(' ').next() == Some(&state.options.host))
+    note.and_then(|note| holder_of(&note.text)) == Some(state.options.host.clone())
+}
+
+/// Host that a note of a duty names; none where the duty was given up.
+fn holder_of(text: &str) -> Option<HostName> {
+    let host = text.split(' ').next()?;
+    (!host.is_empty()).then(|| host.into())
 }
 
 /// Looks at the cards again and again and sends the orders that are due.
--- a/crates/entry/src/flights.rs
+++ b/crates/entry/src/flights.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jacinthrock::EndpointName;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -55,14 +56,32 @@
 }
 
 /// What runs through one endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StageLoad {
     /// Streams.
     pub streams: u32,
+    /// Streams that begin here.
+    pub starts: u32,
     /// Tokens times layers that the streams hold at most.
     pub token_layers: u64,
 }
 
+impl StageLoad {
+    /// Adds another load.
+    pub fn add(&mut self, other: Self) {
+        self.streams += other.streams;
+        self.starts += other.starts;
+        self.token_layers += other.token_layers;
+    }
+
+    /// Multiplies the load by a number of hosts.
+    pub fn scale(&mut self, hosts: u32) {
+        self.streams *= hosts;
+        self.starts *= hosts;
+        self.token_layers *= u64::from(hosts);
+    }
+}
+
 /// Every stream of this host.
 #[derive(Debug, Default)]
 pub struct FlightTable {
@@ -77,6 +96,11 @@
         self.loads.get(name).copied().unwrap_or_default()
     }
 
+    /// What this host runs through each endpoint.
+    pub fn loads(&self) -> &BTreeMap<EndpointName, StageLoad> {
+        &self.loads
+    }
+
     /// Streams that wait for their endpoints.
     pub fn views(&self) -> Vec<StreamView> {
         let waiting = self.records.values().filter(|record| record.is_waiting.get());
@@ -120,6 +144,7 @@
         for stage in path.iter() {
             let load = self.loads.entry(stage.name.clone()).or_default();
             load.streams += 1;
+            load.starts += u32::from(stage.span.from == 0);
             load.token_layers += u64::from(tokens) * u64::from(stage.span.count());
         }
         let record = Rc::new(StreamRecord {
@@ -140,6 +165,7 @@
         for stage in record.path.iter() {
             let Some(load) = self.loads.get_mut(&stage.name) else { continue };
             load.streams = load.streams.saturating_sub(1);
+            load.starts = load.starts.saturating_sub(u32::from(stage.span.from == 0));
             let held = u64::from(record.tokens) * u64::from(stage.span.count());
             load.token_layers = load.token_layers.saturating_sub(held);
             if load.streams == 0 {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod front;
 mod journal;
 mod layout;
+mod loads;
 mod path;
 mod peers;
 mod plain;
@@ -39,7 +40,8 @@
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
 pub use journal::start_logs;
 pub use layout::{CardView, LayoutOrder, ModelShape, layout_orders};
-pub use path::{PathStage, StageView, cheapest_path};
+pub use loads::{HostLoads, LoadBoard, LoadMap, OtherLoads};
+pub use path::{PathStage, StageView, cheapest_path, first_gap};
 pub use pool::{ConnectionLease, ConnectionPool, PooledReply, SendFault, SendOptions};
 pub use rules::{
     CallerLimits, CardRule, CustomerRule, EngineRule, KeyVerdict, RepeatRule, RouteRule, RuleIndex,
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -98,6 +98,15 @@
     walk_back(&cuts, stages, &best)
 }
 
+/// The first layer that no stage with room holds; explains why there is no path.
+pub fn first_gap(layers: u16, stages: &[StageView]) -> Option<u16> {
+    (0..layers).find(|layer| {
+        !stages.iter().any(|stage| {
+            stage.span.holds(*layer) && stage.has_room && (*layer > 0 || stage.may_start)
+        })
+    })
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Reached {
     cost: f64,
@@ -131,7 +140,7 @@
     }
     let mut least: Option<Reached> = None;
     for (previous, reached) in &best[position] {
-        if *previous == index || reached.stages + 1 >= MAX_STAGES {
+        if reached.stages + 1 >= MAX_STAGES || passes(index, position, *previous, best) {
             continue;
         }
         let crossing = if stages[*previous].domain == stage.domain { 0.0 } else { CROSSING_MS };
@@ -144,6 +153,24 @@
     least
 }
 
+/// Whether the path that ends on `last` at a cut runs through a stage already.
+fn passes(
+    index: usize,
+    mut position: usize,
+    mut last: usize,
+    best: &[BTreeMap<usize, Reached>],
+) -> bool {
+    loop {
+        if last == index {
+            return true;
+        }
+        let Some(reached) = best[position].get(&last) else { return false };
+        let Some(previous) = reached.previous else { return false };
+        position = reached.start;
+        last = previous;
+    }
+}
+
 fn walk_back(
     cuts: &[u16],
     stages: &[StageView],
@@ -162,10 +189,5 @@
         index = best[position].get_key_value(previous)?.0;
     }
     path.reverse();
-    visits_once(&path).then_some(path)
-}
-
-/// An endpoint may appear once; the search forbids only direct returns.
-fn visits_once(path: &[PathStage]) -> bool {
-    (1..path.len()).all(|index| path[..index].iter().all(|stage| stage.name != path[index].name))
+    Some(path)
 }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,33 +1,42 @@
-//! Rules and endpoints from other hosts, while the registry turns this host away.
+//! What hosts tell each other: loads of endpoints, and rules and endpoints for a host that the
+//! registry turns away.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::{HOST, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, Uri};
+use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
 use rand::seq::IteratorRandom;
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-use crate::answer::whole_body;
+use crate::answer::{CallerBody, whole_body};
 use crate::endpoints::{EndpointEntry, RegistryVersion};
 use crate::follow::endpoints_changed;
+use crate::loads::{HostLoads, LoadMap};
 use crate::pool::{SendOptions, tune};
 use crate::rules::ServingRules;
 use crate::state::EntryState;
 
 /// Path of what a host knows.
 const KNOWLEDGE_PATH: &str = "/knowledge";
+/// Path of the exchange of loads.
+const LOADS_PATH: &str = "/loads";
 /// Time for another host's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time between two exchanges of loads: some ten streams begin meanwhile at the usual load.
+const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// Largest report of another host, in bytes.
+const MAX_REPORT_BYTES: usize = 1 << 20;
 
 /// What a host knows of the registry.
 #[derive(Debug, Serialize, Deserialize)]
@@ -45,7 +54,7 @@
         peers.iter().choose(&mut rand::rng()).map(|(name, peer)| (name.clone(), peer.address))
     };
     let Some((name, address)) = drawn else { return };
-    match fetch(state, address).await {
+    match fetch(state, address, KNOWLEDGE_PATH, Vec::new()).await {
         Ok(knowledge) => take(state, knowledge),
         Err(error) => {
             log::info!(event = "peer_silent", peer = &*name, error; "other host did not answer");
@@ -53,9 +62,45 @@
     }
 }
 
-async fn fetch(state: &EntryState, address: SocketAddr) -> Result<HostKnowledge, String> {
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = Uri::from_static(KNOWLEDGE_PATH);
+/// Exchanges loads with the holder of the duty until the process ends.
+pub(crate) async fn exchange_loads(state: Rc<EntryState>) {
+    loop {
+        sleep(LOADS_INTERVAL).await;
+        let holder = state.duty_holder.borrow().clone();
+        let Some(holder) = holder else { continue };
+        let own = HostLoads {
+            host: state.options.host.clone(),
+            loads: state.flights.borrow().loads().clone(),
+        };
+        let now = Instant::now();
+        let others = if holder == state.options.host {
+            Ok(state.load_board.borrow_mut().exchange(own, now))
+        } else {
+            let address = state.peers.borrow().get(&holder).map(|peer| peer.address);
+            let Some(address) = address else { continue };
+            match serde_json::to_vec(&own) {
+                Ok(body) => fetch::<LoadMap>(&state, address, LOADS_PATH, body).await,
+                Err(error) => Err(error.to_string()),
+            }
+        };
+        match others {
+            Ok(others) => state.other_loads.borrow_mut().take(others, Instant::now()),
+            Err(error) => {
+                log::info!(event = "peer_silent", peer = &*holder, error; "loads not exchanged");
+            }
+        }
+    }
+}
+
+async fn fetch<T: DeserializeOwned>(
+    state: &EntryState,
+    address: SocketAddr,
+    path: &'static str,
+    body: Vec<u8>,
+) -> Result<T, String> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(path);
     request.headers_mut().insert(HOST, HeaderValue::from_static("peer"));
     let options = SendOptions {
         max_idle: Duration::from_secs(1),
@@ -90,10 +135,7 @@
         };
         tune(&stream);
         let state = state.clone();
-        let service = service_fn(move |_request: Request<Incoming>| {
-            let answer = knowledge(&state).map(|text| Response::new(whole_body(text)));
-            async move { answer }
-        });
+        let service = service_fn(move |request: Request<Incoming>| answer(state.clone(), request));
         tokio::task::spawn_local(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
@@ -103,6 +145,24 @@
     }
 }
 
+async fn answer(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Result<Response<CallerBody>, serde_json::Error> {
+    if request.uri().path() == KNOWLEDGE_PATH {
+        return knowledge(&state).map(|text| Response::new(whole_body(text)));
+    }
+    let body = Limited::new(request.into_body(), MAX_REPORT_BYTES).collect().await;
+    let report = body.map(|body| serde_json::from_slice::<HostLoads>(&body.to_bytes()));
+    let Ok(Ok(report)) = report else {
+        let mut answer = Response::new(whole_body(""));
+        *answer.status_mut() = StatusCode::BAD_REQUEST;
+        return Ok(answer);
+    };
+    let others = state.load_board.borrow_mut().exchange(report, Instant::now());
+    serde_json::to_vec(&others).map(|text| Response::new(whole_body(text)))
+}
+
 fn knowledge(state: &EntryState) -> Result<Vec<u8>, serde_json::Error> {
     let endpoints = state.endpoints.borrow();
     serde_json::to_vec(&HostKnowledge {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -62,6 +62,7 @@
     tokio::task::spawn_local(follow::expire(state.clone()));
     tokio::task::spawn_local(duty::run(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
+    tokio::task::spawn_local(peers::exchange_loads(state.clone()));
     tokio::task::spawn_local(peers::serve(state.clone(), peer));
     tokio::task::spawn_local(front::serve_ready(state.clone(), ready));
     tokio::task::spawn_local(front::serve_callers(state.clone(), callers, closing));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -16,7 +16,8 @@
 use crate::dialect::{CallDialect, RegistryLink};
 use crate::endpoints::{EndpointEntry, EndpointTable, RegistryVersion};
 use crate::flights::FlightTable;
-use crate::path::{PathStage, StageView, cheapest_path};
+use crate::loads::{LoadBoard, OtherLoads};
+use crate::path::{PathStage, StageView, cheapest_path, first_gap};
 use crate::pool::ConnectionPool;
 use crate::rules::{EngineRule, RuleIndex, ServingRules};
 
@@ -24,12 +25,12 @@
 const DOUBT_MS: f64 = 40.0;
 /// Time for which a suspicion holds without a probe's answer.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
-/// Share of the budget of retries that this host may use when all hosts are equally loaded; the
-/// rest allows for uneven load.
-const BUDGET_SHARE: f64 = 0.8;
+/// Share of the budget of retries that the hosts use together. The rest is for hosts that start
+/// again within a window and know nothing of what they used.
+const BUDGET_SHARE: f64 = 0.7;
 
-/// Share of a stage's memory for tokens that the streams of one host may take.
-const OWN_ROOM_SHARE: f64 = 0.95;
+/// Share of a stage's memory for tokens, and of a first stage's places, that streams may take.
+const ROOM_SHARE: f64 = 0.95;
 
 /// Another host of the system.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -89,6 +90,12 @@
     pub changed: Notify,
     /// The other hosts of the system.
     pub peers: RefCell<BTreeMap<HostName, PeerHost>>,
+    /// Host that holds the placement duty, as last read.
+    pub duty_holder: RefCell<Option<HostName>>,
+    /// Loads told to this host while it holds the duty.
+    pub load_board: RefCell<LoadBoard>,
+    /// Loads of the other hosts.
+    pub other_loads: RefCell<OtherLoads>,
     /// Whether the process is about to end.
     pub is_leaving: Cell<bool>,
     /// Requests in progress.
@@ -132,6 +139,9 @@
             flights: Rc::default(),
             changed: Notify::new(),
             peers: RefCell::default(),
+            duty_holder: RefCell::default(),
+            load_board: RefCell::default(),
+            other_loads: RefCell::default(),
             is_leaving: Cell::new(false),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
@@ -181,7 +191,7 @@
     pub fn record_first(&self, service: &str) {
         let hosts = self.host_count();
         if self.budget_hosts.replace(hosts) != hosts {
-            *self.budget.borrow_mut() = RetryBudget::new(budget_options(&self.options, hosts));
+            self.budget.borrow_mut().set_options(budget_options(&self.options, hosts));
         }
         self.budget.borrow_mut().record_first(Instant::now(), service, service);
     }
@@ -214,9 +224,28 @@
         cheapest_path(engine.layers, &self.options.domain, &stages).map(Into::into)
     }
 
+    /// Why there is no path, for logs.
+    pub fn explain_no_path(&self, demand: &PathDemand<'_>) -> Box<str> {
+        let rules = self.rules();
+        let Some(engine) = rules.as_ref().and_then(|rules| rules.engine(demand.service)) else {
+            return "the service has no engine".into();
+        };
+        let stages = self.stage_views(engine, demand);
+        let Some(gap) = first_gap(engine.layers, &stages) else {
+            return format!("no path joins {} stages", stages.len()).into();
+        };
+        let holders = stages.iter().filter(|stage| stage.span.holds(gap)).map(|stage| {
+            format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.fill)
+        });
+        let holders: Vec<_> = holders.collect();
+        format!("layer {gap} has no room; holders: {holders:?}").into()
+    }
+
     fn stage_views(&self, engine: &EngineRule, demand: &PathDemand<'_>) -> Vec<StageView> {
         let now = Instant::now();
-        let neighbours = self.neighbours() as f64;
+        let neighbours = self.neighbours() as u32;
+        let others = self.other_loads.borrow();
+        let others = others.fresh(now);
         let (endpoints, beliefs) = (self.endpoints.borrow(), self.beliefs.borrow());
         let (flights, doubts) = (self.flights.borrow(), self.doubts.borrow());
         let usable = endpoints.entries().filter(|entry| {
@@ -229,14 +258,20 @@
             .filter_map(|entry| {
                 let span = entry.layers.filter(|span| span.count() > 0)?;
                 let card = engine.cards.get(entry.card.as_deref()?)?;
-                let load = flights.load(&entry.name);
+                let mut load = flights.load(&entry.name);
+                match others {
+                    Some(others) => load.add(others.get(&entry.name).copied().unwrap_or_default()),
+                    // Without word of the others, those of the same domain are taken to use the
+                    // stage as much as this host does.
+                    None if entry.domain == self.options.domain => load.scale(neighbours),
+                    None => {}
+                }
                 let weights = f64::from(span.count()) * engine.layer_mb;
                 let room = (card.memory_mb - weights).max(0.0) / engine.token_layer_mb;
                 let new = f64::from(demand.tokens) * f64::from(span.count());
-                // Hosts of the same domain are taken to use the stage as much as this one does;
-                // others come only where their own paths are broken or crowded.
-                let hosts = if entry.domain == self.options.domain { neighbours } else { 1.0 };
-                let own = (load.token_layers as f64 + new) / room.max(1.0);
+                let memory = (load.token_layers as f64 + new) / room.max(1.0);
+                let places = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
+                let has_places = span.from > 0 || places < ROOM_SHARE;
                 let doubtful = doubts.get(&entry.name).is_some_and(|until| now < *until);
                 Some(StageView {
                     name: entry.name.clone(),
@@ -244,11 +279,12 @@
                     domain: entry.domain.clone(),
                     span,
                     layer_ms: card.step_factor * engine.step_ms / f64::from(engine.layers),
-                    streams: f64::from(load.streams) * hosts,
-                    fill: own * hosts,
-                    has_room: own < OWN_ROOM_SHARE,
+                    streams: f64::from(load.streams),
+                    fill: memory,
+                    has_room: memory < ROOM_SHARE,
                     doubt_ms: if doubtful { DOUBT_MS } else { 0.0 },
-                    may_start: demand.starts.is_none_or(|starts| starts.contains(&entry.name)),
+                    may_start: has_places
+                        && demand.starts.is_none_or(|starts| starts.contains(&entry.name)),
                 })
             })
             .collect()
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -56,8 +56,8 @@
     NotRun(Box<str>),
     /// It may have run.
     Unknown(Box<str>),
-    /// No path has room.
-    NoPath,
+    /// No path has room, and why.
+    NoPath(Box<str>),
     /// The time is over.
     Late,
 }
@@ -120,9 +120,9 @@
                 may_have_run = true;
                 fault = reason;
             }
-            Err(SendEnd::NoPath) => {
+            Err(SendEnd::NoPath(reason)) => {
                 if fault.is_empty() {
-                    fault = "no path over all layers has room".into();
+                    fault = reason;
                 }
                 break;
             }
@@ -278,7 +278,7 @@
                 return Ok(path);
             }
             if timeout_at(until, changed).await.is_err() {
-                return Err(SendEnd::NoPath);
+                return Err(SendEnd::NoPath(state.explain_no_path(&demand)));
             }
         }
     }
@@ -389,7 +389,7 @@
                     return true;
                 }
                 Err(SendEnd::NotRun(_) | SendEnd::Unknown(_)) => {}
-                Err(SendEnd::Answer(_) | SendEnd::NoPath | SendEnd::Late) => return false,
+                Err(SendEnd::Answer(_) | SendEnd::NoPath(_) | SendEnd::Late) => return false,
             }
         }
         false
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -107,6 +107,11 @@
         true
     }
 
+    /// Changes the limits; what the windows hold stays.
+    pub fn set_options(&mut self, options: BudgetOptions) {
+        self.options = options;
+    }
+
     /// Retries refused so far.
     pub fn refusals(&self) -> BudgetRefusals {
         self.refusals
