Silent streams name suspects; probes decide whether streams move

Ruled out: dead cards alone (one at a time was lost). Refusals for want of room no longer doubt a stage but make it dearer for 250 ms.

--- a/crates/entry/src/flights.rs
+++ b/crates/entry/src/flights.rs
@@ -16,6 +16,11 @@
 /// Weight of the newest interval between events in a stream's pace.
 const NEWEST_WEIGHT: f64 = 0.2;
 
+/// Expected interval between events before two were seen.
+const FIRST_PACE: Duration = Duration::from_millis(30);
+/// Expected time to a first event before any was seen.
+const FIRST_GUESS: Duration = Duration::from_millis(100);
+
 /// One stream on one path.
 #[derive(Debug)]
 pub struct StreamRecord {
@@ -35,12 +40,11 @@
         &self.path
     }
 
-    /// Records an event.
-    pub fn event(&self, now: Instant) {
+    fn event(&self, now: Instant) {
         let interval = now.saturating_duration_since(self.heard.replace(now));
         // The first interval holds the reading of the prompt and says nothing of the pace.
         let pace = match self.pace.get() {
-            None => Duration::from_millis(30),
+            None => FIRST_PACE,
             Some(pace) => pace.mul_f64(1.0 - NEWEST_WEIGHT) + interval.mul_f64(NEWEST_WEIGHT),
         };
         self.pace.set(Some(pace));
@@ -48,7 +52,7 @@
 
     /// Sets whether this host waits for the endpoint, and not for the caller to read.
     pub fn set_waiting(&self, is_waiting: bool, now: Instant) {
-        if is_waiting && !self.is_waiting.replace(true) {
+        if is_waiting && !self.is_waiting.get() && self.pace.get().is_some() {
             self.heard.set(now);
         }
         self.is_waiting.set(is_waiting);
@@ -88,6 +92,7 @@
     records: BTreeMap<StreamNumber, Rc<StreamRecord>>,
     loads: BTreeMap<EndpointName, StageLoad>,
     next: StreamNumber,
+    usual_first: Option<Duration>,
 }
 
 impl FlightTable {
@@ -114,6 +119,11 @@
             .collect()
     }
 
+    /// Usual time from a send to its first event.
+    pub fn usual_first(&self) -> Duration {
+        self.usual_first.unwrap_or(FIRST_GUESS)
+    }
+
     /// Number of streams.
     pub fn count(&self) -> usize {
         self.records.len()
@@ -198,6 +208,18 @@
     pub fn record(&self) -> &StreamRecord {
         &self.record
     }
+
+    /// Records an event.
+    pub fn event(&self, now: Instant) {
+        if self.record.pace.get().is_none() {
+            let first = now.saturating_duration_since(self.record.heard.get());
+            let mut table = self.table.borrow_mut();
+            let usual = table.usual_first();
+            table.usual_first =
+                Some(usual.mul_f64(1.0 - NEWEST_WEIGHT) + first.mul_f64(NEWEST_WEIGHT));
+        }
+        self.record.event(now);
+    }
 }
 
 impl Drop for StreamFlight {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -48,5 +48,5 @@
     RulesVersion, ServiceRule, ServingRules,
 };
 pub use run::{EntryError, run_entry};
-pub use silence::{SilentStream, StreamNumber, StreamView, silent_streams};
+pub use silence::{SilenceFindings, StreamNumber, StreamView, silence_findings};
 pub use state::{EntryOptions, EntryState, PathDemand, PeerHost};
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -19,6 +19,9 @@
 
 /// Time for a new connection to an endpoint; links take under 1 ms and the endpoint 1 ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Time for the connection of a probe, and for its answer: endpoints answer reports within some ms,
+/// also when they are full.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
 /// Idle time after which a connection is not used for a request that runs at most once: a reset on
 /// a kept connection would leave its outcome unknown.
 const ONCE_MAX_IDLE: Duration = Duration::ZERO;
@@ -98,15 +101,13 @@
 
 /// Asks an endpoint for its state; an endpoint that does not answer is taken as down.
 pub(crate) async fn probe(state: Rc<EntryState>, name: EndpointName) {
-    /// Time for the answer to a probe: endpoints answer reports within some ms, also when full.
-    const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
     let Some(entry) = state.endpoint(&name) else { return };
     let mut request = Request::new(Full::new(Bytes::new()));
     *request.uri_mut() = hyper::Uri::from_static(state.dialect.report_path());
     request.headers_mut().insert(hyper::header::HOST, host_value(&entry));
     let options = SendOptions {
         max_idle: Duration::ZERO,
-        connect_timeout: CONNECT_TIMEOUT,
+        connect_timeout: PROBE_TIMEOUT,
         head_timeout: PROBE_TIMEOUT,
     };
     match state.pool.fetch(entry.address, request, options).await {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,10 @@
 
 /// Cost of a stage that may be dead, in ms a token: more than a whole path over other cards.
 const DOUBT_MS: f64 = 40.0;
+/// Cost of a stage that has just refused a stream, in ms a token.
+const CROWDED_MS: f64 = 20.0;
+/// Time for which a refusal counts: some streams end meanwhile.
+const CROWDED_TIME: Duration = Duration::from_millis(250);
 /// Time for which a suspicion holds without a probe's answer.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 /// Share of the budget of retries that the hosts use together. The rest is for hosts that start
@@ -103,6 +107,7 @@
     rules: RefCell<Rc<RuleIndex>>,
     rules_version: Cell<Option<RegistryVersion>>,
     doubts: RefCell<BTreeMap<EndpointName, Instant>>,
+    crowded: RefCell<BTreeMap<EndpointName, Instant>>,
     budget: RefCell<RetryBudget>,
     budget_hosts: Cell<usize>,
 }
@@ -147,6 +152,7 @@
             rules: RefCell::default(),
             rules_version: Cell::new(None),
             doubts: RefCell::default(),
+            crowded: RefCell::default(),
             budget: RefCell::new(budget),
             budget_hosts: Cell::new(1),
         }
@@ -211,6 +217,11 @@
         until.is_none_or(|until| until <= now)
     }
 
+    /// Records that an endpoint has refused a stream for want of room.
+    pub fn mark_crowded(&self, name: &EndpointName) {
+        self.crowded.borrow_mut().insert(name.clone(), Instant::now() + CROWDED_TIME);
+    }
+
     /// Takes a doubt back.
     pub fn clear_doubt(&self, name: &str) {
         self.doubts.borrow_mut().remove(name);
@@ -248,6 +259,10 @@
         let others = others.fresh(now);
         let (endpoints, beliefs) = (self.endpoints.borrow(), self.beliefs.borrow());
         let (flights, doubts) = (self.flights.borrow(), self.doubts.borrow());
+        let crowded = self.crowded.borrow();
+        let holds = |marks: &BTreeMap<EndpointName, Instant>, name: &EndpointName| {
+            marks.get(name).is_some_and(|until| now < *until)
+        };
         let usable = endpoints.entries().filter(|entry| {
             &*entry.service == demand.service
                 && !entry.is_draining
@@ -272,7 +287,8 @@
                 let memory = (load.token_layers as f64 + new) / room.max(1.0);
                 let places = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
                 let has_places = span.from > 0 || places < ROOM_SHARE;
-                let doubtful = doubts.get(&entry.name).is_some_and(|until| now < *until);
+                let doubt_ms = if holds(&doubts, &entry.name) { DOUBT_MS } else { 0.0 };
+                let crowd_ms = if holds(&crowded, &entry.name) { CROWDED_MS } else { 0.0 };
                 Some(StageView {
                     name: entry.name.clone(),
                     address: entry.address,
@@ -282,7 +298,7 @@
                     streams: f64::from(load.streams),
                     fill: memory,
                     has_room: memory < ROOM_SHARE,
-                    doubt_ms: if doubtful { DOUBT_MS } else { 0.0 },
+                    doubt_ms: doubt_ms + crowd_ms,
                     may_start: has_places
                         && demand.starts.is_none_or(|starts| starts.contains(&entry.name)),
                 })
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::flights::StreamFlight;
 use crate::path::PathStage;
 use crate::pool::{ConnectionLease, SendFault};
-use crate::sending::{CallSend, probe, send, suspect};
+use crate::sending::{CallSend, probe, send};
 use crate::state::{EntryState, PathDemand};
 
 /// Longest wait for a path when none has room: most of the time to the first event that callers
@@ -207,7 +207,7 @@
         if sent.is_not_run() {
             let at = sent.head.fault_at.and_then(|address| state.endpoint_at(address));
             let culprit = at.unwrap_or_else(|| first.name.clone());
-            suspect(&state, &culprit, "refused a stream");
+            state.mark_crowded(&culprit);
             self.avoid.insert(culprit.clone());
             sent.reply.lease.give_back();
             let text = format!("{culprit} refused with {status}");
@@ -305,7 +305,7 @@
                 },
             };
             let now = Instant::now();
-            record.event(now);
+            open.flight.event(now);
             self.last_event = now;
             if let Some(whole) = self.cutter.push(bytes) {
                 break Ok(Some(whole));
--- a/crates/entry/src/watchdog.rs
+++ b/crates/entry/src/watchdog.rs
@@ -7,7 +7,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::sending::{probe, suspect};
-use crate::silence::silent_streams;
+use crate::silence::silence_findings;
 use crate::state::EntryState;
 
 /// Time between two looks: a fraction of the shortest silence that is doubtful.
@@ -42,11 +42,13 @@
         return;
     }
     let views = state.flights.borrow().views();
-    for silent in silent_streams(now, &views) {
-        for name in &silent.suspects {
-            suspect(state, name, "silent streams");
-        }
-        state.flights.borrow().abandon(silent.number);
+    let usual_first = state.flights.borrow().usual_first();
+    let findings = silence_findings(now, usual_first, &views);
+    for name in &findings.suspects {
+        suspect(state, name, "silent streams");
+    }
+    for number in findings.overdue {
+        state.flights.borrow().abandon(number);
     }
 }
 
