--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints as the registry lists them, with what this host believes of them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -58,7 +58,7 @@
 }
 
 /// One change of the registry.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum EndpointChange {
     /// The entry was written.
     Put(EndpointEntry),
@@ -70,10 +70,27 @@
 /// endpoints are back within two seconds, by the platform's promise.
 pub(crate) const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Changes that are kept for other hosts; a host that asks for older ones gets the whole table.
+const KEPT_CHANGES: usize = 512;
+
+/// Number of a change within one table.
+pub type ChangeNumber = u64;
+
+/// What a host that follows another one's table lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum EndpointNews {
+    /// The whole table.
+    Whole(Vec<EndpointEntry>),
+    /// Changes since the number that the host named.
+    Changes(Vec<EndpointChange>),
+}
+
 /// Every endpoint that may be used, and those whose entry may come back.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     version: RegistryVersion,
+    changes: VecDeque<EndpointChange>,
+    change_count: ChangeNumber,
     entries: BTreeMap<EndpointName, EndpointEntry>,
     vanished: BTreeMap<EndpointName, Instant>,
     unsettled_until: Option<Instant>,
@@ -108,16 +125,19 @@
         entries: impl IntoIterator<Item = EndpointEntry>,
         now: Instant,
     ) {
-        let mut fresh: BTreeMap<_, _> =
+        let fresh: BTreeMap<_, _> =
             entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
-        let previous = std::mem::take(&mut self.entries);
-        for (name, entry) in previous {
-            if !fresh.contains_key(&name) && self.keeps_vanished(&name, &entry, now) {
-                fresh.insert(name, entry);
+        let missing: Vec<_> =
+            self.entries.keys().filter(|name| !fresh.contains_key(*name)).cloned().collect();
+        for name in missing {
+            self.remove(name, now);
+        }
+        for (name, entry) in fresh {
+            if self.entries.get(&name) != Some(&entry) {
+                self.put(entry);
             }
+            self.vanished.remove(&name);
         }
-        self.vanished.retain(|name, _| fresh.contains_key(name));
-        self.entries = fresh;
         self.version = version;
     }
 
@@ -132,7 +152,7 @@
             match change {
                 EndpointChange::Put(entry) => {
                     self.vanished.remove(&entry.name);
-                    self.entries.insert(entry.name.clone(), entry);
+                    self.put(entry);
                 }
                 EndpointChange::Gone(name) => self.remove(name, now),
             }
@@ -151,14 +171,44 @@
         for name in &due {
             self.vanished.remove(name);
             self.entries.remove(name);
+            self.note(EndpointChange::Gone(name.clone()));
         }
         due
     }
 
+    /// What a host lacks that has seen the changes up to a number, and the number to name next.
+    pub fn news(&self, seen: Option<ChangeNumber>) -> (ChangeNumber, Option<EndpointNews>) {
+        let kept_from = self.change_count - self.changes.len() as u64;
+        let news = match seen.filter(|seen| (kept_from..=self.change_count).contains(seen)) {
+            Some(seen) if seen == self.change_count => None,
+            Some(seen) => {
+                let skip = (seen - kept_from) as usize;
+                Some(EndpointNews::Changes(self.changes.iter().skip(skip).cloned().collect()))
+            }
+            None => Some(EndpointNews::Whole(self.entries.values().cloned().collect())),
+        };
+        (self.change_count, news)
+    }
+
+    fn put(&mut self, entry: EndpointEntry) {
+        self.note(EndpointChange::Put(entry.clone()));
+        self.entries.insert(entry.name.clone(), entry);
+    }
+
+    fn note(&mut self, change: EndpointChange) {
+        self.change_count += 1;
+        self.changes.push_back(change);
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
     fn remove(&mut self, name: EndpointName, now: Instant) {
         let Some(entry) = self.entries.remove(&name) else { return };
         if self.keeps_vanished(&name, &entry, now) {
             self.entries.insert(name, entry);
+        } else {
+            self.note(EndpointChange::Gone(name));
         }
     }
 
--- a/crates/entry/src/flights.rs
+++ b/crates/entry/src/flights.rs
@@ -10,12 +10,14 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::path::PathStage;
+use crate::path::{PathStage, crossings};
 use crate::silence::{StreamNumber, StreamView};
 
 /// Weight of the newest interval between events in a stream's pace.
 const NEWEST_WEIGHT: f64 = 0.2;
 
+/// Expected time of a stream from its send to its end at the usual load.
+const EXPECTED_TIME: Duration = Duration::from_secs(3);
 /// Expected interval between events before two were seen.
 const FIRST_PACE: Duration = Duration::from_millis(30);
 /// Expected time to a first event before any was seen.
@@ -27,6 +29,7 @@
     number: StreamNumber,
     path: Rc<[PathStage]>,
     tokens: u32,
+    crossing_tokens_per_s: f64,
     heard: Cell<Instant>,
     pace: Cell<Option<Duration>>,
     is_waiting: Cell<bool>,
@@ -61,6 +64,7 @@
 
 /// What runs through one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u32, u32, u64)", into = "(u32, u32, u64)")]
 pub struct StageLoad {
     /// Streams.
     pub streams: u32,
@@ -78,6 +82,13 @@
         self.token_layers += other.token_layers;
     }
 
+    /// Takes another load away.
+    pub fn remove(&mut self, other: Self) {
+        self.streams = self.streams.saturating_sub(other.streams);
+        self.starts = self.starts.saturating_sub(other.starts);
+        self.token_layers = self.token_layers.saturating_sub(other.token_layers);
+    }
+
     /// Multiplies the load by a number of hosts.
     pub fn scale(&mut self, hosts: u32) {
         self.streams *= hosts;
@@ -86,6 +97,18 @@
     }
 }
 
+impl From<(u32, u32, u64)> for StageLoad {
+    fn from((streams, starts, token_layers): (u32, u32, u64)) -> Self {
+        Self { streams, starts, token_layers }
+    }
+}
+
+impl From<StageLoad> for (u32, u32, u64) {
+    fn from(load: StageLoad) -> Self {
+        (load.streams, load.starts, load.token_layers)
+    }
+}
+
 /// Every stream of this host.
 #[derive(Debug, Default)]
 pub struct FlightTable {
@@ -119,6 +142,11 @@
             .collect()
     }
 
+    /// Tokens a second that this host's streams send between failure domains.
+    pub fn crossing_tokens_per_s(&self) -> f64 {
+        self.records.values().map(|record| record.crossing_tokens_per_s).sum()
+    }
+
     /// Usual time from a send to its first event.
     pub fn usual_first(&self) -> Duration {
         self.usual_first.unwrap_or(FIRST_GUESS)
@@ -157,8 +185,10 @@
             load.starts += u32::from(stage.span.from == 0);
             load.token_layers += u64::from(tokens) * u64::from(stage.span.count());
         }
+        let flow = f64::from(tokens) / EXPECTED_TIME.as_secs_f64();
         let record = Rc::new(StreamRecord {
             number: self.next,
+            crossing_tokens_per_s: flow * crossings(&path) as f64,
             path,
             tokens,
             heard: Cell::new(now),
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -14,8 +14,17 @@
 /// Longest time of one watch. A connection that went silent is noticed by keep-alive probes
 /// sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
+/// Longest time of one watch of endpoints: its answer confirms what this host tells the others.
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(900);
+/// Age of the holder's last confirmation up to which hosts rely on it. Endpoints that leave must be
+/// known within two seconds.
+const TOLD_AGE: Duration = Duration::from_millis(1_800);
+/// Time between two looks at whether the holder still tells.
+const TOLD_LOOK: Duration = Duration::from_millis(100);
 /// Pause after a watch's answer, so that changes in quick succession come together.
-const WATCH_PAUSE: Duration = Duration::from_millis(50);
+const WATCH_PAUSE: Duration = Duration::from_millis(100);
+/// The same for rules, which every host reads itself; they must be in force within two seconds.
+const RULES_PAUSE: Duration = Duration::from_millis(400);
 /// First pause after a failure.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures: within the time in which rules must be in force.
@@ -70,7 +79,7 @@
                 version = version.max(next);
                 if let Some(rules) = rules {
                     state.take_rules(version, rules, "watch");
-                    sleep(WATCH_PAUSE).await;
+                    sleep(RULES_PAUSE).await;
                 }
             }
             Err(error) => {
@@ -81,11 +90,16 @@
     }
 }
 
-/// Follows the endpoints until the process ends.
+/// Follows the endpoints until the process ends: the holder of the duty at the registry, the other
+/// hosts through the holder as long as it answers and its knowledge is confirmed.
 pub(crate) async fn follow_endpoints(state: Rc<EntryState>) {
     let mut pause = RetryPause::new();
     let mut was_away = false;
     loop {
+        if is_told(&state) {
+            sleep(TOLD_LOOK).await;
+            continue;
+        }
         match state.registry.endpoints().await {
             Ok((version, entries)) => {
                 pause = RetryPause::new();
@@ -95,9 +109,11 @@
                 }
                 let count = entries.len();
                 state.endpoints.borrow_mut().replace(version, entries, Instant::now());
+                state.endpoints_confirmed.set(Some(Instant::now()));
                 log::info!(event = "endpoints", registry = version, count; "endpoints listed");
                 endpoints_changed(&state);
-                was_away = watch_endpoints(&state, version).await != RegistryError::Gap;
+                let ended = watch_endpoints(&state, version).await;
+                was_away = ended.is_err_and(|error| error != RegistryError::Gap);
             }
             Err(error) => {
                 was_away = true;
@@ -112,26 +128,32 @@
     }
 }
 
-async fn watch_endpoints(state: &EntryState, mut version: u64) -> RegistryError {
+/// Whether the holder of the duty tells this host of changes in time.
+fn is_told(state: &EntryState) -> bool {
+    let told = state.told_confirmed.get();
+    !state.is_holder() && told.is_some_and(|at| at.elapsed() < TOLD_AGE)
+}
+
+/// Watches until the registry fails, or until the holder tells this host of changes.
+async fn watch_endpoints(state: &EntryState, mut version: u64) -> Result<(), RegistryError> {
     loop {
-        match state.registry.watch_endpoints(version, WATCH_WAIT).await {
-            Ok((next, changes)) => {
-                version = version.max(next);
-                if changes.is_empty() {
-                    continue;
-                }
-                log::info!(
-                    event = "endpoints", registry = version, count = changes.len();
-                    "endpoints changed"
-                );
-                state.endpoints.borrow_mut().apply(version, changes, Instant::now());
-                endpoints_changed(state);
-                sleep(WATCH_PAUSE).await;
-            }
-            Err(error) => {
-                log::info!(event = "watch_ended", what = "endpoints", error:% = error; "watch ended");
-                return error;
-            }
+        let watched = state.registry.watch_endpoints(version, ENDPOINTS_WAIT).await;
+        let (next, changes) = watched.inspect_err(|error| {
+            log::info!(event = "watch_ended", what = "endpoints", error:% = error; "watch ended");
+        })?;
+        version = version.max(next);
+        if !changes.is_empty() {
+            log::info!(
+                event = "endpoints", registry = version, count = changes.len();
+                "endpoints changed"
+            );
+            state.endpoints.borrow_mut().apply(version, changes, Instant::now());
+            endpoints_changed(state);
+            sleep(WATCH_PAUSE).await;
+        }
+        state.endpoints_confirmed.set(Some(Instant::now()));
+        if is_told(state) {
+            return Ok(());
         }
     }
 }
@@ -141,6 +163,7 @@
     let endpoints = state.endpoints.borrow();
     state.beliefs.borrow_mut().retain(|name| endpoints.get(name).is_some());
     drop(endpoints);
+    state.prune_marks();
     state.changed.notify_waiters();
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod front;
 mod journal;
 mod layout;
+mod line;
 mod loads;
 mod path;
 mod peers;
@@ -34,14 +35,18 @@
     CallDialect, CallHead, EndpointReport, NoteGroup, RegistryError, RegistryLink, RegistryNote,
     RegistryResult, ReplyHead, SendHead,
 };
-pub use endpoints::{EndpointChange, EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
+pub use endpoints::{
+    ChangeNumber, EndpointChange, EndpointEntry, EndpointNews, EndpointTable, LayerSpan,
+    RegistryVersion,
+};
 pub use events::EventCutter;
 pub use flights::{FlightTable, StageLoad, StreamFlight, StreamRecord};
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
 pub use journal::start_logs;
 pub use layout::{CardView, LayoutOrder, ModelShape, layout_orders};
-pub use loads::{HostLoads, LoadBoard, LoadMap, OtherLoads};
-pub use path::{PathStage, StageView, cheapest_path, first_gap};
+pub use line::{LineTicket, WaitClass, WaitLine};
+pub use loads::{LoadBoard, LoadMap, LoadSum, OtherLoads};
+pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
 pub use pool::{ConnectionLease, ConnectionPool, PooledReply, SendFault, SendOptions};
 pub use rules::{
     CallerLimits, CardRule, CustomerRule, EngineRule, KeyVerdict, RepeatRule, RouteRule, RuleIndex,
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -14,60 +14,81 @@
 use crate::flights::StageLoad;
 
 /// Time after which a host's report no longer counts: several exchanges.
-const REPORT_AGE: Duration = Duration::from_millis(1_500);
+const REPORT_AGE: Duration = Duration::from_millis(3_000);
 /// Time after which a sum is no longer used.
-const SUM_AGE: Duration = Duration::from_millis(1_200);
+const SUM_AGE: Duration = Duration::from_millis(2_500);
 
 /// Loads of endpoints by name.
 pub type LoadMap = BTreeMap<EndpointName, StageLoad>;
 
-/// One host's loads.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct HostLoads {
-    /// The host.
-    pub host: HostName,
-    /// What it runs.
+/// What some hosts run.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct LoadSum {
+    /// Loads of endpoints.
     pub loads: LoadMap,
+    /// Tokens a second that pass between failure domains.
+    pub crossing_tokens_per_s: f64,
+}
+
+impl LoadSum {
+    fn add(&mut self, other: &Self) {
+        self.crossing_tokens_per_s += other.crossing_tokens_per_s;
+        for (name, load) in &other.loads {
+            self.loads.entry(name.clone()).or_default().add(*load);
+        }
+    }
+
+    fn remove(&mut self, other: &Self) {
+        self.crossing_tokens_per_s =
+            (self.crossing_tokens_per_s - other.crossing_tokens_per_s).max(0.0);
+        for (name, load) in &other.loads {
+            if let Some(sum) = self.loads.get_mut(name) {
+                sum.remove(*load);
+            }
+        }
+    }
 }
 
 /// Sums the reports of hosts; used by the holder of the duty.
 #[derive(Debug, Default)]
 pub struct LoadBoard {
-    reports: BTreeMap<HostName, (Instant, LoadMap)>,
+    reports: BTreeMap<HostName, (Instant, LoadSum)>,
+    total: LoadSum,
 }
 
 impl LoadBoard {
-    /// Takes a host's report and returns what the other hosts run.
-    pub fn exchange(&mut self, report: HostLoads, now: Instant) -> LoadMap {
-        self.reports.retain(|_, (at, _)| now.saturating_duration_since(*at) < REPORT_AGE);
-        let mut sum = LoadMap::new();
-        for (_, loads) in
-            self.reports.iter().filter(|(host, _)| **host != report.host).map(|(_, report)| report)
-        {
-            for (name, load) in loads {
-                sum.entry(name.clone()).or_default().add(*load);
+    /// Takes a host's report and returns the sum over all hosts, this one included.
+    pub fn exchange(&mut self, host: HostName, report: LoadSum, now: Instant) -> &LoadSum {
+        let is_old = |at: &Instant| now.saturating_duration_since(*at) >= REPORT_AGE;
+        let old: Vec<_> =
+            self.reports.iter().filter(|(_, (at, _))| is_old(at)).map(|(h, _)| h.clone()).collect();
+        for host in old.iter().chain([&host]) {
+            if let Some((_, previous)) = self.reports.remove(host) {
+                self.total.remove(&previous);
             }
         }
-        self.reports.insert(report.host, (now, report.loads));
-        sum
+        self.total.add(&report);
+        self.reports.insert(host, (now, report));
+        &self.total
     }
 }
 
 /// What other hosts run, as last told.
 #[derive(Debug, Default)]
 pub struct OtherLoads {
-    told: Option<(Instant, LoadMap)>,
+    told: Option<(Instant, LoadSum)>,
 }
 
 impl OtherLoads {
-    /// Takes a new sum.
-    pub fn take(&mut self, loads: LoadMap, now: Instant) {
-        self.told = Some((now, loads));
+    /// Takes a new sum over all hosts, of which `own` is this host's part.
+    pub fn take(&mut self, mut total: LoadSum, own: &LoadSum, now: Instant) {
+        total.remove(own);
+        self.told = Some((now, total));
     }
 
     /// Loads of other hosts; none where the last sum is too old.
-    pub fn fresh(&self, now: Instant) -> Option<&LoadMap> {
-        let (at, loads) = self.told.as_ref()?;
-        (now.saturating_duration_since(*at) < SUM_AGE).then_some(loads)
+    pub fn fresh(&self, now: Instant) -> Option<&LoadSum> {
+        let (at, sum) = self.told.as_ref()?;
+        (now.saturating_duration_since(*at) < SUM_AGE).then_some(sum)
     }
 }
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -15,6 +15,11 @@
 /// Extra cost of a crossing between failure domains, in ms a token: about the whole time of a
 /// path, so that a stream crosses only where its domain has no path or a much slower one.
 const CROSSING_MS: f64 = 12.0;
+/// Share of the pipe from which on crossing gets much dearer: queues at the pipe hold up every
+/// stream that crosses, and their memory with them.
+const BUSY_PIPE: f64 = 0.4;
+/// Share of the pipe from which on no stream more may cross.
+const MAX_PIPE: f64 = 0.75;
 /// Cost of starting in another failure domain than the caller's host, in ms a token.
 const REMOTE_START_MS: f64 = 2.0;
 /// Cost of each stage beside its computing, in ms a token: the hop over the network.
@@ -62,12 +67,25 @@
     pub address: SocketAddr,
     /// Layers that it runs for this stream.
     pub span: LayerSpan,
+    /// Failure domain.
+    pub domain: DomainName,
+}
+
+/// Number of times that a path passes between failure domains.
+pub fn crossings(path: &[PathStage]) -> usize {
+    path.windows(2).filter(|pair| pair[0].domain != pair[1].domain).count()
 }
 
 /// Finds the cheapest path over all layers, or nothing where some layer has no holder.
 ///
-/// `home` is the failure domain of the host that sends the request.
-pub fn cheapest_path(layers: u16, home: &str, stages: &[StageView]) -> Option<Vec<PathStage>> {
+/// `home` is the failure domain of the host that sends the request, `pipe` is the share of the pipe between domains that is in use.
+pub fn cheapest_path(
+    layers: u16,
+    home: &str,
+    pipe: f64,
+    stages: &[StageView],
+) -> Option<Vec<PathStage>> {
+    let crossing = (pipe < MAX_PIPE).then(|| CROSSING_MS * (1.0 + (pipe / BUSY_PIPE).powi(4)));
     let mut cuts: Vec<u16> =
         stages.iter().flat_map(|stage| [stage.span.from, stage.span.to]).collect();
     cuts.extend([0, layers]);
@@ -81,7 +99,9 @@
             if !stage.span.holds(cuts[position]) || !stage.has_room {
                 continue;
             }
-            let Some(entry) = entry_cost(position, index, home, stages, &best) else { continue };
+            let Some(entry) = entry_cost(position, index, home, crossing, stages, &best) else {
+                continue;
+            };
             for end in position + 1..cuts.len() {
                 if cuts[end] > stage.span.to {
                     break;
@@ -127,6 +147,7 @@
     position: usize,
     index: usize,
     home: &str,
+    crossing: Option<f64>,
     stages: &[StageView],
     best: &[BTreeMap<usize, Reached>],
 ) -> Option<Reached> {
@@ -143,8 +164,9 @@
         if reached.stages + 1 >= MAX_STAGES || passes(index, position, *previous, best) {
             continue;
         }
-        let crossing = if stages[*previous].domain == stage.domain { 0.0 } else { CROSSING_MS };
-        let cost = reached.cost + crossing;
+        let is_crossing = stages[*previous].domain != stage.domain;
+        let Some(step) = (if is_crossing { crossing } else { Some(0.0) }) else { continue };
+        let cost = reached.cost + step;
         if least.is_none_or(|other| cost < other.cost) {
             let previous = Some(*previous);
             least = Some(Reached { cost, stages: reached.stages, start: position, previous });
@@ -183,7 +205,12 @@
         let reached = best[position].get(index)?;
         let stage = &stages[*index];
         let span = LayerSpan { from: cuts[reached.start], to: cuts[position] };
-        path.push(PathStage { name: stage.name.clone(), address: stage.address, span });
+        path.push(PathStage {
+            name: stage.name.clone(),
+            address: stage.address,
+            span,
+            domain: stage.domain.clone(),
+        });
         let Some(previous) = &reached.previous else { break };
         position = reached.start;
         index = best[position].get_key_value(previous)?.0;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -13,6 +13,7 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
+use jacinthrock::HostName;
 use rand::seq::IteratorRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -20,9 +21,9 @@
 use tokio::time::{Instant, sleep};
 
 use crate::answer::{CallerBody, whole_body};
-use crate::endpoints::{EndpointEntry, RegistryVersion};
+use crate::endpoints::{ChangeNumber, EndpointEntry, EndpointNews, RegistryVersion};
 use crate::follow::endpoints_changed;
-use crate::loads::{HostLoads, LoadMap};
+use crate::loads::LoadSum;
 use crate::pool::{SendOptions, tune};
 use crate::rules::ServingRules;
 use crate::state::EntryState;
@@ -35,9 +36,32 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two exchanges of loads: some ten streams begin meanwhile at the usual load.
 const LOADS_INTERVAL: Duration = Duration::from_millis(200);
+/// Hosts up to which the interval above holds.
+const HOSTS_AT_LEAST_INTERVAL: u32 = 16;
 /// Largest report of another host, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
+/// What a host tells the holder of the duty.
+#[derive(Debug, Serialize, Deserialize)]
+struct HostReport {
+    host: HostName,
+    sum: LoadSum,
+    /// Start of the holder and last change of its table that the host has seen.
+    seen: Option<(u64, ChangeNumber)>,
+}
+
+/// The holder's answer.
+#[derive(Debug, Serialize, Deserialize)]
+struct HolderReply {
+    total: LoadSum,
+    boot: u64,
+    number: ChangeNumber,
+    version: RegistryVersion,
+    /// Time since the registry last confirmed the holder's table, in ms.
+    confirmed_ms: u64,
+    news: Option<EndpointNews>,
+}
+
 /// What a host knows of the registry.
 #[derive(Debug, Serialize, Deserialize)]
 struct HostKnowledge {
@@ -64,27 +88,40 @@
 
 /// Exchanges loads with the holder of the duty until the process ends.
 pub(crate) async fn exchange_loads(state: Rc<EntryState>) {
+    let mut seen: Option<(HostName, u64, ChangeNumber)> = None;
     loop {
-        sleep(LOADS_INTERVAL).await;
+        sleep(exchange_interval(state.host_count())).await;
         let holder = state.duty_holder.borrow().clone();
         let Some(holder) = holder else { continue };
-        let own = HostLoads {
-            host: state.options.host.clone(),
+        let own = LoadSum {
             loads: state.flights.borrow().loads().clone(),
+            crossing_tokens_per_s: state.flights.borrow().crossing_tokens_per_s(),
         };
-        let now = Instant::now();
-        let others = if holder == state.options.host {
-            Ok(state.load_board.borrow_mut().exchange(own, now))
-        } else {
-            let address = state.peers.borrow().get(&holder).map(|peer| peer.address);
-            let Some(address) = address else { continue };
-            match serde_json::to_vec(&own) {
-                Ok(body) => fetch::<LoadMap>(&state, address, LOADS_PATH, body).await,
-                Err(error) => Err(error.to_string()),
-            }
+        if holder == state.options.host {
+            seen = None;
+            let now = Instant::now();
+            let total = state.load_board.borrow_mut().exchange(holder, own.clone(), now).clone();
+            state.other_loads.borrow_mut().take(total, &own, now);
+            state.wake_line();
+            continue;
+        }
+        let address = state.peers.borrow().get(&holder).map(|peer| peer.address);
+        let Some(address) = address else { continue };
+        let known = seen.as_ref().filter(|(host, _, _)| *host == holder);
+        let report = HostReport {
+            host: state.options.host.clone(),
+            sum: own.clone(),
+            seen: known.map(|(_, boot, number)| (*boot, *number)),
         };
-        match others {
-            Ok(others) => state.other_loads.borrow_mut().take(others, Instant::now()),
+        let reply = match serde_json::to_vec(&report) {
+            Ok(body) => fetch::<HolderReply>(&state, address, LOADS_PATH, body).await,
+            Err(error) => Err(error.to_string()),
+        };
+        match reply {
+            Ok(reply) => {
+                seen = Some((holder, reply.boot, reply.number));
+                take_reply(&state, &own, reply);
+            }
             Err(error) => {
                 log::info!(event = "peer_silent", peer = &*holder, error; "loads not exchanged");
             }
@@ -92,6 +129,32 @@
     }
 }
 
+/// Time between two exchanges: with more hosts each knows less of what changes meanwhile, and the
+/// holder's link and processor carry all of them.
+fn exchange_interval(hosts: usize) -> Duration {
+    LOADS_INTERVAL.max(LOADS_INTERVAL * hosts as u32 / HOSTS_AT_LEAST_INTERVAL)
+}
+
+fn take_reply(state: &EntryState, own: &LoadSum, reply: HolderReply) {
+    let now = Instant::now();
+    state.other_loads.borrow_mut().take(reply.total, own, now);
+    let confirmed = now.checked_sub(Duration::from_millis(reply.confirmed_ms));
+    let has_news = reply.news.is_some();
+    let mut endpoints = state.endpoints.borrow_mut();
+    match reply.news {
+        Some(EndpointNews::Whole(entries)) => endpoints.replace(reply.version, entries, now),
+        Some(EndpointNews::Changes(changes)) => endpoints.apply(reply.version, changes, now),
+        None => {}
+    }
+    drop(endpoints);
+    state.told_confirmed.set(confirmed);
+    if has_news {
+        log::info!(event = "endpoints", registry = reply.version, source = "holder"; "endpoints changed");
+        endpoints_changed(state);
+    }
+    state.wake_line();
+}
+
 async fn fetch<T: DeserializeOwned>(
     state: &EntryState,
     address: SocketAddr,
@@ -153,14 +216,27 @@
         return knowledge(&state).map(|text| Response::new(whole_body(text)));
     }
     let body = Limited::new(request.into_body(), MAX_REPORT_BYTES).collect().await;
-    let report = body.map(|body| serde_json::from_slice::<HostLoads>(&body.to_bytes()));
+    let report = body.map(|body| serde_json::from_slice::<HostReport>(&body.to_bytes()));
     let Ok(Ok(report)) = report else {
         let mut answer = Response::new(whole_body(""));
         *answer.status_mut() = StatusCode::BAD_REQUEST;
         return Ok(answer);
     };
-    let others = state.load_board.borrow_mut().exchange(report, Instant::now());
-    serde_json::to_vec(&others).map(|text| Response::new(whole_body(text)))
+    let now = Instant::now();
+    let (endpoints, mut board) = (state.endpoints.borrow(), state.load_board.borrow_mut());
+    let seen = report.seen.filter(|(boot, _)| *boot == state.boot).map(|(_, number)| number);
+    let (number, news) = endpoints.news(seen);
+    let confirmed = state.endpoints_confirmed.get();
+    let age = confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+    let reply = HolderReply {
+        total: board.exchange(report.host, report.sum, now).clone(),
+        boot: state.boot,
+        number,
+        version: endpoints.version(),
+        confirmed_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        news,
+    };
+    serde_json::to_vec(&reply).map(|text| Response::new(whole_body(text)))
 }
 
 fn knowledge(state: &EntryState) -> Result<Vec<u8>, serde_json::Error> {
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -107,6 +107,8 @@
     pub stall: Duration,
     /// Bytes that pass between stages for each token.
     pub activation_bytes: f64,
+    /// Rate of the pipe between failure domains that all streams share, in Mbit/s; 0 without one.
+    pub pipe_mbps: f64,
     /// Mean tokens of a prompt.
     pub usual_prompt: u32,
     /// Mean tokens of an answer.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -16,6 +16,7 @@
 use crate::dialect::{CallDialect, RegistryLink};
 use crate::endpoints::{EndpointEntry, EndpointTable, RegistryVersion};
 use crate::flights::FlightTable;
+use crate::line::WaitLine;
 use crate::loads::{LoadBoard, OtherLoads};
 use crate::path::{PathStage, StageView, cheapest_path, first_gap};
 use crate::pool::ConnectionPool;
@@ -27,6 +28,9 @@
 const CROWDED_MS: f64 = 20.0;
 /// Time for which a refusal counts: some streams end meanwhile.
 const CROWDED_TIME: Duration = Duration::from_millis(250);
+/// Time for which the answer to a probe rules out a new suspicion: under overload all streams are
+/// silent at times, and each probe is work for the endpoint.
+const VOUCHED_TIME: Duration = Duration::from_millis(400);
 /// Time for which a suspicion holds without a probe's answer.
 const DOUBT_TIME: Duration = Duration::from_millis(1_500);
 /// Share of the budget of retries that the hosts use together. The rest is for hosts that start
@@ -96,8 +100,16 @@
     pub peers: RefCell<BTreeMap<HostName, PeerHost>>,
     /// Host that holds the placement duty, as last read.
     pub duty_holder: RefCell<Option<HostName>>,
+    /// Draws one start of this process apart from others.
+    pub boot: u64,
+    /// When the registry last confirmed this host's table of endpoints.
+    pub endpoints_confirmed: Cell<Option<Instant>>,
+    /// When the registry last confirmed what the holder of the duty tells.
+    pub told_confirmed: Cell<Option<Instant>>,
     /// Loads told to this host while it holds the duty.
     pub load_board: RefCell<LoadBoard>,
+    /// Streams that wait for a path.
+    pub line: RefCell<WaitLine>,
     /// Loads of the other hosts.
     pub other_loads: RefCell<OtherLoads>,
     /// Whether the process is about to end.
@@ -107,6 +119,7 @@
     rules: RefCell<Rc<RuleIndex>>,
     rules_version: Cell<Option<RegistryVersion>>,
     doubts: RefCell<BTreeMap<EndpointName, Instant>>,
+    vouched: RefCell<BTreeMap<EndpointName, Instant>>,
     crowded: RefCell<BTreeMap<EndpointName, Instant>>,
     budget: RefCell<RetryBudget>,
     budget_hosts: Cell<usize>,
@@ -145,13 +158,18 @@
             changed: Notify::new(),
             peers: RefCell::default(),
             duty_holder: RefCell::default(),
+            boot: rand::random(),
+            endpoints_confirmed: Cell::new(None),
+            told_confirmed: Cell::new(None),
             load_board: RefCell::default(),
             other_loads: RefCell::default(),
+            line: RefCell::default(),
             is_leaving: Cell::new(false),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
             rules_version: Cell::new(None),
             doubts: RefCell::default(),
+            vouched: RefCell::default(),
             crowded: RefCell::default(),
             budget: RefCell::new(budget),
             budget_hosts: Cell::new(1),
@@ -210,21 +228,47 @@
         allowed
     }
 
-    /// Doubts an endpoint until a probe answers; returns whether that is new.
+    /// Doubts an endpoint until a probe answers; returns whether a probe is due. An endpoint that
+    /// has just answered one is not doubted.
     pub fn doubt(&self, name: &EndpointName) -> bool {
         let now = Instant::now();
+        let vouched = self.vouched.borrow().get(name).is_some_and(|until| now < *until);
+        if vouched {
+            return false;
+        }
         let until = self.doubts.borrow_mut().insert(name.clone(), now + DOUBT_TIME);
         until.is_none_or(|until| until <= now)
     }
 
+    /// Whether this host holds the placement duty.
+    pub fn is_holder(&self) -> bool {
+        self.duty_holder.borrow().as_deref() == Some(&*self.options.host)
+    }
+
+    /// Lets waiting streams look for a path again.
+    pub fn wake_line(&self) {
+        if !self.line.borrow().is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Records that an endpoint has refused a stream for want of room.
     pub fn mark_crowded(&self, name: &EndpointName) {
         self.crowded.borrow_mut().insert(name.clone(), Instant::now() + CROWDED_TIME);
     }
 
-    /// Takes a doubt back.
-    pub fn clear_doubt(&self, name: &str) {
+    /// Takes a doubt back after an answer to a probe.
+    pub fn clear_doubt(&self, name: &EndpointName) {
         self.doubts.borrow_mut().remove(name);
+        self.vouched.borrow_mut().insert(name.clone(), Instant::now() + VOUCHED_TIME);
+    }
+
+    /// Forgets marks of endpoints that are gone.
+    pub fn prune_marks(&self) {
+        let endpoints = self.endpoints.borrow();
+        for marks in [&self.doubts, &self.vouched, &self.crowded] {
+            marks.borrow_mut().retain(|name, _| endpoints.get(name).is_some());
+        }
     }
 
     /// The cheapest path for a stream; nothing where none has room.
@@ -232,7 +276,19 @@
         let rules = self.rules()?;
         let engine = rules.engine(demand.service)?;
         let stages = self.stage_views(engine, demand);
-        cheapest_path(engine.layers, &self.options.domain, &stages).map(Into::into)
+        let pipe = self.pipe_share(engine);
+        cheapest_path(engine.layers, &self.options.domain, pipe, &stages).map(Into::into)
+    }
+
+    /// Share of the pipe between failure domains that the streams of all hosts fill.
+    fn pipe_share(&self, engine: &EngineRule) -> f64 {
+        let others = self.other_loads.borrow();
+        let others = others.fresh(Instant::now()).map_or(0.0, |sum| sum.crossing_tokens_per_s);
+        let tokens = self.flights.borrow().crossing_tokens_per_s() + others;
+        if engine.pipe_mbps <= 0.0 {
+            return 0.0;
+        }
+        tokens * engine.activation_bytes * 8.0 / 1e6 / engine.pipe_mbps
     }
 
     /// Why there is no path, for logs.
@@ -243,7 +299,8 @@
         };
         let stages = self.stage_views(engine, demand);
         let Some(gap) = first_gap(engine.layers, &stages) else {
-            return format!("no path joins {} stages", stages.len()).into();
+            let pipe = self.pipe_share(engine);
+            return format!("no path joins {} stages; pipe share {pipe:.2}", stages.len()).into();
         };
         let holders = stages.iter().filter(|stage| stage.span.holds(gap)).map(|stage| {
             format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.fill)
@@ -275,7 +332,9 @@
                 let card = engine.cards.get(entry.card.as_deref()?)?;
                 let mut load = flights.load(&entry.name);
                 match others {
-                    Some(others) => load.add(others.get(&entry.name).copied().unwrap_or_default()),
+                    Some(others) => {
+                        load.add(others.loads.get(&entry.name).copied().unwrap_or_default())
+                    }
                     // Without word of the others, those of the same domain are taken to use the
                     // stage as much as this host does.
                     None if entry.domain == self.options.domain => load.scale(neighbours),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::call::{AllowedCall, OpenRequest, count_end};
 use crate::events::EventCutter;
 use crate::flights::StreamFlight;
+use crate::line::{LineTicket, WaitClass};
 use crate::path::PathStage;
 use crate::pool::{ConnectionLease, SendFault};
 use crate::sending::{CallSend, probe, send};
@@ -25,6 +26,9 @@
 /// Longest wait for a path when none has room: most of the time to the first event that callers
 /// accept, beyond which a refusal with a time to come back serves them better.
 const PATH_WAIT: Duration = Duration::from_millis(350);
+/// Time by which a caller's own deadline is shorter than the route's when it came back after a
+/// refusal: callers count their deadline from the first attempt.
+const RETURNED_SLACK: Duration = Duration::from_millis(100);
 /// Time after which a caller may come back when no path has room: a range of layers is loaded
 /// within one to two seconds.
 const NO_PATH_RETRY: Duration = Duration::from_millis(900);
@@ -62,6 +66,31 @@
     Late,
 }
 
+/// A place in the line of waiting streams, given up when it is dropped.
+struct LinePlace {
+    state: Rc<EntryState>,
+    ticket: LineTicket,
+    expected: Duration,
+}
+
+impl LinePlace {
+    fn new(state: &Rc<EntryState>, class: WaitClass, priority: u8) -> Self {
+        let (ticket, expected) = state.line.borrow_mut().join(class, priority);
+        Self { state: state.clone(), ticket, expected }
+    }
+
+    fn is_first(&self) -> bool {
+        self.state.line.borrow().is_first(self.ticket)
+    }
+}
+
+impl Drop for LinePlace {
+    fn drop(&mut self) {
+        self.state.line.borrow_mut().leave(self.ticket);
+        self.state.changed.notify_waiters();
+    }
+}
+
 struct StreamRelay {
     state: Rc<EntryState>,
     call: Rc<AllowedCall>,
@@ -142,7 +171,8 @@
         return Err(unknown(code, fault));
     }
     count_end(state, service, "not_run");
-    Err(not_run(ResultCode::NoChain, fault, NO_PATH_RETRY))
+    let come_back = NO_PATH_RETRY + state.line.borrow().length();
+    Err(not_run(ResultCode::NoChain, fault, come_back))
 }
 
 impl StreamRelay {
@@ -259,30 +289,66 @@
 
     /// Waits for a path with room, as long as that serves the caller.
     async fn wait_for_path(&mut self) -> Result<Rc<[PathStage]>, SendEnd> {
+        let state = self.state.clone();
         let until = (Instant::now() + PATH_WAIT).min(self.call.deadline);
+        if state.line.borrow().is_empty()
+            && let Some(path) = self.find_path()
+        {
+            state.line.borrow_mut().served(Instant::now());
+            return Ok(path);
+        }
+        let place = LinePlace::new(&state, self.wait_class(), self.call.priority);
+        if Instant::now() + place.expected > until {
+            let wait_ms = place.expected.as_millis();
+            return Err(SendEnd::NoPath(format!("the line is {wait_ms} ms long").into()));
+        }
         loop {
-            let state = self.state.clone();
             let changed = state.changed.notified();
-            // Endpoints that have ended meanwhile do not count as attempts.
-            self.sent_to.retain(|name| {
-                state.endpoint(name).is_some() && !state.beliefs.borrow().is_down(name)
-            });
-            let is_spent = self.sent_to.len() >= self.call.route.max_attempts.max(1) as usize;
-            let demand = PathDemand {
-                service: &self.call.service,
-                tokens: self.tokens(),
-                starts: is_spent.then_some(&self.sent_to),
-                avoid: &self.avoid,
-            };
-            if let Some(path) = state.find_path(&demand) {
+            if place.is_first()
+                && let Some(path) = self.find_path()
+            {
+                state.line.borrow_mut().served(Instant::now());
                 return Ok(path);
             }
             if timeout_at(until, changed).await.is_err() {
-                return Err(SendEnd::NoPath(state.explain_no_path(&demand)));
+                return Err(SendEnd::NoPath(self.with_demand(|state, d| state.explain_no_path(d))));
             }
         }
     }
 
+    fn wait_class(&self) -> WaitClass {
+        let head = &self.call.head;
+        let is_returned = head
+            .deadline
+            .is_some_and(|deadline| deadline + RETURNED_SLACK < self.call.route.timeout);
+        if self.cutter.last_event().is_some() {
+            WaitClass::BrokenOff
+        } else if is_returned || self.sends > 0 {
+            WaitClass::Returned
+        } else {
+            WaitClass::New
+        }
+    }
+
+    fn find_path(&mut self) -> Option<Rc<[PathStage]>> {
+        let state = self.state.clone();
+        // Endpoints that have ended meanwhile do not count as attempts.
+        self.sent_to
+            .retain(|name| state.endpoint(name).is_some() && !state.beliefs.borrow().is_down(name));
+        self.with_demand(|state, demand| state.find_path(demand))
+    }
+
+    fn with_demand<T>(&self, ask: impl FnOnce(&EntryState, &PathDemand<'_>) -> T) -> T {
+        let is_spent = self.sent_to.len() >= self.call.route.max_attempts.max(1) as usize;
+        let demand = PathDemand {
+            service: &self.call.service,
+            tokens: self.tokens(),
+            starts: is_spent.then_some(&self.sent_to),
+            avoid: &self.avoid,
+        };
+        ask(&self.state, &demand)
+    }
+
     /// Waits for the next whole events; `None` at the end of the stream.
     async fn next_whole(&mut self) -> Result<Option<Bytes>, Box<str>> {
         let Some(open) = self.open.as_mut() else { return Ok(None) };
@@ -319,6 +385,8 @@
             && let Some(open) = self.open.take()
         {
             open.lease.give_back();
+            drop(open.flight);
+            self.state.wake_line();
         }
         result
     }
