--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -85,7 +85,7 @@
 }
 
 /// State of an endpoint as it reports it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EndpointReport {
     /// Orders that it has accepted.
     pub orders: u64,
@@ -95,6 +95,8 @@
     pub layers: Option<LayerSpan>,
     /// Start of the endpoint, in ms since the Unix epoch; 0 where it does not say.
     pub born: u64,
+    /// Share of its memory for tokens that is taken; 0 where it does not say.
+    pub fill: f64,
     /// Addresses of stages that hold up its streams.
     pub stalled: Vec<SocketAddr>,
 }
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -14,11 +14,12 @@
 use jacinthrock::{EndpointName, HostName, MetricName};
 use tokio::time::{Instant, sleep};
 
-use crate::dialect::{EndpointReport, NoteGroup, RegistryError};
+use crate::dialect::{NoteGroup, RegistryError};
 use crate::endpoints::{EndpointEntry, LayerSpan, RegistryVersion};
 use crate::layout::{CardView, LayoutOrder, ModelShape, layout_orders};
+use crate::peers;
 use crate::pool::SendOptions;
-use crate::sending::host_value;
+use crate::sending::{fetch_report, host_value};
 use crate::state::EntryState;
 
 /// Name of the duty's note.
@@ -53,6 +54,7 @@
 /// Takes the duty whenever nobody else holds it, until the process ends.
 pub(crate) async fn run(state: Rc<EntryState>) {
     let mut seen: Option<(RegistryVersion, Instant)> = None;
+    let mut away_since: Option<Instant> = None;
     loop {
         let free = match state.registry.notes(NoteGroup::Duties).await {
             Ok(notes) => {
@@ -64,11 +66,19 @@
                     _ => now,
                 };
                 seen = Some((version, since));
+                away_since = None;
                 *state.duty_holder.borrow_mut() = note.and_then(|note| holder_of(&note.text));
                 let is_free = version == 0 || note.is_some_and(|note| note.text.is_empty());
                 (is_free || now - since >= TAKEOVER_AFTER).then_some(version)
             }
-            Err(_) => None,
+            Err(_) => {
+                let away = *away_since.get_or_insert_with(Instant::now);
+                let is_told = state.other_loads.borrow().fresh(Instant::now()).is_some();
+                if away.elapsed() >= TAKEOVER_AFTER && !is_told && !state.is_leaving.get() {
+                    act(&state).await;
+                }
+                None
+            }
         };
         if let Some(version) = free.filter(|_| !state.is_leaving.get() && state.rules().is_some()) {
             let host = state.options.host.clone();
@@ -131,6 +141,30 @@
     log::info!(event = "duty_left", duty = PLACEMENT_DUTY; "placement duty left");
 }
 
+/// Does the duty without the note while the registry is away and its holder is silent: of the hosts
+/// that answer, the one with the least name acts. Two that act at once do no harm.
+async fn act(state: &Rc<EntryState>) {
+    let own = &state.options.host;
+    let before: Vec<_> = {
+        let peers = state.peers.borrow();
+        peers.iter().filter(|(name, _)| *name < own).map(|(n, p)| (n.clone(), p.address)).collect()
+    };
+    for (name, address) in &before {
+        if peers::is_alive(state, *address).await {
+            *state.duty_holder.borrow_mut() = Some(name.clone());
+            return;
+        }
+    }
+    log::info!(event = "duty_acting", duty = PLACEMENT_DUTY; "registry away, host acts as holder");
+    *state.duty_holder.borrow_mut() = Some(own.clone());
+    let planning = tokio::task::spawn_local(plan(state.clone()));
+    while !state.is_leaving.get() && state.registry.notes(NoteGroup::Duties).await.is_err() {
+        sleep(RENEW_INTERVAL).await;
+    }
+    planning.abort();
+    log::info!(event = "duty_left", duty = PLACEMENT_DUTY; "host acts no longer as holder");
+}
+
 async fn is_own(state: &EntryState) -> bool {
     let Ok(notes) = state.registry.notes(NoteGroup::Duties).await else { return true };
     let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
@@ -180,7 +214,8 @@
     let engine = rules.as_ref().and_then(|rules| rules.engine(service));
     let mut views = Vec::new();
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
-        if entry.is_draining || beliefs.is_down(&entry.name) {
+        let is_lost = beliefs.is_down(&entry.name) || state.is_closed(entry, now);
+        if entry.is_draining || is_lost {
             book.pending.remove(&entry.name);
             continue;
         }
@@ -216,9 +251,13 @@
     let now = Instant::now();
     book.borrow_mut().pending.insert(order.name.clone(), pending(now + ORDER_TIMEOUT * 3));
     // The registry's count may be old; only the endpoint's own says what the order follows.
-    let Some(report) = report(&state, &entry).await else {
-        log::info!(event = "order_unsent", endpoint = &*order.name; "endpoint gave no report");
-        return;
+    let report = match fetch_report(&state, &entry, ORDER_TIMEOUT).await {
+        Ok(Some(report)) => report,
+        Ok(None) => return,
+        Err(error) => {
+            log::info!(event = "order_unsent", endpoint = &*order.name, error:% = error; "no report");
+            return;
+        }
     };
     let held = report.layers.filter(|span| span.count() > 0);
     let is_stale = report.is_busy || held != entry.layers.filter(|span| span.count() > 0);
@@ -251,14 +290,6 @@
     book.borrow_mut().pending.insert(order.name.clone(), pending);
 }
 
-async fn report(state: &EntryState, entry: &EndpointEntry) -> Option<EndpointReport> {
-    let uri = Uri::from_static(state.dialect.report_path());
-    let request = own_request(entry, Method::GET, uri, Vec::new());
-    let fetched = state.pool.fetch(entry.address, request, order_options()).await;
-    let (parts, body) = fetched.ok()?;
-    parts.status.is_success().then(|| state.dialect.read_report(&body)).flatten()
-}
-
 async fn post(
     state: &EntryState,
     entry: &EndpointEntry,
@@ -267,7 +298,11 @@
 ) -> Option<StatusCode> {
     let body = state.dialect.place_order(span, orders);
     let uri = Uri::from_static(state.dialect.order_path());
-    let mut request = own_request(entry, Method::POST, uri, body);
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = uri;
+    request.headers_mut().insert(HOST, host_value(entry));
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     state.dialect.expect_endpoint(request.headers_mut(), &entry.name);
     let fetched = state.pool.fetch(entry.address, request, order_options()).await;
     match fetched {
@@ -279,20 +314,6 @@
     }
 }
 
-fn own_request(
-    entry: &EndpointEntry,
-    method: Method,
-    uri: Uri,
-    body: Vec<u8>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = method;
-    *request.uri_mut() = uri;
-    request.headers_mut().insert(HOST, host_value(entry));
-    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    request
-}
-
 fn order_options() -> SendOptions {
     SendOptions {
         max_idle: Duration::from_secs(1),
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,6 +32,8 @@
 const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Path of the exchange of loads.
 const LOADS_PATH: &str = "/loads";
+/// Path that tells whether a host serves.
+const ALIVE_PATH: &str = "/alive";
 /// Time for another host's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two exchanges of loads: some ten streams begin meanwhile at the usual load.
@@ -155,6 +157,11 @@
     state.wake_line();
 }
 
+/// Whether another host answers and is not about to end.
+pub(crate) async fn is_alive(state: &EntryState, address: SocketAddr) -> bool {
+    fetch::<bool>(state, address, ALIVE_PATH, Vec::new()).await.unwrap_or(false)
+}
+
 async fn fetch<T: DeserializeOwned>(
     state: &EntryState,
     address: SocketAddr,
@@ -215,6 +222,10 @@
     if request.uri().path() == KNOWLEDGE_PATH {
         return knowledge(&state).map(|text| Response::new(whole_body(text)));
     }
+    if request.uri().path() == ALIVE_PATH {
+        return serde_json::to_vec(&!state.is_leaving.get())
+            .map(|text| Response::new(whole_body(text)));
+    }
     let body = Limited::new(request.into_body(), MAX_REPORT_BYTES).collect().await;
     let report = body.map(|body| serde_json::from_slice::<HostReport>(&body.to_bytes()));
     let Ok(Ok(report)) = report else {
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -11,7 +11,7 @@
 
 use crate::answer::end_to_end_headers;
 use crate::call::AllowedCall;
-use crate::dialect::{ReplyHead, SendHead};
+use crate::dialect::{EndpointReport, ReplyHead, SendHead};
 use crate::endpoints::EndpointEntry;
 use crate::path::PathStage;
 use crate::pool::{PooledReply, SendFault, SendOptions};
@@ -22,6 +22,9 @@
 /// Time for the connection of a probe, and for its answer: endpoints answer reports within some ms,
 /// also when they are full.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
+/// Share of an endpoint's memory below which a refusal is not for want of memory: a stream takes a
+/// small part of it.
+const FULL_SHARE: f64 = 0.85;
 /// Idle time after which a connection is not used for a request that runs at most once: a reset on
 /// a kept connection would leave its outcome unknown.
 const ONCE_MAX_IDLE: Duration = Duration::ZERO;
@@ -99,36 +102,42 @@
     Ok(SentReply { reply, head })
 }
 
+/// Reads the state that an endpoint reports; none where it answers something else.
+pub(crate) async fn fetch_report(
+    state: &EntryState,
+    entry: &EndpointEntry,
+    limit: Duration,
+) -> Result<Option<EndpointReport>, SendFault> {
+    let mut request = Request::new(Full::new(Bytes::new()));
+    *request.uri_mut() = hyper::Uri::from_static(state.dialect.report_path());
+    request.headers_mut().insert(hyper::header::HOST, host_value(entry));
+    let options =
+        SendOptions { max_idle: Duration::ZERO, connect_timeout: limit, head_timeout: limit };
+    let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
+    let report = parts.status.is_success().then(|| state.dialect.read_report(&body)).flatten();
+    if report.is_none() {
+        let status = parts.status.as_u16();
+        log::info!(event = "report_refused", endpoint = &*entry.name, status; "no state reported");
+    }
+    Ok(report)
+}
+
 /// Asks an endpoint for its state; an endpoint that does not answer is taken as down.
 pub(crate) async fn probe(state: Rc<EntryState>, name: EndpointName) {
     let Some(entry) = state.endpoint(&name) else { return };
-    let mut request = Request::new(Full::new(Bytes::new()));
-    *request.uri_mut() = hyper::Uri::from_static(state.dialect.report_path());
-    request.headers_mut().insert(hyper::header::HOST, host_value(&entry));
-    let options = SendOptions {
-        max_idle: Duration::ZERO,
-        connect_timeout: PROBE_TIMEOUT,
-        head_timeout: PROBE_TIMEOUT,
-    };
-    match state.pool.fetch(entry.address, request, options).await {
-        Ok((parts, body)) if parts.status.is_success() => {
+    match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
+        Ok(report) => {
             state.clear_doubt(&name);
             if state.beliefs.borrow_mut().mark_up(&name) {
                 log::info!(event = "endpoint_up", endpoint = &*name; "endpoint answers again");
                 state.changed.notify_waiters();
             }
-            let report = state.dialect.read_report(&body);
-            let stalled = report.map(|report| report.stalled).unwrap_or_default();
-            for address in stalled {
+            for address in report.map(|report| report.stalled).unwrap_or_default() {
                 if let Some(other) = state.endpoint_at(address) {
                     suspect(&state, &other, "reported by the first stage");
                 }
             }
         }
-        Ok((parts, _)) => {
-            let status = parts.status.as_u16();
-            log::info!(event = "probe_refused", endpoint = &*name, status; "probe refused");
-        }
         Err(error) => {
             if state.beliefs.borrow_mut().mark_down(&name) {
                 let moved = state.flights.borrow().abandon_through(&name);
@@ -142,6 +151,25 @@
     }
 }
 
+/// Finds out whether an endpoint refuses streams because its memory is full, or takes none at all.
+pub(crate) async fn check_refusal(state: Rc<EntryState>, name: EndpointName) {
+    let Some(entry) = state.endpoint(&name) else { return };
+    match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
+        Ok(Some(report)) if report.fill < FULL_SHARE => {
+            close(&state, &name, "refuses streams with memory free");
+        }
+        Ok(_) => {}
+        Err(_) => suspect(&state, &name, "refused streams and reports nothing"),
+    }
+}
+
+/// Sets an endpoint aside that takes no work although the registry lists it.
+pub(crate) fn close(state: &EntryState, name: &EndpointName, reason: &str) {
+    if state.mark_closed(name) {
+        log::info!(event = "endpoint_closed", endpoint = &**name, reason; "endpoint set aside");
+    }
+}
+
 /// Doubts an endpoint and asks it for its state.
 pub(crate) fn suspect(state: &Rc<EntryState>, name: &EndpointName, reason: &str) {
     if state.beliefs.borrow().is_down(name) || !state.doubt(name) {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,7 +14,7 @@
 
 use crate::belief::BeliefTable;
 use crate::dialect::{CallDialect, RegistryLink};
-use crate::endpoints::{EndpointEntry, EndpointTable, RegistryVersion};
+use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
 use crate::flights::FlightTable;
 use crate::line::WaitLine;
 use crate::loads::{LoadBoard, OtherLoads};
@@ -24,6 +24,8 @@
 
 /// Cost of a stage that may be dead, in ms a token: more than a whole path over other cards.
 const DOUBT_MS: f64 = 40.0;
+/// Time for which an endpoint that took no work is not asked again, unless its entry changes.
+const CLOSED_TIME: Duration = Duration::from_secs(3);
 /// Cost of a stage that has just refused a stream, in ms a token.
 const CROWDED_MS: f64 = 20.0;
 /// Time for which a refusal counts: some streams end meanwhile.
@@ -120,11 +122,20 @@
     rules_version: Cell<Option<RegistryVersion>>,
     doubts: RefCell<BTreeMap<EndpointName, Instant>>,
     vouched: RefCell<BTreeMap<EndpointName, Instant>>,
+    closed: RefCell<BTreeMap<EndpointName, ClosedMark>>,
     crowded: RefCell<BTreeMap<EndpointName, Instant>>,
     budget: RefCell<RetryBudget>,
     budget_hosts: Cell<usize>,
 }
 
+/// An endpoint that took no work, as the registry listed it then.
+#[derive(Clone, Copy, Debug)]
+struct ClosedMark {
+    until: Instant,
+    born: u64,
+    layers: Option<LayerSpan>,
+}
+
 /// What a path is asked for.
 #[derive(Clone, Copy, Debug)]
 pub struct PathDemand<'a> {
@@ -170,6 +181,7 @@
             rules_version: Cell::new(None),
             doubts: RefCell::default(),
             vouched: RefCell::default(),
+            closed: RefCell::default(),
             crowded: RefCell::default(),
             budget: RefCell::new(budget),
             budget_hosts: Cell::new(1),
@@ -252,9 +264,32 @@
         }
     }
 
-    /// Records that an endpoint has refused a stream for want of room.
-    pub fn mark_crowded(&self, name: &EndpointName) {
-        self.crowded.borrow_mut().insert(name.clone(), Instant::now() + CROWDED_TIME);
+    /// Records that an endpoint has refused a stream; returns whether it had just refused another.
+    pub fn mark_crowded(&self, name: &EndpointName) -> bool {
+        let now = Instant::now();
+        let until = self.crowded.borrow_mut().insert(name.clone(), now + CROWDED_TIME);
+        until.is_some_and(|until| now < until)
+    }
+
+    /// Records that an endpoint takes no work although the registry lists it: it leaves, or no
+    /// longer holds its layers. Returns whether that is new.
+    pub fn mark_closed(&self, name: &EndpointName) -> bool {
+        let Some(entry) = self.endpoint(name) else { return false };
+        let mark = ClosedMark {
+            until: Instant::now() + CLOSED_TIME,
+            born: entry.born,
+            layers: entry.layers,
+        };
+        let previous = self.closed.borrow_mut().insert(name.clone(), mark);
+        previous.is_none_or(|mark| mark.until <= Instant::now())
+    }
+
+    /// Whether an endpoint is known to take no work although the registry lists it.
+    pub fn is_closed(&self, entry: &EndpointEntry, now: Instant) -> bool {
+        let closed = self.closed.borrow();
+        closed.get(&entry.name).is_some_and(|mark| {
+            now < mark.until && mark.born == entry.born && mark.layers == entry.layers
+        })
     }
 
     /// Takes a doubt back after an answer to a probe.
@@ -269,6 +304,7 @@
         for marks in [&self.doubts, &self.vouched, &self.crowded] {
             marks.borrow_mut().retain(|name, _| endpoints.get(name).is_some());
         }
+        self.closed.borrow_mut().retain(|name, _| endpoints.get(name).is_some());
     }
 
     /// The cheapest path for a stream; nothing where none has room.
@@ -324,6 +360,7 @@
             &*entry.service == demand.service
                 && !entry.is_draining
                 && !beliefs.is_down(&entry.name)
+                && !self.is_closed(entry, now)
                 && !demand.avoid.contains(&entry.name)
         });
         usable
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::line::{LineTicket, WaitClass};
 use crate::path::PathStage;
 use crate::pool::{ConnectionLease, SendFault};
-use crate::sending::{CallSend, probe, send};
+use crate::sending::{CallSend, check_refusal, close, probe, send};
 use crate::state::{EntryState, PathDemand};
 
 /// Longest wait for a path when none has room: most of the time to the first event that callers
@@ -237,7 +237,11 @@
         if sent.is_not_run() {
             let at = sent.head.fault_at.and_then(|address| state.endpoint_at(address));
             let culprit = at.unwrap_or_else(|| first.name.clone());
-            state.mark_crowded(&culprit);
+            if status == StatusCode::MISDIRECTED_REQUEST {
+                close(&state, &culprit, "does not hold its layers");
+            } else if state.mark_crowded(&culprit) {
+                tokio::task::spawn_local(check_refusal(state.clone(), culprit.clone()));
+            }
             self.avoid.insert(culprit.clone());
             sent.reply.lease.give_back();
             let text = format!("{culprit} refused with {status}");
