--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -3,6 +3,7 @@
 //! The holder renews a note in the registry. Two holders at once do no harm: each order names the
 //! number of orders that the endpoint must have accepted before, so that of two orders one fails.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +17,7 @@
 
 use crate::dialect::{NoteGroup, RegistryError};
 use crate::endpoints::{EndpointEntry, LayerSpan, RegistryVersion};
+use crate::follow::endpoints_changed;
 use crate::layout::{CardView, LayoutOrder, ModelShape, layout_orders};
 use crate::peers;
 use crate::pool::SendOptions;
@@ -37,11 +39,16 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time beyond the expected loading after which an order without a visible effect is looked into.
 const ORDER_SLACK: Duration = Duration::from_millis(2_500);
+/// Time between two questions to an endpoint that still loads.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause before an endpoint that refused an order gets another.
 const REFUSED_PAUSE: Duration = Duration::from_millis(500);
 
 struct PendingOrder {
     span: LayerSpan,
+    /// When the layers should be loaded.
+    due: Instant,
+    /// When the order is taken as without effect.
     until: Instant,
 }
 
@@ -179,7 +186,7 @@
 
 /// Looks at the cards again and again and sends the orders that are due.
 async fn plan(state: Rc<EntryState>) {
-    let book = Rc::new(std::cell::RefCell::new(DutyBook::default()));
+    let book = Rc::new(RefCell::new(DutyBook::default()));
     let (mut count, mut since) = (0, Instant::now());
     loop {
         sleep(PLAN_INTERVAL).await;
@@ -187,6 +194,7 @@
         if known != count {
             (count, since) = (known, Instant::now());
         }
+        confirm_loaded(&state, &book);
         let Some(rules) = state.rules() else { continue };
         for (service, rule) in &rules.rules().services {
             let Some(engine) = &rule.engine else { continue };
@@ -207,11 +215,32 @@
     }
 }
 
+/// Asks endpoints whose loading should be over for their layers; the registry tells of them only
+/// with the endpoint's next heartbeat, a second later.
+fn confirm_loaded(state: &Rc<EntryState>, book: &Rc<RefCell<DutyBook>>) {
+    let now = Instant::now();
+    let mut book = book.borrow_mut();
+    for (name, order) in book.pending.iter_mut().filter(|(_, order)| now >= order.due) {
+        order.due = now + CONFIRM_INTERVAL;
+        let (state, name, span) = (state.clone(), name.clone(), order.span);
+        tokio::task::spawn_local(async move {
+            let Some(entry) = state.endpoint(&name) else { return };
+            let report = fetch_report(&state, &entry, ORDER_TIMEOUT).await;
+            let layers = report.ok().flatten().and_then(|report| report.layers);
+            if layers == Some(span) && entry.layers != layers {
+                state.endpoints.borrow_mut().take_layers(&name, span);
+                endpoints_changed(&state);
+            }
+        });
+    }
+}
+
 fn card_views(state: &EntryState, service: &str, book: &mut DutyBook) -> Vec<CardView> {
     let now = Instant::now();
     let (endpoints, beliefs) = (state.endpoints.borrow(), state.beliefs.borrow());
     let rules = state.rules();
     let engine = rules.as_ref().and_then(|rules| rules.engine(service));
+    let token_layer_mb = engine.map_or(0.0, |engine| engine.token_layer_mb);
     let mut views = Vec::new();
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
         let is_lost = beliefs.is_down(&entry.name) || state.is_closed(entry, now);
@@ -234,6 +263,7 @@
             memory_mb: card.memory_mb,
             step_factor: card.step_factor,
             held: pending.map(|order| order.span).or(entry.layers),
+            used_mb: state.total_load(&entry.name).token_layers as f64 * token_layer_mb,
             is_free: pending.is_none(),
         });
     }
@@ -242,14 +272,14 @@
 
 async fn send_order(
     state: Rc<EntryState>,
-    book: Rc<std::cell::RefCell<DutyBook>>,
+    book: Rc<RefCell<DutyBook>>,
     order: LayoutOrder,
     load: Duration,
 ) {
     let Some(entry) = state.endpoint(&order.name) else { return };
-    let pending = |until| PendingOrder { span: order.span, until };
-    let now = Instant::now();
-    book.borrow_mut().pending.insert(order.name.clone(), pending(now + ORDER_TIMEOUT * 3));
+    let until = Instant::now() + ORDER_TIMEOUT * 3;
+    let pending = PendingOrder { span: order.span, due: until, until };
+    book.borrow_mut().pending.insert(order.name.clone(), pending);
     // The registry's count may be old; only the endpoint's own says what the order follows.
     let report = match fetch_report(&state, &entry, ORDER_TIMEOUT).await {
         Ok(Some(report)) => report,
@@ -267,9 +297,10 @@
             "endpoint differs from the registry"
         );
         let until = Instant::now() + REFUSED_PAUSE;
-        book.borrow_mut()
-            .pending
-            .insert(order.name.clone(), PendingOrder { span: held.unwrap_or(order.span), until });
+        book.borrow_mut().pending.insert(
+            order.name.clone(),
+            PendingOrder { span: held.unwrap_or(order.span), due: until, until },
+        );
         return;
     }
     let status = post(&state, &entry, order.span, report.orders).await;
@@ -286,7 +317,7 @@
         after = report.orders, status = status.map_or(0, |status| status.as_u16()),
         load_ms = load.as_millis() as u64; "order to hold layers"
     );
-    let pending = PendingOrder { span: order.span, until };
+    let pending = PendingOrder { span: order.span, due: Instant::now() + load, until };
     book.borrow_mut().pending.insert(order.name.clone(), pending);
 }
 
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -160,6 +160,14 @@
         self.version = self.version.max(version);
     }
 
+    /// Takes an endpoint's own word for the layers that it holds, ahead of its entry.
+    pub fn take_layers(&mut self, name: &str, span: LayerSpan) {
+        if let Some(entry) = self.entries.get(name) {
+            let entry = EndpointEntry { layers: Some(span), ..entry.clone() };
+            self.put(entry);
+        }
+    }
+
     /// Drops entries that did not come back in time; returns their names.
     pub fn expire(&mut self, now: Instant) -> Vec<EndpointName> {
         let due: Vec<_> = self
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -14,12 +14,15 @@
 
 use crate::endpoints::LayerSpan;
 
-/// Share of a card's memory that weights take at first; the rest holds the tokens of requests.
-/// At 0.7 each layer of the milestone's model leaves room for 100,000 tokens, three times what a
-/// domain's streams hold at the usual load.
-const WEIGHT_SHARE: f64 = 0.7;
+/// Share of a card's memory that weights take at first; the rest holds the tokens of requests. A
+/// second copy within a domain would take memory from the first one's streams: at 0.7 a domain
+/// held 100,000 tokens and overflowed once another one was lost, at 0.5 it holds 230,000.
+const WEIGHT_SHARE: f64 = 0.5;
 /// Share of a card's memory that weights may take when a gap has to be closed.
 const GAP_WEIGHT_SHARE: f64 = 0.9;
+/// Memory that an extended card keeps free, as a multiple of what its streams hold: an order that
+/// leaves less breaks them all off.
+const USED_MARGIN: f64 = 1.3;
 /// Weight of a layer's copies in other domains against those in the own domain.
 const FOREIGN_COPY_WEIGHT: f64 = 0.01;
 
@@ -45,6 +48,8 @@
     pub step_factor: f64,
     /// Layers that it holds or loads.
     pub held: Option<LayerSpan>,
+    /// Memory that its streams hold, in MB.
+    pub used_mb: f64,
     /// Whether it can take an order now.
     pub is_free: bool,
 }
@@ -71,6 +76,8 @@
 ///     memory_mb: 100.0,
 ///     step_factor: 1.0,
 ///     held: None,
+///     used_mb: 0.0,
+///     used_mb: 0.0,
 ///     is_free: true,
 /// };
 /// let orders = layout_orders(ModelShape { layers: 4, layer_mb: 10.0 }, &[card]);
@@ -193,7 +200,12 @@
             } else {
                 continue;
             };
-            let room = card.memory_mb / f64::from(longer.count());
+            let weights = f64::from(longer.count()) * self.shape.layer_mb;
+            let left = card.memory_mb - weights;
+            if left < card.used_mb * USED_MARGIN {
+                continue;
+            }
+            let room = (left - card.used_mb) / f64::from(longer.count());
             if best.is_none_or(|(other, ..)| room > other) {
                 best = Some((room, index, longer));
             }
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -24,7 +24,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
 /// Share of an endpoint's memory below which a refusal is not for want of memory: a stream takes a
 /// small part of it.
-const FULL_SHARE: f64 = 0.85;
+const FULL_SHARE: f64 = 0.6;
 /// Idle time after which a connection is not used for a request that runs at most once: a reset on
 /// a kept connection would leave its outcome unknown.
 const ONCE_MAX_IDLE: Duration = Duration::ZERO;
@@ -155,8 +155,16 @@
 pub(crate) async fn check_refusal(state: Rc<EntryState>, name: EndpointName) {
     let Some(entry) = state.endpoint(&name) else { return };
     match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
-        Ok(Some(report)) if report.fill < FULL_SHARE => {
-            close(&state, &name, "refuses streams with memory free");
+        Ok(Some(report)) => {
+            log::info!(
+                event = "refusal_checked", endpoint = &*name, fill = report.fill,
+                busy = report.is_busy, layers:? = report.layers; "endpoint refuses streams"
+            );
+            // The report is some 200 ms old; the streams sent meanwhile are known here.
+            let known = state.known_fill(&entry).unwrap_or(1.0);
+            if report.fill.max(known) < FULL_SHARE && !report.is_busy {
+                close(&state, &name, "refuses streams with memory free");
+            }
         }
         Ok(_) => {}
         Err(_) => suspect(&state, &name, "refused streams and reports nothing"),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,7 +15,7 @@
 use crate::belief::BeliefTable;
 use crate::dialect::{CallDialect, RegistryLink};
 use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
-use crate::flights::FlightTable;
+use crate::flights::{FlightTable, StageLoad};
 use crate::line::WaitLine;
 use crate::loads::{LoadBoard, OtherLoads};
 use crate::path::{PathStage, StageView, cheapest_path, first_gap};
@@ -316,6 +316,25 @@
         cheapest_path(engine.layers, &self.options.domain, pipe, &stages).map(Into::into)
     }
 
+    /// What all hosts run through an endpoint, as far as this host knows.
+    pub fn total_load(&self, name: &str) -> StageLoad {
+        let mut load = self.flights.borrow().load(name);
+        let others = self.other_loads.borrow();
+        let sum = others.fresh(Instant::now());
+        load.add(sum.and_then(|sum| sum.loads.get(name)).copied().unwrap_or_default());
+        load
+    }
+
+    /// Share of an endpoint's memory for tokens that the known streams take.
+    pub fn known_fill(&self, entry: &EndpointEntry) -> Option<f64> {
+        let rules = self.rules()?;
+        let engine = rules.engine(&entry.service)?;
+        let card = engine.cards.get(entry.card.as_deref()?)?;
+        let weights = f64::from(entry.layers?.count()) * engine.layer_mb;
+        let room = (card.memory_mb - weights).max(0.0) / engine.token_layer_mb;
+        Some(self.total_load(&entry.name).token_layers as f64 / room.max(1.0))
+    }
+
     /// Share of the pipe between failure domains that the streams of all hosts fill.
     fn pipe_share(&self, engine: &EngineRule) -> f64 {
         let others = self.other_loads.borrow();
