--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -207,7 +207,7 @@
             for order in layout_orders(shape, &cards) {
                 let card = cards.iter().find(|card| card.name == order.name);
                 let held = card.and_then(|card| card.held);
-                let new = order.span.count() - held.map_or(0, LayerSpan::count);
+                let new = order.span.count().saturating_sub(held.map_or(0, LayerSpan::count));
                 let load = engine.load.mul_f64(f64::from(new) / f64::from(engine.layers.max(1)));
                 tokio::task::spawn_local(send_order(state.clone(), book.clone(), order, load));
             }
@@ -277,7 +277,8 @@
     load: Duration,
 ) {
     let Some(entry) = state.endpoint(&order.name) else { return };
-    let until = Instant::now() + ORDER_TIMEOUT * 3;
+    let until =
+        Instant::now() + ORDER_TIMEOUT * 3 + peers::exchange_interval(state.host_count()) * 2;
     let pending = PendingOrder { span: order.span, due: until, until };
     book.borrow_mut().pending.insert(order.name.clone(), pending);
     // The registry's count may be old; only the endpoint's own says what the order follows.
@@ -303,6 +304,13 @@
         );
         return;
     }
+    let gives_up = held.is_some_and(|held| held.count() > order.span.count());
+    if gives_up {
+        // Hosts learn first that the layers are no longer to be used here.
+        state.endpoints.borrow_mut().take_layers(&order.name, order.span);
+        endpoints_changed(&state);
+        sleep(peers::exchange_interval(state.host_count()) * 2).await;
+    }
     let status = post(&state, &entry, order.span, report.orders).await;
     let (label, until) = match status {
         Some(StatusCode::ACCEPTED) => ("accepted", Instant::now() + load * 2 + ORDER_SLACK),
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -5,8 +5,10 @@
 //! narrow pipe; the loss of a card must be healed by loading few layers.
 //!
 //! Cards are placed one after the other, fast ones first, each over the layers that its domain
-//! covers least. A gap is closed by empty cards, then by extending the neighbours of the gap, so
-//! that nothing that serves is given up.
+//! covers least. A gap is closed by empty cards, then by extending the neighbours of the gap. That
+//! leaves them with little memory for streams, and a domain holds as many streams as its tightest
+//! layer; so layers are handed on from card to card until the room is even: the taker loads them
+//! first, and the giver lets go of them once another card holds them.
 
 use std::collections::BTreeMap;
 
@@ -23,6 +25,10 @@
 /// Memory that an extended card keeps free, as a multiple of what its streams hold: an order that
 /// leaves less breaks them all off.
 const USED_MARGIN: f64 = 1.3;
+/// Gain of a layer's room from which on layers are handed on, as a factor.
+const HANDOVER_GAIN: f64 = 1.2;
+/// Most layers that are handed on at a time; more take longer to load than the streams wait.
+const MAX_HANDOVER: u16 = 4;
 /// Weight of a layer's copies in other domains against those in the own domain.
 const FOREIGN_COPY_WEIGHT: f64 = 0.01;
 
@@ -65,7 +71,8 @@
 
 /// The orders that bring the cards nearer to a layout without gaps.
 ///
-/// No order gives up a layer, so that the layers held and ordered always fit a card together.
+/// No order gives up layers and adds others, so that the layers held and ordered always fit a card
+/// together. Layers are given up only where another card of the domain holds them.
 ///
 /// ```
 /// use jacinthrock_entry::{CardView, LayerSpan, ModelShape, layout_orders};
@@ -87,6 +94,9 @@
     let mut draft = LayoutDraft::new(shape, cards);
     draft.place_empty_cards();
     draft.close_gaps();
+    if draft.is_unchanged() {
+        draft.even_out();
+    }
     draft.orders()
 }
 
@@ -200,12 +210,11 @@
             } else {
                 continue;
             };
-            let weights = f64::from(longer.count()) * self.shape.layer_mb;
-            let left = card.memory_mb - weights;
-            if left < card.used_mb * USED_MARGIN {
+            if !self.fits(index, longer) {
                 continue;
             }
-            let room = (left - card.used_mb) / f64::from(longer.count());
+            let weights = f64::from(longer.count()) * self.shape.layer_mb;
+            let room = (card.memory_mb - weights) / f64::from(longer.count());
             if best.is_none_or(|(other, ..)| room > other) {
                 best = Some((room, index, longer));
             }
@@ -213,6 +222,123 @@
         best.map(|(_, index, span)| (index, span))
     }
 
+    fn is_unchanged(&self) -> bool {
+        self.cards.iter().zip(&self.spans).all(|(card, span)| card.held == *span)
+    }
+
+    /// Hands layers on within each domain whose cards are all free.
+    fn even_out(&mut self) {
+        let domains: Vec<&str> = self.copies.keys().copied().collect();
+        for domain in domains {
+            let members: Vec<usize> = (0..self.cards.len())
+                .filter(|index| &*self.cards[*index].domain == domain)
+                .filter(|index| self.spans[*index].is_some())
+                .collect();
+            if members.iter().all(|index| self.cards[*index].is_free) && !self.let_go(&members) {
+                self.hand_on(&members);
+            }
+        }
+    }
+
+    /// Shrinks the card whose layers gain most when it lets go of layers that others hold.
+    fn let_go(&mut self, members: &[usize]) -> bool {
+        let mut best: Option<(f64, usize, LayerSpan)> = None;
+        for &index in members {
+            let Some(span) = self.spans[index] else { continue };
+            for shorter in edge_cuts(span, MAX_HANDOVER) {
+                let dropped = (span.from..span.to).filter(|layer| !shorter.holds(*layer));
+                let is_held = |layer: u16| {
+                    members.iter().any(|other| {
+                        *other != index && self.spans[*other].is_some_and(|s| s.holds(layer))
+                    })
+                };
+                if shorter.count() == 0 || !dropped.into_iter().all(is_held) {
+                    continue;
+                }
+                let gain = self.gain(members, &[(index, shorter)]);
+                if gain >= HANDOVER_GAIN && best.is_none_or(|(other, ..)| gain > other) {
+                    best = Some((gain, index, shorter));
+                }
+            }
+        }
+        let Some((_, index, span)) = best else { return false };
+        self.spans[index] = Some(span);
+        true
+    }
+
+    /// Extends the card that relieves a neighbour most; the neighbour lets go afterwards.
+    fn hand_on(&mut self, members: &[usize]) {
+        let mut best: Option<(f64, usize, LayerSpan)> = None;
+        for &taker in members {
+            for &giver in members {
+                let (Some(took), Some(gave)) = (self.spans[taker], self.spans[giver]) else {
+                    continue;
+                };
+                for count in 1..=MAX_HANDOVER.min(gave.count().saturating_sub(1)) {
+                    let (longer, shorter) = if took.to == gave.from {
+                        (
+                            LayerSpan { to: took.to + count, ..took },
+                            LayerSpan { from: gave.from + count, ..gave },
+                        )
+                    } else if took.from == gave.to {
+                        (
+                            LayerSpan { from: took.from - count, ..took },
+                            LayerSpan { to: gave.to - count, ..gave },
+                        )
+                    } else {
+                        break;
+                    };
+                    if !self.fits(taker, longer) {
+                        break;
+                    }
+                    let gain = self.gain(members, &[(taker, longer), (giver, shorter)]);
+                    if gain >= HANDOVER_GAIN && best.is_none_or(|(other, ..)| gain > other) {
+                        best = Some((gain, taker, longer));
+                    }
+                }
+            }
+        }
+        if let Some((_, index, span)) = best {
+            self.spans[index] = Some(span);
+        }
+    }
+
+    fn fits(&self, index: usize, span: LayerSpan) -> bool {
+        let card = &self.cards[index];
+        let left = card.memory_mb - f64::from(span.count()) * self.shape.layer_mb;
+        span.count() <= self.most_layers(card, GAP_WEIGHT_SHARE)
+            && left >= card.used_mb * USED_MARGIN
+    }
+
+    /// Factor by which the least room among the layers that a change touches grows.
+    fn gain(&self, members: &[usize], changes: &[(usize, LayerSpan)]) -> f64 {
+        let span_of = |index: usize, is_changed: bool| {
+            let change = changes.iter().find(|(changed, _)| is_changed && *changed == index);
+            change.map(|(_, span)| *span).or(self.spans[index])
+        };
+        let room = |layer: u16, is_changed: bool| -> f64 {
+            let holders = members.iter().filter_map(|index| {
+                let span = span_of(*index, is_changed).filter(|span| span.holds(layer))?;
+                Some((&self.cards[*index], span))
+            });
+            let rooms = holders.map(|(card, span)| {
+                let weights = f64::from(span.count()) * self.shape.layer_mb;
+                (card.memory_mb - weights) / f64::from(span.count())
+            });
+            rooms.sum()
+        };
+        let touched = |layer: &u16| {
+            changes.iter().any(|(index, span)| {
+                span.holds(*layer) || self.spans[*index].is_some_and(|old| old.holds(*layer))
+            })
+        };
+        let least = |is_changed: bool| {
+            let layers = (0..self.shape.layers).filter(touched);
+            layers.map(|layer| room(layer, is_changed)).fold(f64::INFINITY, f64::min)
+        };
+        least(true) / least(false).max(f64::MIN_POSITIVE)
+    }
+
     fn orders(&self) -> Vec<LayoutOrder> {
         let changed = self.cards.iter().zip(&self.spans).filter(|(card, span)| card.held != **span);
         changed
@@ -222,3 +348,10 @@
             .collect()
     }
 }
+
+/// The span without up to `most` layers at either end.
+fn edge_cuts(span: LayerSpan, most: u16) -> impl Iterator<Item = LayerSpan> {
+    (1..=most.min(span.count())).flat_map(move |count| {
+        [LayerSpan { from: span.from + count, ..span }, LayerSpan { to: span.to - count, ..span }]
+    })
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -133,7 +133,7 @@
 
 /// Time between two exchanges: with more hosts each knows less of what changes meanwhile, and the
 /// holder's link and processor carry all of them.
-fn exchange_interval(hosts: usize) -> Duration {
+pub(crate) fn exchange_interval(hosts: usize) -> Duration {
     LOADS_INTERVAL.max(LOADS_INTERVAL * hosts as u32 / HOSTS_AT_LEAST_INTERVAL)
 }
 
