--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -39,6 +39,9 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time beyond the expected loading after which an order without a visible effect is looked into.
 const ORDER_SLACK: Duration = Duration::from_millis(2_500);
+/// Time after which an empty endpoint is given layers although nothing is missing. When endpoints
+/// are replaced, the new one starts about a second before the old one leaves.
+const IDLE_AFTER: Duration = Duration::from_millis(1_300);
 /// Time between two questions to an endpoint that still loads.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(150);
 /// Pause before an endpoint that refused an order gets another.
@@ -56,6 +59,8 @@
 #[derive(Default)]
 struct DutyBook {
     pending: BTreeMap<EndpointName, PendingOrder>,
+    /// When each empty endpoint was first seen so.
+    empty_since: BTreeMap<EndpointName, Instant>,
 }
 
 /// Takes the duty whenever nobody else holds it, until the process ends.
@@ -242,6 +247,7 @@
     let engine = rules.as_ref().and_then(|rules| rules.engine(service));
     let token_layer_mb = engine.map_or(0.0, |engine| engine.token_layer_mb);
     let mut views = Vec::new();
+    book.empty_since.retain(|name, _| endpoints.get(name).is_some());
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
         let is_lost = beliefs.is_down(&entry.name) || state.is_closed(entry, now);
         if entry.is_draining || is_lost {
@@ -257,12 +263,22 @@
             book.pending.remove(&entry.name);
         }
         let pending = book.pending.get(&entry.name);
+        let held = pending.map(|order| order.span).or(entry.layers).filter(|s| s.count() > 0);
+        let is_idle = if held.is_some() {
+            book.empty_since.remove(&entry.name);
+            false
+        } else {
+            let since = *book.empty_since.entry(entry.name.clone()).or_insert(now);
+            now - since >= IDLE_AFTER
+        };
         views.push(CardView {
             name: entry.name.clone(),
             domain: entry.domain.clone(),
             memory_mb: card.memory_mb,
             step_factor: card.step_factor,
-            held: pending.map(|order| order.span).or(entry.layers),
+            held,
+            loaded: entry.layers.filter(|span| span.count() > 0),
+            is_idle,
             used_mb: state.total_load(&entry.name).token_layers as f64 * token_layer_mb,
             is_free: pending.is_none(),
         });
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::dialect::{NoteGroup, RegistryError};
+use crate::endpoints::EndpointChange;
 use crate::peers;
 use crate::state::{EntryState, PeerHost};
 
@@ -143,10 +144,7 @@
         })?;
         version = version.max(next);
         if !changes.is_empty() {
-            log::info!(
-                event = "endpoints", registry = version, count = changes.len();
-                "endpoints changed"
-            );
+            changes.iter().for_each(|change| log_change(version, change));
             state.endpoints.borrow_mut().apply(version, changes, Instant::now());
             endpoints_changed(state);
             sleep(WATCH_PAUSE).await;
@@ -158,6 +156,20 @@
     }
 }
 
+fn log_change(version: u64, change: &EndpointChange) {
+    match change {
+        EndpointChange::Put(entry) => log::info!(
+            event = "endpoint_listed", registry = version, endpoint = &*entry.name,
+            draining = entry.is_draining, layers:? = entry.layers, born = entry.born;
+            "entry of an endpoint changed"
+        ),
+        EndpointChange::Gone(name) => log::info!(
+            event = "endpoint_unlisted", registry = version, endpoint = &**name;
+            "entry of an endpoint is gone"
+        ),
+    }
+}
+
 /// Acts on a new list of endpoints.
 pub(crate) fn endpoints_changed(state: &EntryState) {
     let endpoints = state.endpoints.borrow();
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -54,6 +54,10 @@
     pub step_factor: f64,
     /// Layers that it holds or loads.
     pub held: Option<LayerSpan>,
+    /// Layers that it serves already; none while it loads its first ones.
+    pub loaded: Option<LayerSpan>,
+    /// Whether it has been empty for so long that no gap is to be expected for it.
+    pub is_idle: bool,
     /// Memory that its streams hold, in MB.
     pub used_mb: f64,
     /// Whether it can take an order now.
@@ -83,7 +87,8 @@
 ///     memory_mb: 100.0,
 ///     step_factor: 1.0,
 ///     held: None,
-///     used_mb: 0.0,
+///     loaded: None,
+///     is_idle: true,
 ///     used_mb: 0.0,
 ///     is_free: true,
 /// };
@@ -105,14 +110,19 @@
     cards: &'a [CardView],
     spans: Vec<Option<LayerSpan>>,
     copies: BTreeMap<&'a str, Vec<u32>>,
+    /// Copies on cards that serve already; a first load takes longer than an extension.
+    served: BTreeMap<&'a str, Vec<u32>>,
 }
 
 impl<'a> LayoutDraft<'a> {
     fn new(shape: ModelShape, cards: &'a [CardView]) -> Self {
         let spans: Vec<_> = cards.iter().map(|card| card.held.filter(|s| s.count() > 0)).collect();
-        let mut draft = Self { shape, cards, spans, copies: BTreeMap::new() };
+        let mut draft =
+            Self { shape, cards, spans, copies: BTreeMap::new(), served: BTreeMap::new() };
         for card in cards {
-            draft.copies.entry(&card.domain).or_insert_with(|| vec![0; usize::from(shape.layers)]);
+            let none = vec![0; usize::from(shape.layers)];
+            draft.served.entry(&card.domain).or_insert_with(|| none.clone());
+            draft.copies.entry(&card.domain).or_insert(none);
         }
         for index in 0..cards.len() {
             if let Some(span) = draft.spans[index] {
@@ -124,9 +134,12 @@
 
     fn cover(&mut self, index: usize, span: LayerSpan) {
         let domain = &*self.cards[index].domain;
+        let is_serving = self.cards[index].loaded.is_some();
         let copies = self.copies.get_mut(domain).expect("every domain of a card has a row");
+        let served = self.served.get_mut(domain).expect("every domain of a card has a row");
         for layer in span.from..span.to.min(self.shape.layers) {
             copies[usize::from(layer)] += 1;
+            served[usize::from(layer)] += u32::from(is_serving);
         }
     }
 
@@ -146,8 +159,10 @@
             a.step_factor.total_cmp(&b.step_factor).then_with(|| a.name.cmp(&b.name))
         });
         for index in empty {
-            let count = self.most_layers(&self.cards[index], WEIGHT_SHARE);
-            if count == 0 {
+            let card = &self.cards[index];
+            let count = self.most_layers(card, WEIGHT_SHARE);
+            let has_gap = self.copies[&*card.domain].contains(&0);
+            if count == 0 || !(has_gap || card.is_idle) {
                 continue;
             }
             let span = self.least_covered(index, count);
@@ -195,12 +210,14 @@
 
     /// The neighbour of a gap that has most memory left for each layer once it takes one more.
     fn best_extension(&self, domain: &str) -> Option<(usize, LayerSpan)> {
-        let copies = &self.copies[domain];
-        let is_gap = |layer: u16| copies.get(usize::from(layer)).is_some_and(|count| *count == 0);
+        // Before the first loads of a domain nothing serves, and every card counts.
+        let is_first = self.served[domain].iter().all(|count| *count == 0);
+        let counts = if is_first { &self.copies[domain] } else { &self.served[domain] };
+        let is_gap = |layer: u16| counts.get(usize::from(layer)).is_some_and(|count| *count == 0);
         let mut best: Option<(f64, usize, LayerSpan)> = None;
         for (index, card) in self.cards.iter().enumerate() {
             let Some(span) = self.spans[index].filter(|_| card.is_free) else { continue };
-            if &*card.domain != domain || span.count() >= self.most_layers(card, GAP_WEIGHT_SHARE) {
+            if &*card.domain != domain || !(is_first || card.loaded.is_some()) {
                 continue;
             }
             let longer = if is_gap(span.to) {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -294,7 +294,12 @@
     /// Waits for a path with room, as long as that serves the caller.
     async fn wait_for_path(&mut self) -> Result<Rc<[PathStage]>, SendEnd> {
         let state = self.state.clone();
-        let until = (Instant::now() + PATH_WAIT).min(self.call.deadline);
+        // A stream that broke off midway is still worth waiting for until its caller leaves.
+        let until = match self.wait_class() {
+            WaitClass::BrokenOff => self.last_event + CALLER_PATIENCE,
+            WaitClass::Returned | WaitClass::New => Instant::now() + PATH_WAIT,
+        };
+        let until = until.min(self.call.deadline);
         if state.line.borrow().is_empty()
             && let Some(path) = self.find_path()
         {
