--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -13,6 +13,7 @@
 use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri};
 use jacinthrock::{EndpointName, MetricName};
+use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep};
 
 use crate::dialect::{NoteGroup, RegistryError};
@@ -32,6 +33,8 @@
 const TOLD_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without a renewal after which another host takes the duty over.
 const TAKEOVER_AFTER: Duration = Duration::from_millis(2_500);
+/// Hosts of either kind that are asked for a holder before a host acts as one.
+const MOST_ASKED: usize = 3;
 /// Time between two looks at the cards.
 const PLAN_INTERVAL: Duration = Duration::from_millis(100);
 /// Time for which the list of endpoints must be unchanged before the first orders, so that the
@@ -96,8 +99,8 @@
             }
             Err(_) => {
                 let away = *away_since.get_or_insert_with(Instant::now);
-                let is_told = state.other_loads.borrow().is_fresh(Instant::now());
-                if away.elapsed() >= TAKEOVER_AFTER && !is_told && !state.is_leaving.get() {
+                let is_alone = !state.is_told() && !state.is_leaving.get();
+                if away.elapsed() >= TAKEOVER_AFTER && is_alone {
                     act(&state).await;
                 }
                 None
@@ -139,10 +142,13 @@
                     break;
                 }
             }
-            // While nobody can write, nobody can take the duty over.
             Err(error) => {
-                let age_ms = renewed.elapsed().as_millis() as u64;
+                let age = renewed.elapsed();
+                let age_ms = age.as_millis() as u64;
                 log::info!(event = "duty_unrenewed", age_ms, error:% = error; "duty not renewed");
+                if age >= TAKEOVER_AFTER {
+                    break;
+                }
                 continue;
             }
         }
@@ -169,14 +175,24 @@
 /// that answer, the one with the least name acts. Two that act at once do no harm.
 async fn act(state: &Rc<EntryState>) {
     let own = &state.options.host;
-    let before: Vec<_> = {
+    let peers: Vec<_> = {
         let peers = state.peers.borrow();
-        peers.iter().filter(|(name, _)| *name < own).map(|(n, p)| (n.clone(), p.address)).collect()
+        peers.iter().map(|(name, peer)| (name.clone(), peer.address)).collect()
     };
-    for (name, address) in &before {
-        if peers::is_alive(state, *address).await {
-            let (host, address) = (name.clone(), *address);
-            *state.duty_holder.borrow_mut() = Some(DutyHolder { host, address });
+    // The registry may turn this host alone away: others then hear a holder.
+    let mut asked: Vec<_> = peers.iter().filter(|(name, _)| name < own).take(MOST_ASKED).collect();
+    let others = peers.iter().filter(|(name, _)| name > own);
+    asked.extend(others.choose_multiple(&mut rand::rng(), MOST_ASKED));
+    for (name, address) in asked {
+        let Some(word) = peers::ask_word(state, *address).await else { continue };
+        let is_before = name < own && word.is_serving;
+        if let Some(holder) = word.holder() {
+            *state.duty_holder.borrow_mut() = Some(holder);
+            return;
+        }
+        if is_before {
+            *state.duty_holder.borrow_mut() =
+                Some(DutyHolder { host: name.clone(), address: *address });
             return;
         }
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -32,8 +32,8 @@
 const KNOWLEDGE_PATH: &str = "/knowledge";
 /// Path of the exchange of loads.
 const LOADS_PATH: &str = "/loads";
-/// Path that tells whether a host serves.
-const ALIVE_PATH: &str = "/alive";
+/// Path of what a host says of itself and of the duty.
+const WORD_PATH: &str = "/word";
 /// Time for another host's answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time between two exchanges of loads: some ten streams begin meanwhile at the usual load.
@@ -155,9 +155,34 @@
     state.wake_line();
 }
 
-/// Whether another host answers and is not about to end.
-pub(crate) async fn is_alive(state: &EntryState, address: SocketAddr) -> bool {
-    fetch::<bool>(state, address, ALIVE_PATH, Vec::new()).await.unwrap_or(false)
+/// What a host says of itself and of the placement duty.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct HostWord {
+    /// Whether it is not about to end.
+    pub(crate) is_serving: bool,
+    /// Holder of the duty that it hears, with its address.
+    holder: Option<(HostName, SocketAddr)>,
+}
+
+impl HostWord {
+    /// Holder of the duty that the host hears.
+    pub(crate) fn holder(self) -> Option<DutyHolder> {
+        self.holder.map(|(host, address)| DutyHolder { host, address })
+    }
+}
+
+/// Asks another host for its word; none where it does not answer.
+pub(crate) async fn ask_word(state: &EntryState, address: SocketAddr) -> Option<HostWord> {
+    fetch(state, address, WORD_PATH, Vec::new()).await.ok()
+}
+
+fn own_word(state: &EntryState) -> HostWord {
+    let hears = state.is_told() || state.is_holder();
+    let holder = state.duty_holder.borrow().clone().filter(|_| hears);
+    HostWord {
+        is_serving: !state.is_leaving.get(),
+        holder: holder.map(|holder| (holder.host, holder.address)),
+    }
 }
 
 async fn fetch<T: DeserializeOwned>(
@@ -220,9 +245,9 @@
     if request.uri().path() == KNOWLEDGE_PATH {
         return knowledge(&state).map(|text| Response::new(whole_body(text)));
     }
-    if request.uri().path() == ALIVE_PATH {
-        return serde_json::to_vec(&!state.is_leaving.get())
-            .map(|text| Response::new(whole_body(text)));
+    if request.uri().path() == WORD_PATH {
+        let word = serde_json::to_vec(&own_word(&state));
+        return word.map(|text| Response::new(whole_body(text)));
     }
     let body = Limited::new(request.into_body(), MAX_REPORT_BYTES).collect().await;
     let report = body.map(|body| serde_json::from_slice::<HostReport>(&body.to_bytes()));
