--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -16,7 +16,7 @@
 /// sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
 /// Longest time of one watch of endpoints: its answer confirms what this host tells the others.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(900);
+const ENDPOINTS_WAIT: Duration = Duration::from_millis(500);
 /// Time between two looks at whether the holder still tells.
 const TOLD_LOOK: Duration = Duration::from_millis(100);
 /// Pause after a watch's answer, so that changes in quick succession come together.
@@ -124,6 +124,7 @@
                     "endpoints not listed"
                 );
                 state.endpoints.borrow_mut().store_was_away(Instant::now());
+                peers::ask(&state).await;
                 pause.wait().await;
             }
         }
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -19,7 +19,7 @@
 /// Share of a card's memory that weights take at first; the rest holds the tokens of requests. A
 /// second copy within a domain would take memory from the first one's streams: at 0.7 a domain
 /// held 100,000 tokens and overflowed once another one was lost, at 0.5 it holds 230,000.
-const WEIGHT_SHARE: f64 = 0.5;
+const WEIGHT_SHARE: f64 = 0.6;
 /// Share of a card's memory that weights may take when a gap has to be closed.
 const GAP_WEIGHT_SHARE: f64 = 0.9;
 /// Memory that an extended card keeps free, as a multiple of what its streams hold: an order that
