--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -198,6 +198,25 @@
         (self.change_count, news)
     }
 
+    /// Takes what another host's table tells, unless the registry has not confirmed that table
+    /// lately or this one is newer. A host that has just started tells an empty table.
+    pub fn take_news(
+        &mut self,
+        version: RegistryVersion,
+        news: EndpointNews,
+        is_confirmed: bool,
+        now: Instant,
+    ) -> bool {
+        if !is_confirmed || version < self.version {
+            return false;
+        }
+        match news {
+            EndpointNews::Whole(entries) => self.replace(version, entries, now),
+            EndpointNews::Changes(changes) => self.apply(version, changes, now),
+        }
+        true
+    }
+
     fn put(&mut self, entry: EndpointEntry) {
         self.note(EndpointChange::Put(entry.clone()));
         self.entries.insert(entry.name.clone(), entry);
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -26,7 +26,7 @@
 use crate::loads::LoadSum;
 use crate::pool::{SendOptions, tune};
 use crate::rules::ServingRules;
-use crate::state::{DutyHolder, EntryState};
+use crate::state::{DutyHolder, EntryState, TOLD_AGE};
 
 /// Path of what a host knows.
 const KNOWLEDGE_PATH: &str = "/knowledge";
@@ -119,8 +119,8 @@
         };
         match reply {
             Ok(reply) => {
-                seen = Some((holder, reply.boot, reply.number));
-                take_reply(&state, own, reply);
+                let place = (holder, reply.boot, reply.number);
+                seen = take_reply(&state, own, reply).then_some(place);
             }
             Err(error) => {
                 log::info!(event = "peer_silent", peer = &*holder, error; "loads not exchanged");
@@ -135,24 +135,24 @@
     LOADS_INTERVAL.max(LOADS_INTERVAL * hosts as u32 / HOSTS_AT_LEAST_INTERVAL)
 }
 
-fn take_reply(state: &EntryState, own: LoadSum, reply: HolderReply) {
+/// Takes the holder's answer; returns whether this host has followed its table up to there.
+fn take_reply(state: &EntryState, own: LoadSum, reply: HolderReply) -> bool {
     let now = Instant::now();
     state.other_loads.borrow_mut().take(reply.total, own, state.host_count(), now);
-    let confirmed = now.checked_sub(Duration::from_millis(reply.confirmed_ms));
+    let age = Duration::from_millis(reply.confirmed_ms);
+    let is_confirmed = age < TOLD_AGE;
     let has_news = reply.news.is_some();
-    let mut endpoints = state.endpoints.borrow_mut();
-    match reply.news {
-        Some(EndpointNews::Whole(entries)) => endpoints.replace(reply.version, entries, now),
-        Some(EndpointNews::Changes(changes)) => endpoints.apply(reply.version, changes, now),
-        None => {}
-    }
-    drop(endpoints);
-    state.told_confirmed.set(confirmed);
-    if has_news {
+    let follows = reply.news.is_none_or(|news| {
+        let mut endpoints = state.endpoints.borrow_mut();
+        endpoints.take_news(reply.version, news, is_confirmed, now)
+    });
+    state.told_confirmed.set(now.checked_sub(age).filter(|_| follows));
+    if has_news && follows {
         log::info!(event = "endpoints", registry = reply.version, source = "holder"; "endpoints changed");
         endpoints_changed(state);
     }
     state.wake_line();
+    follows
 }
 
 /// What a host says of itself and of the placement duty.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -30,7 +30,7 @@
 const CLOSED_TIME: Duration = Duration::from_secs(3);
 /// Age of the holder's last confirmation up to which hosts rely on it. Endpoints that leave must be
 /// known within two seconds: at 1,800 ms a host whose holder was turned away read them too late.
-const TOLD_AGE: Duration = Duration::from_millis(1_300);
+pub(crate) const TOLD_AGE: Duration = Duration::from_millis(1_300);
 /// Largest share by which the cost of a stage is varied at random for each stream, at the shortest
 /// exchange of loads. Hosts that know the same sums would all take the same path until the next.
 const COST_SPREAD: f64 = 0.1;
--- a/crates/entry/tests/endpoints_table.rs
+++ b/crates/entry/tests/endpoints_table.rs
@@ -105,3 +105,16 @@
     table.take_layers("a", span);
     assert_eq!(table.get("a").and_then(|entry| entry.layers), Some(span));
 }
+
+/// All processes start again while the store refuses the holder: its empty table is not taken.
+#[tokio::test(start_paused = true)]
+async fn table_that_the_registry_has_not_confirmed_is_not_taken() {
+    let mut table = EndpointTable::default();
+    let now = Instant::now();
+    table.replace(279, [entry("a")], now);
+    assert!(!table.take_news(0, EndpointNews::Whole(vec![]), false, now));
+    assert!(!table.take_news(278, EndpointNews::Whole(vec![]), true, now));
+    assert!(table.get("a").is_some());
+    assert!(table.take_news(280, EndpointNews::Whole(vec![entry("b")]), true, now));
+    assert!(table.get("a").is_none() && table.get("b").is_some());
+}
--- a/crates/entry/tests/layout_cards.rs
+++ b/crates/entry/tests/layout_cards.rs
@@ -6,12 +6,10 @@
 use proptest::prelude::*;
 use support::{DOMAINS, SHAPE, bound_of, carry_out, empty_fleet, room_of, settle};
 
-/// Share of the room that an ideal split of memory gives, which a settled layout reaches: layers
-/// are whole, and hand-overs of less than a fifth are not worth their loads.
-const SETTLED_SHARE: f64 = 0.6;
-
-/// Rounds of orders after which a loss is healed: each takes about half a second.
-const MOST_ROUNDS: usize = 12;
+/// Share of the bound, and rounds of orders after a loss, that the project aims at: three seconds, at
+/// about half a second a round.
+const AIMED_SHARE: f64 = 0.9;
+const AIMED_ROUNDS: usize = 6;
 
 #[test]
 fn every_domain_holds_a_whole_copy_at_the_start() {
@@ -23,14 +21,15 @@
     }
 }
 
+/// KNOWN-RED.txt lists this test.
 #[test]
-fn settled_layout_is_near_the_bound() {
+fn settled_layout_reaches_the_aimed_share() {
     let mut cards = empty_fleet();
     settle(&mut cards);
     for domain in DOMAINS {
         let share = room_of(&cards, domain) / bound_of(&cards, domain);
         println!("{domain}: {share:.2} of the bound");
-        assert!(share >= SETTLED_SHARE, "{domain} has {share:.2} of the bound");
+        assert!(share >= AIMED_SHARE, "{domain} has {share:.2} of the bound");
     }
 }
 
@@ -41,17 +40,42 @@
     for lost in 0..fleet.len() {
         let mut cards = fleet.clone();
         let gone = cards.remove(lost);
-        // The neighbours of a small card close its gap with the first orders; larger gaps take rounds
-        // in which the cards beyond make room.
-        let orders = layout_orders(SHAPE, &cards);
-        carry_out(&mut cards, &orders);
+        settle(&mut cards);
+        assert!(room_of(&cards, &gone.domain) > 0.0, "loss of {} is not healed", gone.name);
+    }
+}
+
+/// KNOWN-RED.txt lists this test.
+#[test]
+fn neighbours_close_the_gap_of_a_small_card_at_once() {
+    let mut fleet = empty_fleet();
+    settle(&mut fleet);
+    for lost in 0..fleet.len() {
+        let mut cards = fleet.clone();
+        let gone = cards.remove(lost);
         if gone.held.is_some_and(|span| span.count() <= 6) {
+            let orders = layout_orders(SHAPE, &cards);
+            carry_out(&mut cards, &orders);
             assert!(room_of(&cards, &gone.domain) > 0.0, "loss of {} leaves a gap", gone.name);
         }
+    }
+}
+
+/// KNOWN-RED.txt lists this test.
+#[test]
+fn loss_is_healed_to_the_aimed_share_in_time() {
+    let mut fleet = empty_fleet();
+    settle(&mut fleet);
+    for lost in 0..fleet.len() {
+        let mut cards = fleet.clone();
+        let gone = cards.remove(lost);
         let rounds = settle(&mut cards);
-        assert!(rounds <= MOST_ROUNDS, "{rounds} rounds after the loss of {}", gone.name);
         let share = room_of(&cards, &gone.domain) / bound_of(&cards, &gone.domain);
-        assert!(share >= SETTLED_SHARE, "{share:.2} of the bound after the loss of {}", gone.name);
+        assert!(
+            share >= AIMED_SHARE && rounds <= AIMED_ROUNDS,
+            "{share:.2} of the bound {rounds} rounds after the loss of {}",
+            gone.name
+        );
     }
 }
 
--- a/crates/entry/tests/silence_streams.rs
+++ b/crates/entry/tests/silence_streams.rs
@@ -76,8 +76,11 @@
 async fn new_stream_is_given_the_time_to_read_its_prompt() {
     let start = Instant::now();
     let waiting = StreamView { number: 1, path: path(&["a"]), heard: start, pace: None };
-    let early =
-        silence_findings(start + Duration::from_millis(150), USUAL_FIRST, &[waiting.clone()]);
+    let early = silence_findings(
+        start + Duration::from_millis(150),
+        USUAL_FIRST,
+        std::slice::from_ref(&waiting),
+    );
     assert_eq!(early.suspects, names(&[]));
     let late = silence_findings(start + Duration::from_millis(250), USUAL_FIRST, &[waiting]);
     assert_eq!(late.suspects, names(&["a"]));
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -31,7 +31,7 @@
                     step_factor,
                     held: None,
                     loaded: None,
-                    is_idle: false,
+                    is_idle: true,
                     used_mb: 0.0,
                     is_free: true,
                 });
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -113,6 +113,7 @@
     SettingInvalid = 7001, "setting_invalid", 0, false, "A flag or environment variable has an invalid value.";
     SettingMissing = 7002, "setting_missing", 0, false, "A required flag or environment variable is not set.";
     BindFailed = 7003, "bind_failed", 0, false, "The address could not be bound.";
+    SignalsFailed = 7004, "signals_failed", 0, false, "Signals could not be taken.";
 }
 
 impl ResultCode {
