One sum for a stage's load, its room, the model's weights and the duty's note

Read over once more: a stream's load on a stage was written out when it was entered and again when it was removed; a card's room for tokens stood in two places of the state, the weights of a copy in two of the layout, the search for the duty's note in three. The comment on the weights share named the value before the last.

--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -16,7 +16,7 @@
 use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep};
 
-use crate::dialect::{NoteGroup, RegistryError};
+use crate::dialect::{NoteGroup, RegistryError, RegistryNote};
 use crate::endpoints::{EndpointEntry, LayerSpan, RegistryVersion};
 use crate::follow::endpoints_changed;
 use crate::layout::{CardView, LayoutOrder, ModelShape, layout_orders};
@@ -84,7 +84,7 @@
         }
         let free = match state.registry.notes(NoteGroup::Duties).await {
             Ok(notes) => {
-                let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
+                let note = duty_note(&notes);
                 let version = note.map_or(0, |note| note.version);
                 let now = Instant::now();
                 let since = match seen {
@@ -153,7 +153,7 @@
             }
         }
         if let Ok(notes) = state.registry.notes(NoteGroup::Duties).await
-            && let Some(note) = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY)
+            && let Some(note) = duty_note(&notes)
         {
             version = version.max(note.version);
         }
@@ -209,11 +209,16 @@
 
 async fn is_own(state: &EntryState) -> bool {
     let Ok(notes) = state.registry.notes(NoteGroup::Duties).await else { return true };
-    let note = notes.iter().find(|note| &*note.name == PLACEMENT_DUTY);
+    let note = duty_note(&notes);
     let holder = note.and_then(|note| holder_of(&note.text));
     holder.is_some_and(|holder| holder.host == state.options.host)
 }
 
+/// The duty's note among those of its group.
+fn duty_note(notes: &[RegistryNote]) -> Option<&RegistryNote> {
+    notes.iter().find(|note| &*note.name == PLACEMENT_DUTY)
+}
+
 fn own_place(state: &EntryState) -> DutyHolder {
     DutyHolder { host: state.options.host.clone(), address: state.options.peer }
 }
--- a/crates/entry/src/flights.rs
+++ b/crates/entry/src/flights.rs
@@ -75,6 +75,15 @@
 }
 
 impl StageLoad {
+    /// What one stream of so many tokens adds to a stage of its path.
+    fn of_stream(stage: &PathStage, tokens: u32) -> Self {
+        Self {
+            streams: 1,
+            starts: u32::from(stage.span.from == 0),
+            token_layers: u64::from(tokens) * u64::from(stage.span.count()),
+        }
+    }
+
     /// Adds another load.
     pub fn add(&mut self, other: Self) {
         self.streams += other.streams;
@@ -181,9 +190,7 @@
         self.next += 1;
         for stage in path.iter() {
             let load = self.loads.entry(stage.name.clone()).or_default();
-            load.streams += 1;
-            load.starts += u32::from(stage.span.from == 0);
-            load.token_layers += u64::from(tokens) * u64::from(stage.span.count());
+            load.add(StageLoad::of_stream(stage, tokens));
         }
         let flow = f64::from(tokens) / EXPECTED_TIME.as_secs_f64();
         let record = Rc::new(StreamRecord {
@@ -204,10 +211,7 @@
         self.records.remove(&record.number);
         for stage in record.path.iter() {
             let Some(load) = self.loads.get_mut(&stage.name) else { continue };
-            load.streams = load.streams.saturating_sub(1);
-            load.starts = load.starts.saturating_sub(u32::from(stage.span.from == 0));
-            let held = u64::from(record.tokens) * u64::from(stage.span.count());
-            load.token_layers = load.token_layers.saturating_sub(held);
+            load.remove(StageLoad::of_stream(stage, record.tokens));
             if load.streams == 0 {
                 self.loads.remove(&stage.name);
             }
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -17,8 +17,8 @@
 use crate::endpoints::LayerSpan;
 
 /// Share of a card's memory that weights take at first; the rest holds the tokens of requests. A
-/// second copy within a domain would take memory from the first one's streams: at 0.7 a domain
-/// held 100,000 tokens and overflowed once another one was lost, at 0.5 it holds 230,000.
+/// second copy within a domain would take memory from the first one's streams; without one, each
+/// stream passes more cards. 0.6 gave the most worth of 0.5, 0.6 and 0.7 over fifteen hard days a site.
 const WEIGHT_SHARE: f64 = 0.6;
 /// Share of a card's memory that weights may take when a gap has to be closed.
 const GAP_WEIGHT_SHARE: f64 = 0.9;
@@ -276,8 +276,7 @@
 
     /// Room of each layer if the domain's memory were split evenly, in MB.
     fn even_room(&self, members: &[usize]) -> f64 {
-        let weights = f64::from(self.shape.layers) * self.shape.layer_mb;
-        let left = self.memory(members) - self.chain_count(members) as f64 * weights;
+        let left = self.memory(members) - self.chain_count(members) as f64 * self.model_mb();
         left / f64::from(self.shape.layers)
     }
 
@@ -287,8 +286,12 @@
 
     /// Whole copies of the model that a domain should hold.
     fn chain_count(&self, members: &[usize]) -> usize {
-        let weights = f64::from(self.shape.layers) * self.shape.layer_mb;
-        ((self.memory(members) * WEIGHT_SHARE / weights) as usize).max(1)
+        ((self.memory(members) * WEIGHT_SHARE / self.model_mb()) as usize).max(1)
+    }
+
+    /// Memory of one copy of the model's weights, in MB.
+    fn model_mb(&self) -> f64 {
+        f64::from(self.shape.layers) * self.shape.layer_mb
     }
 
     /// Spans by which the memory of the domain is split evenly; the cards of each copy keep their
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -6,6 +6,8 @@
 use jacinthrock::{CustomerName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::endpoints::LayerSpan;
+
 /// Version of the rules as the operator numbers them.
 pub type RulesVersion = u64;
 
@@ -117,6 +119,14 @@
     pub cards: BTreeMap<Box<str>, CardRule>,
 }
 
+impl EngineRule {
+    /// Tokens times layers for which a card that holds a span has room, 1 at least.
+    pub fn token_room(&self, card: &CardRule, span: LayerSpan) -> f64 {
+        let weights = f64::from(span.count()) * self.layer_mb;
+        ((card.memory_mb - weights).max(0.0) / self.token_layer_mb).max(1.0)
+    }
+}
+
 /// One kind of accelerator card.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CardRule {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -354,9 +354,8 @@
         let rules = self.rules()?;
         let engine = rules.engine(&entry.service)?;
         let card = engine.cards.get(entry.card.as_deref()?)?;
-        let weights = f64::from(entry.layers?.count()) * engine.layer_mb;
-        let room = (card.memory_mb - weights).max(0.0) / engine.token_layer_mb;
-        Some(self.total_load(&entry.name).token_layers as f64 / room.max(1.0))
+        let room = engine.token_room(card, entry.layers?);
+        Some(self.total_load(&entry.name).token_layers as f64 / room)
     }
 
     /// Share of the pipe between failure domains that the streams of all hosts fill.
@@ -418,10 +417,8 @@
                     None if entry.domain == self.options.domain => load.scale(neighbours),
                     None => {}
                 }
-                let weights = f64::from(span.count()) * engine.layer_mb;
-                let room = (card.memory_mb - weights).max(0.0) / engine.token_layer_mb;
                 let new = f64::from(demand.tokens) * f64::from(span.count());
-                let memory = (load.token_layers as f64 + new) / room.max(1.0);
+                let memory = (load.token_layers as f64 + new) / engine.token_room(card, span);
                 let places = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
                 let has_places = span.from > 0 || places < ROOM_SHARE;
                 let doubt_ms = if holds(&doubts, &entry.name) { DOUBT_MS } else { 0.0 };
