Move running streams around lost stages; plan layouts to an end

Change: - detour.rs, repath.rs: an order to the first stage replaces lost stages of a running stream. Nothing is sent again. Stand-ins come from the domain, else neighbours in the path take what they hold, else another domain where the host has a ticket for the pipe. - tickets.rs: a host's share of the pipe between domains, second by second. - layout.rs: LayoutPlanner keeps the goal of an even split while the cards of a domain stay; a lost second copy of layers is made again; the split is the best one into whole layers. - Layers under way take memory from the start of the order. - The slack of the retry budget goes by the streams that a host has; half of it is kept for streams that break off midway. - Silence is doubtful from twice the pace of a stream (was three times). - Hosts that are not told watch endpoints for 2 s at a time, and many hosts ask a store that is away at most each 1.6 s.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -82,6 +82,11 @@
     fn expect_endpoint(&self, headers: &mut HeaderMap, name: &EndpointName);
     /// Body of an order to hold layers, if the endpoint has accepted `orders` orders.
     fn place_order(&self, span: LayerSpan, orders: u64) -> Vec<u8>;
+    /// Body of an order to the first stage of a running stream to go on over another path, which
+    /// begins at the same stage. Stages that are new to it read the tokens so far.
+    fn repath_order(&self, attempt: &str, path: &[PathStage]) -> Vec<u8>;
+    /// Endpoint that keeps an order from being carried out, as the answer's body names it.
+    fn read_order_fault(&self, body: &[u8]) -> Option<SocketAddr>;
 }
 
 /// State of an endpoint as it reports it.
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -8,21 +8,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
-use hyper::{Method, Request, StatusCode, Uri};
-use jacinthrock::{EndpointName, MetricName};
+use hyper::StatusCode;
+use jacinthrock::{EndpointName, MetricName, ServiceName};
 use rand::seq::IteratorRandom;
 use tokio::time::{Instant, sleep};
 
 use crate::dialect::{NoteGroup, RegistryError, RegistryNote};
-use crate::endpoints::{EndpointEntry, LayerSpan, RegistryVersion};
+use crate::endpoints::{LayerSpan, RegistryVersion};
 use crate::follow::endpoints_changed;
-use crate::layout::{CardView, LayoutOrder, ModelShape, layout_orders};
+use crate::layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
+use crate::orders::post_order;
 use crate::peers;
-use crate::pool::SendOptions;
-use crate::sending::{fetch_report, host_value};
+use crate::sending::fetch_report;
 use crate::state::{DutyHolder, EntryState};
 
 /// Name of the duty's note.
@@ -238,6 +235,7 @@
 /// Looks at the cards again and again and sends the orders that are due.
 async fn plan(state: Rc<EntryState>) {
     let book = Rc::new(RefCell::new(DutyBook::default()));
+    let mut planners: BTreeMap<ServiceName, LayoutPlanner> = BTreeMap::new();
     let (mut count, mut since) = (0, Instant::now());
     loop {
         sleep(PLAN_INTERVAL).await;
@@ -255,7 +253,8 @@
                 continue;
             }
             let shape = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
-            for order in layout_orders(shape, &cards) {
+            let planner = planners.entry(service.clone()).or_default();
+            for order in planner.orders(shape, &cards) {
                 let card = cards.iter().find(|card| card.name == order.name);
                 let held = card.and_then(|card| card.held);
                 let new = order.span.count().saturating_sub(held.map_or(0, LayerSpan::count));
@@ -388,7 +387,14 @@
         endpoints_changed(&state);
         sleep(peers::exchange_interval(state.host_count()) * 2).await;
     }
-    let status = post(&state, &entry, order.span, report.orders).await;
+    let body = state.dialect.place_order(order.span, report.orders);
+    let status = match post_order(&state, &entry, body, ORDER_TIMEOUT).await {
+        Ok(reply) => Some(reply.status),
+        Err(error) => {
+            log::info!(event = "order_unanswered", endpoint = &*order.name, error:% = error; "no answer");
+            None
+        }
+    };
     let (label, until) = match status {
         Some(StatusCode::ACCEPTED) => ("accepted", Instant::now() + load * 2 + ORDER_SLACK),
         Some(StatusCode::OK) => ("done", Instant::now() + ORDER_SLACK),
@@ -396,6 +402,10 @@
         // It may still be carried out; a second one would then fail on the count of orders.
         None => ("unanswered", Instant::now() + REFUSED_PAUSE),
     };
+    if status.is_some_and(|status| status.is_success()) && !gives_up {
+        state.endpoints.borrow_mut().take_order(&order.name, order.span);
+        endpoints_changed(&state);
+    }
     state.counters.count(MetricName::Orders, &[label]);
     log::info!(
         event = "order", endpoint = &*order.name, from = order.span.from, to = order.span.to,
@@ -410,35 +420,3 @@
     };
     book.borrow_mut().pending.insert(order.name.clone(), pending);
 }
-
-async fn post(
-    state: &EntryState,
-    entry: &EndpointEntry,
-    span: LayerSpan,
-    orders: u64,
-) -> Option<StatusCode> {
-    let body = state.dialect.place_order(span, orders);
-    let uri = Uri::from_static(state.dialect.order_path());
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = uri;
-    request.headers_mut().insert(HOST, host_value(entry));
-    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    state.dialect.expect_endpoint(request.headers_mut(), &entry.name);
-    let fetched = state.pool.fetch(entry.address, request, order_options()).await;
-    match fetched {
-        Ok((parts, _)) => Some(parts.status),
-        Err(error) => {
-            log::info!(event = "order_unanswered", endpoint = &*entry.name, error:% = error; "no answer");
-            None
-        }
-    }
-}
-
-fn order_options() -> SendOptions {
-    SendOptions {
-        max_idle: Duration::from_secs(1),
-        connect_timeout: ORDER_TIMEOUT,
-        head_timeout: ORDER_TIMEOUT,
-    }
-}
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -55,6 +55,18 @@
     pub card: Option<Box<str>>,
     /// Layers that it holds.
     pub layers: Option<LayerSpan>,
+    /// Layers that it holds once an order under way is done: their memory is taken already.
+    #[serde(default)]
+    pub ordered: Option<LayerSpan>,
+}
+
+impl EndpointEntry {
+    /// Number of layers whose weights take memory.
+    pub fn weight_layers(&self) -> u16 {
+        let spans = [self.layers, self.ordered].into_iter().flatten().filter(|s| s.count() > 0);
+        let from = spans.clone().map(|span| span.from).min().unwrap_or(0);
+        spans.map(|span| span.to).max().unwrap_or(0) - from
+    }
 }
 
 /// One change of the registry.
@@ -163,7 +175,15 @@
     /// Takes an endpoint's own word for the layers that it holds, ahead of its entry.
     pub fn take_layers(&mut self, name: &str, span: LayerSpan) {
         if let Some(entry) = self.entries.get(name) {
-            let entry = EndpointEntry { layers: Some(span), ..entry.clone() };
+            let entry = EndpointEntry { layers: Some(span), ordered: None, ..entry.clone() };
+            self.put(entry);
+        }
+    }
+
+    /// Records that an endpoint has begun to load layers.
+    pub fn take_order(&mut self, name: &str, span: LayerSpan) {
+        if let Some(entry) = self.entries.get(name) {
+            let entry = EndpointEntry { ordered: Some(span), ..entry.clone() };
             self.put(entry);
         }
     }
--- a/crates/entry/src/flights.rs
+++ b/crates/entry/src/flights.rs
@@ -27,9 +27,9 @@
 #[derive(Debug)]
 pub struct StreamRecord {
     number: StreamNumber,
-    path: Rc<[PathStage]>,
+    path: RefCell<Rc<[PathStage]>>,
     tokens: u32,
-    crossing_tokens_per_s: f64,
+    crossing_tokens_per_s: Cell<f64>,
     heard: Cell<Instant>,
     pace: Cell<Option<Duration>>,
     is_waiting: Cell<bool>,
@@ -39,8 +39,8 @@
 
 impl StreamRecord {
     /// Stages that the stream runs through.
-    pub fn path(&self) -> &[PathStage] {
-        &self.path
+    pub fn path(&self) -> Rc<[PathStage]> {
+        self.path.borrow().clone()
     }
 
     fn event(&self, now: Instant) {
@@ -144,7 +144,7 @@
         waiting
             .map(|record| StreamView {
                 number: record.number,
-                path: record.path.clone(),
+                path: record.path(),
                 heard: record.heard.get(),
                 pace: record.pace.get(),
             })
@@ -153,7 +153,7 @@
 
     /// Tokens a second that this host's streams send between failure domains.
     pub fn crossing_tokens_per_s(&self) -> f64 {
-        self.records.values().map(|record| record.crossing_tokens_per_s).sum()
+        self.records.values().map(|record| record.crossing_tokens_per_s.get()).sum()
     }
 
     /// Usual time from a send to its first event.
@@ -176,7 +176,7 @@
     /// Tells all streams through an endpoint to leave their paths; returns how many.
     pub fn abandon_through(&self, name: &str) -> usize {
         let through = self.records.values().filter(|record| {
-            record.is_waiting.get() && record.path.iter().any(|stage| &*stage.name == name)
+            record.is_waiting.get() && record.path().iter().any(|stage| &*stage.name == name)
         });
         through.map(|record| record.abandon.notify_one()).count()
     }
@@ -188,15 +188,11 @@
 
     fn insert(&mut self, path: Rc<[PathStage]>, tokens: u32, now: Instant) -> Rc<StreamRecord> {
         self.next += 1;
-        for stage in path.iter() {
-            let load = self.loads.entry(stage.name.clone()).or_default();
-            load.add(StageLoad::of_stream(stage, tokens));
-        }
-        let flow = f64::from(tokens) / EXPECTED_TIME.as_secs_f64();
+        self.add_path(&path, tokens);
         let record = Rc::new(StreamRecord {
             number: self.next,
-            crossing_tokens_per_s: flow * crossings(&path) as f64,
-            path,
+            crossing_tokens_per_s: Cell::new(crossing_flow(&path, tokens)),
+            path: RefCell::new(path),
             tokens,
             heard: Cell::new(now),
             pace: Cell::new(None),
@@ -209,9 +205,20 @@
 
     fn remove(&mut self, record: &StreamRecord) {
         self.records.remove(&record.number);
-        for stage in record.path.iter() {
+        self.remove_path(&record.path(), record.tokens);
+    }
+
+    fn add_path(&mut self, path: &[PathStage], tokens: u32) {
+        for stage in path {
+            let load = self.loads.entry(stage.name.clone()).or_default();
+            load.add(StageLoad::of_stream(stage, tokens));
+        }
+    }
+
+    fn remove_path(&mut self, path: &[PathStage], tokens: u32) {
+        for stage in path {
             let Some(load) = self.loads.get_mut(&stage.name) else { continue };
-            load.remove(StageLoad::of_stream(stage, record.tokens));
+            load.remove(StageLoad::of_stream(stage, tokens));
             if load.streams == 0 {
                 self.loads.remove(&stage.name);
             }
@@ -219,6 +226,11 @@
     }
 }
 
+/// Tokens a second that a stream is expected to send between failure domains.
+fn crossing_flow(path: &[PathStage], tokens: u32) -> f64 {
+    f64::from(tokens) / EXPECTED_TIME.as_secs_f64() * crossings(path) as f64
+}
+
 /// Counts a stream as in flight until it is dropped.
 #[derive(Debug)]
 pub struct StreamFlight {
@@ -243,6 +255,17 @@
         &self.record
     }
 
+    /// Records that the stream goes on over another path, whose new stages read its tokens first.
+    pub fn reroute(&self, path: Rc<[PathStage]>, now: Instant) {
+        let record = &self.record;
+        let mut table = self.table.borrow_mut();
+        table.remove_path(&record.path(), record.tokens);
+        table.add_path(&path, record.tokens);
+        record.crossing_tokens_per_s.set(crossing_flow(&path, record.tokens));
+        *record.path.borrow_mut() = path;
+        record.heard.set(now);
+    }
+
     /// Records an event.
     pub fn event(&self, now: Instant) {
         if self.record.pace.get().is_none() {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -15,8 +15,11 @@
 /// Longest time of one watch. A connection that went silent is noticed by keep-alive probes
 /// sooner.
 const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Longest time of one watch of endpoints: its answer confirms what this host tells the others.
-const ENDPOINTS_WAIT: Duration = Duration::from_millis(500);
+/// Longest time of one watch of endpoints by the holder of the duty: its answer confirms what it
+/// tells the others.
+const HOLDER_WAIT: Duration = Duration::from_millis(500);
+/// Longest time of one watch of endpoints by another host, which ends it once it is told.
+const UNTOLD_WAIT: Duration = Duration::from_secs(2);
 /// Time between two looks at whether the holder still tells.
 const TOLD_LOOK: Duration = Duration::from_millis(100);
 /// Pause after a watch's answer, so that changes in quick succession come together.
@@ -27,6 +30,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failures: within the time in which rules must be in force.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// The same among many hosts, whose calls in an outage would add up; rules have three seconds there.
+const MANY_HOSTS_PAUSE: Duration = Duration::from_millis(1_600);
 /// Time between two readings of the list of hosts.
 const HOSTS_INTERVAL: Duration = Duration::from_secs(3);
 /// Hosts from which on the list is read more rarely: one more or less changes little.
@@ -47,9 +52,10 @@
         Self { next: RETRY_PAUSE }
     }
 
-    async fn wait(&mut self) {
+    async fn wait(&mut self, hosts: usize) {
         sleep(self.next).await;
-        self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
+        let most = if hosts >= MANY_HOSTS { MANY_HOSTS_PAUSE } else { MAX_RETRY_PAUSE };
+        self.next = (self.next * 2).min(most);
     }
 }
 
@@ -68,7 +74,7 @@
             Err(error) => {
                 log::warn!(event = "store_lost", what = "rules", error:% = error; "rules not read");
                 peers::ask(&state).await;
-                pause.wait().await;
+                pause.wait(state.host_count()).await;
             }
         }
     }
@@ -125,7 +131,7 @@
                 );
                 state.endpoints.borrow_mut().store_was_away(Instant::now());
                 peers::ask(&state).await;
-                pause.wait().await;
+                pause.wait(state.host_count()).await;
             }
         }
     }
@@ -134,7 +140,8 @@
 /// Watches until the registry fails, or until the holder tells this host of changes.
 async fn watch_endpoints(state: &EntryState, mut version: u64) -> Result<(), RegistryError> {
     loop {
-        let watched = state.registry.watch_endpoints(version, ENDPOINTS_WAIT).await;
+        let wait = if state.is_holder() { HOLDER_WAIT } else { UNTOLD_WAIT };
+        let watched = state.registry.watch_endpoints(version, wait).await;
         let (next, changes) = watched.inspect_err(|error| {
             log::info!(event = "watch_ended", what = "endpoints", error:% = error; "watch ended");
         })?;
@@ -202,7 +209,7 @@
             Err(RegistryError::Conflict) => break,
             Err(error) => {
                 log::info!(event = "store_lost", what = "hosts", error:% = error; "not registered");
-                pause.wait().await;
+                pause.wait(state.host_count()).await;
             }
         }
     }
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -10,7 +10,7 @@
 //! layer; so layers are handed on from card to card until the room is even: the taker loads them
 //! first, and the giver lets go of them once another card holds them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use jacinthrock::{DomainName, EndpointName};
 
@@ -28,6 +28,9 @@
 /// Room of a domain's tightest layer, as a share of that with memory split evenly, below which
 /// layers are handed on.
 const EVEN_SHARE: f64 = 0.55;
+/// Room that a card must keep for each layer when it takes one for a further copy, as a share of
+/// that with memory split evenly: half of it carries the usual load of a domain.
+const COPY_ROOM_SHARE: f64 = 0.5;
 /// Most layers that a card takes over at a time; more take long to load.
 const MAX_HANDOVER: u16 = 6;
 /// Weight of a layer's copies in other domains against those in the own domain.
@@ -74,13 +77,10 @@
     pub span: LayerSpan,
 }
 
-/// The orders that bring the cards nearer to a layout without gaps.
-///
-/// No order gives up layers and adds others, so that the layers held and ordered always fit a card
-/// together. Layers are given up only where another card of the domain holds them.
+/// Plans the layout of one model, round after round.
 ///
 /// ```
-/// use jacinthrock_entry::{CardView, LayerSpan, ModelShape, layout_orders};
+/// use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner, ModelShape};
 ///
 /// let card = CardView {
 ///     name: "a".into(),
@@ -93,17 +93,37 @@
 ///     used_mb: 0.0,
 ///     is_free: true,
 /// };
-/// let orders = layout_orders(ModelShape { layers: 4, layer_mb: 10.0 }, &[card]);
+/// let shape = ModelShape { layers: 4, layer_mb: 10.0 };
+/// let orders = LayoutPlanner::default().orders(shape, &[card]);
 /// assert_eq!(orders[0].span, LayerSpan { from: 0, to: 4 });
 /// ```
-pub fn layout_orders(shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
-    let mut draft = LayoutDraft::new(shape, cards);
-    draft.place_empty_cards();
-    draft.close_gaps();
-    if draft.is_unchanged() {
-        draft.even_out();
+#[derive(Clone, Debug, Default)]
+pub struct LayoutPlanner {
+    goals: BTreeMap<DomainName, EvenGoal>,
+}
+
+/// An even split that a domain moves towards. It stays while the cards do: worked out anew from
+/// spans that have moved, the order of the cards could change and change back without end.
+#[derive(Clone, Debug)]
+struct EvenGoal {
+    members: BTreeSet<EndpointName>,
+    spans: BTreeMap<EndpointName, LayerSpan>,
+}
+
+impl LayoutPlanner {
+    /// The orders that bring the cards nearer to a layout without gaps.
+    ///
+    /// No order gives up layers and adds others, so that the layers held and ordered always fit a
+    /// card together. Layers are given up only where another card of the domain holds them.
+    pub fn orders(&mut self, shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
+        let mut draft = LayoutDraft::new(shape, cards);
+        draft.place_empty_cards();
+        draft.close_gaps();
+        if draft.is_unchanged() {
+            draft.even_out(&mut self.goals);
+        }
+        draft.orders()
     }
-    draft.orders()
 }
 
 struct LayoutDraft<'a> {
@@ -197,24 +217,42 @@
     fn close_gaps(&mut self) {
         let domains: Vec<&str> = self.copies.keys().copied().collect();
         for domain in domains {
-            while let Some((index, span)) = self.best_extension(domain) {
-                let held = self.spans[index].expect("only holders are extended");
-                for layer in [span.from, span.to - 1] {
-                    if !held.holds(layer) {
-                        self.cover(index, LayerSpan { from: layer, to: layer + 1 });
-                    }
-                }
-                self.spans[index] = Some(span);
+            while let Some((index, span)) = self.best_extension(domain, 1, 0.0) {
+                self.extend(index, span);
+            }
+            // Running streams go on over the other copies of a lost layer, as long as there are any.
+            let members = self.members(domain);
+            let copies = self.chain_count(&members) as u32;
+            let least_room = self.even_room(&members) / f64::from(copies) * COPY_ROOM_SHARE;
+            while let Some((index, span)) = self.best_extension(domain, copies, least_room) {
+                self.extend(index, span);
+            }
+        }
+    }
+
+    fn extend(&mut self, index: usize, span: LayerSpan) {
+        let held = self.spans[index].expect("only holders are extended");
+        for layer in [span.from, span.to - 1] {
+            if !held.holds(layer) {
+                self.cover(index, LayerSpan { from: layer, to: layer + 1 });
             }
         }
+        self.spans[index] = Some(span);
     }
 
-    /// The neighbour of a gap that has most memory left for each layer once it takes one more.
-    fn best_extension(&self, domain: &str) -> Option<(usize, LayerSpan)> {
+    /// The card next to a layer with fewer copies than wanted that has most memory left for each
+    /// layer once it takes one more, and at least `least_room` MB.
+    fn best_extension(
+        &self,
+        domain: &str,
+        wanted: u32,
+        least_room: f64,
+    ) -> Option<(usize, LayerSpan)> {
         // Before the first loads of a domain nothing serves, and every card counts.
         let is_first = self.served[domain].iter().all(|count| *count == 0);
         let counts = if is_first { &self.copies[domain] } else { &self.served[domain] };
-        let is_gap = |layer: u16| counts.get(usize::from(layer)).is_some_and(|count| *count == 0);
+        let is_gap =
+            |layer: u16| counts.get(usize::from(layer)).is_some_and(|count| *count < wanted);
         let mut best: Option<(f64, usize, LayerSpan)> = None;
         for (index, card) in self.cards.iter().enumerate() {
             let Some(span) = self.spans[index].filter(|_| card.is_free) else { continue };
@@ -232,7 +270,7 @@
                 continue;
             }
             let room = self.room_of(index, longer);
-            if best.is_none_or(|(other, ..)| room > other) {
+            if room >= least_room && best.is_none_or(|(other, ..)| room > other) {
                 best = Some((room, index, longer));
             }
         }
@@ -244,13 +282,30 @@
     }
 
     /// Moves the cards of each uneven domain towards even shares of its memory.
-    fn even_out(&mut self) {
+    fn even_out(&mut self, goals: &mut BTreeMap<DomainName, EvenGoal>) {
         let domains: Vec<&str> = self.copies.keys().copied().collect();
+        goals.retain(|domain, _| domains.contains(&&**domain));
         for domain in domains {
             let members = self.members(domain);
-            let is_settled = members.iter().all(|index| self.cards[*index].is_free);
-            if is_settled && self.least_room(&members) < self.even_room(&members) * EVEN_SHARE {
-                self.approach(&self.even_spans(&members));
+            let names = members.iter().map(|index| self.cards[*index].name.clone()).collect();
+            if goals.get(domain).is_some_and(|goal| goal.members != names) {
+                goals.remove(domain);
+            }
+            if !members.iter().all(|index| self.cards[*index].is_free) {
+                continue;
+            }
+            let is_thin = self.copies[domain]
+                .iter()
+                .any(|count| (*count as usize) < self.chain_count(&members));
+            let is_uneven =
+                is_thin || self.least_room(&members) < self.even_room(&members) * EVEN_SHARE;
+            if is_uneven && !goals.contains_key(domain) {
+                let spans = self.even_spans(&members).into_iter();
+                let spans = spans.map(|(index, span)| (self.cards[index].name.clone(), span));
+                goals.insert(domain.into(), EvenGoal { members: names, spans: spans.collect() });
+            }
+            if let Some(goal) = goals.get(domain) {
+                self.approach(&members, goal);
             }
         }
     }
@@ -299,59 +354,87 @@
     fn even_spans(&self, members: &[usize]) -> Vec<(usize, LayerSpan)> {
         let mut ordered = members.to_vec();
         ordered.sort_by_key(|index| self.spans[*index].map_or(0, |span| span.from + span.to));
-        let mut chains = vec![(0.0_f64, Vec::new()); self.chain_count(members)];
-        for index in ordered {
+        self.chains(&ordered).iter().flat_map(|chain| self.chain_spans(chain)).collect()
+    }
+
+    /// Deals cards out to the copies of the model that their domain should hold, each to the copy
+    /// with the least memory so far.
+    fn chains(&self, ordered: &[usize]) -> Vec<Vec<usize>> {
+        let count = self.chain_count(ordered).min(ordered.len());
+        let mut chains = vec![(0.0_f64, Vec::new()); count];
+        for &index in ordered {
             let least = chains.iter_mut().min_by(|a, b| a.0.total_cmp(&b.0));
             let (memory, chain) = least.expect("a domain has one chain at least");
             *memory += self.cards[index].memory_mb;
             chain.push(index);
         }
-        chains.iter().flat_map(|(memory, chain)| self.chain_spans(*memory, chain)).collect()
+        chains.into_iter().map(|(_, chain)| chain).collect()
     }
 
-    fn chain_spans(&self, memory: f64, chain: &[usize]) -> Vec<(usize, LayerSpan)> {
-        let layers = f64::from(self.shape.layers);
-        let (mut from, mut passed) = (0, 0.0);
-        let mut spans = Vec::new();
-        for &index in chain {
-            passed += self.cards[index].memory_mb;
-            let to = (layers * passed / memory).round() as u16;
-            spans.push((index, LayerSpan { from, to }));
-            from = to;
+    /// Spans of the cards of one copy, one after the other, in the order given. No other split into
+    /// whole layers leaves more room at the tightest layer.
+    fn chain_spans(&self, chain: &[usize]) -> Vec<(usize, LayerSpan)> {
+        let mut counts = vec![0_u16; chain.len()];
+        for _ in 0..self.shape.layers {
+            let can_take = |at: &usize| {
+                counts[*at] < self.most_layers(&self.cards[chain[*at]], GAP_WEIGHT_SHARE)
+            };
+            let room = |at: usize| self.cards[chain[at]].memory_mb / f64::from(counts[at] + 1);
+            let roomiest = (0..chain.len())
+                .filter(can_take)
+                .max_by(|a, b| room(*a).total_cmp(&room(*b)).then(b.cmp(a)));
+            let Some(roomiest) = roomiest else { break };
+            counts[roomiest] += 1;
         }
-        spans
+        let mut from = 0;
+        let spans = chain.iter().zip(counts).map(|(index, count)| {
+            let span = LayerSpan { from, to: from + count };
+            from = span.to;
+            (*index, span)
+        });
+        spans.filter(|(_, span)| span.count() > 0).collect()
     }
 
     /// One step of each card towards its span: it lets go of layers beyond it that others hold, or
     /// takes layers of it as far as its memory allows.
-    fn approach(&mut self, goals: &[(usize, LayerSpan)]) {
-        for (index, goal) in goals {
-            let Some(span) = self.spans[*index] else { continue };
-            let next = self.without_spare(*index, span, *goal);
-            let next = if next == span { self.stretched(*index, span, *goal) } else { next };
-            self.spans[*index] = Some(next);
+    fn approach(&mut self, members: &[usize], goal: &EvenGoal) {
+        let copies = self.chain_count(members);
+        for &index in members {
+            let Some(goal) = goal.spans.get(&self.cards[index].name) else { continue };
+            let Some(span) = self.spans[index] else { continue };
+            let next = self.without_spare(index, span, *goal, copies);
+            let next = if next == span { self.stretched(index, span, *goal) } else { next };
+            self.spans[index] = Some(next);
         }
     }
 
-    /// The span without the outer layers beyond the goal that other serving cards hold.
-    fn without_spare(&self, index: usize, span: LayerSpan, goal: LayerSpan) -> LayerSpan {
+    /// The span without the outer layers beyond the goal of which other cards serve so many copies.
+    /// Layers on the way to the goal stay.
+    fn without_spare(
+        &self,
+        index: usize,
+        span: LayerSpan,
+        goal: LayerSpan,
+        copies: usize,
+    ) -> LayerSpan {
         let domain = &*self.cards[index].domain;
         let is_spare = |layer: u16| {
-            !goal.holds(layer)
-                && self.cards.iter().zip(&self.spans).enumerate().any(|(other, (card, held))| {
-                    // A card that has just been told to take the layer does not serve it yet.
-                    let serves = card.loaded.is_some_and(|loaded| loaded.holds(layer));
-                    other != index
-                        && &*card.domain == domain
-                        && serves
-                        && held.is_some_and(|held| held.holds(layer))
-                })
+            let others = self.cards.iter().zip(&self.spans).enumerate();
+            let serving = others.filter(|(other, (card, held))| {
+                // A card that has just been told to take the layer does not serve it yet.
+                let serves = card.loaded.is_some_and(|loaded| loaded.holds(layer));
+                *other != index
+                    && &*card.domain == domain
+                    && serves
+                    && held.is_some_and(|held| held.holds(layer))
+            });
+            serving.count() >= copies
         };
         let mut left = span;
-        while left.count() > 1 && is_spare(left.from) {
+        while left.count() > 1 && left.from < goal.from && is_spare(left.from) {
             left.from += 1;
         }
-        while left.count() > 1 && is_spare(left.to - 1) {
+        while left.count() > 1 && left.to > goal.to && is_spare(left.to - 1) {
             left.to -= 1;
         }
         left
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! It takes callers' requests, sends them to endpoints, and one of the hosts places models on
 //! endpoints. Decisions are free of input and output and stand in modules of their own:
-//! `layout`, `path`, `silence`, `belief`. docs/design/platform.md gives the design.
+//! `layout`, `path`, `detour`, `silence`, `belief`. docs/design/platform.md gives the design.
 
 mod answer;
 mod belief;
 mod call;
+mod detour;
 mod dialect;
 mod duty;
 mod endpoints;
@@ -18,19 +19,23 @@
 mod layout;
 mod line;
 mod loads;
+mod orders;
 mod path;
 mod peers;
 mod plain;
 mod pool;
+mod repath;
 mod rules;
 mod run;
 mod sending;
 mod silence;
 mod state;
 mod stream;
+mod tickets;
 mod watchdog;
 
 pub use belief::{BeliefTable, CallEnd};
+pub use detour::detour;
 pub use dialect::{
     CallDialect, CallHead, EndpointReport, NoteGroup, RegistryError, RegistryLink, RegistryNote,
     RegistryResult, ReplyHead, SendHead,
@@ -43,9 +48,9 @@
 pub use flights::{FlightTable, StageLoad, StreamFlight, StreamRecord};
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
 pub use journal::start_logs;
-pub use layout::{CardView, LayoutOrder, ModelShape, layout_orders};
+pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
 pub use line::{LineTicket, WaitClass, WaitLine};
-pub use loads::{LoadBoard, LoadMap, LoadSum, OtherLoads};
+pub use loads::{LoadBoard, LoadMap, LoadSum, OtherLoads, retry_share};
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
 pub use pool::{ConnectionLease, ConnectionPool, PooledReply, SendFault, SendOptions};
 pub use rules::{
@@ -55,3 +60,4 @@
 pub use run::{EntryError, run_entry};
 pub use silence::{SilenceFindings, StreamNumber, StreamView, silence_findings};
 pub use state::{DutyHolder, EntryOptions, EntryState, PathDemand, PeerHost};
+pub use tickets::CrossingTickets;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -18,6 +18,9 @@
 /// Time after which a sum is no longer used.
 const SUM_AGE: Duration = Duration::from_millis(2_500);
 
+/// Part of the retry budget that hosts share equally; the rest goes by the streams that they have.
+const EQUAL_PART: f64 = 0.4;
+
 /// Loads of endpoints by name.
 pub type LoadMap = BTreeMap<EndpointName, StageLoad>;
 
@@ -113,6 +116,12 @@
         Some(load)
     }
 
+    /// Streams of the other hosts; none where the last sum is too old.
+    pub fn streams(&self, now: Instant) -> Option<u32> {
+        let told = self.fresh(now)?;
+        Some(told.others.loads.values().map(|load| load.starts).sum())
+    }
+
     /// Tokens a second that the others send between failure domains.
     pub fn crossing_tokens_per_s(&self, now: Instant) -> f64 {
         self.fresh(now).map_or(0.0, |told| told.others.crossing_tokens_per_s)
@@ -123,3 +132,25 @@
         (now.saturating_duration_since(told.at) < SUM_AGE).then_some(told)
     }
 }
+
+/// This host's share of the retry budget: when an endpoint dies, each host has as many streams to
+/// send again as it has streams, and hosts get unlike shares of the callers.
+///
+/// `own` are the streams of this host, `others` those of the other hosts as far as they are known.
+///
+/// ```
+/// use jacinthrock_entry::retry_share;
+///
+/// assert_eq!(retry_share(4, 0, None), 0.25);
+/// assert!(retry_share(4, 30, Some(30)) > 0.25);
+/// ```
+pub fn retry_share(hosts: usize, own: u32, others: Option<u32>) -> f64 {
+    let equal = 1.0 / hosts as f64;
+    match others {
+        Some(others) if own + others > 0 => {
+            let by_streams = f64::from(own) / f64::from(own + others);
+            EQUAL_PART * equal + (1.0 - EQUAL_PART) * by_streams
+        }
+        _ => equal,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/orders.rs
@@ -0,0 +1,43 @@
+//! Orders to endpoints.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HOST, HeaderValue};
+use hyper::{Method, Request, StatusCode, Uri};
+
+use crate::endpoints::EndpointEntry;
+use crate::pool::{SendFault, SendOptions};
+use crate::sending::host_value;
+use crate::state::EntryState;
+
+/// Idle time after which a connection is not used for an order.
+const MAX_IDLE: Duration = Duration::from_secs(1);
+
+/// An endpoint's answer to an order.
+pub(crate) struct OrderReply {
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// Endpoint that keeps the order from being carried out.
+    pub(crate) fault_at: Option<SocketAddr>,
+}
+
+/// Sends an order to an endpoint and waits for its answer.
+pub(crate) async fn post_order(
+    state: &EntryState,
+    entry: &EndpointEntry,
+    body: Vec<u8>,
+    limit: Duration,
+) -> Result<OrderReply, SendFault> {
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(state.dialect.order_path());
+    request.headers_mut().insert(HOST, host_value(entry));
+    request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    state.dialect.expect_endpoint(request.headers_mut(), &entry.name);
+    let options = SendOptions { max_idle: MAX_IDLE, connect_timeout: limit, head_timeout: limit };
+    let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
+    Ok(OrderReply { status: parts.status, fault_at: state.dialect.read_order_fault(&body) })
+}
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -30,8 +30,10 @@
 const HIGH_FILL: f64 = 0.75;
 /// Bound on the estimated share, since it rests on this host's streams alone.
 const MAX_FILL: f64 = 1.5;
+/// Share of the pipe with which no path crosses it.
+pub(crate) const CLOSED_PIPE: f64 = f64::INFINITY;
 /// Most stages that a path may have; the engines take no more.
-const MAX_STAGES: usize = 32;
+pub(crate) const MAX_STAGES: usize = 32;
 
 /// One endpoint that holds layers.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -49,7 +49,7 @@
     let mut last_fault: Box<str> = "no endpoint is registered".into();
     let mut come_back = BUSY_RETRY;
     while tried.len() < call.route.max_attempts.max(1) as usize && unsent < MAX_UNSENT {
-        if !tried.is_empty() && !state.allow_retry(&call.service, "plain") {
+        if !tried.is_empty() && !state.allow_retry(&call.service, "plain", 0.0) {
             break;
         }
         let Some(entry) = pick(state, &call.service, &tried) else { break };
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -6,8 +6,6 @@
 use jacinthrock::{CustomerName, ServiceName};
 use serde::{Deserialize, Serialize};
 
-use crate::endpoints::LayerSpan;
-
 /// Version of the rules as the operator numbers them.
 pub type RulesVersion = u64;
 
@@ -120,9 +118,9 @@
 }
 
 impl EngineRule {
-    /// Tokens times layers for which a card that holds a span has room, 1 at least.
-    pub fn token_room(&self, card: &CardRule, span: LayerSpan) -> f64 {
-        let weights = f64::from(span.count()) * self.layer_mb;
+    /// Tokens times layers for which a card that holds so many layers has room, 1 at least.
+    pub fn token_room(&self, card: &CardRule, layers: u16) -> f64 {
+        let weights = f64::from(layers) * self.layer_mb;
         ((card.memory_mb - weights).max(0.0) / self.token_layer_mb).max(1.0)
     }
 }
--- a/crates/entry/src/silence.rs
+++ b/crates/entry/src/silence.rs
@@ -18,8 +18,9 @@
 /// Number of a stream on this host.
 pub type StreamNumber = u64;
 
-/// Multiple of a stream's own event interval after which its silence is doubtful.
-const PACE_FACTOR: f64 = 3.0;
+/// Multiple of a stream's own event interval after which its silence is doubtful. A doubt costs a
+/// probe; with 3, moved streams came too late for the pause that callers accept.
+const PACE_FACTOR: f64 = 2.0;
 /// Shortest silence that is doubtful. Below 70 ms, reading of long prompts between two tokens
 /// gave false alarms.
 const MIN_SILENCE: Duration = Duration::from_millis(70);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -14,15 +14,17 @@
 use tokio::time::Instant;
 
 use crate::belief::BeliefTable;
+use crate::detour::detour;
 use crate::dialect::{CallDialect, RegistryLink};
 use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
 use crate::flights::{FlightTable, StageLoad};
 use crate::line::WaitLine;
-use crate::loads::{LoadBoard, OtherLoads};
-use crate::path::{PathStage, StageView, cheapest_path, first_gap};
+use crate::loads::{LoadBoard, OtherLoads, retry_share};
+use crate::path::{CLOSED_PIPE, PathStage, StageView, cheapest_path, first_gap};
 use crate::peers::{LOADS_INTERVAL, exchange_interval};
 use crate::pool::ConnectionPool;
 use crate::rules::{EngineRule, RuleIndex, ServingRules};
+use crate::tickets::CrossingTickets;
 
 /// Cost of a stage that may be dead, in ms a token: more than a whole path over other cards.
 const DOUBT_MS: f64 = 40.0;
@@ -49,6 +51,9 @@
 /// again within a window and know nothing of what they used.
 const BUDGET_SHARE: f64 = 0.7;
 
+/// Multiple of the pipe between failure domains that all hosts together hand out in tickets: few
+/// hosts use theirs at the same time. 0.75 kept streams from free paths where one domain was hurt.
+const TICKET_SHARE: f64 = 2.0;
 /// Share of a stage's memory for tokens, and of a first stage's places, that streams may take.
 const ROOM_SHARE: f64 = 0.95;
 
@@ -143,8 +148,8 @@
     vouched: RefCell<BTreeMap<EndpointName, Instant>>,
     closed: RefCell<BTreeMap<EndpointName, ClosedMark>>,
     crowded: RefCell<BTreeMap<EndpointName, Instant>>,
+    tickets: RefCell<CrossingTickets>,
     budget: RefCell<RetryBudget>,
-    budget_hosts: Cell<usize>,
 }
 
 /// An endpoint that took no work, as the registry listed it then.
@@ -175,7 +180,7 @@
         dialect: Box<dyn CallDialect>,
         registry: Box<dyn RegistryLink>,
     ) -> Self {
-        let budget = RetryBudget::new(budget_options(&options, 1));
+        let budget = RetryBudget::new(budget_options(&options, 1.0));
         Self {
             options,
             dialect,
@@ -202,8 +207,8 @@
             vouched: RefCell::default(),
             closed: RefCell::default(),
             crowded: RefCell::default(),
+            tickets: RefCell::default(),
             budget: RefCell::new(budget),
-            budget_hosts: Cell::new(1),
         }
     }
 
@@ -244,17 +249,25 @@
 
     /// Records the first attempt of a request for a service.
     pub fn record_first(&self, service: &str) {
-        let hosts = self.host_count();
-        if self.budget_hosts.replace(hosts) != hosts {
-            self.budget.borrow_mut().set_options(budget_options(&self.options, hosts));
-        }
         self.budget.borrow_mut().record_first(Instant::now(), service, service);
     }
 
-    /// Takes one retry for a service from this host's share of the budget.
-    pub fn allow_retry(&self, service: &str, reason: &str) -> bool {
-        let allowed = self.budget.borrow_mut().allow(Instant::now(), service, service);
-        let label = if allowed { reason } else { "budget_spent" };
+    /// Takes one retry for a service from this host's share of the budget, if the part of it that is
+    /// left is at least `reserve`.
+    pub fn allow_retry(&self, service: &str, reason: &str, reserve: f64) -> bool {
+        let now = Instant::now();
+        let own = self.flights.borrow().count() as u32;
+        let others = self.other_loads.borrow().streams(now);
+        let share = retry_share(self.host_count(), own, others);
+        let mut budget = self.budget.borrow_mut();
+        budget.set_options(budget_options(&self.options, share));
+        let is_reserved = budget.left(now, service) < reserve;
+        let allowed = !is_reserved && budget.allow(now, service, service);
+        let label = match (allowed, is_reserved) {
+            (true, _) => reason,
+            (false, true) => "budget_reserved",
+            (false, false) => "budget_spent",
+        };
         self.counters.count(jacinthrock::MetricName::Retries, &[label]);
         allowed
     }
@@ -336,11 +349,81 @@
     pub fn find_path(&self, demand: &PathDemand<'_>) -> Option<Rc<[PathStage]>> {
         let rules = self.rules()?;
         let engine = rules.engine(demand.service)?;
+        let pipe = self.open_pipe(engine, demand.tokens);
         let stages = self.stage_views(engine, demand);
-        let pipe = self.pipe_share(engine);
         cheapest_path(engine.layers, &self.options.domain, pipe, &stages).map(Into::into)
     }
 
+    /// Records that a stream crosses the pipe between failure domains so many times more.
+    pub fn crossings_taken(&self, crossings: usize) {
+        self.tickets.borrow_mut().take(crossings);
+    }
+
+    /// Share of the pipe that is in use, if this host may send one more stream through it.
+    fn open_pipe(&self, engine: &EngineRule, tokens: u32) -> f64 {
+        let per_s = self.crossings_per_s(engine, tokens);
+        let draw = rand::rng().random_range(0.0..1.0);
+        let may_cross = self.tickets.borrow_mut().is_left(Instant::now(), per_s, draw);
+        if may_cross { self.pipe_share(engine) } else { CLOSED_PIPE }
+    }
+
+    /// This host's share of the pipe between failure domains, in crossings of a stream a second.
+    fn crossings_per_s(&self, engine: &EngineRule, tokens: u32) -> f64 {
+        let stream_mbit = f64::from(tokens) * engine.activation_bytes * 8.0 / 1e6;
+        if engine.pipe_mbps <= 0.0 || stream_mbit <= 0.0 {
+            return f64::INFINITY;
+        }
+        engine.pipe_mbps * TICKET_SHARE / stream_mbit / self.host_count() as f64
+    }
+
+    /// Whether any path has room, be it over more than this host's share of the pipe.
+    fn has_path(&self, demand: &PathDemand<'_>) -> bool {
+        let Some(rules) = self.rules() else { return false };
+        let Some(engine) = rules.engine(demand.service) else { return false };
+        let stages = self.stage_views(engine, demand);
+        let pipe = self.pipe_share(engine);
+        cheapest_path(engine.layers, &self.options.domain, pipe, &stages).is_some()
+    }
+
+    /// The path of a running stream with others in place of the stages that are lost.
+    pub fn find_detour(
+        &self,
+        path: &[PathStage],
+        demand: &PathDemand<'_>,
+    ) -> Option<Vec<PathStage>> {
+        let rules = self.rules()?;
+        let engine = rules.engine(demand.service)?;
+        let lost: BTreeSet<EndpointName> = {
+            let (endpoints, beliefs) = (self.endpoints.borrow(), self.beliefs.borrow());
+            let names = path.iter().map(|stage| &stage.name);
+            let is_lost =
+                |name: &&EndpointName| endpoints.get(name).is_none() || beliefs.is_down(name);
+            names.filter(is_lost).cloned().collect()
+        };
+        if lost.is_empty() {
+            return None;
+        }
+        let stages = self.stage_views(engine, demand);
+        let pipe = self.open_pipe(engine, demand.tokens);
+        let way = detour(path, &lost, pipe, &stages);
+        if way.is_none() {
+            let missing = path.iter().filter(|stage| lost.contains(&stage.name)).map(|stage| {
+                let holders = stages.iter().filter(|view| {
+                    view.domain == stage.domain
+                        && view.span.from < stage.span.to
+                        && stage.span.from < view.span.to
+                });
+                let holders: Vec<_> = holders
+                    .map(|view| (&*view.name, view.span, (view.fill * 100.0) as u32, view.has_room))
+                    .collect();
+                (&*stage.name, stage.span, holders)
+            });
+            let missing: Vec<_> = missing.collect();
+            log::info!(event = "no_detour", missing:? = missing; "no stages stand in for lost ones");
+        }
+        way
+    }
+
     /// What all hosts run through an endpoint, as far as this host knows.
     pub fn total_load(&self, name: &str) -> StageLoad {
         let mut load = self.flights.borrow().load(name);
@@ -354,7 +437,7 @@
         let rules = self.rules()?;
         let engine = rules.engine(&entry.service)?;
         let card = engine.cards.get(entry.card.as_deref()?)?;
-        let room = engine.token_room(card, entry.layers?);
+        let room = engine.token_room(card, entry.weight_layers());
         Some(self.total_load(&entry.name).token_layers as f64 / room)
     }
 
@@ -418,7 +501,8 @@
                     None => {}
                 }
                 let new = f64::from(demand.tokens) * f64::from(span.count());
-                let memory = (load.token_layers as f64 + new) / engine.token_room(card, span);
+                let memory = (load.token_layers as f64 + new)
+                    / engine.token_room(card, entry.weight_layers());
                 let places = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
                 let has_places = span.from > 0 || places < ROOM_SHARE;
                 let doubt_ms = if holds(&doubts, &entry.name) { DOUBT_MS } else { 0.0 };
@@ -459,17 +543,18 @@
         rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
             |(name, _)| {
                 let demand = PathDemand { service: name, tokens: 1, starts: None, avoid: &none };
-                self.find_path(&demand).is_some()
+                self.has_path(&demand)
             },
         )
     }
 }
 
-fn budget_options(options: &EntryOptions, hosts: usize) -> BudgetOptions {
-    let floor = f64::from(options.retry_slack) * BUDGET_SHARE / hosts as f64;
+/// Limits for a host with a share of the budget. What comes with each first attempt is its own.
+fn budget_options(options: &EntryOptions, share: f64) -> BudgetOptions {
+    let floor = f64::from(options.retry_slack) * BUDGET_SHARE * share;
     BudgetOptions {
         ratio: options.retry_ratio * BUDGET_SHARE,
-        floor: floor as u32,
+        floor: floor.round() as u32,
         window_buckets: options.retry_window.as_secs().max(1) as u32,
         enforced: true,
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -18,8 +18,9 @@
 use crate::events::EventCutter;
 use crate::flights::StreamFlight;
 use crate::line::{LineTicket, WaitClass};
-use crate::path::PathStage;
+use crate::path::{PathStage, crossings};
 use crate::pool::{ConnectionLease, SendFault};
+use crate::repath::repath;
 use crate::sending::{CallSend, check_refusal, close, probe, send};
 use crate::state::{EntryState, PathDemand};
 
@@ -38,6 +39,9 @@
 const NEW_URGENCY: u8 = 3;
 /// Lowest urgency.
 const LAST_URGENCY: u8 = 9;
+/// Part of the retry budget that is kept for streams that break off midway: one that has not begun
+/// can be refused, and its caller may come back.
+const BROKEN_RESERVE: f64 = 0.5;
 /// Sends of one stream, whatever the rules allow: more would only add to an overload.
 const MAX_SENDS: u32 = 4;
 /// Time since the last event after which a broken stream is not continued: callers have left.
@@ -179,7 +183,12 @@
     fn may_send_again(&mut self) -> bool {
         self.sends < MAX_SENDS
             && !self.call.left().is_zero()
-            && self.state.allow_retry(&self.call.service, "stream")
+            && self.state.allow_retry(&self.call.service, "stream", self.reserve())
+    }
+
+    /// Part of the retry budget that is kept for others.
+    fn reserve(&self) -> f64 {
+        if self.cutter.last_event().is_none() { BROKEN_RESERVE } else { 0.0 }
     }
 
     /// Most tokens that the stream is expected to hold.
@@ -206,18 +215,22 @@
             1 => (NEW_URGENCY + self.call.priority).min(LAST_URGENCY),
             _ => RESUMED_URGENCY,
         };
-        let stream = CallSend {
-            endpoint: &first,
-            path: flight.record().path(),
-            resume_after,
-            urgency: Some(urgency),
-        };
-        let sent = tokio::select! {
-            sent = send(&state, &self.call, stream) => sent,
-            () = flight.record().abandon.notified() => {
-                return Err(self.note(&flight, SendEnd::Unknown("silent before its head".into())));
+        let path = flight.record().path();
+        let stream =
+            CallSend { endpoint: &first, path: &path, resume_after, urgency: Some(urgency) };
+        let call = self.call.clone();
+        let mut sending = std::pin::pin!(send(&state, &call, stream));
+        let sent = loop {
+            tokio::select! {
+                sent = &mut sending => break sent,
+                () = flight.record().abandon.notified() => {
+                    if !repath(&state, &call, &flight, self.tokens()).await {
+                        let fault = SendEnd::Unknown("silent before its head".into());
+                        return Err(self.note(&flight, fault));
+                    }
+                }
+                () = &mut self.deadline => return Err(SendEnd::Late),
             }
-            () = &mut self.deadline => return Err(SendEnd::Late),
         };
         let sent = match sent {
             Ok(sent) => sent,
@@ -276,7 +289,7 @@
 
     fn note(&self, flight: &StreamFlight, end: SendEnd) -> SendEnd {
         if let SendEnd::NotRun(fault) | SendEnd::Unknown(fault) = &end {
-            self.log_fault(flight.record().path(), fault);
+            self.log_fault(&flight.record().path(), fault);
         }
         end
     }
@@ -303,8 +316,7 @@
         if state.line.borrow().is_empty()
             && let Some(path) = self.find_path()
         {
-            state.line.borrow_mut().served(Instant::now());
-            return Ok(path);
+            return Ok(self.take_path(path));
         }
         let place = LinePlace::new(&state, self.wait_class(), self.call.priority);
         if Instant::now() + place.expected > until {
@@ -316,8 +328,7 @@
             if place.is_first()
                 && let Some(path) = self.find_path()
             {
-                state.line.borrow_mut().served(Instant::now());
-                return Ok(path);
+                return Ok(self.take_path(path));
             }
             if timeout_at(until, changed).await.is_err() {
                 return Err(SendEnd::NoPath(self.with_demand(|state, d| state.explain_no_path(d))));
@@ -325,6 +336,12 @@
         }
     }
 
+    fn take_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
+        self.state.line.borrow_mut().served(Instant::now());
+        self.state.crossings_taken(crossings(&path));
+        path
+    }
+
     fn wait_class(&self) -> WaitClass {
         let head = &self.call.head;
         let is_returned = head
@@ -360,6 +377,7 @@
 
     /// Waits for the next whole events; `None` at the end of the stream.
     async fn next_whole(&mut self) -> Result<Option<Bytes>, Box<str>> {
+        let tokens = self.tokens();
         let Some(open) = self.open.as_mut() else { return Ok(None) };
         let record = open.flight.record();
         record.set_waiting(true, Instant::now());
@@ -367,7 +385,12 @@
             let frame = tokio::select! {
                 biased;
                 frame = open.body.frame() => frame,
-                () = record.abandon.notified() => break Err("silent for too long".into()),
+                () = record.abandon.notified() => {
+                    if repath(&self.state, &self.call, &open.flight, tokens).await {
+                        continue;
+                    }
+                    break Err("silent for too long".into());
+                }
                 () = &mut self.deadline => break Err("the request's time is over".into()),
             };
             let bytes = match frame {
@@ -404,7 +427,7 @@
     fn leave(&mut self, fault: &str) {
         self.cutter.drop_unfinished();
         if let Some(open) = self.open.take() {
-            self.log_fault(open.flight.record().path(), fault);
+            self.log_fault(&open.flight.record().path(), fault);
         }
     }
 
--- a/crates/entry/tests/endpoints_table.rs
+++ b/crates/entry/tests/endpoints_table.rs
@@ -16,6 +16,7 @@
         born: 1,
         card: None,
         layers: None,
+        ordered: None,
     }
 }
 
@@ -118,3 +119,21 @@
     assert!(table.take_news(280, EndpointNews::Whole(vec![entry("b")]), true, now));
     assert!(table.get("a").is_none() && table.get("b").is_some());
 }
+
+/// After a loss, neighbours load the missing layers while the streams of the lost endpoint come to
+/// them: what they load takes memory from the start.
+#[test]
+fn layers_under_way_take_memory() {
+    let mut table = EndpointTable::default();
+    let held = Some(LayerSpan { from: 4, to: 8 });
+    let now = Instant::now();
+    table.replace(1, [EndpointEntry { layers: held, ..entry("a") }], now);
+    table.take_order("a", LayerSpan { from: 4, to: 11 });
+    let ordered = table.get("a").expect("an entry");
+    assert_eq!((ordered.layers, ordered.weight_layers()), (held, 7));
+    table.take_layers("a", LayerSpan { from: 4, to: 11 });
+    let done = table.get("a").expect("an entry");
+    assert_eq!((done.ordered, done.weight_layers()), (None, 7));
+    let empty = EndpointEntry { layers: None, ..entry("b") };
+    assert_eq!(empty.weight_layers(), 0);
+}
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -107,6 +107,24 @@
         true
     }
 
+    /// Share of the customer's budget that is left, from 0 to 1.
+    ///
+    /// ```
+    /// use jacinthrock::{BudgetOptions, RetryBudget};
+    /// use tokio::time::Instant;
+    ///
+    /// let mut budget = RetryBudget::new(BudgetOptions { floor: 2, ..BudgetOptions::default() });
+    /// let now = Instant::now();
+    /// assert!(budget.allow(now, "studio", "booking-1"));
+    /// assert_eq!(budget.left(now, "studio"), 0.5);
+    /// ```
+    pub fn left(&mut self, now: Instant, customer: &str) -> f64 {
+        let index = self.bucket_index(now);
+        let options = self.options;
+        let (retries, most) = window_of(&mut self.customers, customer).usage(index, options);
+        if most > 0.0 { (1.0 - retries as f64 / most).max(0.0) } else { 0.0 }
+    }
+
     /// Changes the limits; what the windows hold stays.
     pub fn set_options(&mut self, options: BudgetOptions) {
         self.options = options;
@@ -138,9 +156,14 @@
         self.buckets.back_mut().expect("a bucket was just added")
     }
 
-    /// Counts retries over one bucket more than first attempts, so that the fraction holds for
-    /// every alignment of the window.
     fn has_room(&mut self, index: u64, options: BudgetOptions) -> bool {
+        let (retries, most) = self.usage(index, options);
+        (retries + 1) as f64 <= most
+    }
+
+    /// Retries in the window, and the most that it allows. Counts retries over one bucket more than
+    /// first attempts, so that the fraction holds for every alignment of the window.
+    fn usage(&mut self, index: u64, options: BudgetOptions) -> (u64, f64) {
         let width = u64::from(options.window_buckets);
         let oldest = index.saturating_sub(width);
         while self.buckets.front().is_some_and(|bucket| bucket.index < oldest) {
@@ -149,7 +172,7 @@
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let recent = self.buckets.iter().filter(|bucket| bucket.index + width > index);
         let firsts: u64 = recent.map(|bucket| bucket.firsts).sum();
-        (retries + 1) as f64 <= f64::from(options.floor) + options.ratio * firsts as f64
+        (retries, f64::from(options.floor) + options.ratio * firsts as f64)
     }
 
     fn is_newer_than(&self, oldest: u64) -> bool {
