--- a/crates/entry/src/repath.rs
+++ b/crates/entry/src/repath.rs
@@ -5,13 +5,14 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use jacinthrock::MetricName;
+use jacinthrock::{EndpointName, MetricName};
 use tokio::time::Instant;
 
 use crate::call::AllowedCall;
 use crate::flights::StreamFlight;
-use crate::orders::post_order;
-use crate::path::crossings;
+use crate::orders::{OrderReply, post_order};
+use crate::path::{PathStage, crossings};
+use crate::pool::SendFault;
 use crate::state::{EntryState, PathDemand};
 
 /// Time for the answer to the order: endpoints answer within some ms, and a caller leaves after two
@@ -20,6 +21,36 @@
 /// Orders for one fault: each further one avoids an endpoint that had no room.
 const MAX_ORDERS: u32 = 4;
 
+/// An order to move a stream, for logs and counters.
+struct MoveOrder<'a> {
+    call: &'a AllowedCall,
+    old: &'a [PathStage],
+    new: &'a [PathStage],
+    /// Stage that had no room or was not there.
+    culprit: Option<&'a EndpointName>,
+}
+
+impl MoveOrder<'_> {
+    fn record(&self, state: &EntryState, reply: &Result<OrderReply, SendFault>) {
+        let label = match reply {
+            Ok(reply) if reply.status.is_success() => "repath_accepted",
+            Ok(_) => "repath_refused",
+            Err(_) => "repath_unanswered",
+        };
+        state.counters.count(MetricName::Orders, &[label]);
+        let added = self.new.iter().filter(|stage| !self.old.contains(stage));
+        let added: Vec<_> = added.map(|s| (&*s.name, s.span.from, s.span.to)).collect();
+        let blamed = self.culprit.and_then(|name| state.endpoint(name));
+        log::info!(
+            event = "repath", attempt = &*self.call.head.attempt, endpoint = &*self.new[0].name,
+            status = reply.as_ref().map_or(0, |reply| reply.status.as_u16()), added:? = added,
+            culprit:? = self.culprit, fill:? = blamed.and_then(|entry| state.known_fill(&entry)),
+            error:? = reply.as_ref().err().map(ToString::to_string);
+            "order to move a running stream"
+        );
+    }
+}
+
 /// Replaces the lost stages of a running stream; returns whether it goes on.
 ///
 /// Nothing is sent again, so that it takes no retry.
@@ -37,29 +68,10 @@
         let Some(first) = state.endpoint(&path[0].name) else { return false };
         let order = state.dialect.repath_order(&call.head.attempt, &path);
         let reply = post_order(state, &first, order, REPATH_TIMEOUT).await;
-        let label = match &reply {
-            Ok(reply) if reply.status.is_success() => "repath_accepted",
-            Ok(_) => "repath_refused",
-            Err(_) => "repath_unanswered",
-        };
-        state.counters.count(MetricName::Orders, &[label]);
-        let status = reply.as_ref().map_or(0, |reply| reply.status.as_u16());
-        let at = reply.as_ref().ok().and_then(|reply| reply.fault_at);
-        let culprit = at.and_then(|address| state.endpoint_at(address));
-        let blamed = culprit.as_ref().and_then(|name| state.endpoint(name));
-        let fill = blamed.and_then(|entry| state.known_fill(&entry));
-        let new = path.iter().filter(|stage| !old.contains(stage)).map(|stage| {
-            let fill = state.endpoint(&stage.name).and_then(|entry| state.known_fill(&entry));
-            let held = state.endpoint(&stage.name).and_then(|entry| entry.layers);
-            (&*stage.name, stage.span.from, stage.span.to, held, fill)
-        });
-        let new: Vec<_> = new.collect();
-        log::info!(
-            event = "repath", attempt = &*call.head.attempt, endpoint = &*first.name, status,
-            new:? = new, at:? = at, fill:? = fill,
-            error:? = reply.as_ref().err().map(ToString::to_string);
-            "order to move a running stream"
-        );
+        let fault_at = reply.as_ref().ok().and_then(|reply| reply.fault_at);
+        let culprit = fault_at.and_then(|address| state.endpoint_at(address));
+        let moved = MoveOrder { call, old: &old, new: &path, culprit: culprit.as_ref() };
+        moved.record(state, &reply);
         match reply {
             Ok(reply) if reply.status.is_success() => {
                 state.crossings_taken(crossings(&path).saturating_sub(crossings(&old)));
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -407,19 +407,7 @@
         let pipe = self.open_pipe(engine, demand.tokens);
         let way = detour(path, &lost, pipe, &stages);
         if way.is_none() {
-            let missing = path.iter().filter(|stage| lost.contains(&stage.name)).map(|stage| {
-                let holders = stages.iter().filter(|view| {
-                    view.domain == stage.domain
-                        && view.span.from < stage.span.to
-                        && stage.span.from < view.span.to
-                });
-                let holders: Vec<_> = holders
-                    .map(|view| (&*view.name, view.span, (view.fill * 100.0) as u32, view.has_room))
-                    .collect();
-                (&*stage.name, stage.span, holders)
-            });
-            let missing: Vec<_> = missing.collect();
-            log::info!(event = "no_detour", missing:? = missing; "no stages stand in for lost ones");
+            log_no_detour(path, &lost, &stages);
         }
         way
     }
@@ -549,6 +537,21 @@
     }
 }
 
+/// Tells which layers nobody stands in for, and who holds some of them without room.
+fn log_no_detour(path: &[PathStage], lost: &BTreeSet<EndpointName>, stages: &[StageView]) {
+    let missing = path.iter().filter(|stage| lost.contains(&stage.name)).map(|stage| {
+        let is_near = |view: &&StageView| {
+            let overlaps = view.span.from < stage.span.to && stage.span.from < view.span.to;
+            view.domain == stage.domain && overlaps
+        };
+        let holders = stages.iter().filter(is_near);
+        let holders: Vec<_> = holders.map(|v| (&*v.name, v.span, v.fill, v.has_room)).collect();
+        (&*stage.name, stage.span, holders)
+    });
+    let missing: Vec<_> = missing.collect();
+    log::info!(event = "no_detour", missing:? = missing; "no stages stand in for lost ones");
+}
+
 /// Limits for a host with a share of the budget. What comes with each first attempt is its own.
 fn budget_options(options: &EntryOptions, share: f64) -> BudgetOptions {
     let floor = f64::from(options.retry_slack) * BUDGET_SHARE * share;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -41,7 +41,7 @@
 const LAST_URGENCY: u8 = 9;
 /// Part of the retry budget that is kept for streams that break off midway: one that has not begun
 /// can be refused, and its caller may come back.
-const BROKEN_RESERVE: f64 = 0.5;
+const BROKEN_RESERVE: f64 = 0.2;
 /// Sends of one stream, whatever the rules allow: more would only add to an overload.
 const MAX_SENDS: u32 = 4;
 /// Time since the last event after which a broken stream is not continued: callers have left.
