Layers that are given up take memory until their streams have ended

Cause: three of five refusals of full endpoints came after an order to give layers up. The weights stay in memory while streams pass through the layers, for seconds; hosts took the room for free and filled the endpoint to 0.99, and the planner, which held the order for done, sent further ones that found the endpoint busy.

Change: the table tells of layers under way in both directions; an order counts as done once the endpoint reports the layers and is no longer busy; one that gives layers up has six seconds.

Ruled out: refusals for want of knowledge about other hosts' streams (the refused endpoints report 0.99 themselves, and 110 of 310 were busy with an order).

--- a/crates/entry/src/detour.rs
+++ b/crates/entry/src/detour.rs
@@ -22,6 +22,35 @@
 /// Stages that are left keep their layers, unless only those next to a gap hold what is missing.
 /// `stages` are the endpoints that can take work. `pipe` is the share of the pipe between failure
 /// domains that is in use; where it is infinite, the detour crosses it no more often than the path.
+///
+/// ```
+/// use std::collections::BTreeSet;
+///
+/// use jacinthrock_entry::{LayerSpan, PathStage, StageView, detour};
+///
+/// let stage = |name: &str, from, to| PathStage {
+///     name: name.into(),
+///     address: ([10, 0, 0, 1], 80).into(),
+///     span: LayerSpan { from, to },
+///     domain: "north".into(),
+/// };
+/// let spare = StageView {
+///     name: "c".into(),
+///     address: ([10, 0, 0, 2], 80).into(),
+///     domain: "north".into(),
+///     span: LayerSpan { from: 3, to: 8 },
+///     layer_ms: 0.1,
+///     streams: 0.0,
+///     fill: 0.0,
+///     has_room: true,
+///     doubt_ms: 0.0,
+///     may_start: false,
+/// };
+/// let path = [stage("a", 0, 4), stage("b", 4, 8)];
+/// let lost = BTreeSet::from(["b".into()]);
+/// let way = detour(&path, &lost, f64::INFINITY, &[spare]).expect("a detour");
+/// assert_eq!((&*way[1].name, way[1].span), ("c", LayerSpan { from: 4, to: 8 }));
+/// ```
 pub fn detour(
     path: &[PathStage],
     lost: &BTreeSet<EndpointName>,
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -41,6 +41,9 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time beyond the expected loading after which an order without a visible effect is looked into.
 const ORDER_SLACK: Duration = Duration::from_millis(2_500);
+/// The same for layers that are given up: streams pass through them for three seconds at the usual
+/// load, and up to twice as long under overload.
+const GIVE_UP_SLACK: Duration = Duration::from_secs(6);
 /// Time after which an empty endpoint is given layers although nothing is missing. When endpoints
 /// are replaced, the new one starts about a second before the old one leaves.
 const IDLE_AFTER: Duration = Duration::from_millis(1_300);
@@ -248,6 +251,7 @@
         for (service, rule) in &rules.rules().services {
             let Some(engine) = &rule.engine else { continue };
             let cards = card_views(&state, service, &mut book.borrow_mut());
+            forget_orders(&state, &book.borrow());
             let is_fresh = cards.iter().all(|card| card.held.is_none());
             if is_fresh && since.elapsed() < SETTLE_TIME {
                 continue;
@@ -278,14 +282,15 @@
         tokio::task::spawn_local(async move {
             let Some(entry) = state.endpoint(&name) else { return };
             let report = fetch_report(&state, &entry, ORDER_TIMEOUT).await;
-            let layers = report.ok().flatten().and_then(|report| report.layers);
-            if layers != Some(span) {
+            let Ok(Some(report)) = report else { return };
+            let layers = report.layers;
+            if layers != Some(span) || report.is_busy {
                 return;
             }
             if let Some(order) = done.borrow_mut().pending.get_mut(&name) {
                 order.is_announced = false;
             }
-            if entry.layers != layers {
+            if entry.layers != layers || entry.under_way.is_some() {
                 state.endpoints.borrow_mut().take_layers(&name, span);
                 endpoints_changed(&state);
             }
@@ -293,6 +298,17 @@
     }
 }
 
+/// Ends what the table knows of orders that this host does not wait for.
+fn forget_orders(state: &EntryState, book: &DutyBook) {
+    let mut endpoints = state.endpoints.borrow_mut();
+    let over: Vec<EndpointName> = endpoints
+        .entries()
+        .filter(|entry| entry.under_way.is_some() && !book.pending.contains_key(&entry.name))
+        .map(|entry| entry.name.clone())
+        .collect();
+    over.iter().for_each(|name| endpoints.order_over(name));
+}
+
 fn card_views(state: &EntryState, service: &str, book: &mut DutyBook) -> Vec<CardView> {
     let now = Instant::now();
     let (endpoints, beliefs) = (state.endpoints.borrow(), state.beliefs.borrow());
@@ -383,7 +399,7 @@
     let gives_up = held.is_some_and(|held| held.count() > order.span.count());
     if gives_up {
         // Hosts learn first that the layers are no longer to be used here.
-        state.endpoints.borrow_mut().take_layers(&order.name, order.span);
+        state.endpoints.borrow_mut().giving_up(&order.name, order.span);
         endpoints_changed(&state);
         sleep(peers::exchange_interval(state.host_count()) * 2).await;
     }
@@ -395,15 +411,16 @@
             None
         }
     };
+    let slack = if gives_up { GIVE_UP_SLACK } else { ORDER_SLACK };
     let (label, until) = match status {
-        Some(StatusCode::ACCEPTED) => ("accepted", Instant::now() + load * 2 + ORDER_SLACK),
+        Some(StatusCode::ACCEPTED) => ("accepted", Instant::now() + load * 2 + slack),
         Some(StatusCode::OK) => ("done", Instant::now() + ORDER_SLACK),
         Some(_) => ("refused", Instant::now() + REFUSED_PAUSE),
         // It may still be carried out; a second one would then fail on the count of orders.
         None => ("unanswered", Instant::now() + REFUSED_PAUSE),
     };
     if status.is_some_and(|status| status.is_success()) && !gives_up {
-        state.endpoints.borrow_mut().take_order(&order.name, order.span);
+        state.endpoints.borrow_mut().loading(&order.name, order.span);
         endpoints_changed(&state);
     }
     state.counters.count(MetricName::Orders, &[label]);
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -55,15 +55,16 @@
     pub card: Option<Box<str>>,
     /// Layers that it holds.
     pub layers: Option<LayerSpan>,
-    /// Layers that it holds once an order under way is done: their memory is taken already.
+    /// Layers whose weights take memory beside those while an order is under way: ones that are
+    /// being loaded, or ones that are given up once no stream passes through them any more.
     #[serde(default)]
-    pub ordered: Option<LayerSpan>,
+    pub under_way: Option<LayerSpan>,
 }
 
 impl EndpointEntry {
     /// Number of layers whose weights take memory.
     pub fn weight_layers(&self) -> u16 {
-        let spans = [self.layers, self.ordered].into_iter().flatten().filter(|s| s.count() > 0);
+        let spans = [self.layers, self.under_way].into_iter().flatten().filter(|s| s.count() > 0);
         let from = spans.clone().map(|span| span.from).min().unwrap_or(0);
         spans.map(|span| span.to).max().unwrap_or(0) - from
     }
@@ -130,13 +131,18 @@
         self.unsettled_until = Some(now + RETURN_GRACE);
     }
 
-    /// Replaces the table by a whole listing.
+    /// Replaces the table by a whole listing of the registry.
     pub fn replace(
         &mut self,
         version: RegistryVersion,
         entries: impl IntoIterator<Item = EndpointEntry>,
         now: Instant,
     ) {
+        let entries: Vec<_> = entries.into_iter().map(|entry| self.with_order(entry)).collect();
+        self.replace_all(version, entries, now);
+    }
+
+    fn replace_all(&mut self, version: RegistryVersion, entries: Vec<EndpointEntry>, now: Instant) {
         let fresh: BTreeMap<_, _> =
             entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
         let missing: Vec<_> =
@@ -153,13 +159,22 @@
         self.version = version;
     }
 
-    /// Applies changes that lead up to a version.
+    /// Applies changes of the registry that lead up to a version.
     pub fn apply(
         &mut self,
         version: RegistryVersion,
         changes: impl IntoIterator<Item = EndpointChange>,
         now: Instant,
     ) {
+        let changes = changes.into_iter().map(|change| match change {
+            EndpointChange::Put(entry) => EndpointChange::Put(self.with_order(entry)),
+            EndpointChange::Gone(name) => EndpointChange::Gone(name),
+        });
+        let changes = changes.collect();
+        self.apply_all(version, changes, now);
+    }
+
+    fn apply_all(&mut self, version: RegistryVersion, changes: Vec<EndpointChange>, now: Instant) {
         for change in changes {
             match change {
                 EndpointChange::Put(entry) => {
@@ -175,15 +190,32 @@
     /// Takes an endpoint's own word for the layers that it holds, ahead of its entry.
     pub fn take_layers(&mut self, name: &str, span: LayerSpan) {
         if let Some(entry) = self.entries.get(name) {
-            let entry = EndpointEntry { layers: Some(span), ordered: None, ..entry.clone() };
+            let entry = EndpointEntry { layers: Some(span), under_way: None, ..entry.clone() };
             self.put(entry);
         }
     }
 
     /// Records that an endpoint has begun to load layers.
-    pub fn take_order(&mut self, name: &str, span: LayerSpan) {
+    pub fn loading(&mut self, name: &str, span: LayerSpan) {
         if let Some(entry) = self.entries.get(name) {
-            let entry = EndpointEntry { ordered: Some(span), ..entry.clone() };
+            let entry = EndpointEntry { under_way: Some(span), ..entry.clone() };
+            self.put(entry);
+        }
+    }
+
+    /// Records that an endpoint gives up its layers beyond a span.
+    pub fn giving_up(&mut self, name: &str, span: LayerSpan) {
+        if let Some(entry) = self.entries.get(name) {
+            let entry =
+                EndpointEntry { layers: Some(span), under_way: entry.layers, ..entry.clone() };
+            self.put(entry);
+        }
+    }
+
+    /// Records that no order to an endpoint is under way any more.
+    pub fn order_over(&mut self, name: &str) {
+        if let Some(entry) = self.entries.get(name).filter(|entry| entry.under_way.is_some()) {
+            let entry = EndpointEntry { under_way: None, ..entry.clone() };
             self.put(entry);
         }
     }
@@ -231,12 +263,18 @@
             return false;
         }
         match news {
-            EndpointNews::Whole(entries) => self.replace(version, entries, now),
-            EndpointNews::Changes(changes) => self.apply(version, changes, now),
+            EndpointNews::Whole(entries) => self.replace_all(version, entries, now),
+            EndpointNews::Changes(changes) => self.apply_all(version, changes, now),
         }
         true
     }
 
+    /// The entry with the order under way that this table knows of: the registry tells of none.
+    fn with_order(&self, entry: EndpointEntry) -> EndpointEntry {
+        let known = self.entries.get(&entry.name).filter(|known| known.born == entry.born);
+        EndpointEntry { under_way: known.and_then(|known| known.under_way), ..entry }
+    }
+
     fn put(&mut self, entry: EndpointEntry) {
         self.note(EndpointChange::Put(entry.clone()));
         self.entries.insert(entry.name.clone(), entry);
--- a/crates/entry/src/tickets.rs
+++ b/crates/entry/src/tickets.rs
@@ -6,14 +6,25 @@
 //! for seconds, and every stream that crosses falls silent. Each host keeps to its share of the pipe
 //! second by second; a share of less than one stream is drawn by chance.
 
-use tokio::time::Instant;
-
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 /// Time for which tickets are handed out: as long as callers wait for a first event.
 const TICKET_PERIOD: Duration = Duration::from_millis(500);
 
 /// Tickets for paths between failure domains.
+///
+/// ```
+/// use jacinthrock_entry::CrossingTickets;
+/// use tokio::time::Instant;
+///
+/// let mut tickets = CrossingTickets::default();
+/// let now = Instant::now();
+/// assert!(tickets.is_left(now, 2.0, 0.5));
+/// tickets.take(1);
+/// assert!(!tickets.is_left(now, 2.0, 0.5));
+/// ```
 #[derive(Debug, Default)]
 pub struct CrossingTickets {
     since: Option<Instant>,
--- a/crates/entry/tests/endpoints_table.rs
+++ b/crates/entry/tests/endpoints_table.rs
@@ -16,7 +16,7 @@
         born: 1,
         card: None,
         layers: None,
-        ordered: None,
+        under_way: None,
     }
 }
 
@@ -128,12 +128,35 @@
     let held = Some(LayerSpan { from: 4, to: 8 });
     let now = Instant::now();
     table.replace(1, [EndpointEntry { layers: held, ..entry("a") }], now);
-    table.take_order("a", LayerSpan { from: 4, to: 11 });
-    let ordered = table.get("a").expect("an entry");
-    assert_eq!((ordered.layers, ordered.weight_layers()), (held, 7));
+    table.loading("a", LayerSpan { from: 4, to: 11 });
+    let loading = table.get("a").expect("an entry");
+    assert_eq!((loading.layers, loading.weight_layers()), (held, 7));
     table.take_layers("a", LayerSpan { from: 4, to: 11 });
     let done = table.get("a").expect("an entry");
-    assert_eq!((done.ordered, done.weight_layers()), (None, 7));
+    assert_eq!((done.under_way, done.weight_layers()), (None, 7));
     let empty = EndpointEntry { layers: None, ..entry("b") };
     assert_eq!(empty.weight_layers(), 0);
 }
+
+/// A neighbour gives layers up: it takes no stream there any more, and their weights stay until the
+/// streams that pass through them have ended, seconds later. The registry shows the new layers soon.
+#[test]
+fn layers_given_up_take_memory_until_the_order_is_over() {
+    let (held, kept) = (LayerSpan { from: 42, to: 52 }, LayerSpan { from: 44, to: 52 });
+    let now = Instant::now();
+    let (mut table, mut follower) = (EndpointTable::default(), EndpointTable::default());
+    table.replace(1, [EndpointEntry { layers: Some(held), ..entry("a") }], now);
+    table.giving_up("a", kept);
+    let beat = EndpointEntry { layers: Some(kept), ..entry("a") };
+    table.apply(2, [EndpointChange::Put(beat)], now);
+    let (seen, news) = table.news(None);
+    assert!(follower.take_news(2, news.expect("a whole table"), true, now));
+    for known in [&table, &follower] {
+        let giving = known.get("a").expect("an entry");
+        assert_eq!((giving.layers, giving.weight_layers()), (Some(kept), 10));
+    }
+    table.order_over("a");
+    let (_, news) = table.news(Some(seen));
+    assert!(follower.take_news(2, news.expect("a change"), true, now));
+    assert_eq!(follower.get("a").map(EndpointEntry::weight_layers), Some(8));
+}
