--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -7,9 +7,10 @@
 use hyper::HeaderMap;
 use jacinthrock::EndpointName;
 
-use crate::endpoints::{EndpointChange, EndpointEntry, LayerSpan, RegistryVersion};
+use crate::endpoints::{EndpointChange, EndpointEntry, LayerSpan};
 use crate::path::PathStage;
 use crate::rules::ServingRules;
+use crate::version::RegistryVersion;
 
 /// Fields decoded from the head of a caller's request.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -117,7 +118,8 @@
     /// The call may have taken effect.
     #[error("no reply from the registry, outcome unknown: {0}")]
     Ambiguous(Box<str>),
-    /// The registry no longer has the changes since the version that a watch starts at.
+    /// The registry no longer has the changes since the version that a watch starts at, or was
+    /// restored from a copy since then.
     #[error("registry no longer has the changes since the requested version")]
     Gap,
     /// The record's version is not the expected one.
@@ -166,14 +168,18 @@
         after: RegistryVersion,
         wait: Duration,
     ) -> RegistryResult<'_, (RegistryVersion, Vec<EndpointChange>)>;
-    /// Lists the records of a group. The list may be stale by a few seconds.
-    fn records(&self, group: RecordGroup) -> RegistryResult<'_, Vec<RegistryRecord>>;
-    /// Writes a record if its version is `expected`; with 0, creates it. Returns the new version.
+    /// Lists the records of a group, with the version of the list. It may be stale by a few seconds.
+    fn records(
+        &self,
+        group: RecordGroup,
+    ) -> RegistryResult<'_, (RegistryVersion, Vec<RegistryRecord>)>;
+    /// Writes a record if its version is `expected`; with `None`, creates it. Returns the new
+    /// version. Its era is above that of `expected` if the registry was restored in between.
     fn write_record(
         &self,
         group: RecordGroup,
         name: Box<str>,
-        expected: RegistryVersion,
+        expected: Option<RegistryVersion>,
         text: Box<str>,
     ) -> RegistryResult<'_, RegistryVersion>;
     /// Deletes a record.
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -8,8 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// Version of the registry, which increases with each change of any entry.
-pub type RegistryVersion = u64;
+use crate::version::RegistryVersion;
 
 /// A contiguous range of a model's layers, excluding its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -85,6 +84,11 @@
 /// guarantees that live endpoints are listed again within two seconds.
 pub(crate) const RETURN_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Time after a restore of the registry for which endpoints that had announced their leave, or had
+/// left, get no work although the restored copy lists them as ready. The registry itself removes
+/// the entry of a dead endpoint within this time.
+const LEAVER_MEMORY: Duration = Duration::from_secs(10);
+
 /// Number of changes kept for other hosts; a host that needs older ones gets the whole table.
 const MAX_KEPT_CHANGES: usize = 512;
 
@@ -109,6 +113,11 @@
     entries: BTreeMap<EndpointName, EndpointEntry>,
     vanished: BTreeMap<EndpointName, Instant>,
     grace_until: Option<Instant>,
+    /// Endpoints that were removed, with their start time and the time of their removal.
+    removed: BTreeMap<EndpointName, (u64, Instant)>,
+    /// Endpoints that had left or were draining when the registry was restored, with their start
+    /// time. They count as draining until they write their entry again.
+    leavers: BTreeMap<EndpointName, (u64, Instant)>,
 }
 
 impl EndpointTable {
@@ -133,19 +142,53 @@
         self.grace_until = Some(now + RETURN_GRACE);
     }
 
-    /// Replaces the table with a complete listing of the registry.
+    /// Replaces the table with a complete listing of the registry, unless the table is newer.
     pub fn replace(
         &mut self,
-        version: RegistryVersion,
+        version: impl Into<RegistryVersion>,
         entries: impl IntoIterator<Item = EndpointEntry>,
         now: Instant,
     ) {
+        let version = version.into();
+        if version < self.version {
+            return;
+        }
         let entries: Vec<_> =
             entries.into_iter().map(|entry| self.with_known_order(entry)).collect();
         self.replace_all(version, entries, now);
     }
 
+    /// Prepares for the first content of a restored registry. Endpoints whose entries the copy
+    /// lacks have the same time to write them again as after an outage.
+    fn enter_era(&mut self, version: RegistryVersion, now: Instant) {
+        if version.era <= self.version.era {
+            return;
+        }
+        if self.version.revision > 0 {
+            self.record_registry_outage(now);
+        }
+        let until = now + LEAVER_MEMORY;
+        let draining = self.entries.values().filter(|entry| entry.is_draining);
+        let draining = draining.map(|entry| (entry.name.clone(), (entry.start_unix_ms, until)));
+        let left = self.removed.iter().filter(|(_, (_, at))| now - *at < LEAVER_MEMORY);
+        let left = left.map(|(name, (start, _))| (name.clone(), (*start, until)));
+        let leavers: Vec<_> = draining.chain(left).collect();
+        self.leavers.extend(leavers);
+    }
+
+    /// Marks an endpoint as draining that had left before the registry was restored.
+    fn with_known_leave(&self, entry: EndpointEntry, now: Instant) -> EndpointEntry {
+        let is_leaver = self
+            .leavers
+            .get(&entry.name)
+            .is_some_and(|(start, until)| *start == entry.start_unix_ms && now < *until);
+        EndpointEntry { is_draining: entry.is_draining || is_leaver, ..entry }
+    }
+
     fn replace_all(&mut self, version: RegistryVersion, entries: Vec<EndpointEntry>, now: Instant) {
+        self.enter_era(version, now);
+        let entries = entries.into_iter().map(|entry| self.with_known_leave(entry, now));
+        let entries: Vec<_> = entries.collect();
         let fresh: BTreeMap<_, _> =
             entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
         let missing: Vec<_> =
@@ -162,27 +205,38 @@
         self.version = version;
     }
 
-    /// Applies the changes of the registry up to a version.
+    /// Applies the changes of the registry up to a version, unless they are of a former era.
     pub fn apply(
         &mut self,
-        version: RegistryVersion,
+        version: impl Into<RegistryVersion>,
         changes: impl IntoIterator<Item = EndpointChange>,
         now: Instant,
     ) {
+        let version = version.into();
+        if version.era < self.version.era {
+            return;
+        }
         let changes = changes.into_iter().map(|change| match change {
             EndpointChange::Put(entry) => EndpointChange::Put(self.with_known_order(entry)),
             EndpointChange::Gone(name) => EndpointChange::Gone(name),
         });
-        let changes = changes.collect();
+        let changes: Vec<_> = changes.collect();
+        for change in &changes {
+            if let EndpointChange::Put(entry) = change {
+                // The endpoint has written its entry since the restore.
+                self.leavers.remove(&entry.name);
+            }
+        }
         self.apply_all(version, changes, now);
     }
 
     fn apply_all(&mut self, version: RegistryVersion, changes: Vec<EndpointChange>, now: Instant) {
+        self.enter_era(version, now);
         for change in changes {
             match change {
                 EndpointChange::Put(entry) => {
                     self.vanished.remove(&entry.name);
-                    self.put(entry);
+                    self.put(self.with_known_leave(entry, now));
                 }
                 EndpointChange::Gone(name) => self.remove(name, now),
             }
@@ -223,9 +277,12 @@
             .collect();
         for name in &due {
             self.vanished.remove(name);
-            self.entries.remove(name);
-            self.record_change(EndpointChange::Gone(name.clone()));
+            if let Some(entry) = self.entries.remove(name) {
+                self.record_removal(entry, now);
+            }
         }
+        self.leavers.retain(|_, (_, until)| now < *until);
+        self.removed.retain(|_, (_, at)| now - *at < LEAVER_MEMORY);
         due
     }
 
@@ -252,11 +309,12 @@
     /// that has just started is empty and must not replace this one.
     pub fn apply_update(
         &mut self,
-        version: RegistryVersion,
+        version: impl Into<RegistryVersion>,
         update: EndpointUpdate,
         is_confirmed: bool,
         now: Instant,
     ) -> bool {
+        let version = version.into();
         if !is_confirmed || version < self.version {
             return false;
         }
@@ -284,6 +342,7 @@
     }
 
     fn put(&mut self, entry: EndpointEntry) {
+        self.removed.remove(&entry.name);
         self.record_change(EndpointChange::Put(entry.clone()));
         self.entries.insert(entry.name.clone(), entry);
     }
@@ -301,10 +360,15 @@
         if self.defer_removal(&name, &entry, now) {
             self.entries.insert(name, entry);
         } else {
-            self.record_change(EndpointChange::Gone(name));
+            self.record_removal(entry, now);
         }
     }
 
+    fn record_removal(&mut self, entry: EndpointEntry, now: Instant) {
+        self.removed.insert(entry.name.clone(), (entry.start_unix_ms, now));
+        self.record_change(EndpointChange::Gone(entry.name));
+    }
+
     /// Whether to keep an entry that has disappeared; also records until when. A draining endpoint
     /// is not expected to be listed again.
     fn defer_removal(&mut self, name: &str, entry: &EndpointEntry, now: Instant) -> bool {
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -5,24 +5,28 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep};
+use rand::Rng;
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::adapter::{RecordGroup, RegistryError};
 use crate::endpoints::EndpointChange;
 use crate::peers;
 use crate::state::{EntryState, PeerHost};
+use crate::version::RegistryVersion;
 
 /// Longest wait of a watch for rules. Keepalive probes detect a dead connection sooner.
-const WATCH_WAIT: Duration = Duration::from_secs(15);
-/// Longest wait of a watch for endpoints on the placement holder: each reply confirms the table
-/// that the holder sends to the other hosts.
+const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Longest wait of a watch for endpoints on the placement holder and on relays: each reply confirms
+/// the table that they send to other hosts.
 const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Longest wait of a watch for endpoints on other hosts, which stop watching once the holder's
 /// table is fresh.
 const FALLBACK_WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Interval between two checks that the table received from the holder is fresh.
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
-/// Pause of the holder after a watch has returned changes, to batch those in quick succession.
+/// Longest wait for a holder when all hosts start for the first time.
+const FIRST_START_WAIT: Duration = Duration::from_millis(1_500);
+/// Pause of the holder and of relays after a watch has returned changes, to batch those in quick succession.
 const HOLDER_READ_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a watch has returned changes of rules, or changes of endpoints on other hosts; such
 /// changes must be in force within two seconds.
@@ -41,6 +45,8 @@
 const MANY_HOSTS: usize = 16;
 /// Interval between two reads of the list with many hosts.
 const MANY_HOSTS_INTERVAL: Duration = Duration::from_secs(9);
+/// Time over which hosts spread their first calls after a restore of the registry.
+const RESTORE_SPREAD: Duration = Duration::from_secs(1);
 /// Interval between two removals of expired endpoints and idle connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Idle time after which a connection is closed.
@@ -70,6 +76,7 @@
         match state.registry.rules().await {
             Ok((version, rules)) => {
                 backoff = RetryBackoff::new();
+                state.record_registry_reply(version);
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "list");
                 }
@@ -87,11 +94,12 @@
     }
 }
 
-async fn watch_rules(state: &EntryState, mut version: u64) {
+async fn watch_rules(state: &EntryState, mut version: RegistryVersion) {
     loop {
         match state.registry.watch_rules(version, WATCH_WAIT).await {
             Ok((next, rules)) => {
                 version = version.max(next);
+                state.record_registry_reply(next);
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "watch");
                     sleep(DIRECT_READ_PAUSE).await;
@@ -113,6 +121,9 @@
 pub(crate) async fn follow_endpoints(state: Rc<EntryState>) {
     let mut backoff = RetryBackoff::new();
     let mut was_unavailable = false;
+    if state.options.is_first_start {
+        wait_for_holder(&state).await;
+    }
     loop {
         if state.is_following_holder() {
             sleep(FRESHNESS_POLL_INTERVAL).await;
@@ -121,16 +132,17 @@
         match state.registry.endpoints().await {
             Ok((version, entries)) => {
                 backoff = RetryBackoff::new();
+                state.record_registry_reply(version);
                 if std::mem::take(&mut was_unavailable) {
                     log::info!(
-                        event = "store_regained", registry = version; "registry answers again"
+                        event = "store_regained", registry:% = version; "registry answers again"
                     );
                     state.endpoints.borrow_mut().record_registry_outage(Instant::now());
                 }
                 let count = entries.len();
                 state.endpoints.borrow_mut().replace(version, entries, Instant::now());
                 state.endpoints_confirmed.set(Some(Instant::now()));
-                log::info!(event = "endpoints", registry = version, count; "listed the endpoints");
+                log::info!(event = "endpoints", registry:% = version, count; "listed the endpoints");
                 endpoints_changed(&state);
                 let ended = watch_endpoints(&state, version).await;
                 was_unavailable = ended.is_err_and(|error| error != RegistryError::Gap);
@@ -149,10 +161,25 @@
     }
 }
 
+/// Gives a holder the time to take the lease when all hosts start at once, so that not all of them
+/// list the endpoints while these register and load their layers.
+async fn wait_for_holder(state: &EntryState) {
+    let started = Instant::now();
+    while started.elapsed() < FIRST_START_WAIT && !state.is_following_holder() && !state.is_holder()
+    {
+        sleep(FRESHNESS_POLL_INTERVAL).await;
+    }
+}
+
 /// Watches the endpoints until a request fails or the holder's table is fresh.
-async fn watch_endpoints(state: &EntryState, mut version: u64) -> Result<(), RegistryError> {
+async fn watch_endpoints(
+    state: &EntryState,
+    mut version: RegistryVersion,
+) -> Result<(), RegistryError> {
     loop {
-        let wait = if state.is_holder() { HOLDER_WATCH_WAIT } else { FALLBACK_WATCH_WAIT };
+        let serves_others =
+            state.is_holder() || state.relay_loads.borrow_mut().has_members(Instant::now());
+        let wait = if serves_others { HOLDER_WATCH_WAIT } else { FALLBACK_WATCH_WAIT };
         let watched = state.registry.watch_endpoints(version, wait).await;
         let (next, changes) = watched.inspect_err(|error| {
             log::info!(
@@ -161,28 +188,28 @@
             );
         })?;
         version = version.max(next);
+        state.endpoints_confirmed.set(Some(Instant::now()));
         if !changes.is_empty() {
             changes.iter().for_each(|change| log_change(version, change));
             state.endpoints.borrow_mut().apply(version, changes, Instant::now());
             endpoints_changed(state);
-            sleep(if state.is_holder() { HOLDER_READ_PAUSE } else { DIRECT_READ_PAUSE }).await;
+            sleep(if serves_others { HOLDER_READ_PAUSE } else { DIRECT_READ_PAUSE }).await;
         }
-        state.endpoints_confirmed.set(Some(Instant::now()));
         if state.is_following_holder() {
             return Ok(());
         }
     }
 }
 
-fn log_change(version: u64, change: &EndpointChange) {
+fn log_change(version: RegistryVersion, change: &EndpointChange) {
     match change {
         EndpointChange::Put(entry) => log::info!(
-            event = "endpoint_listed", registry = version, endpoint = &*entry.name,
+            event = "endpoint_listed", registry:% = version, endpoint = &*entry.name,
             draining = entry.is_draining, layers:? = entry.layers, born = entry.start_unix_ms;
             "entry of an endpoint was written"
         ),
         EndpointChange::Gone(name) => log::info!(
-            event = "endpoint_unlisted", registry = version, endpoint = &**name;
+            event = "endpoint_unlisted", registry:% = version, endpoint = &**name;
             "entry of an endpoint was removed"
         ),
     }
@@ -212,48 +239,83 @@
     }
 }
 
-/// Registers this host and follows the list of the other hosts.
+/// Registers this host and follows the list of the other hosts, until the process ends.
 pub(crate) async fn follow_hosts(state: Rc<EntryState>) {
     let name = &state.options.host;
-    let text: Box<str> = format!("{} {}", state.options.peer, state.options.domain).into();
-    let mut backoff = RetryBackoff::new();
+    let mut registered = register(&state).await;
+    // Hosts that start at the same time are not yet in the first list.
+    let mut is_first_read = true;
     loop {
-        let written =
-            state.registry.write_record(RecordGroup::Hosts, name.clone(), 0, text.clone()).await;
-        match written {
-            // The record from an earlier start of this host contains the same address.
-            Ok(_) | Err(RegistryError::Conflict) => break,
+        match state.registry.records(RecordGroup::Hosts).await {
+            // A stale reply may show the registry before it was restored.
+            Ok((version, _)) if version.era < state.registry_era() => {}
+            Ok((version, records)) => {
+                state.record_registry_reply(version);
+                // A list that is older than the registration need not contain it.
+                let is_lost = version >= registered
+                    && !state.is_leaving.get()
+                    && !records.iter().any(|record| record.name == *name);
+                let others = records.into_iter().filter(|record| record.name != *name);
+                let hosts =
+                    others.filter_map(|record| Some((record.name, peer_host(&record.text)?)));
+                *state.peers.borrow_mut() = hosts.collect();
+                if is_lost {
+                    log::info!(
+                        event = "registration_lost", registry:% = version;
+                        "the registry no longer lists this host; registering again"
+                    );
+                    registered = register(&state).await;
+                }
+            }
             Err(error) => {
                 log::info!(
                     event = "store_lost", what = "hosts", error:% = error;
-                    "could not register this host"
+                    "could not list the hosts"
                 );
-                backoff.wait(state.host_count()).await;
             }
         }
+        let is_many = state.host_count() >= MANY_HOSTS && !is_first_read;
+        is_first_read = false;
+        let interval = if is_many { MANY_HOSTS_INTERVAL } else { HOSTS_INTERVAL };
+        if timeout(interval, state.registry_restored.notified()).await.is_ok() {
+            // Spreads the calls of all hosts that notice the restore at the same time.
+            sleep(RESTORE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0))).await;
+        }
     }
+}
+
+/// Writes the record of this host; returns the version of the registry that contains it.
+async fn register(state: &EntryState) -> RegistryVersion {
+    let options = &state.options;
+    let text: Box<str> = format!("{} {} {}", options.peer, options.domain, options.capacity).into();
+    let mut backoff = RetryBackoff::new();
     loop {
-        match state.registry.records(RecordGroup::Hosts).await {
-            Ok(records) => {
-                let others = records.into_iter().filter(|record| record.name != *name);
-                let hosts =
-                    others.filter_map(|record| Some((record.name, peer_host(&record.text)?)));
-                *state.peers.borrow_mut() = hosts.collect();
-            }
+        let written = state.registry.write_record(
+            RecordGroup::Hosts,
+            options.host.clone(),
+            None,
+            text.clone(),
+        );
+        match written.await {
+            Ok(version) => return version,
+            // The record from an earlier start of this host contains the same address.
+            Err(RegistryError::Conflict) => return RegistryVersion::default(),
             Err(error) => {
                 log::info!(
                     event = "store_lost", what = "hosts", error:% = error;
-                    "could not list the hosts"
+                    "could not register this host"
                 );
+                backoff.wait(state.host_count()).await;
             }
         }
-        let is_many = state.host_count() >= MANY_HOSTS;
-        sleep(if is_many { MANY_HOSTS_INTERVAL } else { HOSTS_INTERVAL }).await;
     }
 }
 
-/// Parses the address and the failure domain in the record of a host.
+/// Parses the address, the failure domain and the capacity in the record of a host. Records of
+/// earlier releases have no capacity.
 fn peer_host(text: &str) -> Option<PeerHost> {
-    let (address, domain) = text.split_once(' ')?;
-    Some(PeerHost { address: address.parse().ok()?, domain: domain.into() })
+    let mut words = text.split(' ');
+    let (address, domain) = (words.next()?, words.next()?);
+    let capacity = words.next().and_then(|word| word.parse().ok()).unwrap_or(0);
+    Some(PeerHost { address: address.parse().ok()?, domain: domain.into(), capacity })
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod pool;
 mod queue;
 mod quota;
+mod relay;
 mod reroute;
 mod response;
 mod rules;
@@ -33,6 +34,7 @@
 mod stall;
 mod state;
 mod stream;
+mod version;
 mod watchdog;
 
 pub use adapter::{
@@ -42,14 +44,15 @@
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
-    RegistryVersion,
 };
 pub use events::EventFramer;
 pub use health::{CallEnd, HealthTable};
 pub use inflight::{StageLoad, StreamGuard, StreamRecord, StreamTable};
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
 pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
-pub use loads::{LoadAggregator, LoadMap, LoadSum, PeerLoads, retry_share};
+pub use loads::{
+    LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share,
+};
 pub use logs::start_logs;
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
 pub use pool::{
@@ -58,10 +61,12 @@
 };
 pub use queue::{QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
+pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
 };
 pub use run::{EntryError, run_entry};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
-pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
+pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder, SharedExclusion};
+pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -14,13 +14,16 @@
 use crate::inflight::StageLoad;
 
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(3_000);
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 /// Age at which the last total is no longer used.
 const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
 
 /// Part of the retry budget that hosts share equally; the rest is in proportion to their streams.
 const EQUAL_SHARE: f64 = 0.4;
 
+/// Number of hosts from which shares of the retry budget are averaged over its whole window.
+const FULL_SMOOTHING_HOSTS: f64 = 200.0;
+
 /// Load of each endpoint, by its name.
 pub type LoadMap = BTreeMap<EndpointName, StageLoad>;
 
@@ -34,6 +37,7 @@
 }
 
 impl LoadSum {
+    /// Adds another load.
     fn add(&mut self, other: &Self) {
         self.crossing_tokens_per_s += other.crossing_tokens_per_s;
         for (name, load) in &other.loads {
@@ -52,7 +56,7 @@
     }
 }
 
-/// Sums the load reports of all hosts, on the holder of the placement lease.
+/// Sums the load reports of the hosts that exchange through this host.
 #[derive(Debug, Default)]
 pub struct LoadAggregator {
     reports: BTreeMap<HostName, (Instant, LoadSum)>,
@@ -63,17 +67,86 @@
     /// Replaces a host's report and returns the total over all hosts, including that host. Removes
     /// reports that are too old.
     pub fn exchange(&mut self, host: HostName, report: LoadSum, now: Instant) -> &LoadSum {
+        self.remove_old(now);
+        if let Some((_, previous)) = self.reports.remove(&host) {
+            self.total.remove(&previous);
+        }
+        self.total.add(&report);
+        self.reports.insert(host, (now, report));
+        &self.total
+    }
+
+    /// Total over all hosts that have reported recently.
+    pub fn total(&mut self, now: Instant) -> &LoadSum {
+        self.remove_old(now);
+        &self.total
+    }
+
+    /// Whether any host has reported recently.
+    pub fn has_reports(&mut self, now: Instant) -> bool {
+        self.remove_old(now);
+        !self.reports.is_empty()
+    }
+
+    fn remove_old(&mut self, now: Instant) {
         let is_old = |at: &Instant| now.saturating_duration_since(*at) >= MAX_REPORT_AGE;
         let old: Vec<_> =
             self.reports.iter().filter(|(_, (at, _))| is_old(at)).map(|(h, _)| h.clone()).collect();
-        for host in old.iter().chain([&host]) {
-            if let Some((_, previous)) = self.reports.remove(host) {
+        for host in old {
+            if let Some((_, previous)) = self.reports.remove(&host) {
                 self.total.remove(&previous);
             }
         }
-        self.total.add(&report);
-        self.reports.insert(host, (now, report));
-        &self.total
+    }
+}
+
+/// Loads that a relay combines: those of its members, its own, and those of all other hosts.
+#[derive(Debug, Default)]
+pub struct RelayLoads {
+    members: LoadAggregator,
+    outside: Option<(Instant, LoadSum)>,
+}
+
+impl RelayLoads {
+    /// Whether other hosts exchange through this host.
+    pub fn has_members(&mut self, now: Instant) -> bool {
+        self.members.has_reports(now)
+    }
+
+    /// Load of this host, given as `own`, and of its members.
+    pub fn group_total(&mut self, own: &LoadSum, now: Instant) -> LoadSum {
+        let mut total = self.members.total(now).clone();
+        total.add(own);
+        total
+    }
+
+    /// Takes the holder's total over all hosts; `reported` is what it contains of this group.
+    pub fn record_total(&mut self, mut total: LoadSum, reported: &LoadSum, now: Instant) {
+        total.remove(reported);
+        self.outside = Some((now, total));
+    }
+
+    /// Replaces a member's report and returns the total over all hosts: on the holder, the members
+    /// are all of them. `None` while the last total from the holder is too old.
+    pub fn exchange(
+        &mut self,
+        member: HostName,
+        report: LoadSum,
+        own: &LoadSum,
+        is_holder: bool,
+        now: Instant,
+    ) -> Option<LoadSum> {
+        self.members.exchange(member, report, now);
+        let mut total = self.group_total(own, now);
+        if is_holder {
+            return Some(total);
+        }
+        let (at, outside) = self.outside.as_ref()?;
+        if now.saturating_duration_since(*at) >= MAX_SNAPSHOT_AGE {
+            return None;
+        }
+        total.add(outside);
+        Some(total)
     }
 }
 
@@ -159,3 +232,48 @@
         _ => equal,
     }
 }
+
+/// A host's share of the retry budget, averaged over a time that grows with the number of hosts.
+///
+/// Answers to a load pattern: hundreds of hosts with a few streams each, whose number changes from
+/// one second to the next. Shares that followed it at once would let each host spend the share of
+/// its busiest moment, and the sum over all hosts exceed the budget. With few hosts, each has many
+/// streams, and its share has to follow the loss of a host or an endpoint at once.
+#[derive(Debug, Default)]
+pub struct SmoothedShare {
+    latest: Option<(Instant, f64)>,
+}
+
+impl SmoothedShare {
+    /// Takes a new value of the share of one of `hosts` hosts; `window` is the window of the budget.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use jacinthrock_entry::SmoothedShare;
+    /// use tokio::time::Instant;
+    ///
+    /// let (mut share, now) = (SmoothedShare::default(), Instant::now());
+    /// let window = Duration::from_secs(10);
+    /// assert_eq!(share.update(0.25, 200, window, now), 0.25);
+    /// assert!(share.update(1.0, 200, window, now + Duration::from_millis(200)) < 0.3);
+    /// ```
+    pub fn update(&mut self, share: f64, hosts: usize, window: Duration, now: Instant) -> f64 {
+        let smoothing_time = window.mul_f64((hosts as f64 / FULL_SMOOTHING_HOSTS).min(1.0));
+        let average = match self.latest {
+            Some((at, average)) if smoothing_time > Duration::ZERO => {
+                let elapsed = now.saturating_duration_since(at);
+                let weight = elapsed.div_duration_f64(smoothing_time).min(1.0);
+                average + weight * (share - average)
+            }
+            _ => share,
+        };
+        self.latest = Some((now, average));
+        average
+    }
+
+    /// The average after the last update.
+    pub fn latest(&self) -> Option<f64> {
+        self.latest.map(|(_, average)| average)
+    }
+}
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,5 +1,6 @@
-//! Requests between hosts: load exchange with the holder of the placement lease, which also
-//! distributes its endpoint table, and registry snapshots for hosts that cannot reach the registry.
+//! Requests between hosts: load exchange with the holder of the placement lease or with a relay,
+//! which also distributes the endpoint table, and registry snapshots for hosts that cannot reach the
+//! registry.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,14 +17,16 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::endpoints::{ChangeNumber, EndpointEntry, EndpointUpdate, RegistryVersion};
+use crate::endpoints::{ChangeNumber, EndpointEntry, EndpointUpdate};
 use crate::follow::endpoints_changed;
 use crate::front::serve_internal;
 use crate::loads::LoadSum;
 use crate::pool::{SendOptions, build_request};
+use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::ServingRules;
-use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder};
+use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder, SharedExclusion};
+use crate::version::{RegistryEra, RegistryRevision, RegistryVersion};
 
 /// Path of a host's registry snapshot.
 const SNAPSHOT_PATH: &str = "/knowledge";
@@ -35,44 +38,85 @@
 const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Timeout of a request to another host.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
-/// Shortest interval between two load exchanges; at the usual load, about ten streams start in it.
-pub(crate) const MIN_EXCHANGE_INTERVAL: Duration = Duration::from_millis(200);
-/// Largest number of hosts with the shortest interval; beyond it, the interval grows in proportion.
-const MAX_HOSTS_AT_MIN_INTERVAL: u32 = 32;
 /// Maximum size of a host's load report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
-/// Load report of a host to the holder of the placement lease.
+/// Load report of a host to the holder of the placement lease or to a relay.
 #[derive(Debug, Serialize, Deserialize)]
 struct HostReport {
     host: HostName,
+    /// Load of the host and of the hosts that exchange through it.
     sum: LoadSum,
-    /// `boot_id` of the holder, and the last change of its table that the host has seen.
+    /// `boot_id` of the other host, and the last change of its table that this host has seen.
     seen: Option<(u64, ChangeNumber)>,
+    /// Endpoints that accept no work, as the host knows.
+    #[serde(default)]
+    excluded: Vec<SharedExclusion>,
 }
 
-/// The holder's reply to a load report.
+/// Reply of the holder of the placement lease, or of a relay, to a load report.
 #[derive(Debug, Serialize, Deserialize)]
 struct HolderReply {
     total: LoadSum,
-    /// `boot_id` of the holder; sequence numbers are valid only for the same one.
+    /// Whether the total lacks the hosts outside the relay's group.
+    #[serde(default)]
+    is_partial: bool,
+    /// `boot_id` of the replying host; sequence numbers are valid only for the same one.
     boot: u64,
-    /// Sequence number of the last change of the holder's table.
+    /// Sequence number of the last change of its table.
     number: ChangeNumber,
-    version: RegistryVersion,
-    /// Time since the registry last confirmed the holder's table, in ms.
+    /// Revision and era of the registry that the table reflects.
+    #[serde(rename = "version")]
+    revision: RegistryRevision,
+    #[serde(default)]
+    era: RegistryEra,
+    /// Time since the registry last confirmed the table, in ms.
     confirmed_ms: u64,
     /// Update of the endpoint table; none if the host is up to date.
     #[serde(rename = "news")]
     update: Option<EndpointUpdate>,
+    /// The placement holder, and the time since its last exchange with the replying host, in ms;
+    /// none if there was no recent one.
+    #[serde(default)]
+    holder: Option<(HostName, SocketAddr, u64)>,
+    /// Endpoints that accept no work, as the replying host knows.
+    #[serde(default)]
+    excluded: Vec<SharedExclusion>,
+}
+
+impl HolderReply {
+    fn version(&self) -> RegistryVersion {
+        RegistryVersion { era: self.era, revision: self.revision }
+    }
+
+    /// Whether the reply says anything recent about the other hosts or the registry.
+    fn is_useful(&self) -> bool {
+        let is_confirmed = Duration::from_millis(self.confirmed_ms) < MAX_CONFIRMED_AGE;
+        is_confirmed || self.holder.is_some()
+    }
+
+    /// The placement holder with the time of its last exchange.
+    fn heard_holder(&self, now: Instant) -> Option<(PlacementHolder, Instant)> {
+        let (host, address, age_ms) = self.holder.clone()?;
+        let at = now.checked_sub(Duration::from_millis(age_ms))?;
+        Some((PlacementHolder { host, address }, at))
+    }
 }
 
 /// Rules and endpoints, as a host last read them from the registry or from another host.
 #[derive(Debug, Serialize, Deserialize)]
 struct RegistrySnapshot {
-    rules_version: RegistryVersion,
+    /// Revision and era at which the rules were read.
+    #[serde(rename = "rules_version")]
+    rules_revision: RegistryRevision,
+    #[serde(default)]
+    rules_era: RegistryEra,
     rules: Option<ServingRules>,
-    endpoints_version: RegistryVersion,
+    /// Revision and era that the endpoints reflect.
+    #[serde(rename = "endpoints_version")]
+    endpoints_revision: RegistryRevision,
+    #[serde(default)]
+    endpoints_era: RegistryEra,
     endpoints: Vec<EndpointEntry>,
 }
 
@@ -94,77 +138,124 @@
     }
 }
 
-/// Exchanges loads with the holder of the placement lease until the process ends.
+/// Exchanges loads with the holder of the placement lease, or with a relay, until the process ends.
 pub(crate) async fn exchange_loads(state: Rc<EntryState>) {
-    let mut seen: Option<(HostName, u64, ChangeNumber)> = None;
+    let mut seen: Option<TablePosition> = None;
     loop {
-        sleep(exchange_interval(state.host_count())).await;
-        let holder = state.placement_holder.borrow().clone();
-        let Some(PlacementHolder { host: holder, address }) = holder else { continue };
-        let own = LoadSum {
-            loads: state.inflight.borrow().loads().clone(),
-            crossing_tokens_per_s: state.inflight.borrow().crossing_tokens_per_s(),
-        };
-        if holder == state.options.host {
+        sleep(EXCHANGE_INTERVAL).await;
+        if state.is_holder() {
             seen = None;
-            let now = Instant::now();
-            let total =
-                state.load_aggregator.borrow_mut().exchange(holder, own.clone(), now).clone();
-            state.peer_loads.borrow_mut().update(total, own, state.host_count(), now);
-            state.wake_queue();
+            apply_own_total(&state);
             continue;
         }
-        let known = seen.as_ref().filter(|(host, _, _)| *host == holder);
-        let report = HostReport {
-            host: state.options.host.clone(),
-            sum: own.clone(),
-            seen: known.map(|(_, boot, number)| (*boot, *number)),
-        };
-        let reply = match serde_json::to_vec(&report) {
-            Ok(body) => fetch::<HolderReply>(&state, address, LOADS_PATH, body).await,
-            Err(error) => Err(error.to_string()),
-        };
-        match reply {
-            Ok(reply) => {
-                let position = (holder, reply.boot, reply.number);
-                seen = apply_reply(&state, own, reply).then_some(position);
-            }
-            Err(error) => {
-                log::info!(
-                    event = "peer_silent", peer = &*holder, error;
-                    "could not exchange loads with the placement holder"
-                );
+        // A relay that fails is replaced at once; the holder itself is asked again later.
+        while let Some((relay, address)) = state.upstream_relay() {
+            if exchange_with(&state, &relay, address, &mut seen).await {
+                break;
             }
+            state.relay_picker.borrow_mut().record_failure(relay, Instant::now());
+        }
+        if state.upstream_relay().is_some() {
+            continue;
+        }
+        let holder = state.placement_holder.borrow().clone();
+        if let Some(PlacementHolder { host, address }) =
+            holder.filter(|holder| holder.host != state.options.host)
+        {
+            exchange_with(&state, &host, address, &mut seen).await;
         }
     }
 }
 
-/// Interval between two load exchanges. It grows with the number of hosts, because the holder's
-/// network link and processor serve them all; the more hosts, the older the loads that each knows.
-pub(crate) fn exchange_interval(hosts: usize) -> Duration {
-    MIN_EXCHANGE_INTERVAL.max(MIN_EXCHANGE_INTERVAL * hosts as u32 / MAX_HOSTS_AT_MIN_INTERVAL)
+/// The last change that this host has seen of another host's table.
+struct TablePosition {
+    host: HostName,
+    boot: u64,
+    number: ChangeNumber,
+}
+
+/// On the holder of the placement lease: takes the total over its members and itself.
+fn apply_own_total(state: &EntryState) {
+    let (own, now) = (state.own_load(), Instant::now());
+    let total = state.relay_loads.borrow_mut().group_total(&own, now);
+    state.peer_loads.borrow_mut().update(total, own, state.host_count(), now);
+    state.holder_heard.set(Some(now));
+    state.update_retry_share();
+    state.wake_queue();
+}
+
+/// Exchanges loads with one host; returns whether its reply was of use.
+async fn exchange_with(
+    state: &EntryState,
+    host: &HostName,
+    address: SocketAddr,
+    seen: &mut Option<TablePosition>,
+) -> bool {
+    let own = state.own_load();
+    let group = state.relay_loads.borrow_mut().group_total(&own, Instant::now());
+    let known = seen.take().filter(|position| position.host == *host);
+    let report = HostReport {
+        host: state.options.host.clone(),
+        sum: group,
+        seen: known.map(|position| (position.boot, position.number)),
+        excluded: state.exclusions(),
+    };
+    let reply = match serde_json::to_vec(&report) {
+        Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
+        Err(error) => Err(error.to_string()),
+    };
+    match reply {
+        Ok(reply) => {
+            let is_useful = reply.is_useful();
+            let position =
+                TablePosition { host: host.clone(), boot: reply.boot, number: reply.number };
+            *seen = apply_reply(state, own, &report.sum, reply).then_some(position);
+            is_useful
+        }
+        Err(error) => {
+            log::info!(
+                event = "peer_silent", peer = &**host, error;
+                "could not exchange loads with a peer"
+            );
+            false
+        }
+    }
 }
 
-/// Applies the holder's reply; returns whether this host's table is now up to date with the
-/// holder's.
-fn apply_reply(state: &EntryState, own: LoadSum, reply: HolderReply) -> bool {
+/// Applies a reply to a load report; returns whether this host's table is now up to date with the
+/// other host's. `reported` is the load that the report contained.
+fn apply_reply(state: &EntryState, own: LoadSum, reported: &LoadSum, reply: HolderReply) -> bool {
     let now = Instant::now();
-    state.peer_loads.borrow_mut().update(reply.total, own, state.host_count(), now);
+    let version = reply.version();
+    state.observe_version(version);
+    let heard = reply.heard_holder(now);
+    if let Some((holder, at)) = heard {
+        state.holder_heard.set(state.holder_heard.get().max(Some(at)));
+        if !state.is_holder() {
+            *state.placement_holder.borrow_mut() = Some(holder);
+        }
+    }
+    if !reply.is_partial {
+        state.relay_loads.borrow_mut().record_total(reply.total.clone(), reported, now);
+        state.peer_loads.borrow_mut().update(reply.total, own, state.host_count(), now);
+    }
     let age = Duration::from_millis(reply.confirmed_ms);
     let is_confirmed = age < MAX_CONFIRMED_AGE;
     let has_update = reply.update.is_some();
     let is_current = reply.update.is_none_or(|update| {
         let mut endpoints = state.endpoints.borrow_mut();
-        endpoints.apply_update(reply.version, update, is_confirmed, now)
+        endpoints.apply_update(version, update, is_confirmed, now)
     });
     state.holder_confirmed.set(now.checked_sub(age).filter(|_| is_current));
     if has_update && is_current {
         log::info!(
-            event = "endpoints", registry = reply.version, source = "holder";
+            event = "endpoints", registry:% = version, source = "holder";
             "applied endpoint changes"
         );
         endpoints_changed(state);
     }
+    state.apply_exclusions(reply.excluded);
+    state.update_retry_share();
     state.wake_queue();
     is_current
 }
@@ -174,6 +265,9 @@
 pub(crate) struct HostStatus {
     /// Whether the host is not shutting down.
     pub(crate) is_serving: bool,
+    /// Whether the registry replies to the host, so that it can take the placement lease.
+    #[serde(default)]
+    pub(crate) can_reach_registry: bool,
     /// The holder whose replies the host receives, or the host itself, with its address.
     holder: Option<(HostName, SocketAddr)>,
 }
@@ -195,6 +289,7 @@
     let holder = state.placement_holder.borrow().clone().filter(|_| knows_holder);
     HostStatus {
         is_serving: !state.is_leaving.get(),
+        can_reach_registry: state.can_reach_registry(),
         holder: holder.map(|holder| (holder.host, holder.address)),
     }
 }
@@ -215,13 +310,17 @@
 
 fn apply_snapshot(state: &EntryState, snapshot: RegistrySnapshot) {
     if let Some(rules) = snapshot.rules {
-        state.apply_rules(snapshot.rules_version, rules, "peer");
+        let version =
+            RegistryVersion { era: snapshot.rules_era, revision: snapshot.rules_revision };
+        state.apply_rules(version, rules, "peer");
     }
+    let version =
+        RegistryVersion { era: snapshot.endpoints_era, revision: snapshot.endpoints_revision };
+    state.observe_version(version);
     let mut endpoints = state.endpoints.borrow_mut();
-    if snapshot.endpoints_version > endpoints.version() {
-        let version = snapshot.endpoints_version;
+    if version > endpoints.version() {
         log::info!(
-            event = "endpoints", registry = version, source = "peer";
+            event = "endpoints", registry:% = version, source = "peer";
             "applied the endpoints of a peer"
         );
         endpoints.replace(version, snapshot.endpoints, Instant::now());
@@ -253,31 +352,58 @@
         *response.status_mut() = StatusCode::BAD_REQUEST;
         return Ok(response);
     };
+    serde_json::to_vec(&reply_to(&state, report)).map(|text| Response::new(full_body(text)))
+}
+
+/// Reply to another host's load report.
+fn reply_to(state: &EntryState, report: HostReport) -> HolderReply {
     let now = Instant::now();
-    let (endpoints, mut aggregator) =
-        (state.endpoints.borrow(), state.load_aggregator.borrow_mut());
+    let is_holder = state.is_holder();
+    state.apply_exclusions(report.excluded);
+    let own = state.own_load();
+    let total = {
+        let mut loads = state.relay_loads.borrow_mut();
+        loads.exchange(report.host, report.sum, &own, is_holder, now)
+    };
+    let endpoints = state.endpoints.borrow();
     let seen = report.seen.filter(|(boot, _)| *boot == state.boot_id).map(|(_, number)| number);
     let (number, update) = endpoints.update_since(seen);
-    // Hosts must not rely on the table of one that is shutting down or no longer holds the lease.
-    let confirmed = state.endpoints_confirmed.get().filter(|_| state.is_holder());
+    // Hosts must not rely on the table of one that is shutting down.
+    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving.get());
     let age = confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-    let reply = HolderReply {
-        total: aggregator.exchange(report.host, report.sum, now).clone(),
+    let holder = state.placement_holder.borrow().clone().filter(|_| state.has_heard_holder());
+    let heard = state.holder_heard.get().unwrap_or(now);
+    let version = endpoints.version();
+    HolderReply {
+        is_partial: total.is_none(),
+        total: total.unwrap_or_default(),
         boot: state.boot_id,
         number,
-        version: endpoints.version(),
-        confirmed_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        revision: version.revision,
+        era: version.era,
+        confirmed_ms: whole_ms(age),
         update,
-    };
-    serde_json::to_vec(&reply).map(|text| Response::new(full_body(text)))
+        holder: holder.map(|holder| {
+            let age = now.saturating_duration_since(heard);
+            (holder.host, holder.address, whole_ms(age))
+        }),
+        excluded: state.exclusions(),
+    }
+}
+
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn snapshot(state: &EntryState) -> Result<Vec<u8>, serde_json::Error> {
     let endpoints = state.endpoints.borrow();
+    let (rules_version, endpoints_version) = (state.rules_version(), endpoints.version());
     serde_json::to_vec(&RegistrySnapshot {
-        rules_version: state.rules_version(),
+        rules_revision: rules_version.revision,
+        rules_era: rules_version.era,
         rules: state.rules().map(|rules| rules.rules().clone()),
-        endpoints_version: endpoints.version(),
+        endpoints_revision: endpoints_version.revision,
+        endpoints_era: endpoints_version.era,
         endpoints: endpoints.entries().cloned().collect(),
     })
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -90,10 +90,15 @@
     let end = started + state.options.grace.saturating_sub(KILL_MARGIN);
     let deregistration =
         state.registry.delete_record(RecordGroup::Hosts, state.options.host.clone());
-    if tokio::time::timeout(DEREGISTER_TIMEOUT, deregistration).await.is_err() {
-        log::info!(
+    match tokio::time::timeout(DEREGISTER_TIMEOUT, deregistration).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => log::info!(
+            event = "store_lost", what = "hosts", error:% = error;
+            "could not remove this host from the registry"
+        ),
+        Err(_) => log::info!(
             event = "store_lost", what = "hosts"; "timed out removing this host from the registry"
-        );
+        ),
     }
     while Instant::now() < end {
         if started.elapsed() >= ROTATION_DELAY {
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -159,15 +159,18 @@
 /// Checks why an endpoint refuses streams; excludes it if its KV cache has room and it is not busy.
 pub(crate) async fn check_refusal(state: Rc<EntryState>, name: EndpointName) {
     let Some(entry) = state.endpoint(&name) else { return };
+    // The report is about 200 ms old; this host's own estimate includes later streams.
+    let known = state.known_kv_usage(&entry).unwrap_or(1.0);
+    if known >= MIN_FULL_KV_USAGE {
+        return;
+    }
     match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
         Ok(Some(report)) => {
             log::info!(
                 event = "refusal_checked", endpoint = &*name, fill = report.kv_usage,
                 busy = report.is_busy, layers:? = report.layers; "endpoint refuses streams"
             );
-            // The report is about 200 ms old; this host's own estimate includes later streams.
-            let known = state.known_kv_usage(&entry).unwrap_or(1.0);
-            if report.kv_usage.max(known) < MIN_FULL_KV_USAGE && !report.is_busy {
+            if report.kv_usage < MIN_FULL_KV_USAGE && !report.is_busy {
                 exclude_endpoint(&state, &name, "refuses streams although memory is free");
             }
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,41 +8,52 @@
 
 use jacinthrock::{BudgetOptions, DomainName, EndpointName, HostName, MetricRegistry, RetryBudget};
 use rand::Rng;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::detour::detour;
-use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan, RegistryVersion};
+use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan};
 use crate::expiry::ExpiringFlags;
 use crate::health::HealthTable;
 use crate::inflight::{StageLoad, StreamTable};
-use crate::loads::{LoadAggregator, PeerLoads, retry_share};
+use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
-use crate::peers::{MIN_EXCHANGE_INTERVAL, exchange_interval};
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
 use crate::quota::CrossingQuota;
+use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
 use crate::rules::{EngineProfile, RuleIndex, ServingRules};
+use crate::version::{RegistryEra, RegistryVersion};
 
 /// Cost of a stage that is suspected to be down, in ms per token: more than a whole path over other
 /// cards.
 const SUSPECT_COST_MS: f64 = 40.0;
 /// Time for which an endpoint that accepts no work is excluded, unless its registry entry changes.
 const EXCLUSION_TIME: Duration = Duration::from_secs(3);
+/// Remaining time below which an exclusion is not taken from another host.
+const MIN_SHARED_EXCLUSION: Duration = Duration::from_millis(500);
 /// Maximum age of the registry's last confirmation of the holder's endpoint table for hosts to rely
 /// on it. Endpoints that leave must be known within two seconds; with 1,800 ms, a host whose holder
 /// was rejected by the registry learned of them too late.
 pub(crate) const MAX_CONFIRMED_AGE: Duration = Duration::from_millis(1_300);
+/// Age of the last confirmation at which a relay reads the registry itself, before its members find
+/// its table too old and all do so.
+const RELAY_MAX_CONFIRMED_AGE: Duration = Duration::from_millis(900);
+/// Time for which a reply of the registry shows that this host can reach it; a host without a holder
+/// asks it once per second.
+const REGISTRY_SEEN_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a host that has heard of the placement holder counts on it.
+const HOLDER_HEARD_TIME: Duration = Duration::from_millis(1_500);
 /// Maximum random increase of a stage's cost per stream, at the shortest load exchange interval.
 /// Without jitter, hosts that know the same load totals all choose the same path until the next
 /// exchange.
 const COST_JITTER: f64 = 0.1;
 /// Upper bound on the jitter, which grows with the load exchange interval.
 const MAX_COST_JITTER: f64 = 0.5;
-/// Cost of a stage that has just refused a stream, in ms per token.
-const OVERLOAD_COST_MS: f64 = 20.0;
-/// Time for which a refusal raises the cost; some streams end in that time and leave room.
+/// Time for which an endpoint that has refused a stream gets no other; some streams end in that time
+/// and leave room, and the next load exchange shows the streams of other hosts.
 const OVERLOAD_TIME: Duration = Duration::from_millis(250);
 /// Time after an answered probe during which an endpoint is not suspected again. Under overload all
 /// streams are silent at times, and each probe costs the endpoint work.
@@ -67,6 +78,8 @@
     pub address: SocketAddr,
     /// Failure domain.
     pub domain: DomainName,
+    /// Relative capacity; see [`host_capacity`](crate::host_capacity).
+    pub capacity: u32,
 }
 
 /// The host that holds the placement lease: it places models on endpoints, and sends endpoint
@@ -86,6 +99,10 @@
     pub host: HostName,
     /// Failure domain of this host.
     pub domain: DomainName,
+    /// Relative capacity of this host; see [`host_capacity`](crate::host_capacity).
+    pub capacity: u32,
+    /// Whether all hosts start for the first time, so that no requests arrive for some seconds.
+    pub is_first_start: bool,
     /// Listen address for callers.
     pub front: SocketAddr,
     /// Listen address of the readiness check.
@@ -134,26 +151,52 @@
     pub boot_id: u64,
     /// When the registry last confirmed this host's endpoint table.
     pub endpoints_confirmed: Cell<Option<Instant>>,
-    /// When the registry last confirmed the endpoint table of the placement holder.
+    /// When the registry last confirmed the endpoint table that this host gets from the placement
+    /// holder or a relay.
     pub holder_confirmed: Cell<Option<Instant>>,
-    /// Loads reported to this host while it holds the placement lease.
-    pub load_aggregator: RefCell<LoadAggregator>,
+    /// When this host, or the relay that told it, last exchanged loads with the placement holder.
+    pub holder_heard: Cell<Option<Instant>>,
+    /// Loads of the hosts that exchange through this host.
+    pub relay_loads: RefCell<RelayLoads>,
+    /// Choice of the relay that this host exchanges through.
+    pub relay_picker: RefCell<RelayPicker>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
     pub peer_loads: RefCell<PeerLoads>,
+    /// Whether this host holds the placement lease, or acts as its holder.
+    pub is_placing: Cell<bool>,
+    /// Notified when the registry was restored from a copy.
+    pub registry_restored: Notify,
     /// Whether the process is shutting down.
     pub is_leaving: Cell<bool>,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
     rules: RefCell<Rc<RuleIndex>>,
     rules_version: Cell<Option<RegistryVersion>>,
+    registry_era: Cell<Option<RegistryEra>>,
+    registry_seen: Cell<Option<Instant>>,
+    era_since: Cell<Instant>,
     suspected: RefCell<ExpiringFlags>,
     recently_probed: RefCell<ExpiringFlags>,
     excluded: RefCell<BTreeMap<EndpointName, EndpointExclusion>>,
     overloaded: RefCell<ExpiringFlags>,
     crossing_quota: RefCell<CrossingQuota>,
     retry_budget: RefCell<RetryBudget>,
+    retry_share: RefCell<SmoothedShare>,
+}
+
+/// Exclusion of an endpoint, as hosts tell one another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedExclusion {
+    /// Endpoint.
+    pub endpoint: EndpointName,
+    /// Its start time, in ms since the Unix epoch.
+    pub start_unix_ms: u64,
+    /// Layers that it was listed with.
+    pub layers: Option<LayerSpan>,
+    /// Time until the end of the exclusion, in ms.
+    pub remaining_ms: u64,
 }
 
 /// Exclusion of an endpoint that accepts no work, with its start time and layers as listed then.
@@ -200,19 +243,27 @@
             boot_id: rand::random(),
             endpoints_confirmed: Cell::new(None),
             holder_confirmed: Cell::new(None),
-            load_aggregator: RefCell::default(),
+            holder_heard: Cell::new(None),
+            relay_loads: RefCell::default(),
+            relay_picker: RefCell::default(),
+            is_placing: Cell::new(false),
+            registry_restored: Notify::new(),
             peer_loads: RefCell::default(),
             path_queue: RefCell::default(),
             is_leaving: Cell::new(false),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
             rules_version: Cell::new(None),
+            registry_era: Cell::new(None),
+            registry_seen: Cell::new(None),
+            era_since: Cell::new(Instant::now()),
             suspected: RefCell::default(),
             recently_probed: RefCell::default(),
             excluded: RefCell::default(),
             overloaded: RefCell::default(),
             crossing_quota: RefCell::default(),
             retry_budget: RefCell::new(budget),
+            retry_share: RefCell::default(),
         }
     }
 
@@ -223,23 +274,113 @@
 
     /// Registry version of the rules in force, 0 before the first.
     pub fn rules_version(&self) -> RegistryVersion {
-        self.rules_version.get().unwrap_or(0)
+        self.rules_version.get().unwrap_or_default()
     }
 
-    /// Puts rules in force unless newer ones are.
-    pub fn apply_rules(&self, version: RegistryVersion, rules: ServingRules, source: &str) {
+    /// Puts rules in force unless newer ones are. A registry that was restored from a copy may list
+    /// older rules than those in force, until the operator has written the lost ones again; rules
+    /// that were accepted stay in force meanwhile.
+    pub fn apply_rules(
+        &self,
+        version: impl Into<RegistryVersion>,
+        rules: ServingRules,
+        source: &str,
+    ) {
+        let version = version.into();
+        self.observe_version(version);
         if self.rules_version.get().is_some_and(|current| version <= current) {
             return;
         }
+        let is_older = self
+            .rules_version
+            .get()
+            .is_some_and(|_| rules.version < self.rules.borrow().rules().version);
+        self.rules_version.set(Some(version));
+        if is_older {
+            log::info!(
+                event = "rules_kept", version = rules.version, registry:% = version,
+                in_force = self.rules.borrow().rules().version, source;
+                "the registry lists older rules than those in force"
+            );
+            return;
+        }
         log::info!(
-            event = "rules", version = rules.version, registry = version,
+            event = "rules", version = rules.version, registry:% = version,
             routes = rules.routes.len(), source; "rules in force"
         );
         *self.rules.borrow_mut() = Rc::new(RuleIndex::new(rules));
-        self.rules_version.set(Some(version));
         self.path_changed.notify_waiters();
     }
 
+    /// Records that the registry has replied to this host, with a version.
+    pub fn record_registry_reply(&self, version: RegistryVersion) {
+        self.registry_seen.set(Some(Instant::now()));
+        self.observe_version(version);
+    }
+
+    /// Whether the registry has recently replied to this host.
+    pub fn can_reach_registry(&self) -> bool {
+        self.registry_seen.get().is_some_and(|at| at.elapsed() < REGISTRY_SEEN_TIME)
+    }
+
+    /// Notes the era of the registry in a version that it has sent to this host or to another; a
+    /// higher one than before means that it was restored from a copy.
+    pub fn observe_version(&self, version: RegistryVersion) {
+        let previous = self.registry_era.get();
+        if previous.is_some_and(|era| version.era <= era) {
+            return;
+        }
+        self.registry_era.set(Some(version.era));
+        self.era_since.set(Instant::now());
+        if let Some(previous) = previous {
+            log::warn!(
+                event = "store_restored", era = version.era, previous, registry:% = version;
+                "registry was restored from a copy"
+            );
+            self.endpoints.borrow_mut().record_registry_outage(Instant::now());
+            self.registry_restored.notify_waiters();
+        }
+    }
+
+    /// Era of the registry, as far as this host knows.
+    pub fn registry_era(&self) -> RegistryEra {
+        self.registry_era.get().unwrap_or(0)
+    }
+
+    /// Time since this host first saw the present era of the registry, or since its start.
+    pub fn era_age(&self) -> Duration {
+        self.era_since.get().elapsed()
+    }
+
+    /// Load of this host's streams.
+    pub fn own_load(&self) -> LoadSum {
+        let inflight = self.inflight.borrow();
+        LoadSum {
+            loads: inflight.loads().clone(),
+            crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
+        }
+    }
+
+    /// Name and address of the relay that this host exchanges through; `None` if it exchanges with
+    /// the placement holder directly.
+    pub fn upstream_relay(&self) -> Option<(HostName, SocketAddr)> {
+        let now = Instant::now();
+        if self.relay_loads.borrow_mut().has_members(now) {
+            return None;
+        }
+        let peers = self.peers.borrow();
+        let own =
+            RelayCandidate { host: self.options.host.clone(), capacity: self.options.capacity };
+        let in_domain = peers.iter().filter(|(_, peer)| peer.domain == self.options.domain);
+        let candidates = in_domain
+            .map(|(host, peer)| RelayCandidate { host: host.clone(), capacity: peer.capacity });
+        let candidates = candidates.chain([own]).collect();
+        let picker = self.relay_picker.borrow();
+        let relay = picker.relay(&self.options.host, candidates, peers.len() + 1, now)?;
+        let address = peers.get(&relay)?.address;
+        Some((relay, address))
+    }
+
     /// Number of entry hosts, including this one.
     pub fn host_count(&self) -> usize {
         self.peers.borrow().len() + 1
@@ -261,9 +402,7 @@
     /// the retry in metrics.
     pub fn allow_retry(&self, service: &str, reason: &str, reserved_share: f64) -> bool {
         let now = Instant::now();
-        let own = self.inflight.borrow().count() as u32;
-        let others = self.peer_loads.borrow().streams(now);
-        let share = retry_share(self.host_count(), own, others);
+        let share = self.retry_share.borrow().latest().unwrap_or_else(|| self.present_share(now));
         let mut budget = self.retry_budget.borrow_mut();
         budget.set_options(budget_options(&self.options, share));
         let is_reserved = budget.remaining_fraction(now, service) < reserved_share;
@@ -277,6 +416,23 @@
         allowed
     }
 
+    /// Adds the present share of the retry budget to its average, once the other hosts are known.
+    pub fn update_retry_share(&self) {
+        if self.peers.borrow().is_empty() {
+            return;
+        }
+        let now = Instant::now();
+        let share = self.present_share(now);
+        let (hosts, window) = (self.host_count(), self.options.retry_window);
+        self.retry_share.borrow_mut().update(share, hosts, window, now);
+    }
+
+    fn present_share(&self, now: Instant) -> f64 {
+        let own = self.inflight.borrow().count() as u32;
+        let others = self.peer_loads.borrow().streams(now);
+        retry_share(self.host_count(), own, others)
+    }
+
     /// Marks an endpoint as suspected until it answers a probe; returns whether a probe is due. An
     /// endpoint that has just answered a probe is not suspected.
     pub fn mark_suspected(&self, name: &EndpointName) -> bool {
@@ -287,19 +443,29 @@
         !self.suspected.borrow_mut().set(name, now, now + SUSPECT_TIME)
     }
 
-    /// Whether this host gets endpoint changes from the placement holder and the holder's table was
-    /// recently confirmed by the registry.
+    /// Whether this host gets endpoint changes from the placement holder or a relay, and the registry
+    /// has recently confirmed their table.
     pub fn is_following_holder(&self) -> bool {
+        let has_members = self.relay_loads.borrow_mut().has_members(Instant::now());
+        let max_age = if has_members { RELAY_MAX_CONFIRMED_AGE } else { MAX_CONFIRMED_AGE };
         let confirmed = self.holder_confirmed.get();
-        !self.is_holder() && confirmed.is_some_and(|at| at.elapsed() < MAX_CONFIRMED_AGE)
+        !self.is_holder() && confirmed.is_some_and(|at| at.elapsed() < max_age)
+    }
+
+    /// Whether a placement holder has exchanged loads recently, with this host or with its relay.
+    pub fn has_heard_holder(&self) -> bool {
+        self.holder_heard.get().is_some_and(|at| at.elapsed() < HOLDER_HEARD_TIME)
+    }
+
+    /// When the registry last confirmed this host's endpoint table, by itself or through the host
+    /// that sent the table.
+    pub fn table_confirmed(&self) -> Option<Instant> {
+        self.endpoints_confirmed.get().max(self.holder_confirmed.get())
     }
 
     /// Whether this host is the placement holder.
     pub fn is_holder(&self) -> bool {
-        self.placement_holder
-            .borrow()
-            .as_ref()
-            .is_some_and(|holder| holder.host == self.options.host)
+        self.is_placing.get()
     }
 
     /// Wakes waiting streams to search for a path again.
@@ -320,13 +486,50 @@
     /// shutting down or no longer holds its layers. Returns whether the exclusion is new.
     pub fn mark_excluded(&self, name: &EndpointName) -> bool {
         let Some(entry) = self.endpoint(name) else { return false };
+        self.exclude(&entry, EXCLUSION_TIME)
+    }
+
+    fn exclude(&self, entry: &EndpointEntry, time: Duration) -> bool {
+        let now = Instant::now();
+        if self.is_excluded(entry, now) {
+            return false;
+        }
         let exclusion = EndpointExclusion {
-            until: Instant::now() + EXCLUSION_TIME,
+            until: now + time,
             start_unix_ms: entry.start_unix_ms,
             layers: entry.layers,
         };
-        let previous = self.excluded.borrow_mut().insert(name.clone(), exclusion);
-        previous.is_none_or(|exclusion| exclusion.until <= Instant::now())
+        self.excluded.borrow_mut().insert(entry.name.clone(), exclusion);
+        true
+    }
+
+    /// The exclusions in force, for other hosts.
+    pub fn exclusions(&self) -> Vec<SharedExclusion> {
+        let now = Instant::now();
+        let excluded = self.excluded.borrow();
+        let in_force = excluded.iter().filter(|(_, exclusion)| now < exclusion.until);
+        let shared = in_force.map(|(name, exclusion)| SharedExclusion {
+            endpoint: name.clone(),
+            start_unix_ms: exclusion.start_unix_ms,
+            layers: exclusion.layers,
+            remaining_ms: (exclusion.until - now).as_millis() as u64,
+        });
+        shared.collect()
+    }
+
+    /// Excludes the endpoints that another host has found to accept no work. Each host alone sees
+    /// too few refusals to find all of them, while the registry is away or late.
+    pub fn apply_exclusions(&self, exclusions: Vec<SharedExclusion>) {
+        for exclusion in exclusions {
+            let entry = self.endpoint(&exclusion.endpoint).filter(|entry| {
+                entry.start_unix_ms == exclusion.start_unix_ms && entry.layers == exclusion.layers
+            });
+            // What another host takes from this one must not prolong the exclusion.
+            let time = Duration::from_millis(exclusion.remaining_ms).min(EXCLUSION_TIME);
+            if let Some(entry) = entry.filter(|_| time >= MIN_SHARED_EXCLUSION) {
+                self.exclude(&entry, time);
+            }
+        }
     }
 
     /// Whether an endpoint is excluded because it accepts no work although the registry lists it.
@@ -469,8 +672,7 @@
     fn stage_views(&self, engine: &EngineProfile, query: &PathQuery<'_>) -> Vec<StageView> {
         let now = Instant::now();
         let domain_host_count = self.domain_host_count() as u32;
-        let interval_ratio =
-            exchange_interval(self.host_count()).div_duration_f64(MIN_EXCHANGE_INTERVAL);
+        let interval_ratio = spread_time(self.host_count()).div_duration_f64(EXCHANGE_INTERVAL);
         let jitter = (COST_JITTER * interval_ratio).min(MAX_COST_JITTER);
         let others = self.peer_loads.borrow();
         let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
@@ -502,8 +704,7 @@
                 let has_slots = span.from > 0 || slot_usage < MAX_OCCUPANCY;
                 let suspect_ms =
                     if suspected.is_set(&entry.name, now) { SUSPECT_COST_MS } else { 0.0 };
-                let overload_ms =
-                    if overloaded.is_set(&entry.name, now) { OVERLOAD_COST_MS } else { 0.0 };
+                let is_overloaded = overloaded.is_set(&entry.name, now);
                 Some(StageView {
                     name: entry.name.clone(),
                     address: entry.address,
@@ -513,8 +714,8 @@
                         * rand::rng().random_range(1.0..=1.0 + jitter),
                     streams: f64::from(load.streams),
                     kv_usage: occupancy,
-                    has_room: occupancy < MAX_OCCUPANCY,
-                    penalty_ms: suspect_ms + overload_ms,
+                    has_room: occupancy < MAX_OCCUPANCY && !is_overloaded,
+                    penalty_ms: suspect_ms,
                     may_start: has_slots
                         && query.starts.is_none_or(|starts| starts.contains(&entry.name)),
                 })
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -261,7 +261,7 @@
             let culprit = at.unwrap_or_else(|| first.name.clone());
             if status == StatusCode::MISDIRECTED_REQUEST {
                 exclude_endpoint(&state, &culprit, "does not hold its layers");
-            } else if state.mark_overloaded(&culprit) {
+            } else if !state.mark_overloaded(&culprit) {
                 tokio::task::spawn_local(check_refusal(state.clone(), culprit.clone()));
             }
             self.avoid.insert(culprit.clone());
--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -1,6 +1,10 @@
 //! Load totals that hosts exchange, and shares of the retry budget.
 
-use jacinthrock_entry::{LoadAggregator, LoadSum, PeerLoads, StageLoad, retry_share};
+use jacinthrock_entry::{
+    LoadAggregator, LoadSum, PeerLoads, RelayLoads, SmoothedShare, StageLoad, retry_share,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -61,3 +65,49 @@
     assert_eq!(others.load("a", sum(1).loads["a"], now).map(|load| load.streams), Some(69));
     assert_eq!(others.load("a", sum(2).loads["a"], now).map(|load| load.streams), Some(138));
 }
+
+/// With a few streams a host, a host's share of them changes from second to second. Each host may
+/// spend its share at once whenever it is largest; all together must keep to the budget in any
+/// window.
+#[tokio::test(start_paused = true)]
+async fn shares_of_hosts_with_few_streams_keep_to_the_budget_over_a_window() {
+    const HOSTS: usize = 195;
+    const MEAN_STREAMS: usize = 3;
+    let (window, start) = (Duration::from_secs(10), Instant::now());
+    let mut draw = StdRng::seed_from_u64(7);
+    let mut shares: Vec<_> = (0..HOSTS).map(|_| SmoothedShare::default()).collect();
+    let mut largest = vec![0.0_f64; HOSTS];
+    for step in 0..150 {
+        let now = start + Duration::from_millis(200) * step;
+        let mut streams = vec![0_u32; HOSTS];
+        for _ in 0..HOSTS * MEAN_STREAMS {
+            streams[draw.random_range(0..HOSTS)] += 1;
+        }
+        let total: u32 = streams.iter().sum();
+        for (host, own) in streams.iter().enumerate() {
+            let share = retry_share(HOSTS, *own, Some(total - own));
+            let share = shares[host].update(share, HOSTS, window, now);
+            if now - start >= window {
+                largest[host] = largest[host].max(share);
+            }
+        }
+    }
+    let spent: f64 = largest.iter().sum();
+    // The hosts use 0.7 of the budget, so that 1.4 shares stay within it.
+    assert!(spent < 1.4, "the largest shares of a window add up to {spent}");
+}
+
+/// A relay's members get the load of all hosts, with their own latest report in it.
+#[tokio::test(start_paused = true)]
+async fn members_of_a_relay_get_the_load_of_all_hosts() {
+    let (mut relay, now) = (RelayLoads::default(), Instant::now());
+    assert!(relay.exchange("m1".into(), sum(2), &sum(1), false, now).is_none());
+    let reported = relay.group_total(&sum(1), now);
+    assert_eq!(reported.loads["a"].streams, 3);
+    relay.record_total(sum(50), &reported, now);
+    let total = relay.exchange("m1".into(), sum(5), &sum(1), false, now).expect("a fresh total");
+    assert_eq!(total.loads["a"].streams, 53);
+    let later = now + Duration::from_secs(3);
+    assert!(relay.exchange("m1".into(), sum(5), &sum(1), false, later).is_none());
+    assert!(!relay.has_members(later + Duration::from_secs(2)));
+}
--- /dev/null
+++ b/crates/entry/tests/support/cluster.rs
@@ -0,0 +1,353 @@
+//! Entry hosts that run in one process on the paused clock, with a shared registry and endpoints
+//! that take orders.
+#![allow(dead_code)]
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use jacinthrock_entry::{
+    CallCodec, CallHead, CallerLimits, CardProfile, EndpointEntry, EndpointName, EndpointReport,
+    EngineProfile, EntryOptions, EntryState, LayerSpan, PathStage, ReplyHead, SendHead,
+    ServiceRule, ServingRules, run_entry,
+};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, LocalSet};
+use tokio::time::{Instant, sleep};
+
+use super::registry::FakeRegistry;
+
+/// Interval at which endpoints write their entry.
+const BEAT: Duration = Duration::from_millis(1_000);
+/// Port of each server; every host and endpoint has a loopback address of its own.
+const PORT: u16 = 7_100;
+
+/// A loopback address that no other test of any process on this machine uses.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    let process = std::process::id();
+    let block = (process % 16_000) as u16 * 4 + (number / 250) as u16;
+    let [high, low] = block.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, (number % 250 + 2) as u8))
+}
+
+/// An order that an endpoint has begun.
+#[derive(Clone, Debug)]
+pub(crate) struct BegunOrder {
+    pub(crate) at: Instant,
+    pub(crate) host: Box<str>,
+    pub(crate) endpoint: Box<str>,
+    pub(crate) span: LayerSpan,
+}
+
+/// Hosts and endpoints with their registry.
+pub(crate) struct Cluster {
+    pub(crate) registry: Rc<FakeRegistry>,
+    pub(crate) orders: Rc<RefCell<Vec<BegunOrder>>>,
+    pub(crate) hosts: Vec<RunningHost>,
+    pub(crate) endpoints: Vec<Rc<FakeEndpoint>>,
+}
+
+/// An entry host.
+pub(crate) struct RunningHost {
+    pub(crate) name: Box<str>,
+    pub(crate) domain: Box<str>,
+    pub(crate) state: Rc<EntryState>,
+    address: IpAddr,
+    task: Option<JoinHandle<()>>,
+}
+
+/// An endpoint that holds layers and writes its entry to the registry.
+pub(crate) struct FakeEndpoint {
+    pub(crate) name: EndpointName,
+    entry: RefCell<EndpointEntry>,
+    is_alive: Cell<bool>,
+}
+
+impl Cluster {
+    /// Starts a registry with rules and endpoints, two for each domain. Must be called within a
+    /// `LocalSet`.
+    pub(crate) async fn start(domains: &[&str]) -> Self {
+        let cluster = Self {
+            registry: Rc::default(),
+            orders: Rc::default(),
+            hosts: Vec::new(),
+            endpoints: Vec::new(),
+        };
+        cluster.registry.write_rules(rules(1));
+        let mut cluster = cluster;
+        for domain in domains {
+            for number in 0..2 {
+                cluster.add_endpoint(&format!("{domain}-{number}"), domain).await;
+            }
+        }
+        cluster
+    }
+
+    /// Starts a host.
+    pub(crate) fn add_host(&mut self, name: &str, domain: &str, capacity: u32) {
+        let mut host = RunningHost {
+            name: name.into(),
+            domain: domain.into(),
+            state: Rc::new(self.state(name, domain, capacity, own_address())),
+            address: own_address(),
+            task: None,
+        };
+        host.start(self, capacity);
+        self.hosts.push(host);
+    }
+
+    fn state(&self, name: &str, domain: &str, capacity: u32, address: IpAddr) -> EntryState {
+        let listen = |offset| SocketAddr::new(address, PORT + offset);
+        let options = EntryOptions {
+            host: name.into(),
+            domain: domain.into(),
+            capacity,
+            is_first_start: false,
+            front: listen(0),
+            ready: listen(1),
+            peer: listen(2),
+            metrics: None,
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_slack: 100,
+            retry_window: Duration::from_secs(10),
+            max_sockets: 1_000,
+        };
+        let codec = Box::new(FakeCodec { host: name.into() });
+        EntryState::new(options, codec, self.registry.client(name))
+    }
+
+    /// Kills a host; its record stays in the registry.
+    pub(crate) fn kill_host(&mut self, index: usize) {
+        if let Some(task) = self.hosts[index].task.take() {
+            task.abort();
+        }
+    }
+
+    /// Starts a killed host again.
+    pub(crate) fn restart_host(&mut self, index: usize) {
+        let capacity = self.hosts[index].state.options.capacity;
+        let mut host = self.hosts.remove(index);
+        host.start(self, capacity);
+        self.hosts.insert(index, host);
+    }
+
+    /// Hosts that run.
+    pub(crate) fn running(&self) -> impl Iterator<Item = &RunningHost> {
+        self.hosts.iter().filter(|host| host.task.is_some())
+    }
+
+    /// Starts an endpoint without layers.
+    pub(crate) async fn add_endpoint(&mut self, name: &str, domain: &str) {
+        let address = SocketAddr::new(own_address(), PORT);
+        let endpoint = Rc::new(FakeEndpoint {
+            name: name.into(),
+            entry: RefCell::new(endpoint_entry(name, domain, address)),
+            is_alive: Cell::new(true),
+        });
+        let listener = TcpListener::bind(address).await.expect("a free loopback address");
+        let (server, orders) = (endpoint.clone(), self.orders.clone());
+        tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let (endpoint, orders) = (server.clone(), orders.clone());
+                let service = service_fn(move |request| {
+                    let (endpoint, orders) = (endpoint.clone(), orders.clone());
+                    async move { Ok::<_, Infallible>(endpoint.reply(request, &orders).await) }
+                });
+                tokio::task::spawn_local(
+                    http1::Builder::new().serve_connection(TokioIo::new(stream), service),
+                );
+            }
+        });
+        let (registry, writer) = (self.registry.clone(), endpoint.clone());
+        tokio::task::spawn_local(async move {
+            while writer.is_alive.get() {
+                registry.write_endpoint(writer.entry.borrow().clone());
+                sleep(BEAT).await;
+            }
+        });
+        self.endpoints.push(endpoint);
+    }
+}
+
+impl RunningHost {
+    fn start(&mut self, cluster: &Cluster, capacity: u32) {
+        let state = Rc::new(cluster.state(&self.name, &self.domain, capacity, self.address));
+        self.state = state.clone();
+        self.task = Some(tokio::task::spawn_local(async move {
+            let ended = LocalSet::new().run_until(run_entry(state)).await;
+            ended.expect("the host's addresses are free");
+        }));
+    }
+}
+
+impl FakeEndpoint {
+    /// Announces that the endpoint leaves, as soon as it writes its entry.
+    pub(crate) fn drain(&self, registry: &FakeRegistry) {
+        self.entry.borrow_mut().is_draining = true;
+        registry.write_endpoint(self.entry.borrow().clone());
+    }
+
+    /// Ends the endpoint; its entry is removed.
+    pub(crate) fn leave(&self, registry: &FakeRegistry) {
+        self.is_alive.set(false);
+        registry.remove_endpoint(&self.name);
+    }
+
+    async fn reply(
+        &self,
+        request: Request<Incoming>,
+        begun: &RefCell<Vec<BegunOrder>>,
+    ) -> Response<Full<Bytes>> {
+        let is_order = request.uri().path() == "/order";
+        let body = request.into_body().collect().await.map(|body| body.to_bytes());
+        if !is_order {
+            let entry = self.entry.borrow();
+            let span = entry.layers.map(|span| [span.from, span.to]);
+            let report = json!({ "orders": entry.orders, "span": span });
+            return Response::new(report.to_string().into());
+        }
+        let order: Value = serde_json::from_slice(&body.expect("a body")).expect("an order");
+        let mut entry = self.entry.borrow_mut();
+        let mut response = Response::new(Full::default());
+        if order["orders"] != entry.orders {
+            *response.status_mut() = StatusCode::CONFLICT;
+            return response;
+        }
+        let layer = |name: &str| order[name].as_u64().expect("a layer") as u16;
+        let span = LayerSpan { from: layer("from"), to: layer("to") };
+        entry.orders += 1;
+        entry.layers = Some(span);
+        begun.borrow_mut().push(BegunOrder {
+            at: Instant::now(),
+            host: order["host"].as_str().expect("a host").into(),
+            endpoint: self.name.clone(),
+            span,
+        });
+        *response.status_mut() = StatusCode::ACCEPTED;
+        response
+    }
+}
+
+/// Rules with one service whose model has eight layers, of which a card holds six.
+pub(crate) fn rules(version: u64) -> ServingRules {
+    let card = CardProfile { memory_mb: 60.0, step_factor: 1.0, prefill_factor: 1.0 };
+    let engine = EngineProfile {
+        layers: 8,
+        layer_mb: 8.0,
+        token_layer_mb: 0.001,
+        step_ms: 1.0,
+        request_ms: 0.0,
+        context_ms: 0.0,
+        prefill_tokens_per_ms: 100.0,
+        load_time: Duration::from_millis(500),
+        parallel_loads: 4,
+        activation_bytes: 1_000.0,
+        link_mbps: 0.0,
+        mean_prompt_tokens: 100,
+        mean_output_tokens: 50,
+        cards: [("k".into(), card)].into(),
+    };
+    let service =
+        ServiceRule { max_connections: 100, health_path: "/".into(), engine: Some(engine) };
+    ServingRules {
+        version,
+        services: [("guide".into(), service)].into(),
+        limits: CallerLimits::default(),
+        ..ServingRules::default()
+    }
+}
+
+fn endpoint_entry(name: &str, domain: &str, address: SocketAddr) -> EndpointEntry {
+    EndpointEntry {
+        name: name.into(),
+        service: "guide".into(),
+        address,
+        domain: domain.into(),
+        slots: 8,
+        is_draining: false,
+        orders: 0,
+        start_unix_ms: 1,
+        card: Some("k".into()),
+        layers: None,
+        under_way: None,
+    }
+}
+
+/// Codec whose orders name the host that sends them.
+struct FakeCodec {
+    host: Box<str>,
+}
+
+impl CallCodec for FakeCodec {
+    fn read_call(&self, _: &HeaderMap) -> CallHead {
+        CallHead::default()
+    }
+
+    fn endpoint_headers(&self, caller: &HeaderMap, _: &SendHead<'_>) -> HeaderMap {
+        caller.clone()
+    }
+
+    fn read_reply(&self, _: &str, _: &HeaderMap) -> ReplyHead {
+        ReplyHead {
+            is_not_run: false,
+            is_for_attempt: true,
+            is_signed: true,
+            is_encoded: false,
+            fault_at: None,
+            retry_after: None,
+        }
+    }
+
+    fn report_path(&self) -> &'static str {
+        "/report"
+    }
+
+    fn read_report(&self, body: &[u8]) -> Option<EndpointReport> {
+        let report: Value = serde_json::from_slice(body).ok()?;
+        let layer = |index: usize| report["span"][index].as_u64().map(|layer| layer as u16);
+        let span = layer(0).zip(layer(1)).map(|(from, to)| LayerSpan { from, to });
+        Some(EndpointReport {
+            orders: report["orders"].as_u64()?,
+            is_busy: false,
+            layers: span,
+            start_unix_ms: 1,
+            kv_usage: 0.0,
+            stalled: Vec::new(),
+        })
+    }
+
+    fn order_path(&self) -> &'static str {
+        "/order"
+    }
+
+    fn expect_endpoint(&self, _: &mut HeaderMap, _: &EndpointName) {}
+
+    fn placement_order(&self, span: LayerSpan, orders: u64) -> Vec<u8> {
+        let order = json!({
+            "host": &self.host, "from": span.from, "to": span.to, "orders": orders,
+        });
+        order.to_string().into_bytes()
+    }
+
+    fn repath_order(&self, _: &str, _: &[PathStage]) -> Vec<u8> {
+        Vec::new()
+    }
+
+    fn read_order_fault(&self, _: &[u8]) -> Option<SocketAddr> {
+        None
+    }
+}
