Refused callers return later in a shortage; the holder goes on through an outage

Cause: in a shortage of seconds most callers came back after 0.9 to 1.8 s, into the same shortage, were refused again and lost, as they come back once. The delay now follows the share of streams that were refused lately (0.9 to 1.8 s up to 3 to 6 s, at most a third of the time left).

Cause: a holder whose lease ran out in an outage of the registry stopped, and no host took its part for seconds, so that hosts lost the loads of one another; without them a host takes those of its domain for as busy as itself and refuses nearly all. The host that held the lease now goes on while no host that replies can reach the registry.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod relay;
 mod reroute;
 mod response;
+mod returns;
 mod rules;
 mod run;
 mod sending;
@@ -62,6 +63,7 @@
 pub use queue::{QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
+pub use returns::ReturnSchedule;
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -135,7 +135,7 @@
                     && !state.has_heard_holder()
                     && !state.is_leaving.get();
                 if outage_start.elapsed() >= TAKEOVER_AFTER && is_alone {
-                    act_as_holder(&state).await;
+                    act_as_holder(&state, true).await;
                 }
                 None
             }
@@ -156,8 +156,11 @@
             match taken.await {
                 Ok(version) => {
                     state.record_registry_reply(version);
-                    unavailable_since = hold_lease(&state, version).await;
+                    let end = hold_lease(&state, version).await;
                     last_seen = None;
+                    if end == LeaseEnd::Unreachable {
+                        act_as_holder(&state, false).await;
+                    }
                 }
                 Err(RegistryError::Ambiguous(reason)) => {
                     log::info!(
@@ -280,20 +283,28 @@
     }
 }
 
-/// Holds the lease until it is lost or the process ends. Returns the time of the last renewal if the
-/// lease ended because the registry did not reply.
-async fn hold_lease(state: &Rc<EntryState>, mut version: RegistryVersion) -> Option<Instant> {
+/// How the lease of this host ended.
+#[derive(Debug, PartialEq, Eq)]
+enum LeaseEnd {
+    /// It was released, or another host may have it.
+    Lost,
+    /// It ran out because the registry did not reply.
+    Unreachable,
+}
+
+/// Holds the lease until it is lost or the process ends.
+async fn hold_lease(state: &Rc<EntryState>, mut version: RegistryVersion) -> LeaseEnd {
     log::info!(
         event = "duty_taken", duty = PLACEMENT_LEASE, version:% = version; "acquired the placement lease"
     );
     state.metrics.set(MetricName::LeaseHeld, &[], 1);
     let guard = HolderGuard::new(state);
     let mut renewed = Instant::now();
-    let mut unavailable_since = None;
+    let mut end = LeaseEnd::Lost;
     while !state.is_leaving.get() {
         // Without a renewal in time, other hosts take the lease.
         let Ok(renewal) = timeout_at(renewed + LEASE_TIME, renew(state, version)).await else {
-            unavailable_since = Some(renewed);
+            end = LeaseEnd::Unreachable;
             break;
         };
         match renewal {
@@ -323,14 +334,15 @@
     drop(guard);
     state.metrics.set(MetricName::LeaseHeld, &[], 0);
     log::info!(event = "duty_left", duty = PLACEMENT_LEASE; "no longer holds the placement lease");
-    unavailable_since
+    end
 }
 
-/// Plans without the lease while the registry is unavailable to all hosts and the holder does not
-/// reply. Of the hosts that reply, the one with the lowest name acts as holder; two that act at the
-/// same time do no harm.
-async fn act_as_holder(state: &Rc<EntryState>) {
-    let answer = ask_for_holder(state).await;
+/// Plans without the lease while the registry is unavailable to all hosts and no other holder
+/// replies. The host that held the lease goes on; without it, `yields_to_lower` is set, and of the
+/// hosts that reply, the one with the lowest name acts as holder. Two that act at the same time do no
+/// harm.
+async fn act_as_holder(state: &Rc<EntryState>, yields_to_lower: bool) {
+    let answer = ask_for_holder(state, yields_to_lower).await;
     if answer != HolderAnswer::Unknown {
         if let HolderAnswer::Known(holder) = answer {
             *state.placement_holder.borrow_mut() = Some(holder);
@@ -348,7 +360,7 @@
         && state.registry.records(RecordGroup::Leases).await.is_err()
     {
         sleep(RENEW_INTERVAL).await;
-        answer = ask_for_holder(state).await;
+        answer = ask_for_holder(state, yields_to_lower).await;
     }
     drop(guard);
     if let HolderAnswer::Known(holder) = answer {
@@ -371,7 +383,7 @@
 }
 
 /// Asks some hosts for the placement holder.
-async fn ask_for_holder(state: &EntryState) -> HolderAnswer {
+async fn ask_for_holder(state: &EntryState, yields_to_lower: bool) -> HolderAnswer {
     let own = &state.options.host;
     let peers: Vec<_> = {
         let peers = state.peers.borrow();
@@ -383,7 +395,7 @@
     asked.extend(others.choose_multiple(&mut rand::rng(), MAX_ASKED_HOSTS));
     for (name, address) in asked {
         let Some(status) = peers::fetch_status(state, *address).await else { continue };
-        let is_lower = name < own && status.is_serving;
+        let is_lower = yields_to_lower && name < own && status.is_serving;
         let may_take = status.is_serving && status.can_reach_registry;
         if let Some(holder) = status.holder().filter(|holder| holder.host != *own) {
             return HolderAnswer::Known(holder);
--- a/crates/entry/src/response.rs
+++ b/crates/entry/src/response.rs
@@ -15,6 +15,7 @@
 use jacinthrock::{CallOutcome, CallRefusal, MetricName, ResultCode};
 use rand::Rng;
 
+use crate::returns::MAX_JITTER_FACTOR;
 use crate::state::EntryState;
 
 /// A response that was aborted midway. The caller's connection is closed before the end of the
@@ -111,7 +112,7 @@
     detail: impl Into<Box<str>>,
     min_wait: Duration,
 ) -> CallRefusal {
-    let jitter = rand::rng().random_range(1.0..2.0);
+    let jitter = rand::rng().random_range(1.0..MAX_JITTER_FACTOR);
     CallRefusal::not_run(code, detail).with_retry_after(min_wait.mul_f64(jitter))
 }
 
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -24,6 +24,7 @@
 use crate::queue::WaitQueue;
 use crate::quota::CrossingQuota;
 use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
+use crate::returns::ReturnSchedule;
 use crate::rules::{EngineProfile, RuleIndex, ServingRules};
 use crate::version::{RegistryEra, RegistryVersion};
 
@@ -162,6 +163,8 @@
     pub relay_picker: RefCell<RelayPicker>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
+    /// Outcomes of streams, for the delay after which refused callers come back.
+    pub return_schedule: RefCell<ReturnSchedule>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
     pub peer_loads: RefCell<PeerLoads>,
     /// Whether this host holds the placement lease, or acts as its holder.
@@ -250,6 +253,7 @@
             registry_restored: Notify::new(),
             peer_loads: RefCell::default(),
             path_queue: RefCell::default(),
+            return_schedule: RefCell::default(),
             is_leaving: Cell::new(false),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -32,9 +32,6 @@
 /// A request whose deadline is shorter than the route's timeout by more than this margin is a
 /// retry, since callers count their deadline from the first attempt.
 const RETRY_DEADLINE_MARGIN: Duration = Duration::from_millis(100);
-/// Minimum retry delay for callers when no path has room; loading a range of layers takes one to
-/// two seconds.
-const NO_PATH_RETRY_AFTER: Duration = Duration::from_millis(900);
 /// Urgency of a resent stream, whose caller may be waiting in the middle of an answer.
 const RESUMED_URGENCY: u8 = 0;
 /// Urgency of a new stream of priority 0; each further priority level adds one.
@@ -142,7 +139,10 @@
                 let (status, headers) = (open.status, open.headers.clone());
                 relay.open = Some(open);
                 match relay.next_events().await {
-                    Ok(first) => return Ok(relay.into_response(status, &headers, first)),
+                    Ok(first) => {
+                        state.return_schedule.borrow_mut().record_served(Instant::now());
+                        return Ok(relay.into_response(status, &headers, first));
+                    }
                     Err(reason) => {
                         relay.drop_path(&reason);
                         may_have_run = true;
@@ -178,7 +178,10 @@
         return Err(unknown_outcome(state, &relay.call, fault));
     }
     count_outcome(state, &relay.call.service, "not_run");
-    let retry_after = NO_PATH_RETRY_AFTER + state.path_queue.borrow().drain_time();
+    let now = Instant::now();
+    state.return_schedule.borrow_mut().record_refused(now);
+    let delay = state.return_schedule.borrow_mut().delay(now, relay.call.remaining());
+    let retry_after = delay + state.path_queue.borrow().drain_time();
     Err(not_run_refusal(ResultCode::NoChain, fault, retry_after))
 }
 
@@ -351,7 +354,8 @@
 
     /// Records that the stream takes a path.
     fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
-        self.state.path_queue.borrow_mut().record_served(Instant::now());
+        let now = Instant::now();
+        self.state.path_queue.borrow_mut().record_served(now);
         self.state.consume_crossings(crossings(&path));
         path
     }
--- a/crates/entry/tests/host_scale.rs
+++ b/crates/entry/tests/host_scale.rs
@@ -85,3 +85,23 @@
         })
         .await;
 }
+
+/// While the registry is away, hosts need the loads of one another most. The holder has to go on
+/// without a pause that lets them expire.
+#[tokio::test(start_paused = true)]
+async fn loads_of_other_hosts_stay_known_while_the_registry_is_away() {
+    LocalSet::new()
+        .run_until(async {
+            let cluster = start_hosts(60).await;
+            cluster.registry.set_down(true);
+            for _ in 0..100 {
+                sleep(Duration::from_millis(100)).await;
+                let now = Instant::now();
+                let knows =
+                    |host: &&cluster::RunningHost| host.state.peer_loads.borrow().is_fresh(now);
+                assert_eq!(cluster.running().filter(knows).count(), 60);
+            }
+            assert_eq!(cluster.running().filter(|host| host.state.is_holder()).count(), 1);
+        })
+        .await;
+}
--- a/crates/entry/tests/registry_restore.rs
+++ b/crates/entry/tests/registry_restore.rs
@@ -325,9 +325,11 @@
                     let known = (host.name.clone(), boot, leaver.clone());
                     assert!(
                         !is_used || !self.known_leavers.contains(&known),
-                        "seed {}: {} uses {leaver} again",
+                        "seed {}: {} uses {leaver} again: {entry:?} at {}\n{}",
                         self.seed,
-                        host.name
+                        host.name,
+                        host.state.endpoints.borrow().version(),
+                        describe(host)
                     );
                     // A host that never had the entry cannot know that the endpoint has left.
                     if !is_used && (entry.is_some() || self.listed_leavers.contains(&known)) {
