jacinthrock explain: what the logs of all hosts tell about one request

Cause: operators had to search the logs for an identifier, then for each endpoint and host that it met. `explain ATTEMPT [LOGS]` prints the lines of the request with those about its endpoints on any host and the losses of its own host, in the order of time. jiff, until now a dependency of the log library, parses the times.

--- a/src/cmd/flags.rs
+++ b/src/cmd/flags.rs
@@ -70,5 +70,14 @@
             /// Name of the host.
             required host: String
         }
+
+        /// Shows what the logs of the hosts tell about one request, in the order of time.
+        cmd explain {
+            /// Identifier of the request's attempt, as its caller sent it.
+            required attempt: String
+            /// Logs of all hosts; standard input unless given. What stands before a line's object
+            /// ends with the name of its host.
+            repeated logs: PathBuf
+        }
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod env;
 mod error;
+mod explain;
 mod flags;
 mod forget;
 mod get;
@@ -89,5 +90,6 @@
         JacinthrockCmd::History(history) => history.run(context).await,
         JacinthrockCmd::Drain(drain) => drain.run(context).await,
         JacinthrockCmd::Forget(forget) => forget.run(context).await,
+        JacinthrockCmd::Explain(explain) => explain.run(context).await,
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -52,6 +52,7 @@
 mod pack;
 mod peer;
 mod tracker;
+mod trail;
 #[rustfmt::skip]
 #[allow(clippy::all, clippy::unimplemented, unreachable_pub, dead_code)]
 mod peer_capnp;
@@ -173,4 +174,5 @@
     DomainPosition, RejectedRevision, RevisionSource, RevisionTracker, RuleSwitch, TrackerAction,
     TrackerEvent, TrackerOptions, TrackerState,
 };
+pub use trail::{TrailReader, TrailStep};
 pub use tree::{DeclarationError, DeclarationTree, DeclaredNode, MAX_TREE_BYTES, SourcedValue};
