--- a/crates/entry/tests/registry_restore.rs
+++ b/crates/entry/tests/registry_restore.rs
@@ -137,7 +137,7 @@
                 sleep(Duration::from_millis(50)).await;
                 let names: Vec<_> =
                     holders(&cluster).iter().map(|host| host.name.clone()).collect();
-                assert_eq!(names, [holder.clone()]);
+                assert_eq!(names, std::slice::from_ref(&holder));
             }
         }
     })
