One path for a listing and for another host's table

Cause: `replace` repeated all of `replace_from_peer` and added two steps; it now calls it after them.

--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -157,13 +157,12 @@
         if version < self.version {
             return;
         }
-        let entries: Vec<_> =
-            entries.into_iter().map(|entry| self.with_known_order(entry)).collect();
+        let entries: Vec<_> = entries.into_iter().collect();
         self.enter_era(version, now);
         for entry in &entries {
             self.removed.remove(&entry.name);
         }
-        self.replace_all(version, entries, now);
+        self.replace_from_peer(version, entries, now);
     }
 
     /// Replaces the table with that of another host, unless this one is newer. The other host may
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -26,7 +26,8 @@
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for a holder when all hosts start for the first time.
 const FIRST_START_WAIT: Duration = Duration::from_millis(1_500);
-/// Pause of the holder and of relays after a watch has returned changes, to batch those in quick succession.
+/// Pause of the holder and of relays after a watch has returned changes, to batch those in quick
+/// succession.
 const HOLDER_READ_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after a watch has returned changes of rules, or changes of endpoints on other hosts; such
 /// changes must be in force within two seconds.
