Show whether a watch of rules is pending, and calls for rules by result

Callers were served by old rules after the store had been silent, and no log line told a pending watch from one that had returned nothing or from rules that were dropped as known.

Adds watch_started, rules_known and counts of calls for rules.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jacinthrock::MetricName;
 use rand::Rng;
 use tokio::time::{Instant, sleep, timeout};
 
@@ -77,6 +78,7 @@
         match state.registry.rules().await {
             Ok((version, rules)) => {
                 backoff = RetryBackoff::new();
+                count_rules_call(&state, "rules", "listed");
                 state.record_registry_reply(version);
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "list");
@@ -84,6 +86,7 @@
                 watch_rules(&state, version).await;
             }
             Err(error) => {
+                count_rules_call(&state, "rules", "failed");
                 log::warn!(
                     event = "store_lost", what = "rules", error:% = error;
                     "could not read the rules"
@@ -95,18 +98,28 @@
     }
 }
 
+fn count_rules_call(state: &EntryState, call: &str, result: &str) {
+    state.metrics.count(MetricName::StoreCalls, &[call, result]);
+}
+
 async fn watch_rules(state: &EntryState, mut version: RegistryVersion) {
+    log::info!(
+        event = "watch_started", what = "rules", registry:% = version; "watching the rules"
+    );
     loop {
         match state.registry.watch_rules(version, WATCH_WAIT).await {
             Ok((next, rules)) => {
                 version = version.max(next);
                 state.record_registry_reply(next);
+                let result = if rules.is_some() { "changed" } else { "unchanged" };
+                count_rules_call(state, "watch_rules", result);
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "watch");
                     sleep(DIRECT_READ_PAUSE).await;
                 }
             }
             Err(error) => {
+                count_rules_call(state, "watch_rules", "failed");
                 log::info!(
                     event = "watch_ended", what = "rules", error:% = error; "watch of rules ended"
                 );
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthrock::{BudgetOptions, DomainName, EndpointName, HostName, MetricRegistry, RetryBudget};
+use jacinthrock::{
+    BudgetOptions, DomainName, EndpointName, HostName, MetricName, MetricRegistry, RetryBudget,
+};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
@@ -292,7 +294,11 @@
     ) {
         let version = version.into();
         self.observe_version(version);
-        if self.rules_version.get().is_some_and(|current| version <= current) {
+        if let Some(current) = self.rules_version.get().filter(|current| version <= *current) {
+            log::info!(
+                event = "rules_known", version = rules.version, registry:% = version,
+                known:% = current, source; "rules of a known version of the registry"
+            );
             return;
         }
         let is_older = self
@@ -312,6 +318,8 @@
             event = "rules", version = rules.version, registry:% = version,
             routes = rules.routes.len(), source; "rules in force"
         );
+        self.metrics.set(MetricName::ConfigRevision, &[], rules.version as i64);
+        self.metrics.count(MetricName::ConfigChanges, &[source]);
         *self.rules.borrow_mut() = Rc::new(RuleIndex::new(rules));
         self.path_changed.notify_waiters();
     }
@@ -416,7 +424,7 @@
             (false, true) => "budget_reserved",
             (false, false) => "budget_spent",
         };
-        self.metrics.count(jacinthrock::MetricName::Retries, &[label]);
+        self.metrics.count(MetricName::Retries, &[label]);
         allowed
     }
 
