--- /dev/null
+++ b/crates/entry/tests/registry_silence.rs
@@ -0,0 +1,91 @@
+//! A registry that takes calls and never answers them, under hosts that run on it.
+
+#[path = "support/cluster.rs"]
+mod cluster;
+#[path = "support/registry.rs"]
+mod registry;
+
+use std::time::Duration;
+
+use cluster::{Cluster, RunningHost, rules};
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+const DOMAINS: [&str; 2] = ["north", "south"];
+/// Time within which accepted rules must be in force on hosts whose dependencies are stable.
+const RULES_BOUND: Duration = Duration::from_secs(2);
+/// Time after a disturbance of its connections from which a host counts as stable.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+async fn start_hosts(count: usize) -> Cluster {
+    let mut cluster = Cluster::start(&DOMAINS).await;
+    for number in 0..count {
+        cluster.add_host(&format!("h{number}"), DOMAINS[number % 2], 250);
+    }
+    sleep(Duration::from_secs(6)).await;
+    cluster
+}
+
+async fn run(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+fn rules_in_force(cluster: &Cluster) -> Vec<u64> {
+    let version = |host: &RunningHost| host.state.rules().map_or(0, |rules| rules.rules().version);
+    cluster.running().map(version).collect()
+}
+
+#[tokio::test(start_paused = true)]
+async fn rules_are_in_force_in_time_after_a_silence_that_swallowed_watches() {
+    run(async {
+        let cluster = start_hosts(3).await;
+        cluster.registry.write_rules(rules(2));
+        sleep(Duration::from_millis(100)).await;
+        cluster.registry.set_silent(true);
+        sleep(Duration::from_millis(6_500)).await;
+        cluster.registry.set_silent(false);
+        sleep(STABLE_TIME - RULES_BOUND).await;
+        cluster.registry.write_rules(rules(3));
+        sleep(RULES_BOUND).await;
+        assert_eq!(rules_in_force(&cluster), [3, 3, 3]);
+    })
+    .await;
+}
+
+/// One host after another loses its watch while all other calls are answered.
+#[tokio::test(start_paused = true)]
+async fn rules_are_in_force_in_time_on_a_host_whose_watch_was_swallowed() {
+    run(async {
+        let cluster = start_hosts(3).await;
+        for (number, host) in ["h0", "h1", "h2"].iter().enumerate() {
+            let version = 2 * number as u64 + 2;
+            cluster.registry.swallow_next(host, "watch_rules");
+            cluster.registry.write_rules(rules(version));
+            sleep(STABLE_TIME - RULES_BOUND).await;
+            assert!(cluster.registry.has_swallowed(host, "watch_rules"));
+            cluster.registry.write_rules(rules(version + 1));
+            sleep(RULES_BOUND).await;
+            assert_eq!(rules_in_force(&cluster), [version + 1; 3], "watch of {host} swallowed");
+        }
+    })
+    .await;
+}
+
+/// Without a placement holder no other host confirms the rules.
+#[tokio::test(start_paused = true)]
+async fn rules_are_in_force_in_time_on_a_lone_host_whose_watch_was_swallowed() {
+    run(async {
+        let mut cluster = start_hosts(2).await;
+        let holder = cluster.running().position(|host| host.state.is_holder());
+        cluster.kill_host(holder.expect("a placement holder"));
+        let host = cluster.running().next().expect("the other host").name.clone();
+        cluster.registry.swallow_next(&host, "watch_rules");
+        cluster.registry.write_rules(rules(2));
+        sleep(STABLE_TIME - RULES_BOUND).await;
+        assert!(cluster.registry.has_swallowed(&host, "watch_rules"));
+        cluster.registry.write_rules(rules(3));
+        sleep(RULES_BOUND).await;
+        assert_eq!(rules_in_force(&cluster), [3]);
+    })
+    .await;
+}
--- a/crates/entry/tests/support/registry.rs
+++ b/crates/entry/tests/support/registry.rs
@@ -16,6 +16,8 @@
 
 /// Time that the registry takes for a call.
 const CALL_TIME: Duration = Duration::from_millis(4);
+/// Time after which the registry's client gives up a call, in addition to the wait of a watch.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// What the registry stores, as far as a copy contains it.
 #[derive(Clone, Default)]
@@ -35,6 +37,10 @@
     content: RefCell<Content>,
     changed: Notify,
     is_down: Cell<bool>,
+    /// Whether calls get no reply, not even an error.
+    is_silent: Cell<bool>,
+    /// Next calls that get no reply, by host and kind.
+    swallowed: RefCell<BTreeSet<(Box<str>, &'static str)>>,
     cut_hosts: RefCell<BTreeSet<Box<str>>>,
     /// Renewals whose next reply is lost, by host.
     lost_replies: RefCell<BTreeSet<Box<str>>>,
@@ -70,6 +76,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Sets whether the registry is silent. Calls that it gets meanwhile are never answered; watches
+    /// that were pending before are answered afterwards.
+    pub(crate) fn set_silent(&self, is_silent: bool) {
+        self.is_silent.set(is_silent);
+        self.changed.notify_waiters();
+    }
+
+    /// Never answers the host's next call of a kind.
+    pub(crate) fn swallow_next(&self, host: &str, kind: &'static str) {
+        self.swallowed.borrow_mut().insert((host.into(), kind));
+    }
+
+    /// Whether the call that `swallow_next` named has been made.
+    pub(crate) fn has_swallowed(&self, host: &str, kind: &'static str) -> bool {
+        !self.swallowed.borrow().contains(&(host.into(), kind))
+    }
+
     /// Cuts a host off from the registry, or connects it again.
     pub(crate) fn set_cut(&self, host: &str, is_cut: bool) {
         if is_cut {
@@ -160,9 +183,20 @@
 
 impl HostClient {
     async fn begin(&self, kind: &'static str) -> Result<(), RegistryError> {
+        self.begin_watch(kind, Duration::ZERO).await
+    }
+
+    /// Begins a call that the client gives up after `wait` and the timeout of a call.
+    async fn begin_watch(&self, kind: &'static str, wait: Duration) -> Result<(), RegistryError> {
         *self.registry.calls.borrow_mut().entry((self.host.clone(), kind)).or_default() += 1;
         sleep(CALL_TIME).await;
-        self.check_reachable()
+        self.check_reachable()?;
+        let is_swallowed = self.registry.swallowed.borrow_mut().remove(&(self.host.clone(), kind));
+        if is_swallowed || self.registry.is_silent.get() {
+            sleep(wait + CALL_TIMEOUT).await;
+            return Err(RegistryError::Unavailable("timed out".into()));
+        }
+        Ok(())
     }
 
     fn check_reachable(&self) -> Result<(), RegistryError> {
@@ -188,7 +222,8 @@
                 if version.era != after.era || version.revision < after.revision {
                     return Err(RegistryError::Gap);
                 }
-                if let Some(found) = find(&self.registry.content.borrow()) {
+                let found = find(&self.registry.content.borrow());
+                if let Some(found) = found.filter(|_| !self.registry.is_silent.get()) {
                     return Ok((version, Some(found)));
                 }
                 changed.await;
@@ -214,7 +249,7 @@
         wait: Duration,
     ) -> RegistryResult<'_, (RegistryVersion, Option<ServingRules>)> {
         async move {
-            self.begin("watch_rules").await?;
+            self.begin_watch("watch_rules", wait).await?;
             self.watch(after, wait, |content| {
                 let newer = content.rules.clone().filter(|(at, _)| *at > after.revision)?;
                 Some(newer.1)
@@ -239,7 +274,7 @@
         wait: Duration,
     ) -> RegistryResult<'_, (RegistryVersion, Vec<EndpointChange>)> {
         async move {
-            self.begin("watch_endpoints").await?;
+            self.begin_watch("watch_endpoints", wait).await?;
             let (version, changes) = self
                 .watch(after, wait, |content| {
                     let newer = content.history.iter().filter(|(at, _)| *at > after.revision);
