--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -11,12 +11,18 @@
 
 use crate::adapter::{RecordGroup, RegistryError};
 use crate::endpoints::EndpointChange;
+use crate::freshness::RulesEvidence;
 use crate::peers;
 use crate::state::{EntryState, PeerHost};
 use crate::version::RegistryVersion;
 
-/// Longest wait of a watch for rules. Keepalive probes detect a dead connection sooner.
+/// Longest wait of a watch for rules while other hosts confirm the rules.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
+/// Longest wait of a watch for rules otherwise, as on the placement holder, which confirms the rules
+/// to the other hosts.
+const UNCONFIRMED_WATCH_WAIT: Duration = Duration::from_secs(1);
+/// Interval between two checks that other hosts still confirm the rules.
+const EVIDENCE_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait of a watch for endpoints on the placement holder and on relays: each reply confirms
 /// the table that they send to other hosts.
 const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(500);
@@ -83,6 +89,7 @@
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "list");
                 }
+                state.rules_freshness.borrow_mut().record_registry(Instant::now());
                 watch_rules(&state, version).await;
             }
             Err(error) => {
@@ -107,12 +114,31 @@
         event = "watch_started", what = "rules", registry:% = version; "watching the rules"
     );
     loop {
-        match state.registry.watch_rules(version, WATCH_WAIT).await {
+        let is_confirmed = rules_evidence(state) == RulesEvidence::Confirmed;
+        let wait = if is_confirmed { WATCH_WAIT } else { UNCONFIRMED_WATCH_WAIT };
+        let watched = tokio::select! {
+            watched = state.registry.watch_rules(version, wait) => watched,
+            evidence = lost_confirmation(state), if is_confirmed => {
+                log::info!(
+                    event = "watch_abandoned", what = "rules", registry:% = version, evidence:?,
+                    in_force = state.rules_number();
+                    "other hosts no longer confirm the rules; watching again"
+                );
+                if evidence == RulesEvidence::Outdated {
+                    peers::pull_from_upstream(state).await;
+                }
+                continue;
+            }
+        };
+        let is_unconfirmed = state.rules_freshness.borrow().is_unconfirmed(Instant::now());
+        state.metrics.set(MetricName::ConfigUnconfirmed, &[], i64::from(is_unconfirmed));
+        match watched {
             Ok((next, rules)) => {
                 version = version.max(next);
                 state.record_registry_reply(next);
                 let result = if rules.is_some() { "changed" } else { "unchanged" };
                 count_rules_call(state, "watch_rules", result);
+                state.rules_freshness.borrow_mut().record_registry(Instant::now());
                 if let Some(rules) = rules {
                     state.apply_rules(version, rules, "watch");
                     sleep(DIRECT_READ_PAUSE).await;
@@ -129,6 +155,21 @@
     }
 }
 
+fn rules_evidence(state: &EntryState) -> RulesEvidence {
+    state.rules_freshness.borrow().evidence(state.rules_number(), Instant::now())
+}
+
+/// Waits until other hosts no longer confirm the rules; returns what they say instead.
+async fn lost_confirmation(state: &EntryState) -> RulesEvidence {
+    loop {
+        sleep(EVIDENCE_POLL_INTERVAL).await;
+        let evidence = rules_evidence(state);
+        if evidence != RulesEvidence::Confirmed {
+            return evidence;
+        }
+    }
+}
+
 /// Follows the endpoints until the process ends. The holder of the placement lease reads them from
 /// the registry; other hosts get them from the holder while it replies and the registry has
 /// confirmed its table recently.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod expiry;
 mod follow;
+mod freshness;
 mod front;
 mod health;
 mod inflight;
@@ -47,6 +48,7 @@
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
 };
 pub use events::EventFramer;
+pub use freshness::{RulesEvidence, RulesFreshness};
 pub use health::{CallEnd, HealthTable};
 pub use inflight::{StageLoad, StreamGuard, StreamRecord, StreamTable};
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,7 +24,7 @@
 use crate::pool::{SendOptions, build_request};
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
-use crate::rules::ServingRules;
+use crate::rules::{RulesVersion, ServingRules};
 use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder, SharedExclusion};
 use crate::version::{RegistryEra, RegistryRevision, RegistryVersion};
 
@@ -82,6 +82,17 @@
     /// Endpoints that accept no work, as the replying host knows.
     #[serde(default)]
     excluded: Vec<SharedExclusion>,
+    /// The newest rules that the replying host knows of.
+    #[serde(default)]
+    rules: Option<RulesReport>,
+}
+
+/// The newest rules that a host knows of.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct RulesReport {
+    version: RulesVersion,
+    /// Time since the registry last confirmed that there are none newer, in ms.
+    confirmed_ms: u64,
 }
 
 impl HolderReply {
@@ -126,12 +137,29 @@
         let peers = state.peers.borrow();
         peers.iter().choose(&mut rand::rng()).map(|(name, peer)| (name.clone(), peer.address))
     };
-    let Some((name, address)) = chosen else { return };
+    if let Some((name, address)) = chosen {
+        pull_from(state, &name, address).await;
+    }
+}
+
+/// Fetches the registry snapshot of the host that this one exchanges loads with, and applies what is
+/// newer.
+pub(crate) async fn pull_from_upstream(state: &EntryState) {
+    let upstream = state.upstream_relay().or_else(|| {
+        let holder = state.placement_holder.borrow().clone()?;
+        Some((holder.host, holder.address))
+    });
+    if let Some((name, address)) = upstream.filter(|(name, _)| *name != state.options.host) {
+        pull_from(state, &name, address).await;
+    }
+}
+
+async fn pull_from(state: &EntryState, name: &HostName, address: SocketAddr) {
     match fetch(state, address, SNAPSHOT_PATH, Vec::new()).await {
         Ok(snapshot) => apply_snapshot(state, snapshot),
         Err(error) => {
             log::info!(
-                event = "peer_silent", peer = &*name, error;
+                event = "peer_silent", peer = &**name, error;
                 "could not fetch the registry snapshot of a peer"
             );
         }
@@ -254,6 +282,11 @@
         );
         endpoints_changed(state);
     }
+    if let Some(report) = reply.rules {
+        let confirmed = now.checked_sub(Duration::from_millis(report.confirmed_ms));
+        let mut freshness = state.rules_freshness.borrow_mut();
+        freshness.record_peer(state.rules_number(), report.version, confirmed, now);
+    }
     state.apply_exclusions(reply.excluded);
     state.update_retry_share();
     state.wake_queue();
@@ -388,9 +421,21 @@
             (holder.host, holder.address, whole_ms(age))
         }),
         excluded: state.exclusions(),
+        rules: rules_report(state, now),
     }
 }
 
+/// The newest rules that this host knows of; none while it shuts down.
+fn rules_report(state: &EntryState, now: Instant) -> Option<RulesReport> {
+    let freshness = state.rules_freshness.borrow();
+    let confirmed = freshness.confirmed().filter(|_| !state.is_leaving.get())?;
+    let age = now.saturating_duration_since(confirmed);
+    Some(RulesReport {
+        version: freshness.newest(state.rules_number()),
+        confirmed_ms: whole_ms(age),
+    })
+}
+
 fn whole_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,6 +18,7 @@
 use crate::detour::detour;
 use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan};
 use crate::expiry::ExpiringFlags;
+use crate::freshness::RulesFreshness;
 use crate::health::HealthTable;
 use crate::inflight::{StageLoad, StreamTable};
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
@@ -27,7 +28,7 @@
 use crate::quota::CrossingQuota;
 use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
 use crate::returns::ReturnSchedule;
-use crate::rules::{EngineProfile, RuleIndex, ServingRules};
+use crate::rules::{EngineProfile, RuleIndex, RulesVersion, ServingRules};
 use crate::version::{RegistryEra, RegistryVersion};
 
 /// Cost of a stage that is suspected to be down, in ms per token: more than a whole path over other
@@ -142,6 +143,8 @@
     pub endpoints: RefCell<EndpointTable>,
     /// Health of endpoints as observed by this host.
     pub health: RefCell<HealthTable>,
+    /// Reports on whether the rules in force are the newest.
+    pub rules_freshness: RefCell<RulesFreshness>,
     /// Streams in flight.
     pub inflight: Rc<RefCell<StreamTable>>,
     /// Notified whenever a path may have become available.
@@ -241,6 +244,7 @@
             metrics: MetricRegistry::new(),
             endpoints: RefCell::default(),
             health: RefCell::default(),
+            rules_freshness: RefCell::default(),
             inflight: Rc::default(),
             path_changed: Notify::new(),
             peers: RefCell::default(),
@@ -278,6 +282,11 @@
         self.rules_version.get().map(|_| self.rules.borrow().clone())
     }
 
+    /// Version number that the operator gave the rules in force, 0 before the first.
+    pub fn rules_number(&self) -> RulesVersion {
+        self.rules.borrow().rules().version
+    }
+
     /// Registry version of the rules in force, 0 before the first.
     pub fn rules_version(&self) -> RegistryVersion {
         self.rules_version.get().unwrap_or_default()
--- a/crates/entry/tests/registry_silence.rs
+++ b/crates/entry/tests/registry_silence.rs
@@ -41,9 +41,9 @@
         let cluster = start_hosts(3).await;
         cluster.registry.write_rules(rules(2));
         sleep(Duration::from_millis(100)).await;
-        cluster.registry.set_silent(true);
+        cluster.registry.set_silent(&["h0", "h1", "h2"]);
         sleep(Duration::from_millis(6_500)).await;
-        cluster.registry.set_silent(false);
+        cluster.registry.set_silent(&[]);
         sleep(STABLE_TIME - RULES_BOUND).await;
         cluster.registry.write_rules(rules(3));
         sleep(RULES_BOUND).await;
@@ -89,3 +89,22 @@
     })
     .await;
 }
+
+/// Hosts that the registry does not answer get rules from those that it answers.
+#[tokio::test(start_paused = true)]
+async fn rules_reach_hosts_that_the_registry_does_not_answer() {
+    run(async {
+        let cluster = start_hosts(4).await;
+        let silent = cluster.running().filter(|host| !host.state.is_holder()).take(2);
+        let silent: Vec<&str> = silent.map(|host| &*host.name).collect();
+        cluster.registry.write_rules(rules(2));
+        sleep(Duration::from_millis(100)).await;
+        cluster.registry.set_silent(&silent);
+        for version in 3..8 {
+            cluster.registry.write_rules(rules(version));
+            sleep(RULES_BOUND).await;
+            assert_eq!(rules_in_force(&cluster), [version; 4], "{silent:?} not answered");
+        }
+    })
+    .await;
+}
--- a/crates/entry/tests/support/registry.rs
+++ b/crates/entry/tests/support/registry.rs
@@ -37,8 +37,8 @@
     content: RefCell<Content>,
     changed: Notify,
     is_down: Cell<bool>,
-    /// Whether calls get no reply, not even an error.
-    is_silent: Cell<bool>,
+    /// Hosts whose calls get no reply, not even an error.
+    silent_hosts: RefCell<BTreeSet<Box<str>>>,
     /// Next calls that get no reply, by host and kind.
     swallowed: RefCell<BTreeSet<(Box<str>, &'static str)>>,
     cut_hosts: RefCell<BTreeSet<Box<str>>>,
@@ -76,10 +76,10 @@
         self.changed.notify_waiters();
     }
 
-    /// Sets whether the registry is silent. Calls that it gets meanwhile are never answered; watches
-    /// that were pending before are answered afterwards.
-    pub(crate) fn set_silent(&self, is_silent: bool) {
-        self.is_silent.set(is_silent);
+    /// Makes the registry silent towards some hosts, or towards none. Calls that it gets from them
+    /// meanwhile are never answered; watches that were pending before are answered afterwards.
+    pub(crate) fn set_silent(&self, hosts: &[&str]) {
+        *self.silent_hosts.borrow_mut() = hosts.iter().map(|host| (*host).into()).collect();
         self.changed.notify_waiters();
     }
 
@@ -192,13 +192,17 @@
         sleep(CALL_TIME).await;
         self.check_reachable()?;
         let is_swallowed = self.registry.swallowed.borrow_mut().remove(&(self.host.clone(), kind));
-        if is_swallowed || self.registry.is_silent.get() {
+        if is_swallowed || self.is_silent() {
             sleep(wait + CALL_TIMEOUT).await;
             return Err(RegistryError::Unavailable("timed out".into()));
         }
         Ok(())
     }
 
+    fn is_silent(&self) -> bool {
+        self.registry.silent_hosts.borrow().contains(&self.host)
+    }
+
     fn check_reachable(&self) -> Result<(), RegistryError> {
         let is_cut = self.registry.cut_hosts.borrow().contains(&self.host);
         if is_cut || self.registry.is_down.get() {
@@ -223,7 +227,7 @@
                     return Err(RegistryError::Gap);
                 }
                 let found = find(&self.registry.content.borrow());
-                if let Some(found) = found.filter(|_| !self.registry.is_silent.get()) {
+                if let Some(found) = found.filter(|_| !self.is_silent()) {
                     return Ok((version, Some(found)));
                 }
                 changed.await;
