A lost watch of endpoints ends within the time in which hosts become stable

A host without a placement holder watched the endpoints for 2 s, and its client gave up a watch without reply after 1.5 s more. If the reply was lost, an endpoint that left was known up to 3.5 s later, while its leaving must be known within 2 s on a host that counts as stable after 3 s.

Other watches: the product's own follower waits 2 s and its peers announce revisions; leases and lists of hosts are polled.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -27,8 +27,9 @@
 /// the table that they send to other hosts.
 const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Longest wait of a watch for endpoints on other hosts, which stop watching once the holder's
-/// table is fresh.
-const FALLBACK_WATCH_WAIT: Duration = Duration::from_secs(2);
+/// table is fresh. With the timeout of a call, a lost watch ends within the three seconds after which
+/// a host counts as stable again.
+const FALLBACK_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Interval between two checks that the table received from the holder is fresh.
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest wait for a holder when all hosts start for the first time.
--- a/crates/entry/tests/registry_silence.rs
+++ b/crates/entry/tests/registry_silence.rs
@@ -14,6 +14,8 @@
 const DOMAINS: [&str; 2] = ["north", "south"];
 /// Time within which accepted rules must be in force on hosts whose dependencies are stable.
 const RULES_BOUND: Duration = Duration::from_secs(2);
+/// Time within which no new work goes to an endpoint that leaves.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
 /// Time after a disturbance of its connections from which a host counts as stable.
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
@@ -108,3 +110,25 @@
     })
     .await;
 }
+
+/// A host that has just lost its placement holder watches the endpoints itself.
+#[tokio::test(start_paused = true)]
+async fn leaving_endpoint_is_known_in_time_on_a_host_whose_watch_was_swallowed() {
+    run(async {
+        let mut cluster = start_hosts(2).await;
+        let holder = cluster.running().position(|host| host.state.is_holder());
+        cluster.kill_host(holder.expect("a placement holder"));
+        let host = cluster.running().next().expect("the other host").name.clone();
+        cluster.registry.swallow_next(&host, "watch_endpoints");
+        while !cluster.registry.has_swallowed(&host, "watch_endpoints") {
+            sleep(Duration::from_millis(10)).await;
+        }
+        sleep(STABLE_TIME - DRAIN_BOUND).await;
+        let endpoint = &cluster.endpoints[0];
+        endpoint.drain(&cluster.registry);
+        sleep(DRAIN_BOUND).await;
+        let state = &cluster.running().next().expect("the other host").state;
+        assert!(state.endpoint(&endpoint.name).is_none_or(|entry| entry.is_draining));
+    })
+    .await;
+}
