A host that stops no longer freezes while calls are open

What callers saw: from 2 to 3 s after SIGTERM on, a host under load answered nothing, its listener still took connections, and at the end of the grace it was killed with all that it had open.

Cause: the task of a caller's connection waited for the closing of the host in an arm of a select, which kept what wait_for returns, a read guard of the watch channel, while it served the connection to its end. The next send on the channel waits for that guard, on the only thread.

Change: the guard is dropped before the arm runs.

Other uses: src/callers.rs waits in the same way, but its arm awaits nothing.

--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -95,7 +95,7 @@
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        _ = closing.wait_for(|is_closing| *is_closing) => {
+        () = closed(&mut closing) => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -108,6 +108,14 @@
     }
 }
 
+/// Waits until the host closes connections. The channel's value stays locked for as long as what
+/// `wait_for` returns is kept, and its sender blocks the thread meanwhile.
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    if closing.wait_for(|is_closing| *is_closing).await.is_err() {
+        log::debug!(event = "closing_unknown"; "closing is no longer announced; closing now");
+    }
+}
+
 /// Serves the readiness check.
 pub(crate) async fn serve_ready(state: Rc<EntryState>, listener: TcpListener) {
     let was_ready = Rc::new(Cell::new(false));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod freshness;
 mod front;
 mod health;
+mod heartbeat;
 mod inflight;
 mod layout;
 mod loads;
@@ -50,6 +51,7 @@
 pub use events::EventFramer;
 pub use freshness::{RulesEvidence, RulesFreshness};
 pub use health::{CallEnd, HealthTable};
+pub use heartbeat::{HeartbeatWatcher, LookFinding, LoopHeartbeat};
 pub use inflight::{StageLoad, StreamGuard, StreamRecord, StreamTable};
 pub use jacinthrock::{DomainName, EndpointName, ServiceName};
 pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::expiry::ExpiringFlags;
 use crate::freshness::RulesFreshness;
 use crate::health::HealthTable;
+use crate::heartbeat::LoopHeartbeat;
 use crate::inflight::{StageLoad, StreamTable};
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
@@ -178,6 +179,8 @@
     pub registry_restored: Notify,
     /// Whether the process is shutting down.
     pub is_leaving: Cell<bool>,
+    /// Beats of the thread that runs all tasks.
+    pub heartbeat: LoopHeartbeat,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
     rules: RefCell<Rc<RuleIndex>>,
@@ -261,6 +264,7 @@
             path_queue: RefCell::default(),
             return_schedule: RefCell::default(),
             is_leaving: Cell::new(false),
+            heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
             rules_version: Cell::new(None),
--- a/crates/entry/src/watchdog.rs
+++ b/crates/entry/src/watchdog.rs
@@ -24,6 +24,7 @@
     let mut last_probe = Instant::now();
     loop {
         sleep(CHECK_INTERVAL).await;
+        state.heartbeat.beat();
         let now = Instant::now();
         if now - last_check > CHECK_INTERVAL + MAX_CHECK_DELAY {
             state.inflight.borrow().reset_silence(now);
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -73,6 +73,7 @@
     LeaseHeld = "jacinthrock_lease_held", Gauge, [], "1 while this controller holds the lease.";
     LeaseChanges = "jacinthrock_lease_changes_total", Counter, ["change"], "Changes of the controller's lease on this host.";
     Orders = "jacinthrock_orders_total", Counter, ["result"], "Orders to endpoints, by result.";
+    LoopStalls = "jacinthrock_loop_stalls_total", Counter, [], "Times that the event loop stood still, seen from another thread.";
     AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
 }
 
