A stopping host takes only what it can end, and sends others on

What callers saw: hosts that were stopped together took calls until their last moment and cut them.

Cause: nothing but the number of open requests decided about a stop. While most hosts of a domain are out of rotation, the load balancer sends to all of them, so that this number never falls to zero.

Change: shutdown.rs decides from the time since SIGTERM, the grace, the longest streams of late and whether other hosts take calls, which these say when asked.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -101,10 +101,13 @@
             return refuse(&state, &head.attempt, refusal);
         }
     };
-    let call = match allow(&rules, parts, body, head, arrived) {
+    let mut call = match allow(&rules, parts, body, head, arrived) {
         Ok(call) => call,
         Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
     };
+    if let Some(refusal) = limit_to_stop(&state, &mut call) {
+        return refuse(&state, &call.head.attempt, refusal);
+    }
     state.record_first(&call.service);
     let attempt = call.head.attempt.clone();
     let outcome = if call.route.is_stream {
@@ -118,6 +121,30 @@
     }
 }
 
+/// While the host stops: refuses a call that would not be whole before its end, and limits the time
+/// of others to it.
+fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
+    let plan = state.stop_plan.get()?;
+    let now = Instant::now();
+    let longest = state.stream_times.borrow().longest(&call.service, now);
+    let is_accepted = if call.route.is_stream {
+        plan.accepts_stream(now, longest, call.route.retry_policy.is_idempotent())
+    } else {
+        plan.accepts_call(now)
+    };
+    if !is_accepted {
+        let left = plan.last_answer().saturating_duration_since(now).as_millis();
+        let detail =
+            format!("the host stops in {left} ms; streams take {} ms", longest.as_millis());
+        let delay = plan.return_delay(now, rand::rng().random_range(0.0..1.0));
+        return Some(CallRefusal::not_run(ResultCode::Draining, detail).with_retry_after(delay));
+    }
+    if !call.route.is_stream {
+        call.deadline = call.deadline.min(plan.last_answer());
+    }
+    None
+}
+
 fn allow(
     rules: &RuleIndex,
     parts: Parts,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -309,7 +309,7 @@
                 state.record_registry_reply(version);
                 // A list that is older than the registration need not contain it.
                 let is_lost = version >= registered
-                    && !state.is_leaving.get()
+                    && !state.is_leaving()
                     && !records.iter().any(|record| record.name == *name);
                 let others = records.into_iter().filter(|record| record.name != *name);
                 let hosts =
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -42,7 +42,7 @@
 }
 
 /// Accepts callers' connections until the process ends. Once `closing` is true, connections close
-/// after the response to their current request.
+/// after the response to their current request, and new ones after that to their first.
 pub(crate) async fn serve_callers(
     state: Rc<EntryState>,
     listener: TcpListener,
@@ -80,6 +80,7 @@
     mut closing: watch::Receiver<bool>,
 ) {
     set_socket_options(&stream);
+    let is_closing = *closing.borrow();
     let limits = state.rules().map(|rules| rules.rules().limits).unwrap_or_default();
     let service = service_fn(move |request: Request<Incoming>| {
         let state = state.clone();
@@ -91,11 +92,11 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .keep_alive(true);
+        .keep_alive(!is_closing);
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = closed(&mut closing) => {
+        () = closed(&mut closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -123,7 +124,7 @@
         // Once ready, the host stays ready without a usable path: such requests are refused, and
         // leaving the load balancer's rotation would not help.
         was_ready.set(was_ready.get() || state.is_ready());
-        let is_ready = was_ready.get() && !state.is_leaving.get();
+        let is_ready = was_ready.get() && !state.is_leaving();
         let mut response = Response::new(full_body(""));
         if !is_ready {
             *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`, `relay`,
-//! `returns`, `health`. docs/design/platform.md describes the design.
+//! `returns`, `health`, `freshness`, `shutdown`. docs/design/platform.md describes the design.
 
 mod adapter;
 mod call;
@@ -34,6 +34,7 @@
 mod rules;
 mod run;
 mod sending;
+mod shutdown;
 mod stall;
 mod state;
 mod stream;
@@ -73,6 +74,7 @@
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
 };
 pub use run::{EntryError, run_entry};
+pub use shutdown::{OtherHosts, StopPlan, StreamTimes};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
 pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder, SharedExclusion};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -25,6 +25,7 @@
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
+use crate::shutdown::OtherHosts;
 use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder, SharedExclusion};
 use crate::version::{RegistryEra, RegistryRevision, RegistryVersion};
 
@@ -38,6 +39,8 @@
 const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Timeout of a request to another host.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of hosts that a stopping host asks whether they take calls.
+const MAX_ASKED_HOSTS: usize = 8;
 /// Maximum size of a host's load report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
@@ -298,6 +301,9 @@
 pub(crate) struct HostStatus {
     /// Whether the host is not shutting down.
     pub(crate) is_serving: bool,
+    /// Time until the host exits, in ms, if it is shutting down.
+    #[serde(default)]
+    exit_ms: Option<u64>,
     /// Whether the registry replies to the host, so that it can take the placement lease.
     #[serde(default)]
     pub(crate) can_reach_registry: bool,
@@ -317,11 +323,30 @@
     fetch(state, address, STATUS_PATH, Vec::new()).await.ok()
 }
 
+/// Asks some other hosts whether they take calls, those of this host's failure domain first.
+pub(crate) async fn other_hosts(state: &EntryState) -> OtherHosts {
+    let mut peers: Vec<_> = state.peers.borrow().values().cloned().collect();
+    peers.sort_by_key(|peer| peer.domain != state.options.domain);
+    let asked = peers.iter().take(MAX_ASKED_HOSTS);
+    let statuses = asked.map(|peer| fetch_status(state, peer.address));
+    let statuses: Vec<_> =
+        futures::future::join_all(statuses).await.into_iter().flatten().collect();
+    if statuses.iter().any(|status| status.is_serving) {
+        return OtherHosts::Serve;
+    }
+    let first = statuses.iter().filter_map(|status| status.exit_ms).min();
+    OtherHosts::Stop(first.map(|ms| Instant::now() + Duration::from_millis(ms)))
+}
+
 fn own_status(state: &EntryState) -> HostStatus {
     let knows_holder = state.is_following_holder() || state.is_holder();
     let holder = state.placement_holder.borrow().clone().filter(|_| knows_holder);
     HostStatus {
-        is_serving: !state.is_leaving.get(),
+        is_serving: !state.is_leaving(),
+        exit_ms: state
+            .stop_plan
+            .get()
+            .map(|plan| whole_ms(plan.exit().saturating_duration_since(Instant::now()))),
         can_reach_registry: state.can_reach_registry(),
         holder: holder.map(|holder| (holder.host, holder.address)),
     }
@@ -402,7 +427,7 @@
     let seen = report.seen.filter(|(boot, _)| *boot == state.boot_id).map(|(_, number)| number);
     let (number, update) = endpoints.update_since(seen);
     // Hosts must not rely on the table of one that is shutting down.
-    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving.get());
+    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving());
     let age = confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
     let holder = state.placement_holder.borrow().clone().filter(|_| state.has_heard_holder());
     let heard = state.holder_heard.get().unwrap_or(now);
@@ -428,7 +453,7 @@
 /// The newest rules that this host knows of; none while it shuts down.
 fn rules_report(state: &EntryState, now: Instant) -> Option<RulesReport> {
     let freshness = state.rules_freshness.borrow();
-    let confirmed = freshness.confirmed().filter(|_| !state.is_leaving.get())?;
+    let confirmed = freshness.confirmed().filter(|_| !state.is_leaving())?;
     let age = now.saturating_duration_since(confirmed);
     Some(RulesReport {
         version: freshness.newest(state.rules_number()),
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -135,15 +135,14 @@
                 let outage_start = *unavailable_since.get_or_insert_with(Instant::now);
                 let is_alone = !state.is_following_holder()
                     && !state.has_heard_holder()
-                    && !state.is_leaving.get();
+                    && !state.is_leaving();
                 if outage_start.elapsed() >= TAKEOVER_AFTER && is_alone {
                     act_as_holder(&state, true).await;
                 }
                 None
             }
         };
-        let free_version =
-            free_version.filter(|_| !state.is_leaving.get() && state.rules().is_some());
+        let free_version = free_version.filter(|_| !state.is_leaving() && state.rules().is_some());
         if let Some(version) = free_version
             && is_still_free(&state, version).await
         {
@@ -304,7 +303,7 @@
     let mut renewed = Instant::now();
     let mut end = LeaseEnd::Lost;
     let mut pause = RENEW_INTERVAL;
-    while !state.is_leaving.get() {
+    while !state.is_leaving() {
         // Without a renewal in time, other hosts take the lease.
         let renewal = timeout_at(renewed + LEASE_TIME, renew(state, version, pause)).await;
         let Ok(renewal) = renewal else {
@@ -326,7 +325,7 @@
         }
     }
     guard.planning.abort();
-    if state.is_leaving.get() {
+    if state.is_leaving() {
         let released = state.registry.write_record(
             RecordGroup::Leases,
             PLACEMENT_LEASE.into(),
@@ -363,7 +362,7 @@
     );
     let guard = HolderGuard::new(state);
     let mut answer = HolderAnswer::Unknown;
-    while !state.is_leaving.get()
+    while !state.is_leaving()
         && answer == HolderAnswer::Unknown
         && state.registry.records(RecordGroup::Leases).await.is_err()
     {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -7,21 +7,21 @@
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::adapter::RecordGroup;
+use crate::shutdown::StopPlan;
 use crate::state::EntryState;
 use crate::{follow, front, peers, placement, watchdog};
 
-/// Time after SIGTERM for which connections stay open. The readiness check is polled once per
-/// second, and two failures take the host out of rotation.
-const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
-/// Minimum time between SIGTERM and exit, for connections that callers are still opening.
-const MIN_SHUTDOWN_TIME: Duration = Duration::from_millis(3_200);
-/// Time before the expected SIGKILL at which the process exits by itself.
-const KILL_MARGIN: Duration = Duration::from_millis(300);
 /// Interval at which shutdown checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Checks in a row without open requests after which the process exits; the last response is still
+/// written after its request has ended.
+const IDLE_CHECKS: u32 = 2;
+/// Interval at which a stopping host asks others whether they take calls.
+const ASK_INTERVAL: Duration = Duration::from_millis(300);
 /// Timeout for removing this host from the registry at shutdown.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -65,7 +65,7 @@
     tokio::task::spawn_local(peers::exchange_loads(state.clone()));
     tokio::task::spawn_local(peers::serve(state.clone(), peer));
     tokio::task::spawn_local(front::serve_ready(state.clone(), ready));
-    tokio::task::spawn_local(front::serve_callers(state.clone(), callers, closing));
+    let accepting = tokio::task::spawn_local(front::serve_callers(state.clone(), callers, closing));
     if let Some(listener) = metrics {
         tokio::task::spawn_local(front::serve_metrics(state.clone(), listener));
     }
@@ -78,19 +78,60 @@
             ),
         }
     }
-    shut_down(&state, &close).await;
+    shut_down(&state, &close, &accepting).await;
     Ok(())
 }
 
 /// Removes this host from the registry and drains open requests.
-async fn shut_down(state: &Rc<EntryState>, close: &watch::Sender<bool>) {
+async fn shut_down(
+    state: &Rc<EntryState>,
+    close: &watch::Sender<bool>,
+    accepting: &JoinHandle<()>,
+) {
     let started = Instant::now();
-    state.is_leaving.set(true);
+    let mut plan = StopPlan::new(started, state.options.grace);
+    state.stop_plan.set(Some(plan));
     log::info!(event = "stop", open = state.open_requests.get(); "entry process stopping");
-    let end = started + state.options.grace.saturating_sub(KILL_MARGIN);
+    tokio::task::spawn_local(deregister(state.clone()));
+    sleep_until(plan.closing()).await;
+    close.send_replace(true);
+    let asking = tokio::task::spawn_local(ask_other_hosts(state.clone()));
+    let mut idle_checks = 0;
+    while Instant::now() < plan.exit() {
+        plan = state.stop_plan.get().unwrap_or(plan);
+        if !accepting.is_finished() && plan.ends_listening(Instant::now()) {
+            log::info!(event = "listener_closed", open = state.open_requests.get(); "taking no more connections");
+            accepting.abort();
+        }
+        idle_checks = if state.open_requests.get() == 0 { idle_checks + 1 } else { 0 };
+        if plan.may_exit(Instant::now()) && idle_checks >= IDLE_CHECKS {
+            break;
+        }
+        sleep(DRAIN_POLL_INTERVAL).await;
+    }
+    asking.abort();
+    log::info!(
+        event = "end", open = state.open_requests.get(),
+        after_ms = started.elapsed().as_millis() as u64; "entry process exiting"
+    );
+}
+
+/// Keeps the plan of the stop up to date with what other hosts say.
+async fn ask_other_hosts(state: Rc<EntryState>) {
+    loop {
+        let others = peers::other_hosts(&state).await;
+        if let Some(mut plan) = state.stop_plan.get() {
+            plan.set_others(others);
+            state.stop_plan.set(Some(plan));
+        }
+        sleep(ASK_INTERVAL).await;
+    }
+}
+
+async fn deregister(state: Rc<EntryState>) {
     let deregistration =
         state.registry.delete_record(RecordGroup::Hosts, state.options.host.clone());
-    match tokio::time::timeout(DEREGISTER_TIMEOUT, deregistration).await {
+    match timeout(DEREGISTER_TIMEOUT, deregistration).await {
         Ok(Ok(())) => {}
         Ok(Err(error)) => log::info!(
             event = "store_lost", what = "hosts", error:% = error;
@@ -100,17 +141,4 @@
             event = "store_lost", what = "hosts"; "timed out removing this host from the registry"
         ),
     }
-    while Instant::now() < end {
-        if started.elapsed() >= ROTATION_DELAY {
-            close.send_replace(true);
-        }
-        if started.elapsed() >= MIN_SHUTDOWN_TIME && state.open_requests.get() == 0 {
-            break;
-        }
-        sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    log::info!(
-        event = "end", open = state.open_requests.get(),
-        after_ms = started.elapsed().as_millis() as u64; "entry process exiting"
-    );
 }
--- /dev/null
+++ b/crates/entry/src/shutdown.rs
@@ -0,0 +1,176 @@
+//! What a host that is told to stop still takes, and when it ends.
+//!
+//! Answers to the load pattern of a rolling stop, of one host or of all at once: the load balancer
+//! sends calls to a stopping host until it has missed two readiness checks, and for as long as too few
+//! others are in rotation. Each call that the host takes must be whole before the process is killed;
+//! each that it refuses should come back to a host that serves.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use jacinthrock::ServiceName;
+use tokio::time::Instant;
+
+/// Time after SIGTERM for which connections stay open. The readiness check is polled once per
+/// second, and two failures take the host out of rotation.
+const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
+/// Time after SIGTERM in which any stream that can be resumed is taken: a caller whose stream breaks
+/// off at the end resumes it at another host.
+const RESUMABLE_TIME: Duration = Duration::from_millis(2_900);
+/// Time after SIGTERM until which connections may still arrive that the load balancer chose before it
+/// took the host out of rotation.
+const MIN_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the expected SIGKILL at which the process exits by itself.
+const KILL_MARGIN: Duration = Duration::from_millis(300);
+/// Time before the exit at which every call must be answered.
+const ANSWER_MARGIN: Duration = Duration::from_millis(200);
+/// Time that a call to a plain service must have; most take a tenth of it.
+const MIN_CALL_TIME: Duration = Duration::from_millis(600);
+/// Retry-After while other hosts serve: the caller's next connection reaches one of them.
+const OTHERS_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time over which the returns of refused callers are spread.
+const RETURN_SPREAD: Duration = Duration::from_millis(400);
+/// Time from the exit of a process until its host serves again.
+const RESTART_TIME: Duration = Duration::from_millis(800);
+/// Streams of a service whose times are kept.
+const KEPT_STREAMS: usize = 256;
+/// Ratio of the time that a stream is expected to take at most to the longest that was seen.
+const STREAM_TIME_MARGIN: f64 = 1.25;
+/// Longest time of a stream until streams have ended for as long: those that end in the first
+/// seconds of a process are the short ones.
+const UNKNOWN_STREAM_TIME: Duration = Duration::from_secs(20);
+
+/// Whether other hosts take calls while this host stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OtherHosts {
+    /// Some take calls.
+    Serve,
+    /// All stop too. The first of them exits at this time, if it is known.
+    Stop(Option<Instant>),
+}
+
+/// Plan of a stop.
+#[derive(Clone, Copy, Debug)]
+pub struct StopPlan {
+    started: Instant,
+    exit: Instant,
+    others: OtherHosts,
+}
+
+impl StopPlan {
+    /// Plans a stop that began at a time, with SIGKILL after `grace`.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jacinthrock_entry::StopPlan;
+    /// use tokio::time::Instant;
+    ///
+    /// let plan = StopPlan::new(Instant::now(), Duration::from_secs(8));
+    /// assert!(plan.accepts_call(Instant::now()));
+    /// assert!(!plan.accepts_call(Instant::now() + Duration::from_secs(7)));
+    /// ```
+    pub fn new(started: Instant, grace: Duration) -> Self {
+        let exit = started + grace.saturating_sub(KILL_MARGIN);
+        Self { started, exit, others: OtherHosts::Serve }
+    }
+
+    /// Sets whether other hosts take calls.
+    pub fn set_others(&mut self, others: OtherHosts) {
+        self.others = others;
+    }
+
+    /// When connections close after their next answer, since the host is out of rotation.
+    pub fn closing(&self) -> Instant {
+        (self.started + ROTATION_DELAY).min(self.exit)
+    }
+
+    /// When the process exits at the latest.
+    pub fn exit(&self) -> Instant {
+        self.exit
+    }
+
+    /// When every call must be answered.
+    pub fn last_answer(&self) -> Instant {
+        self.exit - ANSWER_MARGIN
+    }
+
+    /// Whether to take a call to a plain service.
+    pub fn accepts_call(&self, now: Instant) -> bool {
+        now + MIN_CALL_TIME <= self.last_answer()
+    }
+
+    /// Whether to take a stream that lasts `longest` at most.
+    pub fn accepts_stream(&self, now: Instant, longest: Duration, is_resumable: bool) -> bool {
+        let is_early = is_resumable && now <= self.started + RESUMABLE_TIME;
+        is_early || now + longest <= self.last_answer()
+    }
+
+    /// Whether to stop listening: a caller whose connection is refused connects to another host at
+    /// once.
+    pub fn ends_listening(&self, now: Instant) -> bool {
+        self.others == OtherHosts::Serve && now >= self.started + MIN_TIME
+    }
+
+    /// Whether the process may exit when nothing is open.
+    pub fn may_exit(&self, now: Instant) -> bool {
+        now >= self.exit || now >= self.started + MIN_TIME
+    }
+
+    /// Delay after which a refused caller should come back: until another host or the first that
+    /// restarts takes calls. `draw` is a random number from 0 to 1 that spreads the callers.
+    pub fn return_delay(&self, now: Instant, draw: f64) -> Duration {
+        let earliest = match self.others {
+            OtherHosts::Serve => OTHERS_RETRY_AFTER,
+            OtherHosts::Stop(first) => {
+                let exit = first.map_or(self.exit, |first| first.min(self.exit));
+                (exit + RESTART_TIME).saturating_duration_since(now)
+            }
+        };
+        earliest + RETURN_SPREAD.mul_f64(draw)
+    }
+}
+
+/// Times of the latest streams of each service.
+#[derive(Debug, Default)]
+pub struct StreamTimes {
+    by_service: BTreeMap<ServiceName, ServiceTimes>,
+}
+
+#[derive(Debug)]
+struct ServiceTimes {
+    since: Instant,
+    latest: VecDeque<Duration>,
+}
+
+impl StreamTimes {
+    /// Records the time of a stream that has ended.
+    pub fn record(&mut self, service: &str, time: Duration, now: Instant) {
+        let times = self.by_service.entry(service.into());
+        let times = times.or_insert_with(|| ServiceTimes { since: now, latest: VecDeque::new() });
+        if times.latest.len() >= KEPT_STREAMS {
+            times.latest.pop_front();
+        }
+        times.latest.push_back(time);
+    }
+
+    /// Longest time that a stream is expected to take.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use jacinthrock_entry::StreamTimes;
+    /// use tokio::time::Instant;
+    ///
+    /// let mut times = StreamTimes::default();
+    /// let now = Instant::now();
+    /// times.record("guide", Duration::from_secs(2), now);
+    /// let later = now + Duration::from_secs(60);
+    /// assert_eq!(times.longest("guide", later), Duration::from_millis(2_500));
+    /// ```
+    pub fn longest(&self, service: &str, now: Instant) -> Duration {
+        let times = self.by_service.get(service);
+        let known =
+            times.filter(|times| now.saturating_duration_since(times.since) >= UNKNOWN_STREAM_TIME);
+        let longest = known.and_then(|times| times.latest.iter().max());
+        longest.map_or(UNKNOWN_STREAM_TIME, |time| time.mul_f64(STREAM_TIME_MARGIN))
+    }
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -30,6 +30,7 @@
 use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
 use crate::returns::ReturnSchedule;
 use crate::rules::{EngineProfile, RuleIndex, RulesVersion, ServingRules};
+use crate::shutdown::{StopPlan, StreamTimes};
 use crate::version::{RegistryEra, RegistryVersion};
 
 /// Cost of a stage that is suspected to be down, in ms per token: more than a whole path over other
@@ -177,8 +178,10 @@
     pub is_placing: Cell<bool>,
     /// Notified when the registry was restored from a copy.
     pub registry_restored: Notify,
-    /// Whether the process is shutting down.
-    pub is_leaving: Cell<bool>,
+    /// Plan of the process's stop, once it was told to.
+    pub stop_plan: Cell<Option<StopPlan>>,
+    /// Times of the latest streams.
+    pub stream_times: RefCell<StreamTimes>,
     /// Beats of the thread that runs all tasks.
     pub heartbeat: LoopHeartbeat,
     /// Number of open requests.
@@ -263,7 +266,8 @@
             peer_loads: RefCell::default(),
             path_queue: RefCell::default(),
             return_schedule: RefCell::default(),
-            is_leaving: Cell::new(false),
+            stop_plan: Cell::new(None),
+            stream_times: RefCell::default(),
             heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
             rules: RefCell::default(),
@@ -281,6 +285,11 @@
         }
     }
 
+    /// Whether the process is shutting down.
+    pub fn is_leaving(&self) -> bool {
+        self.stop_plan.get().is_some()
+    }
+
     /// The rules in force, or `None` before the first are known.
     pub fn rules(&self) -> Option<Rc<RuleIndex>> {
         self.rules_version.get().map(|_| self.rules.borrow().clone())
@@ -761,7 +770,7 @@
 
     /// Whether requests can be served: rules are known, and each model has a path.
     pub fn is_ready(&self) -> bool {
-        let Some(rules) = self.rules().filter(|_| !self.is_leaving.get()) else { return false };
+        let Some(rules) = self.rules().filter(|_| !self.is_leaving()) else { return false };
         let none = BTreeSet::new();
         rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
             |(name, _)| {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -480,6 +480,10 @@
                 Ok(Some(bytes)) => return Some(Ok(Frame::data(bytes))),
                 Ok(None) => {
                     self.is_finished = true;
+                    let (now, arrived) = (Instant::now(), self.call.arrived);
+                    let mut times = self.state.stream_times.borrow_mut();
+                    times.record(&self.call.service, now - arrived, now);
+                    drop(times);
                     count_outcome(&self.state, &self.call.service, "answered");
                     return None;
                 }
--- /dev/null
+++ b/crates/entry/tests/stop_plan.rs
@@ -0,0 +1,84 @@
+//! What a stopping host takes, and when it ends.
+
+use std::time::Duration;
+
+use jacinthrock_entry::{OtherHosts, StopPlan, StreamTimes};
+use tokio::time::Instant;
+
+const GRACE: Duration = Duration::from_secs(8);
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+/// Streams last up to 9 s and the grace is 8 s: none can be taken for certain.
+#[test]
+fn streams_that_outlast_the_grace_are_taken_only_right_after_the_signal() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, GRACE);
+    assert!(plan.accepts_stream(now + seconds(2.8), seconds(9.0), true));
+    assert!(!plan.accepts_stream(now + seconds(3.0), seconds(9.0), true));
+    assert!(!plan.accepts_stream(now + seconds(1.0), seconds(9.0), false), "cannot be resumed");
+}
+
+/// Hosts that are all out of rotation still get calls.
+#[test]
+fn short_work_is_taken_for_as_long_as_it_ends_in_time() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, GRACE);
+    assert!(plan.accepts_stream(now + seconds(6.9), seconds(0.5), true));
+    assert!(!plan.accepts_stream(now + seconds(7.1), seconds(0.5), true));
+    assert!(plan.accepts_call(now + seconds(6.8)));
+    assert!(!plan.accepts_call(now + seconds(7.0)));
+    assert!(plan.last_answer() < plan.exit() && plan.exit() < now + GRACE);
+}
+
+#[test]
+fn host_ends_early_only_while_others_serve() {
+    let now = Instant::now();
+    let mut plan = StopPlan::new(now, GRACE);
+    assert!(!plan.ends_listening(now + seconds(3.0)), "connections may still be on their way");
+    assert!(!plan.may_exit(now + seconds(3.0)));
+    assert!(plan.ends_listening(now + seconds(3.5)));
+    plan.set_others(OtherHosts::Stop(None));
+    assert!(!plan.ends_listening(now + seconds(7.0)));
+    assert!(plan.may_exit(now + seconds(3.5)), "nothing is open");
+}
+
+/// Refused callers come back when the first of the hosts has started again, spread over some time.
+#[test]
+fn refused_callers_return_to_a_host_that_serves() {
+    let now = Instant::now();
+    let mut plan = StopPlan::new(now, GRACE);
+    let at = now + seconds(4.0);
+    assert!(plan.return_delay(at, 1.0) < seconds(0.5));
+    let first_exit = now + seconds(5.5);
+    plan.set_others(OtherHosts::Stop(Some(first_exit)));
+    let (earliest, latest) = (at + plan.return_delay(at, 0.0), at + plan.return_delay(at, 1.0));
+    assert!(earliest > first_exit + seconds(0.5), "restarting takes half a second");
+    assert!(latest < first_exit + seconds(2.0));
+    assert!(latest > earliest + seconds(0.3));
+}
+
+#[test]
+fn short_grace_ends_before_the_host_is_out_of_rotation() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, Duration::from_secs(2));
+    assert!(plan.closing() <= plan.exit() && plan.exit() < now + Duration::from_secs(2));
+    assert!(plan.may_exit(plan.exit()));
+}
+
+/// The streams that end in the first seconds of a process are the short ones.
+#[test]
+fn times_of_a_process_that_has_just_started_are_not_relied_on() {
+    let now = Instant::now();
+    let mut times = StreamTimes::default();
+    for number in 0..100 {
+        times.record("guide", seconds(0.5), now + seconds(0.02) * number);
+    }
+    assert!(times.longest("guide", now + seconds(3.0)) > GRACE);
+    let later = now + seconds(30.0);
+    times.record("guide", seconds(4.0), later);
+    assert_eq!(times.longest("guide", later), seconds(5.0));
+    assert!(times.longest("other", later) > GRACE);
+}
