An endpoint's own word: nothing new to one that leaves or wants nothing

What callers saw: requests went on to endpoints that had said in their answers that they leave, for as long as the registry listed them, and to endpoints that had turned requests away with a time to wait. Where all endpoints had asked for a pause, some callers were kept for 0.35 s.

Cause: the header of leaving was not read, and an endpoint's Retry-After was only handed on to the caller.

Change: notices.rs owns both, by the start of the endpoint; every choice of an endpoint asks it.

Retries that find no endpoint are not taken from the budget any more.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -61,7 +61,9 @@
     pub is_encoded: bool,
     /// Address of the stage that caused the failure.
     pub fault_at: Option<SocketAddr>,
-    /// Time after which to retry.
+    /// Whether the endpoint says that it leaves.
+    pub is_leaving: bool,
+    /// Time for which the endpoint wants no requests from this host.
     pub retry_after: Option<Duration>,
 }
 
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::notices::EndpointStart;
 use crate::version::RegistryVersion;
 
 /// A contiguous range of a model's layers, excluding its end.
@@ -63,6 +64,11 @@
 }
 
 impl EndpointEntry {
+    /// This start of the endpoint.
+    pub fn start(&self) -> EndpointStart<'_> {
+        EndpointStart { name: &self.name, start_unix_ms: self.start_unix_ms }
+    }
+
     /// Number of layers whose weights take memory, including an order under way.
     pub fn weight_layers(&self) -> u16 {
         let spans = [self.layers, self.under_way].into_iter().flatten().filter(|s| s.count() > 0);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`, `relay`,
-//! `returns`, `health`, `freshness`, `shutdown`. docs/design/platform.md describes the design.
+//! `returns`, `health`, `freshness`, `shutdown`,
+//! `notices`. docs/design/platform.md describes the design.
 
 mod adapter;
 mod call;
@@ -19,6 +20,7 @@
 mod layout;
 mod loads;
 mod logs;
+mod notices;
 mod orders;
 mod path;
 mod peers;
@@ -60,6 +62,7 @@
     LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share,
 };
 pub use logs::start_logs;
+pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
 pub use pool::{
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -8,6 +8,7 @@
 
 use crate::endpoints::EndpointEntry;
 use crate::pool::{SendError, SendOptions, build_request, host_header};
+use crate::sending::note_reply;
 use crate::state::EntryState;
 
 /// Idle time after which a connection is not reused for an order.
@@ -34,5 +35,8 @@
     state.codec.expect_endpoint(request.headers_mut(), &entry.name);
     let options = SendOptions::within(limit, MAX_IDLE);
     let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
+    if parts.status != StatusCode::MISDIRECTED_REQUEST {
+        note_reply(state, entry, parts.status, &state.codec.read_reply("", &parts.headers));
+    }
     Ok(OrderReply { status: parts.status, fault_at: state.codec.read_order_fault(&body) })
 }
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -548,7 +548,7 @@
     tracker.empty_since.retain(|name, _| endpoints.get(name).is_some());
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
         let is_lost = health.is_down(&entry.name) || state.is_excluded(entry, now);
-        if entry.is_draining || is_lost {
+        if state.is_leaving_endpoint(entry) || is_lost {
             tracker.pending.remove(&entry.name);
             continue;
         }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -7,7 +7,7 @@
 use hyper::{Response, StatusCode};
 use jacinthrock::{CallRefusal, EndpointName, ResultCode};
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::call::{AllowedCall, count_outcome, unknown_outcome};
 use crate::endpoints::EndpointEntry;
@@ -20,6 +20,10 @@
 /// Retry-After when no endpoint accepts a call: calls take about 60 ms, so capacity is free again
 /// soon.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest pause of all endpoints that a call waits for; its caller expects an answer soon after.
+const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
+/// Time over which callers come back after the pause of the endpoints that could serve them.
+const PAUSE_SPREAD: Duration = Duration::from_millis(500);
 /// Failed connection attempts after which a call is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -29,8 +33,8 @@
     Response(Response<ResponseBody>),
     /// The endpoint replied with a server error, forwarded unless another endpoint succeeds.
     Failed(Response<ResponseBody>),
-    /// The endpoint refused the request without running it; with its Retry-After, if any.
-    NotRun(Box<str>, Option<Duration>),
+    /// The endpoint refused the request without running it.
+    NotRun(Box<str>),
     /// The request was not sent.
     NotSent(Box<str>),
     /// The request may have run.
@@ -51,10 +55,22 @@
     while tried.len() < call.route.max_attempts.max(1) as usize
         && connect_failures < MAX_CONNECT_FAILURES
     {
+        let Some(entry) = pick_endpoint(state, &call.service, &tried) else {
+            let Some(until) = state.first_pause_end(&call.service, |_| true) else { break };
+            let pause = until.saturating_duration_since(Instant::now());
+            let is_untried = |entry: &EndpointEntry| !tried.contains(&entry.name);
+            let untried_until = state.first_pause_end(&call.service, is_untried);
+            if untried_until == Some(until) && pause < MAX_PAUSE_WAIT.min(call.remaining()) {
+                sleep_until(until).await;
+                continue;
+            }
+            last_fault = "all endpoints have asked for a pause".into();
+            retry_after = pause + PAUSE_SPREAD.mul_f64(rand::random());
+            break;
+        };
         if !tried.is_empty() && !state.allow_retry(&call.service, "plain", 0.0) {
             break;
         }
-        let Some(entry) = pick_endpoint(state, &call.service, &tried) else { break };
         let outcome = attempt(state, call, &entry).await;
         let is_sent = !matches!(outcome, AttemptOutcome::NotSent(_));
         match outcome {
@@ -66,10 +82,7 @@
                 has_run = true;
                 last_response = Some(response);
             }
-            AttemptOutcome::NotRun(fault, wait) => {
-                last_fault = fault;
-                retry_after = wait.unwrap_or(BUSY_RETRY_AFTER);
-            }
+            AttemptOutcome::NotRun(fault) => last_fault = fault,
             AttemptOutcome::NotSent(fault) => {
                 last_fault = fault;
                 connect_failures += 1;
@@ -120,7 +133,7 @@
     };
     let now = Instant::now();
     state.health.borrow_mut().record_outcome(&entry.name, call_end, now - started, now);
-    if let AttemptOutcome::NotRun(fault, _)
+    if let AttemptOutcome::NotRun(fault)
     | AttemptOutcome::NotSent(fault)
     | AttemptOutcome::Unknown(fault) = &outcome
     {
@@ -139,7 +152,7 @@
     if sent.is_not_run() {
         let fault = format!("endpoint refused with {status}");
         sent.reply.lease.return_to_pool();
-        return (AttemptOutcome::NotRun(fault.into(), sent.head.retry_after), CallEnd::Refused);
+        return (AttemptOutcome::NotRun(fault.into()), CallEnd::Refused);
     }
     if !sent.is_genuine() {
         return (AttemptOutcome::Unknown("answer is not the endpoint's".into()), CallEnd::Broken);
@@ -185,8 +198,12 @@
 ) -> Option<EndpointEntry> {
     let now = Instant::now();
     let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
+    let notices = state.notices.borrow();
     let candidates = endpoints.entries().filter(|entry| {
-        &*entry.service == service && !entry.is_draining && !tried.contains(&entry.name)
+        &*entry.service == service
+            && !state.is_leaving_endpoint(entry)
+            && !notices.is_paused(entry.start(), now)
+            && !tried.contains(&entry.name)
     });
     let (mut healthy, mut suspect) = (Vec::new(), Vec::new());
     for entry in candidates {
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -7,7 +7,8 @@
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
 use hyper::{Method, Request, StatusCode, Uri, Version};
-use jacinthrock::EndpointName;
+use jacinthrock::{EndpointName, MetricName};
+use tokio::time::Instant;
 
 use crate::adapter::{EndpointReport, ReplyHead, SendHead};
 use crate::call::AllowedCall;
@@ -102,7 +103,40 @@
     };
     let reply = state.pool.send(target.endpoint.address, request, options).await?;
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
-    Ok(SentReply { reply, head })
+    let sent = SentReply { reply, head };
+    // What belongs to another request, or comes from another endpoint at the address, says nothing.
+    if sent.head.is_for_attempt || sent.is_not_run() {
+        note_reply(state, target.endpoint, sent.reply.parts.status, &sent.head);
+    }
+    Ok(sent)
+}
+
+/// Records what an endpoint's reply says of the endpoint itself.
+pub(crate) fn note_reply(
+    state: &EntryState,
+    entry: &EndpointEntry,
+    status: StatusCode,
+    head: &ReplyHead,
+) {
+    let now = Instant::now();
+    if head.is_leaving && state.notices.borrow_mut().mark_leaving(entry.start(), now) {
+        log::info!(
+            event = "endpoint_leaving", endpoint = &*entry.name, born = entry.start_unix_ms,
+            status = status.as_u16(); "endpoint says that it leaves"
+        );
+        state.metrics.count(MetricName::Ejections, &["leaving"]);
+        exclude_endpoint(state, &entry.name, "says that it leaves");
+    }
+    let Some(time) = head.retry_after.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) else {
+        return;
+    };
+    if state.notices.borrow_mut().pause(entry.start(), time, now) {
+        log::info!(
+            event = "endpoint_paused", endpoint = &*entry.name, ms = time.as_millis() as u64;
+            "endpoint wants no requests for a time"
+        );
+        state.metrics.count(MetricName::Ejections, &["paused"]);
+    }
 }
 
 /// Fetches the state that an endpoint reports; `None` if the reply is not a valid report.
@@ -116,6 +150,9 @@
     let options = SendOptions::within(limit, Duration::ZERO);
     let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
+    if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
+        note_reply(state, entry, parts.status, &state.codec.read_reply("", &parts.headers));
+    }
     if report.is_none() {
         let status = parts.status.as_u16();
         log::info!(
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,6 +23,7 @@
 use crate::heartbeat::LoopHeartbeat;
 use crate::inflight::{StageLoad, StreamTable};
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
+use crate::notices::EndpointNotices;
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
@@ -147,6 +148,8 @@
     pub health: RefCell<HealthTable>,
     /// Reports on whether the rules in force are the newest.
     pub rules_freshness: RefCell<RulesFreshness>,
+    /// What endpoints have said of themselves.
+    pub notices: RefCell<EndpointNotices>,
     /// Streams in flight.
     pub inflight: Rc<RefCell<StreamTable>>,
     /// Notified whenever a path may have become available.
@@ -251,6 +254,7 @@
             endpoints: RefCell::default(),
             health: RefCell::default(),
             rules_freshness: RefCell::default(),
+            notices: RefCell::default(),
             inflight: Rc::default(),
             path_changed: Notify::new(),
             peers: RefCell::default(),
@@ -590,6 +594,36 @@
             flags.borrow_mut().retain(|name| endpoints.get(name).is_some());
         }
         self.excluded.borrow_mut().retain(|name, _| endpoints.get(name).is_some());
+        self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), Instant::now());
+    }
+
+    /// Whether an endpoint leaves, as the registry lists it or as it says itself.
+    pub fn is_leaving_endpoint(&self, entry: &EndpointEntry) -> bool {
+        entry.is_draining || self.notices.borrow().is_leaving(entry.start())
+    }
+
+    /// When the first of a service's endpoints wants requests again, if all that could take one have
+    /// asked for a pause. `can_start` tells which could.
+    pub fn first_pause_end(
+        &self,
+        service: &str,
+        can_start: impl Fn(&EndpointEntry) -> bool,
+    ) -> Option<Instant> {
+        let now = Instant::now();
+        let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
+        let notices = self.notices.borrow();
+        let candidates = endpoints.entries().filter(|entry| {
+            &*entry.service == service
+                && !self.is_leaving_endpoint(entry)
+                && !health.is_down(&entry.name)
+                && can_start(entry)
+        });
+        let mut first = None;
+        for entry in candidates {
+            let until = notices.paused_until(entry.start(), now)?;
+            first = Some(first.map_or(until, |first: Instant| first.min(until)));
+        }
+        first
     }
 
     /// Finds the cheapest path for a stream, or `None` if none has room.
@@ -714,7 +748,7 @@
         let overloaded = self.overloaded.borrow();
         let usable = endpoints.entries().filter(|entry| {
             &*entry.service == query.service
-                && !entry.is_draining
+                && !self.is_leaving_endpoint(entry)
                 && !health.is_down(&entry.name)
                 && !self.is_excluded(entry, now)
                 && !query.avoid.contains(&entry.name)
@@ -751,6 +785,7 @@
                     has_room: occupancy < MAX_OCCUPANCY && !is_overloaded,
                     penalty_ms: suspect_ms,
                     may_start: has_slots
+                        && !self.notices.borrow().is_paused(entry.start(), now)
                         && query.starts.is_none_or(|starts| starts.contains(&entry.name)),
                 })
             })
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -14,6 +14,7 @@
 use tokio::time::{Instant, Sleep, sleep_until, timeout_at};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, unknown_outcome};
+use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
 use crate::inflight::StreamGuard;
 use crate::path::{PathStage, crossings};
@@ -182,6 +183,8 @@
     state.return_schedule.borrow_mut().record_refused(now);
     let delay = state.return_schedule.borrow_mut().delay(now, relay.call.remaining());
     let retry_after = delay + state.path_queue.borrow().drain_time();
+    let pause = relay.pause_end().map(|end| end.saturating_duration_since(now));
+    let retry_after = retry_after.max(pause.unwrap_or_default());
     Err(not_run_refusal(ResultCode::NoChain, fault, retry_after))
 }
 
@@ -332,6 +335,9 @@
         {
             return Ok(self.accept_path(path));
         }
+        if self.pause_end().is_some_and(|end| end >= until) {
+            return Err(OpenFailure::NoPath("all first stages have asked for a pause".into()));
+        }
         let guard = QueueGuard::new(&state, self.wait_class(), self.call.priority);
         if Instant::now() + guard.expected_wait > until {
             let wait_ms = guard.expected_wait.as_millis();
@@ -352,6 +358,15 @@
         }
     }
 
+    /// When the first of the endpoints at which paths start wants requests again, if all have asked
+    /// for a pause.
+    fn pause_end(&self) -> Option<Instant> {
+        let starts = |entry: &EndpointEntry| {
+            entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
+        };
+        self.state.first_pause_end(&self.call.service, starts)
+    }
+
     /// Records that the stream takes a path.
     fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
         let now = Instant::now();
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -308,6 +308,7 @@
             is_signed: true,
             is_encoded: false,
             fault_at: None,
+            is_leaving: false,
             retry_after: None,
         }
     }
