--- a/src/trail.rs
+++ b/src/trail.rs
@@ -16,10 +16,13 @@
 /// are part of the trail: exclusions of endpoints last for three seconds.
 const LEAD_TIME_MS: i64 = 4_000;
 /// Events of a host that change what it believes, other than about an endpoint.
-const HOST_EVENTS: [&str; 12] = [
+const HOST_EVENTS: [&str; 15] = [
     "start",
     "stop",
+    "listener_closed",
+    "loop_stalled",
     "rules",
+    "watch_abandoned",
     "store_lost",
     "store_regained",
     "store_restored",
