Exclusions of endpoints have a module and an owner of their own

state.rs held their table, its rules and what hosts tell one another of it. One question, accepts_work, now covers leaving, down and excluded endpoints for paths and for placement. No change of behaviour.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod detour;
 mod endpoints;
 mod events;
+mod exclusions;
 mod expiry;
 mod follow;
 mod freshness;
@@ -52,6 +53,7 @@
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
 };
 pub use events::EventFramer;
+pub use exclusions::{ExclusionTable, SharedExclusion};
 pub use freshness::{RulesEvidence, RulesFreshness};
 pub use health::{CallEnd, HealthTable};
 pub use heartbeat::{HeartbeatWatcher, LookFinding, LoopHeartbeat};
@@ -79,5 +81,5 @@
 pub use run::{EntryError, run_entry};
 pub use shutdown::{OtherHosts, StopPlan, StreamTimes};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
-pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder, SharedExclusion};
+pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,6 +18,7 @@
 use tokio::time::{Instant, sleep};
 
 use crate::endpoints::{ChangeNumber, EndpointEntry, EndpointUpdate};
+use crate::exclusions::SharedExclusion;
 use crate::follow::endpoints_changed;
 use crate::front::serve_internal;
 use crate::loads::LoadSum;
@@ -26,7 +27,7 @@
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
 use crate::shutdown::OtherHosts;
-use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder, SharedExclusion};
+use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder};
 use crate::version::{RegistryEra, RegistryRevision, RegistryVersion};
 
 /// Path of a host's registry snapshot.
@@ -229,7 +230,7 @@
         host: state.options.host.clone(),
         sum: group,
         seen: known.map(|position| (position.boot, position.number)),
-        excluded: state.exclusions(),
+        excluded: state.exclusions.borrow().shared(Instant::now()),
     };
     let reply = match serde_json::to_vec(&report) {
         Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
@@ -290,12 +291,17 @@
         let mut freshness = state.rules_freshness.borrow_mut();
         freshness.record_peer(state.rules_number(), report.version, confirmed, now);
     }
-    state.apply_exclusions(reply.excluded);
+    apply_exclusions(state, reply.excluded);
     state.update_retry_share();
     state.wake_queue();
     is_current
 }
 
+fn apply_exclusions(state: &EntryState, exclusions: Vec<SharedExclusion>) {
+    let mut table = state.exclusions.borrow_mut();
+    table.apply(exclusions, |name| state.endpoint(name), Instant::now());
+}
+
 /// Status of a host, with the placement holder if it knows of one.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct HostStatus {
@@ -417,7 +423,7 @@
 fn reply_to(state: &EntryState, report: HostReport) -> HolderReply {
     let now = Instant::now();
     let is_holder = state.is_holder();
-    state.apply_exclusions(report.excluded);
+    apply_exclusions(state, report.excluded);
     let own = state.own_load();
     let total = {
         let mut loads = state.relay_loads.borrow_mut();
@@ -445,7 +451,7 @@
             let age = now.saturating_duration_since(heard);
             (holder.host, holder.address, whole_ms(age))
         }),
-        excluded: state.exclusions(),
+        excluded: state.exclusions.borrow().shared(Instant::now()),
         rules: rules_report(state, now),
     }
 }
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -540,15 +540,14 @@
 /// expired or addressed to an endpoint that is draining or lost.
 fn card_views(state: &EntryState, service: &str, tracker: &mut OrderTracker) -> Vec<CardView> {
     let now = Instant::now();
-    let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
+    let endpoints = state.endpoints.borrow();
     let rules = state.rules();
     let engine = rules.as_ref().and_then(|rules| rules.engine(service));
     let token_layer_mb = engine.map_or(0.0, |engine| engine.token_layer_mb);
     let mut views = Vec::new();
     tracker.empty_since.retain(|name, _| endpoints.get(name).is_some());
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
-        let is_lost = health.is_down(&entry.name) || state.is_excluded(entry, now);
-        if state.is_leaving_endpoint(entry) || is_lost {
+        if !state.accepts_work(entry, now) {
             tracker.pending.remove(&entry.name);
             continue;
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -10,13 +10,13 @@
     BudgetOptions, DomainName, EndpointName, HostName, MetricName, MetricRegistry, RetryBudget,
 };
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::detour::detour;
-use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan};
+use crate::endpoints::{EndpointEntry, EndpointTable};
+use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
 use crate::expiry::ExpiringFlags;
 use crate::freshness::RulesFreshness;
 use crate::health::HealthTable;
@@ -37,10 +37,6 @@
 /// Cost of a stage that is suspected to be down, in ms per token: more than a whole path over other
 /// cards.
 const SUSPECT_COST_MS: f64 = 40.0;
-/// Time for which an endpoint that accepts no work is excluded, unless its registry entry changes.
-const EXCLUSION_TIME: Duration = Duration::from_secs(3);
-/// Remaining time below which an exclusion is not taken from another host.
-const MIN_SHARED_EXCLUSION: Duration = Duration::from_millis(500);
 /// Maximum age of the registry's last confirmation of the holder's endpoint table for hosts to rely
 /// on it. Endpoints that leave must be known within two seconds; with 1,800 ms, a host whose holder
 /// was rejected by the registry learned of them too late.
@@ -148,6 +144,8 @@
     pub health: RefCell<HealthTable>,
     /// Reports on whether the rules in force are the newest.
     pub rules_freshness: RefCell<RulesFreshness>,
+    /// Endpoints that accept no work although the registry lists them.
+    pub exclusions: RefCell<ExclusionTable>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
     /// Streams in flight.
@@ -196,34 +194,12 @@
     era_since: Cell<Instant>,
     suspected: RefCell<ExpiringFlags>,
     recently_probed: RefCell<ExpiringFlags>,
-    excluded: RefCell<BTreeMap<EndpointName, EndpointExclusion>>,
     overloaded: RefCell<ExpiringFlags>,
     crossing_quota: RefCell<CrossingQuota>,
     retry_budget: RefCell<RetryBudget>,
     retry_share: RefCell<SmoothedShare>,
 }
 
-/// Exclusion of an endpoint, as hosts tell one another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SharedExclusion {
-    /// Endpoint.
-    pub endpoint: EndpointName,
-    /// Its start time, in ms since the Unix epoch.
-    pub start_unix_ms: u64,
-    /// Layers that it was listed with.
-    pub layers: Option<LayerSpan>,
-    /// Time until the end of the exclusion, in ms.
-    pub remaining_ms: u64,
-}
-
-/// Exclusion of an endpoint that accepts no work, with its start time and layers as listed then.
-#[derive(Clone, Copy, Debug)]
-struct EndpointExclusion {
-    until: Instant,
-    start_unix_ms: u64,
-    layers: Option<LayerSpan>,
-}
-
 /// Requirements for a path.
 #[derive(Clone, Copy, Debug)]
 pub struct PathQuery<'a> {
@@ -254,6 +230,7 @@
             endpoints: RefCell::default(),
             health: RefCell::default(),
             rules_freshness: RefCell::default(),
+            exclusions: RefCell::default(),
             notices: RefCell::default(),
             inflight: Rc::default(),
             path_changed: Notify::new(),
@@ -281,7 +258,6 @@
             era_since: Cell::new(Instant::now()),
             suspected: RefCell::default(),
             recently_probed: RefCell::default(),
-            excluded: RefCell::default(),
             overloaded: RefCell::default(),
             crossing_quota: RefCell::default(),
             retry_budget: RefCell::new(budget),
@@ -524,60 +500,15 @@
     /// shutting down or no longer holds its layers. Returns whether the exclusion is new.
     pub fn mark_excluded(&self, name: &EndpointName) -> bool {
         let Some(entry) = self.endpoint(name) else { return false };
-        self.exclude(&entry, EXCLUSION_TIME)
-    }
-
-    fn exclude(&self, entry: &EndpointEntry, time: Duration) -> bool {
-        let now = Instant::now();
-        if self.is_excluded(entry, now) {
-            return false;
-        }
-        let exclusion = EndpointExclusion {
-            until: now + time,
-            start_unix_ms: entry.start_unix_ms,
-            layers: entry.layers,
-        };
-        self.excluded.borrow_mut().insert(entry.name.clone(), exclusion);
-        true
-    }
-
-    /// The exclusions in force, for other hosts.
-    pub fn exclusions(&self) -> Vec<SharedExclusion> {
-        let now = Instant::now();
-        let excluded = self.excluded.borrow();
-        let in_force = excluded.iter().filter(|(_, exclusion)| now < exclusion.until);
-        let shared = in_force.map(|(name, exclusion)| SharedExclusion {
-            endpoint: name.clone(),
-            start_unix_ms: exclusion.start_unix_ms,
-            layers: exclusion.layers,
-            remaining_ms: (exclusion.until - now).as_millis() as u64,
-        });
-        shared.collect()
-    }
-
-    /// Excludes the endpoints that another host has found to accept no work. Each host alone sees
-    /// too few refusals to find all of them, while the registry is away or late.
-    pub fn apply_exclusions(&self, exclusions: Vec<SharedExclusion>) {
-        for exclusion in exclusions {
-            let entry = self.endpoint(&exclusion.endpoint).filter(|entry| {
-                entry.start_unix_ms == exclusion.start_unix_ms && entry.layers == exclusion.layers
-            });
-            // What another host takes from this one must not prolong the exclusion.
-            let time = Duration::from_millis(exclusion.remaining_ms).min(EXCLUSION_TIME);
-            if let Some(entry) = entry.filter(|_| time >= MIN_SHARED_EXCLUSION) {
-                self.exclude(&entry, time);
-            }
-        }
+        self.exclusions.borrow_mut().exclude(&entry, EXCLUSION_TIME, Instant::now())
     }
 
-    /// Whether an endpoint is excluded because it accepts no work although the registry lists it.
-    pub fn is_excluded(&self, entry: &EndpointEntry, now: Instant) -> bool {
-        let excluded = self.excluded.borrow();
-        excluded.get(&entry.name).is_some_and(|exclusion| {
-            now < exclusion.until
-                && exclusion.start_unix_ms == entry.start_unix_ms
-                && exclusion.layers == entry.layers
-        })
+    /// Whether an endpoint accepts work, as far as this host knows: it neither leaves nor is it down
+    /// or excluded.
+    pub fn accepts_work(&self, entry: &EndpointEntry, now: Instant) -> bool {
+        !self.is_leaving_endpoint(entry)
+            && !self.health.borrow().is_down(&entry.name)
+            && !self.exclusions.borrow().is_excluded(entry, now)
     }
 
     /// Clears the suspicion of an endpoint that has answered a probe.
@@ -593,7 +524,7 @@
         for flags in [&self.suspected, &self.recently_probed, &self.overloaded] {
             flags.borrow_mut().retain(|name| endpoints.get(name).is_some());
         }
-        self.excluded.borrow_mut().retain(|name, _| endpoints.get(name).is_some());
+        self.exclusions.borrow_mut().retain(|name| endpoints.get(name).is_some());
         self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), Instant::now());
     }
 
@@ -743,14 +674,12 @@
         let interval_ratio = spread_time(self.host_count()).div_duration_f64(EXCHANGE_INTERVAL);
         let jitter = (COST_JITTER * interval_ratio).min(MAX_COST_JITTER);
         let others = self.peer_loads.borrow();
-        let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
+        let endpoints = self.endpoints.borrow();
         let (inflight, suspected) = (self.inflight.borrow(), self.suspected.borrow());
         let overloaded = self.overloaded.borrow();
         let usable = endpoints.entries().filter(|entry| {
             &*entry.service == query.service
-                && !self.is_leaving_endpoint(entry)
-                && !health.is_down(&entry.name)
-                && !self.is_excluded(entry, now)
+                && self.accepts_work(entry, now)
                 && !query.avoid.contains(&entry.name)
         });
         usable
--- a/crates/entry/tests/host_scale.rs
+++ b/crates/entry/tests/host_scale.rs
@@ -73,7 +73,7 @@
             let excluding = || {
                 let excludes = |host: &&cluster::RunningHost| {
                     let entry = host.state.endpoint(&endpoint).expect("a listed endpoint");
-                    host.state.is_excluded(&entry, Instant::now())
+                    host.state.exclusions.borrow().is_excluded(&entry, Instant::now())
                 };
                 cluster.running().filter(excludes).count()
             };
