--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -170,7 +170,8 @@
         after: RegistryVersion,
         wait: Duration,
     ) -> RegistryResult<'_, (RegistryVersion, Vec<EndpointChange>)>;
-    /// Lists the records of a group, with the version of the list. It may be stale by a few seconds.
+    /// Lists the records of a group, with the version of the list. It may be stale by a few
+    /// seconds.
     fn records(
         &self,
         group: RecordGroup,
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -95,8 +95,8 @@
 /// the entry of a dead endpoint within this time.
 const LEAVER_MEMORY: Duration = Duration::from_secs(10);
 
-/// Time for which an endpoint that was removed is not taken from another host's table, which may keep
-/// it for `RETURN_GRACE`.
+/// Time for which an endpoint that was removed is not taken from another host's table, which may
+/// keep it for `RETURN_GRACE`.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(3);
 
 /// Number of changes kept for other hosts; a host that needs older ones gets the whole table.
--- a/crates/entry/src/exclusions.rs
+++ b/crates/entry/src/exclusions.rs
@@ -1,7 +1,8 @@
-//! Endpoints that accept no work although the registry lists them, as this or another host has found.
+//! Endpoints that accept no work although the registry lists them, as this or another host has
+//! found.
 //!
-//! An exclusion belongs to one start of the endpoint with certain layers; it ends with its time, or as
-//! soon as the endpoint is listed with others.
+//! An exclusion belongs to one start of the endpoint with certain layers; it ends with its time, or
+//! as soon as the endpoint is listed with others.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -80,8 +81,8 @@
     }
 
     /// Excludes the endpoints that another host has found to accept no work; `find` looks up their
-    /// entries. Each host alone sees too few refusals to find all of them, while the registry is away
-    /// or late.
+    /// entries. Each host alone sees too few refusals to find all of them, while the registry is
+    /// away or late.
     pub fn apply(
         &mut self,
         exclusions: Vec<SharedExclusion>,
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -18,8 +18,8 @@
 
 /// Longest wait of a watch for rules while other hosts confirm the rules.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
-/// Longest wait of a watch for rules otherwise, as on the placement holder, which confirms the rules
-/// to the other hosts.
+/// Longest wait of a watch for rules otherwise, as on the placement holder, which confirms the
+/// rules to the other hosts.
 const UNCONFIRMED_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Interval between two checks that other hosts still confirm the rules.
 const EVIDENCE_POLL_INTERVAL: Duration = Duration::from_millis(100);
@@ -27,8 +27,8 @@
 /// the table that they send to other hosts.
 const HOLDER_WATCH_WAIT: Duration = Duration::from_millis(500);
 /// Longest wait of a watch for endpoints on other hosts, which stop watching once the holder's
-/// table is fresh. With the timeout of a call, a lost watch ends within the three seconds after which
-/// a host counts as stable again.
+/// table is fresh. With the timeout of a call, a lost watch ends within the three seconds after
+/// which a host counts as stable again.
 const FALLBACK_WATCH_WAIT: Duration = Duration::from_secs(1);
 /// Interval between two checks that the table received from the holder is fresh.
 const FRESHNESS_POLL_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/entry/src/freshness.rs
+++ b/crates/entry/src/freshness.rs
@@ -1,8 +1,8 @@
 //! Whether the rules in force are known to be the newest.
 //!
 //! A pending watch is silent if nothing has changed, and also if its request or its connection was
-//! lost. It is therefore trusted for long only while another host, whose own watch has been answered
-//! recently, reports the same rules.
+//! lost. It is therefore trusted for long only while another host, whose own watch has been
+//! answered recently, reports the same rules.
 
 use std::time::Duration;
 
@@ -14,8 +14,8 @@
 /// Above the age that reports have with the holder's watches of one second; with a new watch, below
 /// the three seconds after which a host with a lost connection counts as stable.
 const MAX_CONFIRMED_AGE: Duration = Duration::from_secs(2);
-/// Time for which other hosts may report newer rules before the watch is taken for lost; a host that
-/// has just received changes pauses for less before it watches again.
+/// Time for which other hosts may report newer rules before the watch is taken for lost; a host
+/// that has just received changes pauses for less before it watches again.
 const MAX_LAG: Duration = Duration::from_millis(600);
 
 /// What other hosts' reports say about the rules in force.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,9 +1,9 @@
 //! The entry process, one per entry host.
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
-//! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`, `relay`,
-//! `returns`, `health`, `freshness`, `shutdown`,
-//! `notices`. docs/design/platform.md describes the design.
+//! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
+//! `relay`, `returns`, `health`, `freshness`, `shutdown`, `notices`. docs/design/platform.md
+//! describes the design.
 
 mod adapter;
 mod call;
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -2,15 +2,15 @@
 //!
 //! | Notice | Set by | Meaning | Ended by |
 //! |---|---|---|---|
-//! | leaving | any answer of the endpoint | gets nothing new from this host | a new start of the endpoint |
-//! | pause | a refusal with Retry-After | gets nothing from this host for that time | its end, or a new start |
+//! | leaving | any answer of the endpoint | gets nothing new from this host | a new start |
+//! | pause | a refusal with Retry-After | gets nothing from this host | its end, a new start |
 //!
-//! Both belong to one start of the endpoint and hold whatever the registry or other hosts say. Apart
-//! from them, a host may exclude an endpoint that it has found to accept no work for some seconds, and
-//! tells other hosts; and the registry lists endpoints that leave as draining.
+//! Both belong to one start of the endpoint and hold whatever the registry or other hosts say.
+//! Apart from them, a host may exclude an endpoint that it has found to accept no work for some
+//! seconds, and tells other hosts; and the registry lists endpoints that leave as draining.
 //!
-//! Answers to the load pattern of a burst in which many endpoints turn work away at once: sent again
-//! before they have room, it only takes their time and the retry budget.
+//! Answers to the load pattern of a burst in which many endpoints turn work away at once: sent
+//! again before they have room, it only takes their time and the retry budget.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,8 +20,8 @@
 
 /// Longest pause that is kept; asks for more are taken for this.
 const MAX_PAUSE: Duration = Duration::from_secs(600);
-/// Time after the last answer for which a notice on an unlisted endpoint is kept: a registry that was
-/// restored may list it again.
+/// Time after the last answer for which a notice on an unlisted endpoint is kept: a registry that
+/// was restored may list it again.
 const UNLISTED_TIME: Duration = Duration::from_secs(120);
 
 /// Identity of one start of an endpoint: its name, and its start time in ms since the Unix epoch.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -1,6 +1,6 @@
 //! Requests between hosts: load exchange with the holder of the placement lease or with a relay,
-//! which also distributes the endpoint table, and registry snapshots for hosts that cannot reach the
-//! registry.
+//! which also distributes the endpoint table, and registry snapshots for hosts that cannot reach
+//! the registry.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -146,8 +146,8 @@
     }
 }
 
-/// Fetches the registry snapshot of the host that this one exchanges loads with, and applies what is
-/// newer.
+/// Fetches the registry snapshot of the host that this one exchanges loads with, and applies what
+/// is newer.
 pub(crate) async fn pull_from_upstream(state: &EntryState) {
     let upstream = state.upstream_relay().or_else(|| {
         let holder = state.placement_holder.borrow().clone()?;
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -346,8 +346,8 @@
 
 /// Plans without the lease while the registry is unavailable to all hosts and no other holder
 /// replies. The host that held the lease goes on; without it, `yields_to_lower` is set, and of the
-/// hosts that reply, the one with the lowest name acts as holder. Two that act at the same time do no
-/// harm.
+/// hosts that reply, the one with the lowest name acts as holder. Two that act at the same time do
+/// no harm.
 async fn act_as_holder(state: &Rc<EntryState>, yields_to_lower: bool) {
     let answer = ask_for_holder(state, yields_to_lower).await;
     if answer != HolderAnswer::Unknown {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -100,7 +100,10 @@
     while Instant::now() < plan.exit() {
         plan = state.stop_plan.get().unwrap_or(plan);
         if !accepting.is_finished() && plan.ends_listening(Instant::now()) {
-            log::info!(event = "listener_closed", open = state.open_requests.get(); "taking no more connections");
+            log::info!(
+                event = "listener_closed", open = state.open_requests.get();
+                "taking no more connections"
+            );
             accepting.abort();
         }
         idle_checks = if state.open_requests.get() == 0 { idle_checks + 1 } else { 0 };
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -1,9 +1,9 @@
 //! What a host that is told to stop still takes, and when it ends.
 //!
 //! Answers to the load pattern of a rolling stop, of one host or of all at once: the load balancer
-//! sends calls to a stopping host until it has missed two readiness checks, and for as long as too few
-//! others are in rotation. Each call that the host takes must be whole before the process is killed;
-//! each that it refuses should come back to a host that serves.
+//! sends calls to a stopping host until it has missed two readiness checks, and for as long as too
+//! few others are in rotation. Each call that the host takes must be whole before the process is
+//! killed; each that it refuses should come back to a host that serves.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -14,11 +14,11 @@
 /// Time after SIGTERM for which connections stay open. The readiness check is polled once per
 /// second, and two failures take the host out of rotation.
 const ROTATION_DELAY: Duration = Duration::from_millis(2_600);
-/// Time after SIGTERM in which any stream that can be resumed is taken: a caller whose stream breaks
-/// off at the end resumes it at another host.
+/// Time after SIGTERM in which any stream that can be resumed is taken: a caller whose stream
+/// breaks off at the end resumes it at another host.
 const RESUMABLE_TIME: Duration = Duration::from_millis(2_900);
-/// Time after SIGTERM until which connections may still arrive that the load balancer chose before it
-/// took the host out of rotation.
+/// Time after SIGTERM until which connections may still arrive that the load balancer chose before
+/// it took the host out of rotation.
 const MIN_TIME: Duration = Duration::from_millis(3_200);
 /// Time before the expected SIGKILL at which the process exits by itself.
 const KILL_MARGIN: Duration = Duration::from_millis(300);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -44,8 +44,8 @@
 /// Age of the last confirmation at which a relay reads the registry itself, before its members find
 /// its table too old and all do so.
 const RELAY_MAX_CONFIRMED_AGE: Duration = Duration::from_millis(900);
-/// Time for which a reply of the registry shows that this host can reach it; a host without a holder
-/// asks it once per second.
+/// Time for which a reply of the registry shows that this host can reach it; a host without a
+/// holder asks it once per second.
 const REGISTRY_SEEN_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a host that has heard of the placement holder counts on it.
 const HOLDER_HEARD_TIME: Duration = Duration::from_millis(1_500);
@@ -55,8 +55,8 @@
 const COST_JITTER: f64 = 0.1;
 /// Upper bound on the jitter, which grows with the load exchange interval.
 const MAX_COST_JITTER: f64 = 0.5;
-/// Time for which an endpoint that has refused a stream gets no other; some streams end in that time
-/// and leave room, and the next load exchange shows the streams of other hosts.
+/// Time for which an endpoint that has refused a stream gets no other; some streams end in that
+/// time and leave room, and the next load exchange shows the streams of other hosts.
 const OVERLOAD_TIME: Duration = Duration::from_millis(250);
 /// Time after an answered probe during which an endpoint is not suspected again. Under overload all
 /// streams are silent at times, and each probe costs the endpoint work.
@@ -457,8 +457,8 @@
         !self.suspected.borrow_mut().set(name, now, now + SUSPECT_TIME)
     }
 
-    /// Whether this host gets endpoint changes from the placement holder or a relay, and the registry
-    /// has recently confirmed their table.
+    /// Whether this host gets endpoint changes from the placement holder or a relay, and the
+    /// registry has recently confirmed their table.
     pub fn is_following_holder(&self) -> bool {
         let has_members = self.relay_loads.borrow_mut().has_members(Instant::now());
         let max_age = if has_members { RELAY_MAX_CONFIRMED_AGE } else { MAX_CONFIRMED_AGE };
@@ -503,8 +503,8 @@
         self.exclusions.borrow_mut().exclude(&entry, EXCLUSION_TIME, Instant::now())
     }
 
-    /// Whether an endpoint accepts work, as far as this host knows: it neither leaves nor is it down
-    /// or excluded.
+    /// Whether an endpoint accepts work, as far as this host knows: it neither leaves nor is it
+    /// down or excluded.
     pub fn accepts_work(&self, entry: &EndpointEntry, now: Instant) -> bool {
         !self.is_leaving_endpoint(entry)
             && !self.health.borrow().is_down(&entry.name)
@@ -533,8 +533,8 @@
         entry.is_draining || self.notices.borrow().is_leaving(entry.start())
     }
 
-    /// When the first of a service's endpoints wants requests again, if all that could take one have
-    /// asked for a pause. `can_start` tells which could.
+    /// When the first of a service's endpoints wants requests again, if all that could take one
+    /// have asked for a pause. `can_start` tells which could.
     pub fn first_pause_end(
         &self,
         service: &str,
--- a/crates/entry/tests/rules_freshness.rs
+++ b/crates/entry/tests/rules_freshness.rs
@@ -30,8 +30,8 @@
     assert_eq!(freshness.newest(4), 5);
 }
 
-/// In a series of changes a host is always a little behind, and each of them shows that its watch is
-/// alive.
+/// In a series of changes a host is always a little behind, and each of them shows that its watch
+/// is alive.
 #[test]
 fn host_that_progresses_is_not_outdated() {
     let mut now = Instant::now();
--- a/crates/entry/tests/support/registry.rs
+++ b/crates/entry/tests/support/registry.rs
@@ -322,7 +322,8 @@
             {
                 let mut content = self.registry.content.borrow_mut();
                 let key = (group, name);
-                // The registry compares revisions alone, as it gives them out again after a restore.
+                // The registry compares revisions alone, as it gives them out again after a
+                // restore.
                 let current = content.records.get(&key).map(|(revision, _)| *revision);
                 if current != expected.map(|version| version.revision) {
                     return Err(RegistryError::Conflict);
