--- a/crates/entry/tests/registry_restore.rs
+++ b/crates/entry/tests/registry_restore.rs
@@ -28,12 +28,7 @@
 const SCHEDULES_VARIABLE: &str = "JACINTHROCK_RESTORE_SCHEDULES";
 
 async fn start_hosts(count: usize) -> Cluster {
-    let mut cluster = Cluster::start(&DOMAINS).await;
-    for number in 0..count {
-        cluster.add_host(&format!("h{number}"), DOMAINS[number % 2], 250);
-    }
-    sleep(Duration::from_secs(6)).await;
-    cluster
+    Cluster::start_hosts(&DOMAINS, count).await
 }
 
 async fn run(test: impl Future<Output = ()>) {
--- a/crates/entry/tests/registry_silence.rs
+++ b/crates/entry/tests/registry_silence.rs
@@ -20,12 +20,7 @@
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
 async fn start_hosts(count: usize) -> Cluster {
-    let mut cluster = Cluster::start(&DOMAINS).await;
-    for number in 0..count {
-        cluster.add_host(&format!("h{number}"), DOMAINS[number % 2], 250);
-    }
-    sleep(Duration::from_secs(6)).await;
-    cluster
+    Cluster::start_hosts(&DOMAINS, count).await
 }
 
 async fn run(test: impl Future<Output = ()>) {
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -96,6 +96,16 @@
         cluster
     }
 
+    /// Starts a registry with rules, endpoints and hosts, and waits until these have settled.
+    pub(crate) async fn start_hosts(domains: &[&str], count: usize) -> Self {
+        let mut cluster = Self::start(domains).await;
+        for number in 0..count {
+            cluster.add_host(&format!("h{number}"), domains[number % domains.len()], 250);
+        }
+        sleep(Duration::from_secs(6)).await;
+        cluster
+    }
+
     /// Starts a host.
     pub(crate) fn add_host(&mut self, name: &str, domain: &str, capacity: u32) {
         let mut host = RunningHost {
