--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -303,15 +303,12 @@
             );
             return;
         }
-        let is_older = self
-            .rules_version
-            .get()
-            .is_some_and(|_| rules.version < self.rules.borrow().rules().version);
+        let in_force = self.rules_number();
+        let is_older = self.rules_version.get().is_some() && rules.version < in_force;
         self.rules_version.set(Some(version));
         if is_older {
             log::info!(
-                event = "rules_kept", version = rules.version, registry:% = version,
-                in_force = self.rules.borrow().rules().version, source;
+                event = "rules_kept", version = rules.version, registry:% = version, in_force, source;
                 "the registry lists older rules than those in force"
             );
             return;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -495,10 +495,9 @@
                 Ok(Some(bytes)) => return Some(Ok(Frame::data(bytes))),
                 Ok(None) => {
                     self.is_finished = true;
-                    let (now, arrived) = (Instant::now(), self.call.arrived);
-                    let mut times = self.state.stream_times.borrow_mut();
-                    times.record(&self.call.service, now - arrived, now);
-                    drop(times);
+                    let (now, service) = (Instant::now(), &self.call.service);
+                    let time = now - self.call.arrived;
+                    self.state.stream_times.borrow_mut().record(service, time, now);
                     count_outcome(&self.state, &self.call.service, "answered");
                     return None;
                 }
--- a/crates/entry/tests/registry_silence.rs
+++ b/crates/entry/tests/registry_silence.rs
@@ -23,6 +23,15 @@
     Cluster::start_hosts(&DOMAINS, count).await
 }
 
+/// Starts two hosts and kills the placement holder; returns the name of the other one.
+async fn start_lone_host() -> (Cluster, Box<str>) {
+    let mut cluster = start_hosts(2).await;
+    let holder = cluster.running().position(|host| host.state.is_holder());
+    cluster.kill_host(holder.expect("a placement holder"));
+    let host = cluster.running().next().expect("the other host").name.clone();
+    (cluster, host)
+}
+
 async fn run(test: impl Future<Output = ()>) {
     LocalSet::new().run_until(test).await;
 }
@@ -72,10 +81,7 @@
 #[tokio::test(start_paused = true)]
 async fn rules_are_in_force_in_time_on_a_lone_host_whose_watch_was_swallowed() {
     run(async {
-        let mut cluster = start_hosts(2).await;
-        let holder = cluster.running().position(|host| host.state.is_holder());
-        cluster.kill_host(holder.expect("a placement holder"));
-        let host = cluster.running().next().expect("the other host").name.clone();
+        let (cluster, host) = start_lone_host().await;
         cluster.registry.swallow_next(&host, "watch_rules");
         cluster.registry.write_rules(rules(2));
         sleep(STABLE_TIME - RULES_BOUND).await;
@@ -110,10 +116,7 @@
 #[tokio::test(start_paused = true)]
 async fn leaving_endpoint_is_known_in_time_on_a_host_whose_watch_was_swallowed() {
     run(async {
-        let mut cluster = start_hosts(2).await;
-        let holder = cluster.running().position(|host| host.state.is_holder());
-        cluster.kill_host(holder.expect("a placement holder"));
-        let host = cluster.running().next().expect("the other host").name.clone();
+        let (cluster, host) = start_lone_host().await;
         cluster.registry.swallow_next(&host, "watch_endpoints");
         while !cluster.registry.has_swallowed(&host, "watch_endpoints") {
             sleep(Duration::from_millis(10)).await;
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -2,11 +2,13 @@
 //! that take orders.
 #![allow(dead_code)]
 
+#[path = "address.rs"]
+mod address;
+
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,22 +29,13 @@
 use tokio::time::{Instant, sleep};
 
 use super::registry::FakeRegistry;
+use address::own_address;
 
 /// Interval at which endpoints write their entry.
 const BEAT: Duration = Duration::from_millis(1_000);
 /// Port of each server; every host and endpoint has a loopback address of its own.
 const PORT: u16 = 7_100;
 
-/// A loopback address that no other test of any process on this machine uses.
-fn own_address() -> IpAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
-    let number = NEXT.fetch_add(1, Ordering::Relaxed);
-    let process = std::process::id();
-    let block = (process % 16_000) as u16 * 4 + (number / 250) as u16;
-    let [high, low] = block.to_be_bytes();
-    IpAddr::V4(Ipv4Addr::new(127, high.max(1), low, (number % 250 + 2) as u8))
-}
-
 /// An order that an endpoint has begun.
 #[derive(Clone, Debug)]
 pub(crate) struct BegunOrder {
