Log when an endpoint stops counting as an attempt of a request, and why

Sends that failed were logged, but not which endpoints still count against the route's limit, so that the hypotheses of the incident of silent endpoints could not be told apart. attempt_uncounted names the request, the endpoint and the reason: down, not listed, or not sent.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -255,6 +255,7 @@
                 self.avoid.insert(first.name.clone());
                 let reason: Box<str> = fault.to_string().into();
                 if is_unsent {
+                    log_uncounted(&self.call.head.attempt, &first.name, "not sent");
                     self.sent_to.remove(&first.name);
                     return Err(self.log_failure(&guard, OpenFailure::NotRun(reason)));
                 }
@@ -393,8 +394,15 @@
     fn find_path(&mut self) -> Option<Rc<[PathStage]>> {
         let state = self.state.clone();
         // Endpoints that are down or no longer listed do not count as attempts.
-        self.sent_to
-            .retain(|name| state.endpoint(name).is_some() && !state.health.borrow().is_down(name));
+        let attempt = &*self.call.head.attempt;
+        self.sent_to.retain(|name| {
+            let is_listed = state.endpoint(name).is_some();
+            let is_down = state.health.borrow().is_down(name);
+            if !is_listed || is_down {
+                log_uncounted(attempt, name, if is_down { "down" } else { "not listed" });
+            }
+            is_listed && !is_down
+        });
         self.with_query(|state, query| state.find_path(query))
     }
 
@@ -538,3 +546,10 @@
         false
     }
 }
+
+fn log_uncounted(attempt: &str, endpoint: &EndpointName, reason: &str) {
+    log::info!(
+        event = "attempt_uncounted", attempt, endpoint = &**endpoint, reason;
+        "endpoint no longer counts as an attempt of the request"
+    );
+}
