A stream whose endpoint ended is not sent there again, and its send counts

Cause: after its connection broke in the middle of a stream, the first stage was neither probed nor avoided, so that the stream was sent to it again.

Change: a first stage whose connection broke is probed, and tried again only when the route allows no other; a send that gets no connection takes back only itself.

Test: ended_endpoints_do_not_count_as_attempts (platform/tests/silence.rs) fails on the parent commit and passes now.

--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -106,6 +106,8 @@
     sent_to: BTreeSet<EndpointName>,
     /// Endpoints that failed or refused the stream.
     avoid: BTreeSet<EndpointName>,
+    /// First stages whose connection broke. They are tried again only when no others are allowed.
+    broken: BTreeSet<EndpointName>,
     sends: u32,
     last_event_at: Instant,
     deadline: Pin<Box<Sleep>>,
@@ -125,6 +127,7 @@
         open: None,
         sent_to: BTreeSet::new(),
         avoid: BTreeSet::new(),
+        broken: BTreeSet::new(),
         sends: 0,
         last_event_at: call.arrived,
         deadline: Box::pin(sleep_until(call.deadline)),
@@ -223,7 +226,7 @@
             return Err(OpenFailure::NotRun("first stage has left".into()));
         };
         self.sends += 1;
-        self.sent_to.insert(first.name.clone());
+        let is_first_send = self.sent_to.insert(first.name.clone());
         let inflight = state.inflight.clone();
         let guard = StreamGuard::new(inflight, path, self.expected_tokens(), Instant::now());
         let urgency = match self.sends {
@@ -255,8 +258,10 @@
                 self.avoid.insert(first.name.clone());
                 let reason: Box<str> = fault.to_string().into();
                 if is_unsent {
-                    log_uncounted(&self.call.head.attempt, &first.name, "not sent");
-                    self.sent_to.remove(&first.name);
+                    if is_first_send {
+                        log_uncounted(&self.call.head.attempt, &first.name, "not sent");
+                        self.sent_to.remove(&first.name);
+                    }
                     return Err(self.log_failure(&guard, OpenFailure::NotRun(reason)));
                 }
                 return Err(self.log_failure(&guard, OpenFailure::Unknown(reason)));
@@ -410,11 +415,13 @@
     /// attempts, the path must start at an endpoint that was tried before.
     fn with_query<T>(&self, run: impl FnOnce(&EntryState, &PathQuery<'_>) -> T) -> T {
         let is_limit_reached = self.sent_to.len() >= self.call.route.max_attempts.max(1) as usize;
+        let broken = (!is_limit_reached).then_some(&self.broken);
+        let avoid = self.avoid.iter().chain(broken.into_iter().flatten()).cloned().collect();
         let query = PathQuery {
             service: &self.call.service,
             tokens: self.expected_tokens(),
             starts: is_limit_reached.then_some(&self.sent_to),
-            avoid: &self.avoid,
+            avoid: &avoid,
         };
         run(&self.state, &query)
     }
@@ -470,7 +477,10 @@
     fn drop_path(&mut self, fault: &str) {
         self.framer.drop_partial();
         if let Some(open) = self.open.take() {
-            self.log_fault(&open.guard.record().path(), fault);
+            let path = open.guard.record().path();
+            self.log_fault(&path, fault);
+            self.broken.insert(path[0].name.clone());
+            tokio::task::spawn_local(probe(self.state.clone(), path[0].name.clone()));
         }
     }
 
