Silence of an endpoint ends no answer and counts as an attempt

What callers saw: answers broken off, and requests at more endpoints than their route allows, when a sound endpoint stands still for a second.

Cause: one probe without a reply in 70 ms marks an endpoint as down. This belief of a host was taken for the end of the endpoint in two places: its stream was dropped at once and the request sent elsewhere, and it no longer counted as an attempt. A silent endpoint goes on with the request.

Evidence: each request over the limit had an attempt_uncounted line with the reason down; each broken answer a fault 'silent for too long' before it.

Change: attempts.rs decides what counts: an endpoint does until its own connection broke and it is known to have ended (entry gone or of another start, connections refused, another start at its address). A probe that another start answers no longer marks the former one as up.

--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -45,6 +45,8 @@
     consecutive_broken: u32,
     ejected_until: Option<Instant>,
     is_down: bool,
+    ended_at: Option<Instant>,
+    is_replaced: bool,
     open_calls: u32,
 }
 
@@ -56,6 +58,8 @@
             consecutive_broken: 0,
             ejected_until: None,
             is_down: false,
+            ended_at: None,
+            is_replaced: false,
             open_calls: 0,
         }
     }
@@ -119,7 +123,32 @@
 
     /// Marks an endpoint as up, because it replies; returns whether it was down.
     pub fn mark_up(&mut self, name: &str) -> bool {
-        self.records.get_mut(name).is_some_and(|record| std::mem::take(&mut record.is_down))
+        let Some(record) = self.records.get_mut(name) else { return false };
+        record.ended_at = None;
+        record.is_replaced = false;
+        std::mem::take(&mut record.is_down)
+    }
+
+    /// Records that nothing listens at an endpoint's address.
+    pub fn record_refused(&mut self, name: &EndpointName, now: Instant) {
+        self.record(name).ended_at = Some(now);
+    }
+
+    /// Records that another start replies at an endpoint's address.
+    pub fn record_replaced(&mut self, name: &EndpointName, now: Instant) {
+        let record = self.record(name);
+        record.ended_at = Some(now);
+        record.is_replaced = true;
+    }
+
+    /// Whether another start replies at an endpoint's address.
+    pub fn is_replaced(&self, name: &str) -> bool {
+        self.records.get(name).is_some_and(|record| record.is_replaced)
+    }
+
+    /// When an endpoint was last found to have ended, if it has not replied since.
+    pub fn ended_at(&self, name: &str) -> Option<Instant> {
+        self.records.get(name)?.ended_at
     }
 
     /// Whether the endpoint is marked as down.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `freshness`, `shutdown`, `notices`. docs/design/platform.md
-//! describes the design.
+//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`.
+//! docs/design/platform.md describes the design.
 
 mod adapter;
+mod attempts;
 mod call;
 mod detour;
 mod endpoints;
@@ -38,6 +39,7 @@
 mod run;
 mod sending;
 mod shutdown;
+mod source;
 mod stall;
 mod state;
 mod stream;
@@ -48,6 +50,7 @@
     CallCodec, CallHead, EndpointReport, RecordGroup, RegistryClient, RegistryError,
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
+pub use attempts::AttemptLog;
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -41,6 +42,8 @@
         address: SocketAddr,
         /// What failed.
         reason: Box<str>,
+        /// Whether nothing listens at the address.
+        is_refused: bool,
     },
     /// The request was sent and may have run.
     #[error("no answer from {address}: {reason}")]
@@ -261,10 +264,14 @@
     address: SocketAddr,
     limit: Duration,
 ) -> Result<(RequestSender, AbortHandle), SendError> {
-    let not_sent = |reason: Box<str>| SendError::NotSent { address, reason };
+    let not_sent = |reason: Box<str>| SendError::NotSent { address, reason, is_refused: false };
     let stream = timeout(limit, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| not_sent("time for the connection is over".into()))?;
-    let stream = stream.map_err(|error| not_sent(error.to_string().into()))?;
+    let stream = stream.map_err(|error| SendError::NotSent {
+        address,
+        reason: error.to_string().into(),
+        is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
+    })?;
     set_socket_options(&stream);
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string().into()))?;
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -101,7 +101,8 @@
         connect_timeout: CONNECT_TIMEOUT.min(remaining),
         head_timeout: remaining,
     };
-    let reply = state.pool.send(target.endpoint.address, request, options).await?;
+    let sent = state.pool.send(target.endpoint.address, request, options).await;
+    let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
     let sent = SentReply { reply, head };
     // What belongs to another request, or comes from another endpoint at the address, says nothing.
@@ -139,6 +140,13 @@
     }
 }
 
+/// Records what a failed send says of the endpoint.
+fn note_error(state: &EntryState, entry: &EndpointEntry, error: &SendError) {
+    if matches!(error, SendError::NotSent { is_refused: true, .. }) {
+        state.health.borrow_mut().record_refused(&entry.name, Instant::now());
+    }
+}
+
 /// Fetches the state that an endpoint reports; `None` if the reply is not a valid report.
 pub(crate) async fn fetch_report(
     state: &EntryState,
@@ -148,7 +156,8 @@
     let uri = Uri::from_static(state.codec.report_path());
     let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
     let options = SendOptions::within(limit, Duration::ZERO);
-    let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
+    let fetched = state.pool.fetch(entry.address, request, options).await;
+    let (parts, body) = fetched.inspect_err(|error| note_error(state, entry, error))?;
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
     if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
         note_reply(state, entry, parts.status, &state.codec.read_reply("", &parts.headers));
@@ -167,6 +176,10 @@
 pub(crate) async fn probe(state: Rc<EntryState>, name: EndpointName) {
     let Some(entry) = state.endpoint(&name) else { return };
     match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
+        Ok(Some(report)) if report.start_unix_ms != entry.start_unix_ms => {
+            state.health.borrow_mut().record_replaced(&name, Instant::now());
+            mark_down(&state, &name, "another start replies at its address");
+        }
         Ok(report) => {
             state.clear_suspicion(&name);
             if state.health.borrow_mut().mark_up(&name) {
@@ -179,18 +192,21 @@
                 }
             }
         }
-        Err(error) => {
-            if state.health.borrow_mut().mark_down(&name) {
-                let rerouted = state.inflight.borrow().request_reroute_through(&name);
-                log::warn!(
-                    event = "endpoint_down", endpoint = &*name, streams = rerouted,
-                    error:% = error;
-                    "endpoint does not respond to a probe"
-                );
-                state.path_changed.notify_waiters();
-            }
-        }
+        Err(error) => mark_down(&state, &name, &error.to_string()),
+    }
+}
+
+/// Marks an endpoint as down, and has streams look for detours around it.
+fn mark_down(state: &EntryState, name: &EndpointName, error: &str) {
+    if !state.health.borrow_mut().mark_down(name) {
+        return;
     }
+    let rerouted = state.inflight.borrow().request_reroute_through(name);
+    log::warn!(
+        event = "endpoint_down", endpoint = &**name, streams = rerouted, error;
+        "endpoint does not respond to a probe"
+    );
+    state.path_changed.notify_waiters();
 }
 
 /// Checks why an endpoint refuses streams; excludes it if its KV cache has room and it is not busy.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -23,7 +23,7 @@
 use crate::heartbeat::LoopHeartbeat;
 use crate::inflight::{StageLoad, StreamTable};
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
-use crate::notices::EndpointNotices;
+use crate::notices::{EndpointNotices, EndpointStart};
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
@@ -724,6 +724,25 @@
         endpoints.entries().find(|entry| entry.address == address).map(|entry| entry.name.clone())
     }
 
+    /// Whether an endpoint, whose connection broke at the given time, is known to have ended: its
+    /// entry is gone or of another start, or its address has shown so since.
+    pub fn has_ended_since(&self, endpoint: EndpointStart<'_>, at: Instant) -> bool {
+        let is_listed = self
+            .endpoint(endpoint.name)
+            .is_some_and(|entry| entry.start_unix_ms == endpoint.start_unix_ms);
+        let ended_at = self.health.borrow().ended_at(endpoint.name);
+        !is_listed || ended_at.is_some_and(|ended| ended >= at)
+    }
+
+    /// Whether a later start is known under an endpoint's name or at its address.
+    pub fn is_replaced(&self, entry: &EndpointEntry) -> bool {
+        let is_listed = self.endpoints.borrow().entries().any(|other| {
+            (other.name == entry.name || other.address == entry.address)
+                && other.start_unix_ms > entry.start_unix_ms
+        });
+        is_listed || self.health.borrow().is_replaced(&entry.name)
+    }
+
     /// Registry entry of an endpoint.
     pub fn endpoint(&self, name: &str) -> Option<EndpointEntry> {
         self.endpoints.borrow().get(name).cloned()
