A request to reroute a stream ends with the silence that led to it

Cause: the watchdog's request was a stored notification, which outlived the event, or the accepted order, that answered it.

Change: a request is a mark that an event, another path or a stall of the host itself clears.

Test: request_to_reroute_ends_with_the_silence_that_led_to_it does not hold for a stored notification by its nature (Notify keeps its permit).

--- a/crates/entry/src/inflight.rs
+++ b/crates/entry/src/inflight.rs
@@ -33,8 +33,8 @@
     last_activity: Cell<Instant>,
     event_interval: Cell<Option<Duration>>,
     is_waiting: Cell<bool>,
-    /// Notified when the stream should continue over another path.
-    pub reroute_requested: Notify,
+    is_reroute_due: Cell<bool>,
+    reroute_requested: Notify,
 }
 
 impl StreamRecord {
@@ -48,8 +48,27 @@
         self.tokens
     }
 
+    /// Requests that the stream continue over another path, unless an event arrives first.
+    fn request_reroute(&self) {
+        self.is_reroute_due.set(true);
+        self.reroute_requested.notify_one();
+    }
+
+    /// Waits until the stream should continue over another path.
+    pub async fn reroute_due(&self) {
+        while !self.is_reroute_due.take() {
+            self.reroute_requested.notified().await;
+        }
+    }
+
+    /// Ends a silence, and drops a request to reroute that it led to.
+    fn end_silence(&self, now: Instant) -> Instant {
+        self.is_reroute_due.set(false);
+        self.last_activity.replace(now)
+    }
+
     fn record_event(&self, now: Instant) {
-        let interval = now.saturating_duration_since(self.last_activity.replace(now));
+        let interval = now.saturating_duration_since(self.end_silence(now));
         // The first interval includes the prefill, so it says nothing about the event rate.
         let event_interval = match self.event_interval.get() {
             None => INITIAL_EVENT_INTERVAL,
@@ -174,7 +193,7 @@
     /// Requests that a stream continue over another path.
     pub fn request_reroute(&self, number: StreamNumber) {
         if let Some(record) = self.records.get(&number) {
-            record.reroute_requested.notify_one();
+            record.request_reroute();
         }
     }
 
@@ -183,12 +202,14 @@
         let through = self.records.values().filter(|record| {
             record.is_waiting.get() && record.path().iter().any(|stage| &*stage.name == name)
         });
-        through.map(|record| record.reroute_requested.notify_one()).count()
+        through.map(|record| record.request_reroute()).count()
     }
 
     /// Restarts the silence of every stream; called after this host itself was stalled.
     pub fn reset_silence(&self, now: Instant) {
-        self.records.values().for_each(|record| record.last_activity.set(now));
+        self.records.values().for_each(|record| {
+            record.end_silence(now);
+        });
     }
 
     fn insert(&mut self, path: Rc<[PathStage]>, tokens: u32, now: Instant) -> Rc<StreamRecord> {
@@ -202,6 +223,7 @@
             last_activity: Cell::new(now),
             event_interval: Cell::new(None),
             is_waiting: Cell::new(true),
+            is_reroute_due: Cell::new(false),
             reroute_requested: Notify::new(),
         });
         self.records.insert(self.next, record.clone());
@@ -269,7 +291,7 @@
         table.add_path(&path, record.tokens);
         record.crossing_tokens_per_s.set(crossing_rate(&path, record.tokens));
         *record.path.borrow_mut() = path;
-        record.last_activity.set(now);
+        record.end_silence(now);
     }
 
     /// Records an event of the stream.
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -428,7 +428,7 @@
                     Ok(sent) => self.check_reply(guard, first, sent).await,
                     Err(error) => Err(self.send_failure(guard, first, &error)),
                 },
-                () = guard.record().reroute_requested.notified() => {
+                () = guard.record().reroute_due() => {
                     if let Err(failure) = silence.handle(context, guard, first).await {
                         return Err(self.log_failure(guard, failure));
                     }
@@ -545,7 +545,7 @@
         let frame = tokio::select! {
             biased;
             frame = body.frame() => frame,
-            () = guard.record().reroute_requested.notified() => {
+            () = guard.record().reroute_due() => {
                 silence.handle(context, guard, first).await?;
                 continue;
             }
