A stream that may start at few endpoints holds up no others in the queue

Cause: the queue of waiting streams is one for all, and only its first may look for a path. A stream that has used up its attempts waits for endpoints that may be down, for up to 1.9 s, ahead of new streams that have paths and are refused after 350 ms.

Change: it waits beside the queue, and looks whenever a path may be free.

--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -300,7 +300,9 @@
             WaitClass::Retried | WaitClass::New => Instant::now() + MAX_PATH_WAIT,
         };
         let until = until.min(self.call.deadline);
-        if self.state.path_queue.borrow().is_empty()
+        // A stream that may start at few endpoints would hold up those behind it.
+        let is_limited = self.start_limits().starts.is_some();
+        if (is_limited || self.state.path_queue.borrow().is_empty())
             && let Some(path) = self.find_path()
         {
             return Ok(self.accept_path(path));
@@ -308,14 +310,16 @@
         if self.pause_end().is_some_and(|end| end >= until) {
             return Err(SourceFailure::NoPath("all first stages have asked for a pause".into()));
         }
-        let guard = QueueGuard::new(&self.state, self.wait_class(), self.call.priority);
-        if Instant::now() + guard.expected_wait > until {
-            let wait_ms = guard.expected_wait.as_millis();
+        let guard = (!is_limited)
+            .then(|| QueueGuard::new(&self.state, self.wait_class(), self.call.priority));
+        let expected_wait = guard.as_ref().map_or(Duration::ZERO, |guard| guard.expected_wait);
+        if Instant::now() + expected_wait > until {
+            let wait_ms = expected_wait.as_millis();
             return Err(SourceFailure::NoPath(format!("the line is {wait_ms} ms long").into()));
         }
         loop {
             let path_changed = self.state.path_changed.notified();
-            if guard.is_first()
+            if guard.as_ref().is_none_or(QueueGuard::is_first)
                 && let Some(path) = self.find_path()
             {
                 return Ok(self.accept_path(path));
