--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -29,6 +29,10 @@
     pub max_output_tokens: Option<u32>,
     /// Estimated number of tokens of the answer.
     pub output_tokens_hint: Option<u32>,
+    /// Identifiers of the parts of the prompt that requests share, in order: all but the last part.
+    pub shared_parts: Vec<Box<str>>,
+    /// Identifier of the last part of the prompt, the request's own.
+    pub own_part: Option<Box<str>>,
 }
 
 /// Fields that this host adds to the head of a request that it forwards.
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -195,7 +195,7 @@
         let stages: Vec<&str> = path.iter().map(|stage| &*stage.name).collect();
         log::info!(
             event = "stream_fault", attempt = &*self.call.head.attempt, sends = self.sends(), fault,
-            stages:? = stages, last_event = self.last_event_id.get().unwrap_or(0),
+            stages:? = stages, parts:? = self.call.head.shared_parts, last_event = self.last_event_id.get().unwrap_or(0),
             silent_ms = self.last_event_at.get().elapsed().as_millis() as u64,
             age_ms = self.call.arrived.elapsed().as_millis() as u64; "stream failed on its path"
         );
