Decision on prompt parts that crash endpoints

Cause: no host knows which prompts were in flight when an endpoint ended.

Change: poison.rs keeps what each crash cut and what was answered, merges this over hosts, and names the parts whose requests are to be refused. It does no I/O and isn't wired into streams and the hosts' exchange yet.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `freshness`, `shutdown`, `notices`. docs/design/platform.md
-//! describes the design.
+//! `relay`, `returns`, `health`, `freshness`, `shutdown`, `notices`, `poison`.
+//! docs/design/platform.md describes the design.
 
 mod adapter;
 mod call;
@@ -27,6 +27,7 @@
 mod peers;
 mod placement;
 mod plain;
+mod poison;
 mod pool;
 mod queue;
 mod quota;
@@ -66,6 +67,7 @@
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
+pub use poison::{BlamedPart, PoisonReport, PoisonTable, PromptPart};
 pub use pool::{
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
     host_header,
