Poison parts: one resent request proves nothing, parts in flight together

In seeded schedules in memory, a rare part was blamed because one request with it was cut by three ordinary crashes, and the second of two poison parts was taken for explained by the first, or by too few separate moments.

Change: a part needs cuts of two requests, told apart by a hash of the last part of the prompt; five crashes suffice at two moments; a part with strong evidence over all crashes needs little that is its own.

--- a/crates/entry/src/poison.rs
+++ b/crates/entry/src/poison.rs
@@ -34,11 +34,14 @@
 /// Number of crashes after which one of several parts with equal evidence is blamed, or a part with
 /// fewer separate moments.
 const MIN_MANY_CRASHES: usize = 5;
+/// Number of requests that the crashes must have cut: one that is sent again after each ordinary
+/// crash proves nothing.
+const MIN_REQUESTS: usize = 2;
 /// Number of separate moments that many crashes need.
 const MIN_MANY_MOMENTS: usize = 2;
 /// Number of streams a crash from which a part is too frequent to be blamed for so few moments: it
 /// would be in all crashes of a lost domain.
-const FREQUENT_STREAMS: usize = 2;
+const FREQUENT_STREAMS: usize = 3;
 /// Number of separate moments of crashes after its last answer from which an answered part is
 /// blamed.
 const MIN_ANSWERED_MOMENTS: usize = 8;
@@ -87,6 +90,9 @@
 /// Id of a part of a prompt.
 pub type PromptPart = Box<str>;
 
+/// Identity of a request over its sends: a hash of the last part of its prompt.
+pub type RequestTag = u64;
+
 /// Identity of a crash: name and start time of the endpoint that ended.
 type CrashKey = (EndpointName, u64);
 
@@ -112,13 +118,13 @@
     }
 }
 
-/// One crash, with its suspects as part, number of streams and place in the prompt.
+/// One crash, with its suspects as part, number of streams, place in the prompt and request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashReport {
     endpoint: EndpointName,
     start_unix_ms: u64,
     age_ms: u64,
-    suspects: Vec<(PromptPart, u32, u32)>,
+    suspects: Vec<(PromptPart, u32, u32, RequestTag)>,
 }
 
 /// Refusals and trials of one blamed part.
@@ -152,10 +158,18 @@
 }
 
 /// How often a part was a suspect in one crash, and where it stood.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 struct Suspicion {
     streams: u32,
     place: u32,
+    /// The least tag of the requests cut.
+    request: RequestTag,
+}
+
+impl Default for Suspicion {
+    fn default() -> Self {
+        Self { streams: 0, place: 0, request: RequestTag::MAX }
+    }
 }
 
 #[derive(Debug)]
@@ -170,13 +184,14 @@
     }
 
     /// Adds one broken stream.
-    fn add_stream(&mut self, parts: &[PromptPart], at: TableTime) {
+    fn add_stream(&mut self, parts: &[PromptPart], request: RequestTag, at: TableTime) {
         self.at = self.at.min(at);
         let places: BTreeMap<_, _> = valid_parts(parts).zip(0..).collect();
         for (part, place) in places {
             let suspicion = self.suspects.entry(part.clone()).or_default();
             suspicion.streams = suspicion.streams.saturating_add(1);
             suspicion.place = suspicion.place.max(place);
+            suspicion.request = suspicion.request.min(request);
         }
     }
 
@@ -187,9 +202,12 @@
         self.at = self.at.min(other.at);
         for (part, other) in other.suspects {
             let suspicion = self.suspects.entry(part).or_default();
-            is_new |= suspicion.streams < other.streams || suspicion.place < other.place;
+            is_new |= suspicion.streams < other.streams
+                || suspicion.place < other.place
+                || suspicion.request > other.request;
             suspicion.streams = suspicion.streams.max(other.streams);
             suspicion.place = suspicion.place.max(other.place);
+            suspicion.request = suspicion.request.min(other.request);
         }
         is_new
     }
@@ -258,12 +276,14 @@
     crashes: Vec<(TableTime, &'a CrashKey)>,
     streams: u32,
     place: u32,
+    requests: BTreeSet<RequestTag>,
 }
 
 impl PartEvidence<'_> {
     fn add(&mut self, suspicion: Suspicion) {
         self.streams = self.streams.saturating_add(suspicion.streams);
         self.place = self.place.max(suspicion.place);
+        self.requests.insert(suspicion.request);
     }
 
     /// Number of crashes of which each is later than the one before by `MOMENT`.
@@ -319,7 +339,7 @@
 /// for number in 1..=3 {
 ///     let (name, now) = ("i-1".into(), start + Duration::from_secs(number));
 ///     let endpoint = EndpointStart { name: &name, start_unix_ms: number };
-///     table.record_break(endpoint, &parts, now);
+///     table.record_break(endpoint, &parts, number, now);
 ///     table.confirm_end(endpoint, now);
 /// }
 /// let now = start + Duration::from_secs(4);
@@ -363,18 +383,19 @@
         &mut self,
         endpoint: EndpointStart<'_>,
         parts: &[PromptPart],
+        request: RequestTag,
         now: Instant,
     ) {
         let (key, at) = (crash_key(endpoint), self.at(now));
         if let Some(record) = self.crashes.get_mut(&key) {
-            record.add_stream(parts, at);
+            record.add_stream(parts, request, at);
             self.is_changed = true;
             self.limit_suspects(&key);
             return;
         }
         let record = self.pending.entry(key).or_insert_with(|| CrashRecord::new(at));
         if record.suspects.len() < MAX_SUSPECTS {
-            record.add_stream(parts, at);
+            record.add_stream(parts, request, at);
         }
         if self.pending.len() > MAX_PENDING {
             let oldest = self.pending.iter().min_by_key(|(_, record)| record.at);
@@ -489,7 +510,8 @@
         }
         let suspects = crash.suspects.into_iter().take(MAX_SUSPECTS);
         let suspects = suspects.filter(|(part, ..)| is_valid(part));
-        let suspects = suspects.map(|(part, streams, place)| (part, Suspicion { streams, place }));
+        let suspects = suspects
+            .map(|(part, streams, place, request)| (part, Suspicion { streams, place, request }));
         let record = CrashRecord { at: crashed_at, suspects: suspects.collect() };
         let key = (crash.endpoint, crash.start_unix_ms);
         let pending = self.pending.remove(&key);
@@ -532,7 +554,7 @@
                 None => true,
             };
             let suspects = record.suspects.iter().filter(|(part, _)| is_told(part));
-            let suspects = suspects.map(|(part, s)| (part.clone(), s.streams, s.place));
+            let suspects = suspects.map(|(part, s)| (part.clone(), s.streams, s.place, s.request));
             let suspects: Vec<_> = suspects.collect();
             if suspects.is_empty() || suspects.len() > room {
                 continue;
@@ -666,7 +688,7 @@
         let mut findings = FindingList { unexplained: all.clone(), findings: Vec::new() };
         while findings.add(self.strongest_finding(&findings.unexplained, false)) {}
         let whole = self.collect_evidence(&all, false);
-        while findings.add(self.overlapped_finding(&findings.unexplained, &whole)) {}
+        while findings.add(Self::overlapped_finding(&findings.unexplained, &whole)) {}
         while findings.add(self.strongest_finding(&findings.unexplained, true)) {}
         let findings = findings.findings;
         for finding in &findings {
@@ -715,16 +737,19 @@
     /// A part with strong evidence, most of which is in crashes that a stronger part explains: two
     /// poison parts may be in flight at the same endpoint. `whole` is the evidence in all crashes.
     fn overlapped_finding(
-        &self,
         unexplained: &BTreeSet<&CrashKey>,
         whole: &BTreeMap<&PromptPart, PartEvidence<'_>>,
     ) -> Option<BlameFinding> {
-        let rest = self.collect_evidence(unexplained, false);
-        let parts = whole.iter().filter(|(part, evidence)| {
+        let most_crashes = whole.values().map(|evidence| evidence.crashes.len()).max()?;
+        let is_own = |evidence: &PartEvidence<'_>| {
+            let own = evidence.crashes.iter().filter(|(_, key)| unexplained.contains(key)).count();
+            own >= MIN_MANY_MOMENTS || own > 0 && 2 * evidence.crashes.len() >= most_crashes
+        };
+        let parts = whole.iter().filter(|(_, evidence)| {
             evidence.crashes.len() >= MIN_MANY_CRASHES
                 && !evidence.is_frequent()
                 && evidence.moments() >= MIN_MOMENTS
-                && rest.get(*part).is_some_and(|own| own.moments() >= MIN_MANY_MOMENTS)
+                && is_own(evidence)
         });
         let (part, evidence) = parts.max_by_key(|(_, evidence)| evidence.strength())?;
         Some(evidence.finding(part))
@@ -750,7 +775,9 @@
                 }
             }
         }
-        suspects.retain(|_, evidence| evidence.crashes.len() >= MIN_MANY_MOMENTS);
+        suspects.retain(|_, evidence| {
+            evidence.crashes.len() >= MIN_MANY_MOMENTS && evidence.requests.len() >= MIN_REQUESTS
+        });
         suspects
     }
 
--- a/crates/entry/tests/poison_parts.rs
+++ b/crates/entry/tests/poison_parts.rs
@@ -18,8 +18,8 @@
 fn crash(table: &mut PoisonTable, number: u64, streams: &[&[&str]], now: Instant) {
     let name = format!("i-{number}").into();
     let endpoint = EndpointStart { name: &name, start_unix_ms: number };
-    for ids in streams {
-        table.record_break(endpoint, &parts(ids), now);
+    for (stream, ids) in (0..).zip(streams) {
+        table.record_break(endpoint, &parts(ids), 1_000 * number + stream, now);
     }
     table.confirm_end(endpoint, now);
 }
@@ -180,7 +180,7 @@
             let endpoint = EndpointStart { name: &name, start_unix_ms: round };
             let first = format!("first{}", stream % 60 % (1 + stream % 60));
             let customer = format!("customer{}", stream % 10);
-            table.record_break(endpoint, &parts(&["all", &first, &customer]), now);
+            table.record_break(endpoint, &parts(&["all", &first, &customer]), stream, now);
             table.confirm_end(endpoint, now + secs(0.1));
         }
     }
@@ -223,7 +223,7 @@
     for number in 1..=9 {
         let name = format!("i-{number}").into();
         let endpoint = EndpointStart { name: &name, start_unix_ms: 1 };
-        table.record_break(endpoint, &parts(&[POISON]), start + secs(number as f64));
+        table.record_break(endpoint, &parts(&[POISON]), number, start + secs(number as f64));
     }
     assert_eq!(blamed(&mut table, start + secs(9.0)), parts(&[]));
     for number in 7..=9 {
@@ -234,6 +234,20 @@
     assert_eq!(blamed(&mut table, start + secs(9.5)), parts(&[POISON]));
 }
 
+/// Ordinary crashes cut the request wherever it is sent.
+#[test]
+fn one_request_that_is_cut_again_and_again_proves_nothing() {
+    let start = Instant::now();
+    let mut table = PoisonTable::new(start);
+    for number in 1..=6 {
+        let (name, now) = (format!("i-{number}").into(), start + secs(number as f64));
+        let endpoint = EndpointStart { name: &name, start_unix_ms: 1 };
+        table.record_break(endpoint, &parts(&["rare"]), 7, now);
+        table.confirm_end(endpoint, now);
+    }
+    assert_eq!(blamed(&mut table, start + secs(7.0)), parts(&[]));
+}
+
 #[test]
 fn break_after_the_confirmed_end_counts() {
     let start = Instant::now();
@@ -242,7 +256,7 @@
         let (name, now) = ("i-1".into(), start + secs(number as f64));
         let endpoint = EndpointStart { name: &name, start_unix_ms: number };
         table.confirm_end(endpoint, now);
-        table.record_break(endpoint, &parts(&[POISON]), now + secs(0.3));
+        table.record_break(endpoint, &parts(&[POISON]), number, now + secs(0.3));
     }
     assert!(is_refused(&mut table, &[POISON], start + secs(4.0)));
 }
@@ -451,7 +465,7 @@
             let part = format!("p{}", number / 3);
             serde_json::json!({
                 "endpoint": format!("i-{number}"), "start_unix_ms": 1, "age_ms": number * 1_000,
-                "suspects": [[part, 1, 0]],
+                "suspects": [[part, 1, 0, number]],
             })
         })
         .collect();
--- a/crates/entry/tests/poison_schedules.rs
+++ b/crates/entry/tests/poison_schedules.rs
@@ -56,6 +56,8 @@
     host: usize,
     parts: Vec<PromptPart>,
     is_poison: bool,
+    /// Hash of the last part.
+    request: u64,
     sends: u32,
     begins_ms: u64,
 }
@@ -197,7 +199,7 @@
 
     fn stream(&mut self, parts: Vec<PromptPart>, is_poison: bool) -> Stream {
         let host = self.draw.random_range(0..self.deployment.hosts);
-        Stream { host, parts, is_poison, sends: 0, begins_ms: 0 }
+        Stream { host, parts, is_poison, request: self.draw.random(), sends: 0, begins_ms: 0 }
     }
 
     fn send(&mut self, mut stream: Stream) {
@@ -293,7 +295,7 @@
             Event::Break { endpoint, start_ms, stream } => {
                 let name = format!("i-{endpoint}").into();
                 let start = EndpointStart { name: &name, start_unix_ms: start_ms };
-                self.tables[stream.host].record_break(start, &stream.parts, now);
+                self.tables[stream.host].record_break(start, &stream.parts, stream.request, now);
                 self.send(stream);
             }
             Event::Confirm { endpoint, start_ms, host } => {
