--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`.
+//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -28,6 +28,7 @@
 mod peers;
 mod placement;
 mod plain;
+mod poison;
 mod pool;
 mod queue;
 mod quota;
@@ -69,6 +70,7 @@
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
+pub use poison::{BlamedPart, PoisonReport, PoisonTable, PromptPart, RequestTag};
 pub use pool::{
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
     host_header,
