Requests with a prompt part that crashes endpoints are refused

What callers saw: requests of one kind end one endpoint after the other, and with them all streams that run there.

Cause: no host read the parts of a prompt or knew what had been in flight when an endpoint ended; each crash was an endpoint's failure, and the next request of the kind went to another endpoint.

Change: a stream that its endpoint broke off after the head of the answer and before the answer went on past its first events is a suspect's evidence once the endpoint is known to have ended without leaving. poison.rs decides from the crashes of all hosts, which these exchange with their loads, and from answers that went on; requests with a blamed part are refused at once, before each send, as not run (3008, poison_prompt, with the part and its crashes). Hosts that start ask others before they are ready. The evidence needs no store; reports hold crashes of the last 10 s and those explained by a blamed part.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -9,6 +9,7 @@
 
 use crate::endpoints::{EndpointChange, EndpointEntry, LayerSpan};
 use crate::path::PathStage;
+use crate::poison::PromptPart;
 use crate::rules::ServingRules;
 use crate::version::RegistryVersion;
 
@@ -30,9 +31,9 @@
     /// Estimated number of tokens of the answer.
     pub output_tokens_hint: Option<u32>,
     /// Identifiers of the parts of the prompt that requests share, in order: all but the last part.
-    pub shared_parts: Vec<Box<str>>,
+    pub shared_parts: Vec<PromptPart>,
     /// Identifier of the last part of the prompt, the request's own.
-    pub own_part: Option<Box<str>>,
+    pub own_part: Option<PromptPart>,
 }
 
 /// Fields that this host adds to the head of a request that it forwards.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::follow::endpoints_changed;
 use crate::front::serve_internal;
 use crate::loads::LoadSum;
+use crate::poison::PoisonReport;
 use crate::pool::{SendOptions, build_request};
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
@@ -42,6 +43,10 @@
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Maximum number of hosts that a stopping host asks whether they take calls.
 const MAX_ASKED_HOSTS: usize = 8;
+/// Time within which a host that starts asks others what they know, if it learns of any.
+const START_TIME: Duration = Duration::from_secs(1);
+/// Interval at which it looks for others to ask.
+const START_ASK_INTERVAL: Duration = Duration::from_millis(50);
 /// Maximum size of a host's load report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
@@ -56,6 +61,9 @@
     /// Endpoints that accept no work, as the host knows.
     #[serde(default)]
     excluded: Vec<SharedExclusion>,
+    /// Evidence on prompt parts that crash endpoints.
+    #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
+    poison: PoisonReport,
 }
 
 /// Reply of the holder of the placement lease, or of a relay, to a load report.
@@ -89,6 +97,9 @@
     /// The newest rules that the replying host knows of.
     #[serde(default)]
     rules: Option<RulesReport>,
+    /// Evidence on prompt parts that crash endpoints.
+    #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
+    poison: PoisonReport,
 }
 
 /// The newest rules that a host knows of.
@@ -231,6 +242,7 @@
         sum: group,
         seen: known.map(|position| (position.boot, position.number)),
         excluded: state.exclusions.borrow().shared(Instant::now()),
+        poison: state.poison.borrow_mut().report(Instant::now()),
     };
     let reply = match serde_json::to_vec(&report) {
         Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
@@ -292,6 +304,7 @@
         freshness.record_peer(state.rules_number(), report.version, confirmed, now);
     }
     apply_exclusions(state, reply.excluded);
+    apply_poison(state, reply.poison);
     state.update_retry_share();
     state.wake_queue();
     is_current
@@ -302,6 +315,12 @@
     table.apply(exclusions, |name| state.endpoint(name), Instant::now());
 }
 
+fn apply_poison(state: &EntryState, report: PoisonReport) {
+    if !report.is_empty() {
+        state.change_poison(|table, now| table.apply(report, now));
+    }
+}
+
 /// Status of a host, with the placement holder if it knows of one.
 #[derive(Debug, Serialize, Deserialize)]
 pub(crate) struct HostStatus {
@@ -315,6 +334,9 @@
     pub(crate) can_reach_registry: bool,
     /// The holder whose replies the host receives, or the host itself, with its address.
     holder: Option<(HostName, SocketAddr)>,
+    /// Evidence on prompt parts that crash endpoints.
+    #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
+    poison: PoisonReport,
 }
 
 impl HostStatus {
@@ -329,14 +351,34 @@
     fetch(state, address, STATUS_PATH, Vec::new()).await.ok()
 }
 
-/// Asks some other hosts whether they take calls, those of this host's failure domain first.
-pub(crate) async fn other_hosts(state: &EntryState) -> OtherHosts {
+/// Fetches the status of some other hosts, those of this host's failure domain first.
+async fn fetch_statuses(state: &EntryState) -> Vec<HostStatus> {
     let mut peers: Vec<_> = state.peers.borrow().values().cloned().collect();
     peers.sort_by_key(|peer| peer.domain != state.options.domain);
     let asked = peers.iter().take(MAX_ASKED_HOSTS);
     let statuses = asked.map(|peer| fetch_status(state, peer.address));
-    let statuses: Vec<_> =
-        futures::future::join_all(statuses).await.into_iter().flatten().collect();
+    futures::future::join_all(statuses).await.into_iter().flatten().collect()
+}
+
+/// Takes over what other hosts know of prompt parts that crash endpoints, before this host takes
+/// calls. Loads are exchanged only once a placement holder is known.
+pub(crate) async fn learn_at_start(state: Rc<EntryState>) {
+    let until = Instant::now() + START_TIME;
+    while Instant::now() < until {
+        let statuses = fetch_statuses(&state).await;
+        let is_answered = !statuses.is_empty();
+        statuses.into_iter().for_each(|status| apply_poison(&state, status.poison));
+        if is_answered {
+            break;
+        }
+        sleep(START_ASK_INTERVAL).await;
+    }
+    state.has_asked_hosts.set(true);
+}
+
+/// Asks some other hosts whether they take calls, those of this host's failure domain first.
+pub(crate) async fn other_hosts(state: &EntryState) -> OtherHosts {
+    let statuses = fetch_statuses(state).await;
     if statuses.iter().any(|status| status.is_serving) {
         return OtherHosts::Serve;
     }
@@ -355,6 +397,7 @@
             .map(|plan| whole_ms(plan.exit().saturating_duration_since(Instant::now()))),
         can_reach_registry: state.can_reach_registry(),
         holder: holder.map(|holder| (holder.host, holder.address)),
+        poison: state.poison.borrow_mut().report(Instant::now()),
     }
 }
 
@@ -424,6 +467,7 @@
     let now = Instant::now();
     let is_holder = state.is_holder();
     apply_exclusions(state, report.excluded);
+    apply_poison(state, report.poison);
     let own = state.own_load();
     let total = {
         let mut loads = state.relay_loads.borrow_mut();
@@ -453,6 +497,7 @@
         }),
         excluded: state.exclusions.borrow().shared(Instant::now()),
         rules: rules_report(state, now),
+        poison: state.poison.borrow_mut().report(now),
     }
 }
 
--- a/crates/entry/src/poison.rs
+++ b/crates/entry/src/poison.rs
@@ -80,6 +80,8 @@
 const MAX_SUSPECTS: usize = 256;
 /// Maximum number of answered parts.
 const MAX_ANSWERED: usize = 4_096;
+/// Age up to which a crash that no blamed part explains is reported; by then all hosts know of it.
+const REPORT_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of crashes in a report.
 const MAX_REPORT_CRASHES: usize = 128;
 /// Maximum number of suspects in a report, over all crashes.
@@ -453,6 +455,12 @@
         Some(blamed_part(&finding.part, record, at))
     }
 
+    /// Whether one of the parts is blamed, without counting a refusal.
+    pub fn is_blamed(&mut self, parts: &[PromptPart], now: Instant) -> bool {
+        !self.crashes.is_empty()
+            && self.blamed(now).iter().any(|blamed| valid_parts(parts).any(|p| *p == blamed.part))
+    }
+
     /// The parts that are blamed.
     pub fn blamed(&mut self, now: Instant) -> Vec<BlamedPart> {
         self.derive_findings();
@@ -542,7 +550,10 @@
 
     fn crash_reports(&self, at: TableTime) -> Vec<CrashReport> {
         let explained = self.explained_crashes(at);
-        let mut crashes: Vec<_> = self.crashes.iter().collect();
+        let is_reported = |(key, record): &(&CrashKey, &CrashRecord)| {
+            explained.contains(key) || at - record.at < millis(REPORT_TIME)
+        };
+        let mut crashes: Vec<_> = self.crashes.iter().filter(is_reported).collect();
         crashes.sort_by_key(|(key, record)| Reverse((explained.contains(key), record.at)));
         let mut room = MAX_REPORT_SUSPECTS;
         let mut reports = Vec::new();
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -63,6 +63,7 @@
     tokio::task::spawn_local(placement::run(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     tokio::task::spawn_local(peers::exchange_loads(state.clone()));
+    tokio::task::spawn_local(peers::learn_at_start(state.clone()));
     tokio::task::spawn_local(peers::serve(state.clone(), peer));
     tokio::task::spawn_local(front::serve_ready(state.clone(), ready));
     let accepting = tokio::task::spawn_local(front::serve_callers(state.clone(), callers, closing));
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -144,15 +144,16 @@
 fn note_error(state: &EntryState, entry: &EndpointEntry, error: &SendError) {
     let is_refused = matches!(error, SendError::NotSent { is_refused: true, .. });
     if is_refused && state.health.borrow_mut().record_refused(&entry.name, Instant::now()) {
-        endpoint_ended(state, &entry.name, "nothing listens at its address");
+        endpoint_ended(state, entry, "nothing listens at its address");
     }
 }
 
 /// Lets streams that wait go on without an endpoint that has ended.
-fn endpoint_ended(state: &EntryState, name: &EndpointName, reason: &str) {
-    let rerouted = state.inflight.borrow().request_reroute_through(name);
+fn endpoint_ended(state: &EntryState, entry: &EndpointEntry, reason: &str) {
+    state.record_crash(entry);
+    let rerouted = state.inflight.borrow().request_reroute_through(&entry.name);
     log::info!(
-        event = "endpoint_ended", endpoint = &**name, streams = rerouted, reason;
+        event = "endpoint_ended", endpoint = &*entry.name, streams = rerouted, reason;
         "endpoint has ended"
     );
     state.path_changed.notify_waiters();
@@ -198,7 +199,7 @@
         Ok(Some(report)) if report.start_unix_ms != entry.start_unix_ms => {
             let error = "another start replies at its address";
             if state.health.borrow_mut().record_replaced(&name, Instant::now()) {
-                endpoint_ended(&state, &name, error);
+                endpoint_ended(&state, &entry, error);
             }
             mark_down(&state, &name, error);
         }
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
 use jacinthrock::EndpointName;
+use sha2::{Digest, Sha256};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::attempts::AttemptLog;
@@ -54,6 +55,8 @@
 const RESUME_RESERVED_SHARE: f64 = 0.2;
 /// Maximum sends per stream, regardless of the rules; more would only add to an overload.
 const MAX_SENDS: u32 = 4;
+/// Number of arrivals of events after which an endpoint has gone on past the beginning of an answer.
+const ANSWERED_ARRIVALS: u32 = 2;
 /// Time after a failed search for a detour before the next, while a source stays silent.
 const REROUTE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
@@ -67,6 +70,8 @@
     Unknown(Box<str>),
     /// No path has room, for the given reason.
     NoPath(Box<str>),
+    /// A part of the prompt crashes endpoints; the request was not sent to another one.
+    PoisonPrompt(Box<str>),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
@@ -158,11 +163,11 @@
         self.sends() < MAX_SENDS
             && !self.call.remaining().is_zero()
             && self.state.has_retry(&self.call.service, self.reserved_share(reason))
-            && (reason == RetryReason::Fault || self.has_start_left())
+            && (reason == RetryReason::Fault || self.may_hedge())
     }
 
     /// Whether there is an endpoint to start at other than those on which sources wait.
-    fn has_start_left(&self) -> bool {
+    fn may_hedge(&self) -> bool {
         let limits = self.start_limits();
         let Some(starts) = limits.starts else { return true };
         let now = Instant::now();
@@ -182,6 +187,28 @@
         self.state.allow_retry(&self.call.service, reason.label(), self.reserved_share(reason))
     }
 
+    /// Fails if a part of the prompt is known to crash endpoints. Returns whether the request is a
+    /// trial of such a part.
+    fn check_prompt(&self) -> Result<bool, SourceFailure> {
+        let (parts, now) = (&self.call.head.shared_parts, Instant::now());
+        let mut table = self.state.poison.borrow_mut();
+        let is_blamed = table.is_blamed(parts, now);
+        match table.verdict(parts, self.state.is_holder(), now) {
+            Some(blamed) => Err(SourceFailure::PoisonPrompt(blamed.to_string().into())),
+            None => Ok(is_blamed),
+        }
+    }
+
+    /// Records that an endpoint broke off the stream before it went on past its first event.
+    fn record_cut(&self, first: &EndpointEntry) {
+        let head = &self.call.head;
+        let mut hasher = Sha256::new();
+        hasher.update(head.own_part.as_deref().unwrap_or(&head.attempt));
+        let tag = hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+        let mut table = self.state.poison.borrow_mut();
+        table.record_break(first.start(), &head.shared_parts, tag, Instant::now());
+    }
+
     /// When the first of the endpoints at which paths start wants requests again, if all have asked
     /// for a pause.
     pub(crate) fn pause_end(&self) -> Option<Instant> {
@@ -428,6 +455,8 @@
     body: Incoming,
     lease: ConnectionLease,
     silence: SilenceHandler,
+    /// Number of times that complete events arrived.
+    arrivals: u32,
     _hold: StageHold,
 }
 
@@ -450,7 +479,11 @@
     async fn open(&mut self) -> Result<SourceStep, SourceFailure> {
         let context = self.context.clone();
         let state = &context.state;
+        let is_trial = context.check_prompt()?;
         let path = context.wait_for_path().await?;
+        if !is_trial {
+            context.check_prompt()?;
+        }
         let Some(first) = state.endpoint(&path[0].name) else {
             return Err(SourceFailure::NotRun("first stage has left".into()));
         };
@@ -473,7 +506,8 @@
         let sent = self.send(&guard, &first, urgency, &mut silence).await?;
         let parts = sent.reply.parts;
         let (body, lease) = (sent.reply.body, sent.reply.lease);
-        self.open = Some(OpenStream { guard, first, body, lease, silence, _hold: hold });
+        let open = OpenStream { guard, first, body, lease, silence, arrivals: 0, _hold: hold };
+        self.open = Some(open);
         Ok(SourceStep::Opened(SourceHead { status: parts.status, headers: parts.headers }))
     }
 
@@ -595,6 +629,11 @@
         open.guard.record().set_waiting(false, Instant::now());
         match result {
             Ok(Some(events)) => {
+                open.arrivals += 1;
+                if open.arrivals == ANSWERED_ARRIVALS {
+                    let parts = &self.context.call.head.shared_parts;
+                    self.context.state.poison.borrow_mut().record_answer(parts, Instant::now());
+                }
                 self.open = Some(open);
                 Ok(SourceStep::Events(events, self.framer.last_event_id()))
             }
@@ -616,7 +655,13 @@
     open: &mut OpenStream,
     framer: &mut EventFramer,
 ) -> Result<Option<Bytes>, SourceFailure> {
-    let OpenStream { guard, first, body, silence, .. } = open;
+    let OpenStream { guard, first, body, silence, arrivals, .. } = open;
+    let record_broken = || {
+        if *arrivals < ANSWERED_ARRIVALS {
+            context.record_cut(first);
+        }
+        context.record_broken(first);
+    };
     loop {
         let frame = tokio::select! {
             biased;
@@ -628,12 +673,12 @@
         };
         let bytes = match frame {
             None if framer.has_partial() => {
-                context.record_broken(first);
+                record_broken();
                 return Err(SourceFailure::Unknown("ended within an event".into()));
             }
             None => return Ok(None),
             Some(Err(error)) => {
-                context.record_broken(first);
+                record_broken();
                 return Err(SourceFailure::Unknown(format!("broke off: {error}").into()));
             }
             Some(Ok(frame)) => match frame.into_data() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -25,6 +25,7 @@
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
 use crate::notices::{EndpointNotices, EndpointStart};
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
+use crate::poison::PoisonTable;
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
 use crate::quota::CrossingQuota;
@@ -146,6 +147,10 @@
     pub rules_freshness: RefCell<RulesFreshness>,
     /// Endpoints that accept no work although the registry lists them.
     pub exclusions: RefCell<ExclusionTable>,
+    /// Whether this host has taken over what others know, or found none to ask.
+    pub has_asked_hosts: Cell<bool>,
+    /// Evidence on prompt parts that crash endpoints.
+    pub poison: RefCell<PoisonTable>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
     /// Streams in flight.
@@ -231,6 +236,8 @@
             health: RefCell::default(),
             rules_freshness: RefCell::default(),
             exclusions: RefCell::default(),
+            has_asked_hosts: Cell::new(false),
+            poison: RefCell::new(PoisonTable::new(Instant::now())),
             notices: RefCell::default(),
             inflight: Rc::default(),
             path_changed: Notify::new(),
@@ -747,6 +754,31 @@
         is_replaced || self.health.borrow().ended_at(name).is_some()
     }
 
+    /// Records that an endpoint has ended without having left: the streams that it cut are evidence
+    /// against the parts of their prompts.
+    pub fn record_crash(&self, entry: &EndpointEntry) {
+        if !self.is_leaving_endpoint(entry) {
+            self.change_poison(|table, now| table.confirm_end(entry.start(), now));
+        }
+    }
+
+    /// Changes the evidence on prompt parts, and logs the parts that are blamed from then on.
+    pub fn change_poison(&self, change: impl FnOnce(&mut PoisonTable, Instant)) {
+        let now = Instant::now();
+        let mut table = self.poison.borrow_mut();
+        let before = table.blamed(now);
+        change(&mut table, now);
+        for blamed in table.blamed(now) {
+            if before.iter().all(|known| known.part != blamed.part) {
+                log::warn!(
+                    event = "part_blamed", part = &*blamed.part, crashes = blamed.crashes,
+                    since_ms = blamed.since.as_millis() as u64;
+                    "requests with a prompt part that crashes endpoints are refused"
+                );
+            }
+        }
+    }
+
     /// Whether a later start is known under an endpoint's name or at its address.
     pub fn is_replaced(&self, entry: &EndpointEntry) -> bool {
         let is_listed = self.endpoints.borrow().entries().any(|other| {
@@ -761,9 +793,11 @@
         self.endpoints.borrow().get(name).cloned()
     }
 
-    /// Whether requests can be served: rules are known, and each model has a path.
+    /// Whether requests can be served: rules are known, other hosts were asked, and each model has a
+    /// path.
     pub fn is_ready(&self) -> bool {
-        let Some(rules) = self.rules().filter(|_| !self.is_leaving()) else { return false };
+        let may_serve = !self.is_leaving() && self.has_asked_hosts.get();
+        let Some(rules) = self.rules().filter(|_| may_serve) else { return false };
         let none = BTreeSet::new();
         rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
             |(name, _)| {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -7,6 +7,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures::stream;
@@ -23,6 +24,8 @@
 };
 use crate::state::EntryState;
 
+/// Retry-After of requests with a prompt part that crashes endpoints, which stays so for minutes.
+const POISON_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum sources that a stream waits for at the same time.
 const MAX_SOURCES: usize = 2;
 
@@ -63,7 +66,16 @@
                 return Ok(*response);
             }
             Err(SourceFailure::NotRun(_) | SourceFailure::Unknown(_)) => {}
-            Err(SourceFailure::NoPath(_) | SourceFailure::DeadlinePassed) => break,
+            Err(SourceFailure::PoisonPrompt(reason)) if !relay.may_have_run => {
+                count_outcome(state, &call.service, "not_run");
+                let refusal = CallRefusal::not_run(ResultCode::PoisonPrompt, reason);
+                return Err(refusal.with_retry_after(POISON_RETRY_AFTER));
+            }
+            Err(
+                SourceFailure::NoPath(_)
+                | SourceFailure::PoisonPrompt(_)
+                | SourceFailure::DeadlinePassed,
+            ) => break,
         }
         if relay.may_have_run && !call.route.retry_policy.is_idempotent() {
             break;
@@ -200,15 +212,16 @@
             }
             SourceFailure::Response(_) => self.may_have_run = true,
             SourceFailure::NoPath(reason) if self.fault.is_empty() => self.fault = reason.clone(),
+            SourceFailure::PoisonPrompt(reason) => self.fault = reason.clone(),
             SourceFailure::NoPath(_) | SourceFailure::DeadlinePassed => {}
         }
     }
 
     /// Opens another source beside a silent one, if that is allowed.
     fn hedge(&mut self) {
-        let position = self.resume_position().filter(|_| {
-            self.sources.len() < MAX_SOURCES && self.context.may_resend(RetryReason::Hedge)
-        });
+        let is_worthwhile =
+            self.sources.len() < MAX_SOURCES && self.context.may_resend(RetryReason::Hedge);
+        let position = self.resume_position().filter(|_| is_worthwhile);
         if !std::mem::replace(&mut self.is_silence_logged, true) || position.is_some() {
             let call = &self.context.call;
             log::info!(
@@ -266,6 +279,7 @@
                 Err(
                     SourceFailure::Response(_)
                     | SourceFailure::NoPath(_)
+                    | SourceFailure::PoisonPrompt(_)
                     | SourceFailure::DeadlinePassed,
                 ) => {}
             }
