A silent attempt at an answer is kept when nothing can replace it

What callers saw: an answer that had started is refused in the middle with retry_budget_spent or no_chain when sound engines stand still for a second.

Cause: silence was taken for the end of an attempt. A probe of 40 to 250 ms without a reply, or a late token, dropped the attempt in flight before the driver looked for a retry and another chain; the lack of either then ended the answer, although the engines would have gone on with the attempt.

Evidence: with all engines still for 1.2 s on the paused clock, answers ended with RetryBudgetSpent without a retry and with NoChain on the only chain; on a link of 2 s with RetryBudgetSpent.

Change: the driver looks for a chain and a retry before it drops a silent attempt. Without both it keeps the attempt and looks again after each further overdue time. A replaced attempt is cancelled, as before. A kept one ends at the deadline, or when an engine that does not answer probes has given no sign of life for 1.5 s (TimeoutOptions::longest_silence): the answer of a chain whose engine is gone for good is still refused within 2 s, as an_answer_that_no_chain_can_finish_is_refused_at_once demands. A chain that can't meet the deadline takes no retry from the budget any more.

Result: silence_of_all_engines_ends_no_answer_without_a_retry, silence_of_the_only_chain_ends_no_answer and late_tokens_end_no_answer_without_a_retry failed before and pass now; answer_driver, route_schedules, route_chains and choice_fleet pass.

--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -64,6 +64,11 @@
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::NotSent | Self::Refused)
     }
+
+    /// Whether the attempt has only fallen silent and may still go on.
+    pub fn is_silence(&self) -> bool {
+        matches!(self, Self::Frozen(_) | Self::Slow)
+    }
 }
 
 /// Bounds on the timeouts of an attempt without new tokens.
@@ -80,6 +85,9 @@
     /// Shortest time without a token after which an attempt is given up although its stages are
     /// alive.
     pub shortest_give_up_delay: Duration,
+    /// Longest time without a sign of life for which an attempt waits for an endpoint if no other
+    /// attempt can replace it.
+    pub longest_silence: Duration,
 }
 
 impl Default for TimeoutOptions {
@@ -90,6 +98,7 @@
             shortest_probe_timeout: Duration::from_millis(40),
             longest_probe_timeout: Duration::from_millis(250),
             shortest_give_up_delay: Duration::from_millis(250),
+            longest_silence: Duration::from_millis(1500),
         }
     }
 }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -103,9 +103,11 @@
     avoid: AvoidSet,
     kv_holders: BTreeSet<EndpointName>,
     slow_attempts: u32,
+    /// Time of the last accepted token, or of the start of the last attempt.
     last_progress: Instant,
+    /// Time of the last accepted token, or of the start of the answer.
+    silent_since: Instant,
     is_not_run: bool,
-    last_fault: Option<AttemptFault>,
 }
 
 /// An attempt in flight.
@@ -115,12 +117,18 @@
     receiver: EventReceiver,
     timeouts: TokenTimeouts,
     last_token: Option<Instant>,
+    /// Time of the last accepted token, or of the last decision to keep the silent attempt.
+    quiet_since: Instant,
+    /// Faults since the last accepted token that are only silence.
+    silences: Vec<AttemptFault>,
 }
 
 /// How an attempt ended.
 enum AttemptEnd {
     Complete(Box<str>),
     Fault(AttemptFault),
+    /// Fell silent; holds the chain that takes over, or the reason why none does.
+    Silent(AttemptFault, Result<PlannedChain, ResultCode>),
     CallerGone,
     DeadlinePassed,
 }
@@ -140,8 +148,9 @@
 
     /// Runs an answer, sending each accepted token to `sink` once and in order.
     ///
-    /// Calls `retry` before each attempt after the first, with the reason for the retry; `false`
-    /// ends the run. It also ends as soon as no chain is available, and at the deadline at the
+    /// Calls `retry` before each attempt after the first, with the reason for the retry. After a
+    /// failed attempt, `false` ends the run, as does the lack of a chain. A silent attempt that
+    /// can't be retried is kept, since its endpoints may go on. The run ends at the deadline at the
     /// latest. Closing the receiver of `sink` cancels the attempt in flight.
     pub async fn run(
         &self,
@@ -150,25 +159,15 @@
         retry: &dyn Fn(&str) -> bool,
     ) -> AnswerResult {
         let mut run = self.start_run(request, sink);
+        let mut planned = self.plan_chain(&run);
         loop {
-            if Instant::now() >= run.request.deadline {
-                return self.refuse(&run, ResultCode::DeadlinePassed);
-            }
-            let Some(chain) = self.plan_chain(&run) else {
-                return self.refuse(&run, ResultCode::NoChain);
+            let chain = match planned {
+                Ok(chain) => chain,
+                Err(code) => return self.refuse(&run, code),
             };
-            if let Some(fault) = &run.last_fault {
-                if !retry(fault.reason()) {
-                    return self.refuse(&run, ResultCode::RetryBudgetSpent);
-                }
-                self.metrics.count(MetricName::Retries, &[fault.reason()]);
-            }
-            if self.is_unreachable(&run, &chain) {
-                return self.refuse(&run, ResultCode::DeadlineUnreachable);
-            }
-            let end = self.run_attempt(&mut run, &chain).await;
+            let end = self.run_attempt(&mut run, &chain, retry).await;
             self.count_end(&end);
-            match end {
+            planned = match end {
                 AttemptEnd::Complete(digest) => {
                     return AnswerResult::Done { tokens: run.request.max_tokens, digest };
                 }
@@ -177,8 +176,12 @@
                     run.is_not_run = false;
                     return self.refuse(&run, ResultCode::DeadlinePassed);
                 }
-                AttemptEnd::Fault(fault) => self.record_fault(&mut run, &chain, fault),
-            }
+                AttemptEnd::Silent(_, next) => next,
+                AttemptEnd::Fault(fault) => {
+                    self.record_fault(&mut run, &chain, &fault);
+                    self.plan_retry(&run, &fault, retry)
+                }
+            };
         }
     }
 
@@ -188,6 +191,7 @@
             layers: request.model.layers,
             length: request.max_tokens,
         };
+        let now = Instant::now();
         AnswerRun {
             request,
             sink,
@@ -195,19 +199,43 @@
             avoid: AvoidSet::default(),
             kv_holders: BTreeSet::new(),
             slow_attempts: 0,
-            last_progress: Instant::now(),
+            last_progress: now,
+            silent_since: now,
             is_not_run: true,
-            last_fault: None,
         }
     }
 
-    fn plan_chain(&self, run: &AnswerRun) -> Option<PlannedChain> {
+    /// Plans an attempt that may complete the answer before its deadline.
+    fn plan_chain(&self, run: &AnswerRun) -> Result<PlannedChain, ResultCode> {
+        let now = Instant::now();
+        if now >= run.request.deadline {
+            return Err(ResultCode::DeadlinePassed);
+        }
         let request = ChainRequest {
             model: &run.request.model,
             prompt: &run.request.prompt,
             avoid: &run.avoid,
         };
-        self.fleet.plan(Instant::now(), &request)
+        let chain = self.fleet.plan(now, &request).ok_or(ResultCode::NoChain)?;
+        if self.is_unreachable(run, &chain) {
+            return Err(ResultCode::DeadlineUnreachable);
+        }
+        Ok(chain)
+    }
+
+    /// Plans an attempt after a fault and takes a retry for it.
+    fn plan_retry(
+        &self,
+        run: &AnswerRun,
+        fault: &AttemptFault,
+        retry: &dyn Fn(&str) -> bool,
+    ) -> Result<PlannedChain, ResultCode> {
+        let chain = self.plan_chain(run)?;
+        if !retry(fault.reason()) {
+            return Err(ResultCode::RetryBudgetSpent);
+        }
+        self.metrics.count(MetricName::Retries, &[fault.reason()]);
+        Ok(chain)
     }
 
     /// Whether the rest of the answer is known to take longer than the time left to the deadline.
@@ -229,19 +257,30 @@
     fn count_end(&self, end: &AttemptEnd) {
         let label = match end {
             AttemptEnd::Complete(_) => "whole",
-            AttemptEnd::Fault(fault) => fault.reason(),
+            AttemptEnd::Fault(fault) | AttemptEnd::Silent(fault, _) => fault.reason(),
             AttemptEnd::CallerGone => "cancelled",
             AttemptEnd::DeadlinePassed => "deadline_passed",
         };
         self.metrics.count(MetricName::Attempts, &[label]);
     }
 
-    async fn run_attempt(&self, run: &mut AnswerRun, chain: &PlannedChain) -> AttemptEnd {
+    async fn run_attempt(
+        &self,
+        run: &mut AnswerRun,
+        chain: &PlannedChain,
+        retry: &dyn Fn(&str) -> bool,
+    ) -> AttemptEnd {
         let mut attempt = self.start_attempt(run, chain);
         let _in_flight = self.fleet.track_in_flight(attempt.endpoints.iter().cloned());
         loop {
             let event = match self.next_event(run, &mut attempt).await {
                 Ok(event) => event,
+                Err(AttemptEnd::Fault(fault)) if fault.is_silence() => {
+                    match self.replace_silent(run, &mut attempt, fault, retry) {
+                        Some(end) => return end,
+                        None => continue,
+                    }
+                }
                 Err(end) => return end,
             };
             match self.apply_event(run, &event) {
@@ -274,17 +313,51 @@
                 .generate(call, run.request.deadline.saturating_duration_since(now)),
             timeouts: TokenTimeouts::new(timeout_options, run.request.priority, chain.token_time),
             last_token: None,
+            quiet_since: now,
+            silences: Vec::new(),
         }
     }
 
+    /// Decides on an attempt that fell silent: another one replaces it if a chain and a retry are
+    /// available. Otherwise it is kept, as its endpoints may go on.
+    fn replace_silent(
+        &self,
+        run: &mut AnswerRun,
+        attempt: &mut RunningAttempt<'_>,
+        fault: AttemptFault,
+        retry: &dyn Fn(&str) -> bool,
+    ) -> Option<AttemptEnd> {
+        if !attempt.silences.contains(&fault) {
+            self.record_fault(run, attempt.chain, &fault);
+            attempt.silences.push(fault.clone());
+        }
+        let next = self.plan_retry(run, &fault, retry);
+        if next.is_ok() || self.is_given_up(run, &fault) {
+            return Some(AttemptEnd::Silent(fault, next));
+        }
+        attempt.quiet_since = Instant::now();
+        None
+    }
+
+    /// Whether the endpoint at fault has been silent for too long to be expected to go on.
+    fn is_given_up(&self, run: &AnswerRun, fault: &AttemptFault) -> bool {
+        let AttemptFault::Frozen(endpoint) = fault else {
+            return false;
+        };
+        let longest_silence = self.options.timeouts.longest_silence;
+        let now = Instant::now();
+        now >= run.silent_since + longest_silence
+            && !self.fleet.with(|state| state.was_alive_since(now - longest_silence, endpoint))
+    }
+
     /// Waits for the attempt's next event. The error is the reason to end the attempt.
     async fn next_event(
         &self,
         run: &AnswerRun,
         attempt: &mut RunningAttempt<'_>,
     ) -> Result<GenerateEvent, AttemptEnd> {
-        let RunningAttempt { chain, endpoints, receiver, timeouts, last_token } = attempt;
-        let last_progress = run.last_progress;
+        let RunningAttempt { chain, endpoints, receiver, timeouts, last_token, .. } = attempt;
+        let quiet_since = attempt.quiet_since;
         let limit = match last_token {
             Some(_) => timeouts.give_up_delay(run.request.token_gap, run.slow_attempts),
             None => run.request.first_token_timeout,
@@ -298,13 +371,13 @@
                 Some(Err(failure)) => self.record_call_failure(chain, &failure),
                 None => AttemptFault::Truncated,
             },
-            endpoint = self.find_frozen(chain, last_progress, timeouts) => {
+            endpoint = self.find_frozen(chain, quiet_since, timeouts) => {
                 AttemptFault::Frozen(endpoint)
             }
-            endpoint = self.fleet.unresponsive_since(last_progress, endpoints) => {
+            endpoint = self.fleet.unresponsive_since(quiet_since, endpoints) => {
                 AttemptFault::Frozen(endpoint)
             }
-            () = sleep_until(last_progress + limit) => AttemptFault::Slow,
+            () = sleep_until(quiet_since + limit) => AttemptFault::Slow,
         };
         Err(AttemptEnd::Fault(fault))
     }
@@ -316,13 +389,20 @@
         attempt: &mut RunningAttempt<'_>,
         token: u64,
     ) -> Option<AttemptEnd> {
-        let previous = attempt.last_token;
+        let is_frozen = |fault: &AttemptFault| matches!(fault, AttemptFault::Frozen(_));
+        let was_frozen = attempt.silences.iter().any(is_frozen);
+        // A freeze tells nothing about the usual time between tokens.
+        let previous = attempt.last_token.filter(|_| !was_frozen);
         self.record_token(run, attempt.chain, &mut attempt.timeouts, previous);
         if let Some(end) = forward_token(run, token).await {
             return Some(end);
         }
-        run.last_progress = Instant::now();
-        attempt.last_token = Some(run.last_progress);
+        let now = Instant::now();
+        run.last_progress = now;
+        run.silent_since = now;
+        attempt.last_token = Some(now);
+        attempt.quiet_since = now;
+        attempt.silences.clear();
         None
     }
 
@@ -392,10 +472,10 @@
     async fn find_frozen(
         &self,
         chain: &PlannedChain,
-        last_progress: Instant,
+        quiet_since: Instant,
         timeouts: &TokenTimeouts,
     ) -> EndpointName {
-        let mut probe_at = last_progress + timeouts.probe_delay();
+        let mut probe_at = quiet_since + timeouts.probe_delay();
         loop {
             sleep_until(probe_at).await;
             let fresh_since = Instant::now() - LIVENESS_MAX_AGE;
@@ -424,21 +504,21 @@
     }
 
     /// Records a fault against the endpoints at fault and makes the next attempt avoid them.
-    fn record_fault(&self, run: &mut AnswerRun, chain: &PlannedChain, fault: AttemptFault) {
+    fn record_fault(&self, run: &mut AnswerRun, chain: &PlannedChain, fault: &AttemptFault) {
         run.is_not_run &= fault.is_not_run();
         if !fault.is_not_run() {
             run.kv_holders.extend(chain.stages.iter().map(|stage| stage.endpoint.clone()));
         }
         let now = Instant::now();
         let first = &chain.stages[0].endpoint;
-        match &fault {
+        match fault {
             AttemptFault::NotSent | AttemptFault::Refused => {
                 self.avoid_endpoint(run, first, true);
                 run.kv_holders.remove(first);
             }
             AttemptFault::Broken | AttemptFault::Truncated => {
                 self.avoid_endpoint(run, first, false);
-                if fault == AttemptFault::Truncated {
+                if *fault == AttemptFault::Truncated {
                     self.fleet.with(|state| state.record_failure(now, first, 1, "truncated"));
                 }
             }
@@ -469,7 +549,6 @@
             }
         }
         run.avoid.set_kv_holders(run.kv_holders.clone());
-        run.last_fault = Some(fault);
     }
 
     fn avoid_endpoint(&self, run: &mut AnswerRun, endpoint: &str, is_certain: bool) {
--- a/tests/answer_driver.rs
+++ b/tests/answer_driver.rs
@@ -19,6 +19,10 @@
 
 const LAYERS: u16 = 4;
 const LENGTH: u32 = 10;
+/// Time for which engines stand still.
+const STANDSTILL: Duration = Duration::from_millis(1200);
+/// Times at which a standstill starts: before the attempt arrives and in the middle of the answer.
+const STANDSTILL_STARTS: [Duration; 2] = [Duration::ZERO, Duration::from_millis(95)];
 
 struct TestBed {
     engines: FakeEngines,
@@ -117,6 +121,22 @@
         tokio::join!(run, collect)
     }
 
+    /// Runs an answer while all engines stand still for [`STANDSTILL`], from `start` on.
+    async fn run_through_standstill(
+        &self,
+        start: Duration,
+        may_retry: bool,
+    ) -> (AnswerResult, Vec<u64>) {
+        let addresses = || self.model.endpoints.iter().map(|endpoint| &endpoint.address);
+        let standstill = async {
+            tokio::time::sleep(start).await;
+            addresses().for_each(|address| self.engines.inject_fault(address, EngineFault::Freeze));
+            tokio::time::sleep(STANDSTILL).await;
+            addresses().for_each(|address| self.engines.wake(address));
+        };
+        tokio::join!(self.run_answer(Duration::from_secs(10), may_retry), standstill).0
+    }
+
     fn plan(&self, fault: EngineFault, step: FaultStep, stage: usize) {
         self.engines.plan_faults([PlannedFault { fault, step, stage }]);
     }
@@ -312,3 +332,73 @@
         assert_eq!(bed.metrics.value(MetricName::Retries, &["frozen"]), 1);
     });
 }
+
+#[test]
+fn silence_of_all_engines_ends_no_answer_without_a_retry() {
+    for start_time in STANDSTILL_STARTS {
+        run_paused(async {
+            let bed = start(3).await;
+            let (result, tokens) = bed.run_through_standstill(start_time, false).await;
+            assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+            assert_eq!(tokens, token::expected_answer("guide", "3", "how hot", LAYERS, LENGTH));
+            assert_eq!(bed.metrics.value(MetricName::Attempts, &["whole"]), 1);
+            assert_eq!(bed.metrics.value(MetricName::Attempts, &["frozen"]), 0);
+        });
+    }
+}
+
+#[test]
+fn silence_of_the_only_chain_ends_no_answer() {
+    for start_time in STANDSTILL_STARTS {
+        run_paused(async {
+            let bed = start(1).await;
+            let (result, tokens) = bed.run_through_standstill(start_time, true).await;
+            assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+            assert_eq!(tokens, token::expected_answer("guide", "3", "how hot", LAYERS, LENGTH));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(bed.open_attempts(), 0);
+        });
+    }
+}
+
+#[test]
+fn silence_of_all_engines_ends_no_answer_with_retries() {
+    for start_time in STANDSTILL_STARTS {
+        run_paused(async {
+            let bed = start(3).await;
+            let (result, tokens) = bed.run_through_standstill(start_time, true).await;
+            assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+            assert_eq!(tokens, token::expected_answer("guide", "3", "how hot", LAYERS, LENGTH));
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            assert_eq!(bed.open_attempts(), 0);
+        });
+    }
+}
+
+#[test]
+fn late_tokens_end_no_answer_without_a_retry() {
+    run_paused(async {
+        let bed = start(1).await;
+        bed.plan(EngineFault::SlowLink, FaultStep::BeforeLayers(4), 0);
+        let (result, tokens) = bed.run_answer(Duration::from_secs(60), false).await;
+        assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+        assert_eq!(tokens, token::expected_answer("guide", "3", "how hot", LAYERS, LENGTH));
+    });
+}
+
+#[test]
+fn a_silent_attempt_that_is_replaced_is_cancelled_at_its_engine() {
+    run_paused(async {
+        let bed = start(2).await;
+        bed.plan(EngineFault::Freeze, FaultStep::BeforeLayers(4), 1);
+        let (result, _) = bed.run_answer(Duration::from_secs(10), true).await;
+        assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+        assert_eq!(bed.metrics.value(MetricName::Attempts, &["frozen"]), 1);
+        let frozen = bed.engines.injected_faults()[0].endpoint.clone();
+        let declared = bed.model.endpoints.iter().find(|endpoint| endpoint.name == frozen);
+        let address = &declared.expect("the frozen engine is declared").address;
+        bed.engines.wake(address);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(bed.engines.open_attempts(address), 0);
+    });
+}
