An engine that was silent serves again after another one fails

What callers saw: an answer is refused in the middle with no_chain when an engine stands still for a second and another one fails meanwhile.

Cause: two silences of an engine excluded it from the rest of the request, as two failures do. When the attempt that was kept then failed for another reason, no chain was left, although the silent engine goes on.

Change: the driver counts silences apart from failures. They exclude an engine as before, until a failed attempt leaves no other chain: then they are cleared once and the chain is planned again. Attempts still end, since each further round takes a failure, and failures exclude for good.

--- a/src/avoid.rs
+++ b/src/avoid.rs
@@ -20,6 +20,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct AvoidSet {
     endpoints: BTreeMap<EndpointName, u32>,
+    silences: BTreeMap<EndpointName, u32>,
     domains: BTreeMap<DomainName, u32>,
     kv_holders: BTreeSet<EndpointName>,
 }
@@ -32,6 +33,17 @@
         self.kv_holders.remove(endpoint);
     }
 
+    /// Records that an endpoint fell silent, a failure until [`Self::readmit_silent`].
+    pub(crate) fn avoid_silent(&mut self, endpoint: &str) {
+        *self.silences.entry(endpoint.into()).or_default() += 1;
+        self.kv_holders.remove(endpoint);
+    }
+
+    /// Clears the silences of all endpoints; returns whether there were any.
+    pub(crate) fn readmit_silent(&mut self) -> bool {
+        !std::mem::take(&mut self.silences).is_empty()
+    }
+
     /// Records a failure in a failure domain.
     pub(crate) fn avoid_domain(&mut self, domain: &str) {
         *self.domains.entry(domain.into()).or_default() += 1;
@@ -40,6 +52,7 @@
     /// Clears all failures that don't exclude an endpoint. Called when the answer makes progress.
     pub(crate) fn clear_uncertain(&mut self) {
         self.endpoints.retain(|_, failures| *failures >= EXCLUSION_FAILURES);
+        self.silences.retain(|_, silences| *silences >= EXCLUSION_FAILURES);
         self.domains.clear();
     }
 
@@ -53,13 +66,18 @@
     }
 
     pub(crate) fn excludes(&self, endpoint: &str) -> bool {
-        self.endpoints.get(endpoint).is_some_and(|failures| *failures >= EXCLUSION_FAILURES)
+        self.failures(endpoint) >= EXCLUSION_FAILURES
+    }
+
+    fn failures(&self, endpoint: &str) -> u32 {
+        let count = |counts: &BTreeMap<EndpointName, u32>| counts.get(endpoint).copied();
+        count(&self.endpoints).unwrap_or(0) + count(&self.silences).unwrap_or(0)
     }
 
     /// Seconds to add to the cost of an endpoint; negative if reuse of the KV cache saves more. An
     /// endpoint that still holds the KV cache is exempt from the penalty of its failure domain.
     pub(crate) fn penalty(&self, endpoint: &str, domain: &str) -> f64 {
-        let endpoint_failures = f64::from(self.endpoints.get(endpoint).copied().unwrap_or(0));
+        let endpoint_failures = f64::from(self.failures(endpoint));
         if self.kv_holders.contains(endpoint) {
             return endpoint_failures * ENDPOINT_PENALTY_SECONDS - KV_REUSE_SECONDS;
         }
--- a/src/driver.rs
+++ b/src/driver.rs
@@ -179,7 +179,7 @@
                 AttemptEnd::Silent(_, next) => next,
                 AttemptEnd::Fault(fault) => {
                     self.record_fault(&mut run, &chain, &fault);
-                    self.plan_retry(&run, &fault, retry)
+                    self.plan_after_failure(&mut run, &fault, retry)
                 }
             };
         }
@@ -238,6 +238,22 @@
         Ok(chain)
     }
 
+    /// Plans an attempt after a failed one. Falls back to endpoints that only fell silent, as they
+    /// may go on.
+    fn plan_after_failure(
+        &self,
+        run: &mut AnswerRun,
+        fault: &AttemptFault,
+        retry: &dyn Fn(&str) -> bool,
+    ) -> Result<PlannedChain, ResultCode> {
+        match self.plan_retry(run, fault, retry) {
+            Err(ResultCode::NoChain) if run.avoid.readmit_silent() => {
+                self.plan_retry(run, fault, retry)
+            }
+            planned => planned,
+        }
+    }
+
     /// Whether the rest of the answer is known to take longer than the time left to the deadline.
     fn is_unreachable(&self, run: &AnswerRun, chain: &PlannedChain) -> bool {
         let accepted = run.assembler.tokens().len() as TokenPosition;
@@ -537,13 +553,14 @@
             }
             // Not excluded: the engine may only have paused, and may be part of the only chain.
             AttemptFault::Frozen(endpoint) => {
-                self.avoid_endpoint(run, endpoint, false);
+                run.avoid.avoid_silent(endpoint);
+                self.avoid_domain(run, endpoint);
                 run.kv_holders.remove(endpoint);
             }
             AttemptFault::Slow => {
                 run.slow_attempts += 1;
                 for stage in &chain.stages {
-                    run.avoid.avoid(&stage.endpoint, false);
+                    run.avoid.avoid_silent(&stage.endpoint);
                     self.fleet.with(|state| state.record_failure(now, &stage.endpoint, 1, "slow"));
                 }
             }
@@ -553,6 +570,10 @@
 
     fn avoid_endpoint(&self, run: &mut AnswerRun, endpoint: &str, is_certain: bool) {
         run.avoid.avoid(endpoint, is_certain);
+        self.avoid_domain(run, endpoint);
+    }
+
+    fn avoid_domain(&self, run: &mut AnswerRun, endpoint: &str) {
         if let Some(domain) = self.fleet.with(|state| state.domain(endpoint)) {
             run.avoid.avoid_domain(&domain);
         }
--- a/tests/answer_driver.rs
+++ b/tests/answer_driver.rs
@@ -402,3 +402,19 @@
         assert_eq!(bed.engines.open_attempts(address), 0);
     });
 }
+
+#[test]
+fn an_engine_that_was_silent_serves_again_after_a_failure_of_another() {
+    run_paused(async {
+        let bed = start(1).await;
+        let break_connection = async {
+            tokio::time::sleep(Duration::from_millis(900)).await;
+            bed.engines.inject_fault("10.0.0.0:80", EngineFault::CutConnection);
+        };
+        let answer = bed.run_through_standstill(Duration::from_millis(95), true);
+        let ((result, tokens), ()) = tokio::join!(answer, break_connection);
+        assert_matches!(result, AnswerResult::Done { tokens: LENGTH, .. });
+        assert_eq!(tokens, token::expected_answer("guide", "3", "how hot", LAYERS, LENGTH));
+        assert_eq!(bed.metrics.value(MetricName::Retries, &["truncated"]), 1);
+    });
+}
