A silent plain call is given up only for another endpoint

What callers saw: an idempotent call is refused with endpoint_failed at half of its deadline, or earlier, when its endpoint stands still for a second, although no other endpoint or no retry was left to try.

Cause: the timeout of each attempt was half of the time left, set before it was known whether another attempt could follow. Silence until then was taken for the end of the endpoint.

Evidence: with a deadline of 2 s, an endpoint still for 1.2 s and no other one, or no retry, the call ended after 1 s as unknown, with EndpointFailed.

Change: half of the time left is now how long a call waits before it looks for another endpoint and a retry. It moves only with both, as before; otherwise it waits on and looks again. The timeout of the call itself is the time left, so that the connection of a call that has moved stays open until the endpoint replies or the deadline passes, in place of closing at once.

--- a/src/plain.rs
+++ b/src/plain.rs
@@ -24,8 +24,9 @@
 pub(crate) const IDEMPOTENCY_HEADER: &str = "idempotency-key";
 /// Retry delay given to a caller whose call failed at the endpoints, before jitter.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Minimum timeout of an attempt of an idempotent call, unless the deadline is nearer.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Minimum time for which an idempotent call waits for a silent endpoint before it looks for
+/// another one, unless the deadline is nearer.
+const MIN_ATTEMPT_PATIENCE: Duration = Duration::from_millis(100);
 
 /// Safety rule of plain calls that a test disables to prove that its checker detects the violation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -110,6 +111,13 @@
     may_have_run: bool,
 }
 
+/// A failed attempt of a call.
+struct FailedAttempt {
+    failure: CallFailure,
+    /// Endpoint that replaces a silent one, whose retry is taken from the budget.
+    replacement: Option<EndpointDeclaration>,
+}
+
 /// Runs calls to plain services. Clones share the state.
 #[derive(Clone)]
 pub struct PlainDriver {
@@ -240,21 +248,31 @@
     ) -> Result<PlainReply, FailedAttempts> {
         let mut tried = BTreeSet::new();
         let mut attempts = FailedAttempts { code: ResultCode::NoEndpoint, may_have_run: false };
+        let mut replacement = None;
         loop {
             // Check right before each send: the process may have been paused since the claim.
             if Instant::now() >= request.deadline {
                 return Err(FailedAttempts { code: ResultCode::DeadlinePassed, ..attempts });
             }
-            let Some(endpoint) = context.picker.pick(&tried) else {
-                return Err(attempts);
+            let endpoint = match replacement {
+                Some(endpoint) => endpoint,
+                None => {
+                    let Some(endpoint) = context.picker.pick(&tried) else {
+                        return Err(attempts);
+                    };
+                    if !tried.is_empty() && !(context.may_retry)() {
+                        return Err(attempts.without_budget());
+                    }
+                    endpoint
+                }
             };
-            if !tried.is_empty() && !(context.may_retry)() {
-                return Err(attempts.without_budget());
-            }
             tried.insert(endpoint.name.clone());
-            let failure = match self.send_attempt(request, context, &endpoint).await {
+            let failure = match self.send_attempt(request, context, &endpoint, &tried).await {
                 Ok(reply) => return Ok(reply),
-                Err(failure) => failure,
+                Err(attempt) => {
+                    replacement = attempt.replacement;
+                    attempt.failure
+                }
             };
             attempts.record(&failure, request.deadline, self.options.disabled);
             if attempts.may_have_run && !request.is_idempotent {
@@ -264,23 +282,39 @@
         }
     }
 
+    /// Sends one attempt. A silent one is given up only for another endpoint, as its own may go on.
     async fn send_attempt(
         &self,
         request: &PlainRequest,
         context: &PlainContext,
         endpoint: &EndpointDeclaration,
-    ) -> Result<PlainReply, CallFailure> {
-        let started = Instant::now();
-        let timeout = attempt_timeout(request, started);
+        tried: &BTreeSet<EndpointName>,
+    ) -> Result<PlainReply, FailedAttempt> {
+        let timeout = request.deadline.saturating_duration_since(Instant::now());
         let call = PlainCall { timeout, ..request.call.clone() };
         let mut guard = AttemptGuard::start(context.picker.clone(), endpoint.name.clone());
-        let reply = self.client.call(&endpoint.address, call);
-        let result = match tokio::time::timeout(timeout, reply).await {
-            Ok(result) => result,
-            Err(_) => Err(CallFailure::Broken("no response before the timeout".into())),
+        let mut reply = self.client.call(&endpoint.address, call);
+        let mut replacement = None;
+        let result = loop {
+            let patience = attempt_patience(request, Instant::now());
+            if let Ok(result) = tokio::time::timeout(patience, &mut reply).await {
+                break result;
+            }
+            let is_over = Instant::now() >= request.deadline;
+            replacement = if is_over { None } else { context.replace_silent(tried) };
+            if is_over || replacement.is_some() {
+                break Err(CallFailure::Broken("no response before the timeout".into()));
+            }
         };
         guard.finish(result.as_ref().err());
-        result
+        result.map_err(|failure| FailedAttempt { failure, replacement })
+    }
+}
+
+impl PlainContext {
+    /// Chooses an endpoint in place of a silent one and takes a retry for it.
+    fn replace_silent(&self, tried: &BTreeSet<EndpointName>) -> Option<EndpointDeclaration> {
+        self.picker.pick(tried).filter(|_| (self.may_retry)())
     }
 }
 
@@ -352,14 +386,15 @@
     }
 }
 
-/// Half of the time left to the deadline for an idempotent call, which may be retried; all of it
-/// for another call.
-fn attempt_timeout(request: &PlainRequest, now: Instant) -> Duration {
+/// Time for which an attempt waits for a silent endpoint before it looks for another one: half of
+/// the time left to the deadline for an idempotent call, which may be retried; all of it for
+/// another call.
+fn attempt_patience(request: &PlainRequest, now: Instant) -> Duration {
     let remaining = request.deadline.saturating_duration_since(now);
     if !request.is_idempotent {
         return remaining;
     }
-    (remaining / 2).max(MIN_ATTEMPT_TIMEOUT).min(remaining)
+    (remaining / 2).max(MIN_ATTEMPT_PATIENCE).min(remaining)
 }
 
 fn set_key_header(call: &mut PlainCall, key: &str) {
--- a/tests/plain_calls.rs
+++ b/tests/plain_calls.rs
@@ -91,6 +91,33 @@
     });
 }
 
+#[test]
+fn silence_of_an_endpoint_ends_no_call_that_cannot_be_retried() {
+    for (endpoints, may_retry) in [(1, true), (2, false)] {
+        run_paused(async {
+            let bed = TestBed::new();
+            bed.service.freeze("endpoint-0", ms(1200));
+            let result = bed.driver.run(bed.request(true), context(endpoints, may_retry)).await;
+            assert_eq!((result.outcome, result.code), (CallOutcome::Done, None));
+            assert_eq!(bed.service.runs().len(), 1);
+            assert_eq!(bed.metrics.value(MetricName::Retries, &["broken"]), 0);
+        });
+    }
+}
+
+#[test]
+fn a_call_to_an_endpoint_that_stays_silent_ends_at_its_deadline() {
+    run_paused(async {
+        let bed = TestBed::new();
+        bed.service.freeze("endpoint-0", Duration::from_secs(60));
+        let start = Instant::now();
+        let result = bed.driver.run(bed.request(true), context(1, true)).await;
+        assert_eq!(result.outcome, CallOutcome::Unknown);
+        assert_eq!(result.code, Some(ResultCode::DeadlinePassed));
+        assert_eq!(start.elapsed(), ms(2000));
+    });
+}
+
 #[test]
 fn no_retry_is_made_without_retry_budget() {
     run_paused(async {
