A reply without end is given up at its limit, and all replies together have one

An endpoint in trouble may send bytes without end; a host read them into memory for as long as the request had time, and a host over its memory is killed with all its requests.

Cause: replies of endpoints, of other hosts and of the store were collected without any limit.

A reply may hold as many bytes as are left for all others, so that small ones pass beside hundreds without end. Parts are copied out of the connection's buffers, which tiny chunks would otherwise keep. The connection is closed at once. The request may have run: a call is tried again only if its route is idempotent, the endpoint's health counts it as broken, attempt_failed names the limit, and jacinthrock_oversized_replies_total counts it.

Replies other than 200 to streams are still collected in stream.rs.

--- a/crates/entry/src/orders.rs
+++ b/crates/entry/src/orders.rs
@@ -8,7 +8,7 @@
 
 use crate::endpoints::EndpointEntry;
 use crate::pool::{SendError, SendOptions, build_request, host_header};
-use crate::sending::note_reply;
+use crate::sending::{fetch, note_reply};
 use crate::state::EntryState;
 
 /// Idle time after which a connection is not reused for an order.
@@ -34,7 +34,7 @@
     request.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
     state.codec.expect_endpoint(request.headers_mut(), &entry.name);
     let options = SendOptions::within(limit, MAX_IDLE);
-    let (parts, body) = state.pool.fetch(entry.address, request, options).await?;
+    let (parts, body) = fetch(state, "order", entry.address, request, options).await?;
     if parts.status != StatusCode::MISDIRECTED_REQUEST {
         note_reply(state, entry, parts.status, &state.codec.read_reply("", &parts.headers));
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
+use crate::sending;
 use crate::shutdown::OtherHosts;
 use crate::state::{EntryState, MAX_CONFIRMED_AGE, PlacementHolder};
 use crate::version::{RegistryEra, RegistryRevision, RegistryVersion};
@@ -45,6 +46,9 @@
 /// Maximum size of a host's load report, in bytes.
 const MAX_REPORT_BYTES: usize = 1 << 20;
 
+/// Maximum size of a reply of another host, in bytes: rules and the table of endpoints.
+const MAX_REPLY_BYTES: usize = 4 << 20;
+
 /// Load report of a host to the holder of the placement lease or to a relay.
 #[derive(Debug, Serialize, Deserialize)]
 struct HostReport {
@@ -366,8 +370,11 @@
 ) -> Result<T, String> {
     let host = HeaderValue::from_static("peer");
     let request = build_request(Method::POST, Uri::from_static(path), host, body);
-    let options = SendOptions::within(PEER_TIMEOUT, MAX_IDLE);
-    let fetched = state.pool.fetch(address, request, options).await;
+    let options = SendOptions {
+        max_body_bytes: MAX_REPLY_BYTES,
+        ..SendOptions::within(PEER_TIMEOUT, MAX_IDLE)
+    };
+    let fetched = sending::fetch(state, "peer", address, request, options).await;
     let (_, body) = fetched.map_err(|error| error.to_string())?;
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use jacinthrock::{CallRefusal, EndpointName, ResultCode};
 use rand::seq::IndexedRandom;
@@ -13,8 +12,9 @@
 use crate::endpoints::EndpointEntry;
 use crate::health::CallEnd;
 use crate::pool::SendError;
+use crate::reply::collect_body;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
-use crate::sending::{SendTarget, SentReply, send};
+use crate::sending::{SendTarget, SentReply, count_over_limit, send};
 use crate::state::EntryState;
 
 /// Retry-After when no endpoint accepts a call: calls take about 60 ms, so capacity is free again
@@ -24,6 +24,8 @@
 const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
 /// Time over which callers come back after the pause of the endpoints that could serve them.
 const PAUSE_SPREAD: Duration = Duration::from_millis(500);
+/// Maximum size of an endpoint's answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Failed connection attempts after which a call is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -122,11 +124,12 @@
     let target = SendTarget { endpoint: entry, path: &[], resume_after: None, urgency: None };
     let sent = timeout_at(call.deadline, send(state, call, target)).await;
     let (outcome, call_end) = match sent {
-        Ok(Ok(sent)) => classify_reply(call, sent).await,
+        Ok(Ok(sent)) => classify_reply(state, call, sent).await,
         Ok(Err(SendError::NotSent { .. })) => {
             (AttemptOutcome::NotSent("no connection to the endpoint".into()), CallEnd::Broken)
         }
-        Ok(Err(error @ SendError::NoReply { .. })) => {
+        Ok(Err(error @ (SendError::NoReply { .. } | SendError::TooLarge { .. }))) => {
+            count_over_limit(state, "answer", error.is_over_limit());
             (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken)
         }
         Err(_) => (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken),
@@ -147,7 +150,11 @@
     outcome
 }
 
-async fn classify_reply(call: &AllowedCall, sent: SentReply) -> (AttemptOutcome, CallEnd) {
+async fn classify_reply(
+    state: &EntryState,
+    call: &AllowedCall,
+    sent: SentReply,
+) -> (AttemptOutcome, CallEnd) {
     let status = sent.reply.parts.status;
     if sent.is_not_run() {
         let fault = format!("endpoint refused with {status}");
@@ -157,14 +164,12 @@
     if !sent.is_genuine() {
         return (AttemptOutcome::Unknown("answer is not the endpoint's".into()), CallEnd::Broken);
     }
-    let body = timeout_at(call.deadline, sent.reply.body.collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
+    let body = collect_body(sent.reply.body, MAX_ANSWER_BYTES, state.pool.budget());
+    let body = match timeout_at(call.deadline, body).await {
+        Ok(Ok(body)) => body,
         Ok(Err(error)) => {
-            return (
-                AttemptOutcome::Unknown(format!("answer broke off: {error}").into()),
-                CallEnd::Broken,
-            );
+            count_over_limit(state, "answer", error.is_over_limit());
+            return (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken);
         }
         Err(_) => {
             return (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -20,6 +20,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::reply::{ReplyBudget, ReplyError, collect_body, error_chain};
+
 /// Time after which a connection with unacknowledged data is closed, so that an unreachable host is
 /// detected; round trips take a few ms.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -29,6 +31,10 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum number of idle connections for each address; more are open only while requests run.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// Maximum size of a small reply, in bytes: a report of an endpoint or its reply to an order.
+const MAX_SMALL_REPLY_BYTES: usize = 256 << 10;
+/// Bytes that the buffered replies of a pool may take together, unless the pool says otherwise.
+const MAX_BUFFERED_BYTES: usize = 24 << 20;
 
 type RequestSender = SendRequest<Full<Bytes>>;
 
@@ -53,6 +59,14 @@
         /// What failed.
         reason: Box<str>,
     },
+    /// The request was sent and may have run; its reply was given up because of its size.
+    #[error("answer from {address} is over its limit: {reason}")]
+    TooLarge {
+        /// Address.
+        address: SocketAddr,
+        /// What was exceeded.
+        reason: Box<str>,
+    },
 }
 
 struct IdleConnection {
@@ -62,9 +76,16 @@
 }
 
 /// Idle connections by address. Clones share the same pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+    budget: ReplyBudget,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(ReplyBudget::new(MAX_BUFFERED_BYTES))
+    }
 }
 
 /// A connection that is in use by a request. Dropping the lease closes the connection, so that the
@@ -94,13 +115,36 @@
     pub connect_timeout: Duration,
     /// Timeout for the head of the reply, or in `fetch` for the whole reply.
     pub head_timeout: Duration,
+    /// Maximum size of the reply's body in `fetch`, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl SendError {
+    /// Whether the reply was given up because of its size.
+    pub fn is_over_limit(&self) -> bool {
+        matches!(self, Self::TooLarge { .. })
+    }
+
+    fn from_reply(address: SocketAddr, error: &ReplyError) -> Self {
+        let reason = error.to_string().into();
+        if error.is_over_limit() {
+            Self::TooLarge { address, reason }
+        } else {
+            Self::NoReply { address, reason }
+        }
+    }
 }
 
 impl SendOptions {
     /// Options of a small request, with `limit` as timeout both for a new connection and for the
     /// reply.
     pub fn within(limit: Duration, max_idle: Duration) -> Self {
-        Self { max_idle, connect_timeout: limit, head_timeout: limit }
+        Self {
+            max_idle,
+            connect_timeout: limit,
+            head_timeout: limit,
+            max_body_bytes: MAX_SMALL_REPLY_BYTES,
+        }
     }
 }
 
@@ -134,6 +178,16 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections, whose buffered replies stay within a budget.
+    pub fn new(budget: ReplyBudget) -> Self {
+        Self { idle: Rc::default(), budget }
+    }
+
+    /// Budget of the replies that are buffered.
+    pub fn budget(&self) -> &ReplyBudget {
+        &self.budget
+    }
+
     /// Sends a request and waits for the head of the reply.
     pub async fn send(
         &self,
@@ -160,7 +214,7 @@
             }
             Ok(Err(error)) => {
                 lease.close();
-                Err(no_reply(error.to_string().into()))
+                Err(no_reply(error_chain(&error)))
             }
             Err(_) => {
                 lease.close();
@@ -169,7 +223,8 @@
         }
     }
 
-    /// Sends a request and reads the complete reply within `head_timeout`.
+    /// Sends a request and reads the complete reply within `head_timeout`. The connection of a reply
+    /// that is too large is closed at once.
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -180,12 +235,13 @@
         let reply = self.send(address, request, options).await?;
         let remaining = options.head_timeout.saturating_sub(started.elapsed());
         let no_reply = |reason: Box<str>| SendError::NoReply { address, reason };
-        let body = timeout(remaining, reply.body.collect()).await;
+        let body = collect_body(reply.body, options.max_body_bytes, &self.budget);
+        let body = timeout(remaining, body).await;
         let body =
             body.map_err(|_| no_reply("timed out while reading the response body".into()))?;
-        let body = body.map_err(|error| no_reply(error.to_string().into()))?;
+        let body = body.map_err(|error| SendError::from_reply(address, &error))?;
         reply.lease.return_to_pool();
-        Ok((reply.parts, body.to_bytes()))
+        Ok((reply.parts, body))
     }
 
     /// Closes connections that have been idle for longer than `max_idle`, and drops closed ones.
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -1,11 +1,13 @@
 //! Sends calls to endpoints, and probes endpoints that are suspected of failure.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::http::response;
 use hyper::{Method, Request, StatusCode, Uri, Version};
 use jacinthrock::{EndpointName, MetricName};
 use tokio::time::Instant;
@@ -100,6 +102,7 @@
         },
         connect_timeout: CONNECT_TIMEOUT.min(remaining),
         head_timeout: remaining,
+        ..SendOptions::within(remaining, MAX_IDLE)
     };
     let sent = state.pool.send(target.endpoint.address, request, options).await;
     let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
@@ -158,6 +161,26 @@
     state.path_changed.notify_waiters();
 }
 
+/// Fetches a small reply; counts it under `what` if it is over its limit.
+pub(crate) async fn fetch(
+    state: &EntryState,
+    what: &'static str,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<(response::Parts, Bytes), SendError> {
+    let fetched = state.pool.fetch(address, request, options).await;
+    count_over_limit(state, what, fetched.as_ref().is_err_and(SendError::is_over_limit));
+    fetched
+}
+
+/// Counts a reply that was given up because it was over a limit.
+pub(crate) fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
+    if is_over_limit {
+        state.metrics.count(MetricName::OversizedReplies, &[what]);
+    }
+}
+
 /// Fetches the state that an endpoint reports; `None` if the reply is not a valid report.
 pub(crate) async fn fetch_report(
     state: &EntryState,
@@ -167,7 +190,7 @@
     let uri = Uri::from_static(state.codec.report_path());
     let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
     let options = SendOptions::within(limit, Duration::ZERO);
-    let fetched = state.pool.fetch(entry.address, request, options).await;
+    let fetched = fetch(state, "report", entry.address, request, options).await;
     let (parts, body) = fetched.inspect_err(|error| note_error(state, entry, error))?;
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
     if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
