A reply's head is limited to 16 KiB, and so is the buffer of a connection

A head that does not end held its connection's memory until the request's time was over.

Cause: the HTTP client gave a head up only after its default of 417,792 bytes, read into a buffer that doubles; the same buffer serves bodies, so that 300 replies at once could hold over 120 MB, of 160 MB on the smallest hosts.

Change: the limit is set explicitly, the error says that the head exceeds it, and such a reply is counted with the other oversized ones. Heads of endpoints take a few hundred bytes.

Test: reply_limits.rs. On the parent commit long_head_is_cut fails, since 100,000 bytes of a head were held until the timeout of 10 s; headers_without_end_are_cut and status_line_without_end_are_cut fail on the kind of the error. Bytes that are no HTTP already closed their connection.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -31,6 +31,8 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum number of idle connections for each address; more are open only while requests run.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// Maximum size of a reply's head, in bytes; also of the buffer of a connection.
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// Maximum size of a small reply, in bytes: a report of an endpoint or its reply to an order.
 const MAX_SMALL_REPLY_BYTES: usize = 256 << 10;
 /// Bytes that the buffered replies of a pool may take together, unless the pool says otherwise.
@@ -125,6 +127,14 @@
         matches!(self, Self::TooLarge { .. })
     }
 
+    fn from_head(address: SocketAddr, error: &hyper::Error) -> Self {
+        if error.is_parse_too_large() {
+            let reason = format!("head exceeds {MAX_HEAD_BYTES} bytes").into();
+            return Self::TooLarge { address, reason };
+        }
+        Self::NoReply { address, reason: error_chain(error) }
+    }
+
     fn from_reply(address: SocketAddr, error: &ReplyError) -> Self {
         let reason = error.to_string().into();
         if error.is_over_limit() {
@@ -214,7 +224,7 @@
             }
             Ok(Err(error)) => {
                 lease.close();
-                Err(no_reply(error_chain(&error)))
+                Err(SendError::from_head(address, &error))
             }
             Err(_) => {
                 lease.close();
@@ -329,7 +339,9 @@
         is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
     })?;
     set_socket_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string().into()))?;
     let task = tokio::task::spawn_local(async move {
         // A pending request receives the error itself; on an idle connection it can be ignored.
--- a/crates/entry/tests/reply_limits.rs
+++ b/crates/entry/tests/reply_limits.rs
@@ -31,6 +31,8 @@
 enum ConnectionEnd {
     /// It repeats the last part of its reply until the client closes.
     Never,
+    /// It sends nothing more until the client closes.
+    Stall,
     /// It closes the connection.
     Close,
 }
@@ -77,8 +79,7 @@
         let error = self.fetch(&ConnectionPool::default()).await.expect_err("no whole reply");
         let text = error.to_string();
         assert!(started.elapsed() < MAX_CUT_TIME, "after {:?}: {text}", started.elapsed());
-        assert!(text.contains("exceeds"), "{text}");
-        assert!(!matches!(error, SendError::NotSent { .. }), "{text}");
+        assert!(error.is_over_limit(), "{text}");
         self.check_closed(1).await;
     }
 
@@ -101,8 +102,10 @@
     if stream.write_all(start).await.is_err() {
         return;
     }
-    if end == ConnectionEnd::Never {
-        while stream.write_all(repeated).await.is_ok() {}
+    match end {
+        ConnectionEnd::Never => while stream.write_all(repeated).await.is_ok() {},
+        ConnectionEnd::Stall => while matches!(stream.read(&mut request).await, Ok(1..)) {},
+        ConnectionEnd::Close => {}
     }
 }
 
@@ -153,6 +156,49 @@
     .await;
 }
 
+/// A head is given up as soon as it is too large, not only when its time is over.
+#[tokio::test]
+async fn long_head_is_cut() {
+    run(async {
+        let head = format!("HTTP/1.1 200 OK\r\nx: {}", "x".repeat(100_000));
+        RawServer::start(head, "", ConnectionEnd::Stall).await.check_cut().await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn status_line_without_end_is_cut() {
+    run(async {
+        let server = RawServer::start("HTTP/1.1 200 ", "x".repeat(4096), ConnectionEnd::Never);
+        server.await.check_cut().await;
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn headers_without_end_are_cut() {
+    run(async {
+        let headers = "x: y\r\n".repeat(500);
+        let server = RawServer::start("HTTP/1.1 200 OK\r\n", headers, ConnectionEnd::Never);
+        server.await.check_cut().await;
+    })
+    .await;
+}
+
+/// Bytes that are no HTTP end the connection at once.
+#[tokio::test]
+async fn bytes_that_are_no_reply_close_their_connection() {
+    run(async {
+        let server = RawServer::start("\x00", "\x01".repeat(4096), ConnectionEnd::Never).await;
+        let started = Instant::now();
+        let error = server.fetch(&ConnectionPool::default()).await.expect_err("no reply");
+        assert!(matches!(error, SendError::NoReply { .. }), "{error}");
+        assert!(started.elapsed() < MAX_CUT_TIME, "after {:?}", started.elapsed());
+        server.check_closed(1).await;
+    })
+    .await;
+}
+
 /// Memory of 300 replies without end at a time stays within the budget of all replies, and a small
 /// reply still arrives meanwhile.
 #[tokio::test]
@@ -182,7 +228,7 @@
         }
         for fetch in fetches {
             let error = fetch.await.expect("a result").expect_err("no whole reply");
-            assert!(error.to_string().contains("exceeds"), "{error}");
+            assert!(error.is_over_limit(), "{error}");
         }
         endless.check_closed(MANY).await;
     })
