Tests of replies that end with their connection

A reply with neither a length nor chunks is whole when its connection closes, and broken off when it is reset. Both tests pass on the code as it was.

--- a/crates/entry/tests/reply_limits.rs
+++ b/crates/entry/tests/reply_limits.rs
@@ -1,4 +1,4 @@
-//! Replies that never end, from raw TCP servers.
+//! Replies that never end, and replies that end with their connection, from raw TCP servers.
 
 #[path = "support/address.rs"]
 mod address;
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use hyper::{Method, Uri};
 use jacinthrock_entry::{ConnectionPool, SendError, SendOptions, build_request, host_header};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::LocalSet;
@@ -35,6 +36,8 @@
     Stall,
     /// It closes the connection.
     Close,
+    /// It resets the connection.
+    Reset,
 }
 
 /// A server that replies to each request with fixed bytes.
@@ -115,6 +118,11 @@
         ConnectionEnd::Never => while stream.write_all(repeated).await.is_ok() {},
         ConnectionEnd::Stall => while matches!(stream.read(&mut request).await, Ok(1..)) {},
         ConnectionEnd::Close => {}
+        ConnectionEnd::Reset => {
+            // The client reads what was sent before the reset.
+            sleep(Duration::from_millis(100)).await;
+            SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a socket option");
+        }
     }
 }
 
@@ -284,3 +292,25 @@
     })
     .await;
 }
+
+#[tokio::test]
+async fn reply_without_length_is_whole_when_its_connection_closes() {
+    run(async {
+        let reply = "HTTP/1.1 200 OK\r\n\r\nthe whole reply";
+        let server = RawServer::start(reply, "", ConnectionEnd::Close).await;
+        let body = server.fetch(&ConnectionPool::default()).await.expect("a whole reply");
+        assert_eq!(body, "the whole reply");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn reply_without_length_is_broken_when_its_connection_is_reset() {
+    run(async {
+        let reply = "HTTP/1.1 200 OK\r\n\r\nhalf of the reply";
+        let server = RawServer::start(reply, "", ConnectionEnd::Reset).await;
+        let error = server.fetch(&ConnectionPool::default()).await.expect_err("no whole reply");
+        assert!(matches!(error, SendError::NoReply { .. }), "{error}");
+    })
+    .await;
+}
