A stream's partial event is limited to 64 KiB, and all of them to a budget

A stream that never ends an event buffered up to 1 MiB, and hundreds of them several hundred MiB in all; each part was searched together with all before it.

Change: the limit is 64 KiB, since events take a few hundred bytes; a framer made with EventFramer::new counts its partial event toward a ReplyBudget, and only the new part is searched. A framer over its limit completes no event until the partial one is discarded, and says that it has one, so that lost bytes are neither forwarded nor taken for the end of the stream.

Test: events_cut.rs. event_without_end_is_over_the_limit fails on the parent commit.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -1,10 +1,14 @@
 //! Framing of server-sent events: complete events are forwarded, partial ones are buffered.
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use memchr::memmem;
 
-/// Maximum size of a buffered partial event, in bytes; events of models are far smaller.
-const MAX_PENDING_BYTES: usize = 1 << 20;
+use crate::reply::{ReplyBudget, ReplyBuffer};
+
+/// Maximum size of a buffered partial event, in bytes; events of models take a few hundred.
+const MAX_PENDING_BYTES: usize = 64 << 10;
+/// End of an event.
+const EVENT_END: &[u8] = b"\n\n";
 
 /// Splits a byte stream after complete events.
 ///
@@ -18,23 +22,44 @@
 /// assert_eq!(framer.last_event_id(), Some(4));
 /// assert!(framer.has_partial());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventFramer {
-    pending: BytesMut,
+    pending: ReplyBuffer,
     last_event_id: Option<u64>,
+    is_over_limit: bool,
+}
+
+impl Default for EventFramer {
+    fn default() -> Self {
+        Self::new(&ReplyBudget::unlimited())
+    }
 }
 
 impl EventFramer {
+    /// Creates a framer whose partial event counts toward a budget.
+    pub fn new(budget: &ReplyBudget) -> Self {
+        Self { pending: ReplyBuffer::new(budget), last_event_id: None, is_over_limit: false }
+    }
+
     /// Adds received bytes; returns all bytes up to the end of the last complete event, if any.
     pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
+        if self.is_over_limit {
+            return None;
+        }
         // Common case: complete events arrive by themselves and need no copy.
-        if self.pending.is_empty() && bytes.ends_with(b"\n\n") {
+        if self.pending.as_ref().is_empty() && bytes.ends_with(EVENT_END) {
             self.record_last_id(&bytes);
             return Some(bytes);
         }
-        self.pending.extend_from_slice(&bytes);
-        let end = memmem::rfind(&self.pending, b"\n\n")? + 2;
-        let complete = self.pending.split_to(end).freeze();
+        let is_split_end = self.pending.as_ref().ends_with(b"\n") && bytes.starts_with(b"\n");
+        let end = memmem::rfind(&bytes, EVENT_END).map(|start| start + EVENT_END.len());
+        let Some(end) = end.or(is_split_end.then_some(1)) else {
+            self.buffer(&bytes);
+            return None;
+        };
+        let complete = Bytes::from([self.pending.as_ref(), &bytes[..end]].concat());
+        self.pending.clear();
+        self.buffer(&bytes[end..]);
         self.record_last_id(&complete);
         Some(complete)
     }
@@ -46,17 +71,23 @@
 
     /// Whether a partial event is buffered.
     pub fn has_partial(&self) -> bool {
-        !self.pending.is_empty()
+        self.is_over_limit || !self.pending.as_ref().is_empty()
     }
 
-    /// Whether the partial event exceeds the maximum size.
+    /// Whether the partial event exceeds the maximum size or the budget. No event is complete then
+    /// until the partial one is discarded.
     pub fn is_over_limit(&self) -> bool {
-        self.pending.len() > MAX_PENDING_BYTES
+        self.is_over_limit
     }
 
     /// Discards a partial event, before the stream continues from another endpoint.
     pub fn drop_partial(&mut self) {
         self.pending.clear();
+        self.is_over_limit = false;
+    }
+
+    fn buffer(&mut self, bytes: &[u8]) {
+        self.is_over_limit |= self.pending.push(bytes, MAX_PENDING_BYTES).is_err();
     }
 
     fn record_last_id(&mut self, events: &[u8]) {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -76,6 +76,11 @@
         Self { used: Arc::default(), total }
     }
 
+    /// Creates a budget that grants everything.
+    pub(crate) fn unlimited() -> Self {
+        Self::new(usize::MAX)
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -97,7 +102,8 @@
 }
 
 /// Bytes of one reply, charged to a budget until they are dropped.
-struct ReplyBuffer {
+#[derive(Debug)]
+pub(crate) struct ReplyBuffer {
     bytes: Vec<u8>,
     budget: ReplyBudget,
     /// Capacity that the budget has granted.
@@ -105,11 +111,12 @@
 }
 
 impl ReplyBuffer {
-    fn new(budget: &ReplyBudget) -> Self {
+    pub(crate) fn new(budget: &ReplyBudget) -> Self {
         Self { bytes: Vec::new(), budget: budget.clone(), charged: 0 }
     }
 
-    fn push(&mut self, bytes: &[u8], limit: usize) -> Result<(), ReplyError> {
+    /// Adds bytes, of which the buffer holds at most `limit`.
+    pub(crate) fn push(&mut self, bytes: &[u8], limit: usize) -> Result<(), ReplyError> {
         let needed = self.bytes.len() + bytes.len();
         if needed > limit {
             return Err(ReplyError::TooLarge { limit });
@@ -126,6 +133,12 @@
         self.bytes.extend_from_slice(bytes);
         Ok(())
     }
+
+    /// Drops the bytes.
+    pub(crate) fn clear(&mut self) {
+        self.bytes = Vec::new();
+        self.budget.release(std::mem::take(&mut self.charged));
+    }
 }
 
 impl AsRef<[u8]> for ReplyBuffer {
--- a/crates/entry/tests/events_cut.rs
+++ b/crates/entry/tests/events_cut.rs
@@ -1,7 +1,7 @@
 //! Framing of event streams that arrive split at arbitrary bytes.
 
 use bytes::Bytes;
-use jacinthrock_entry::EventFramer;
+use jacinthrock_entry::{EventFramer, ReplyBudget};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -53,3 +53,48 @@
     framer.push(Bytes::from_static(b"id: 7\ndata: the id: 9 is data\n\n"));
     assert_eq!(framer.last_event_id(), Some(7));
 }
+
+#[test]
+fn event_without_end_is_over_the_limit() {
+    let mut framer = EventFramer::default();
+    let part = Bytes::from(vec![b'x'; 4096]);
+    for _ in 0..17 {
+        assert!(!framer.is_over_limit());
+        assert_eq!(framer.push(part.clone()), None);
+    }
+    assert!(framer.is_over_limit());
+    framer.drop_partial();
+    assert_eq!(framer.push(Bytes::from_static(b"id: 1\ndata: a\n\n")).unwrap().len(), 15);
+    assert!(!framer.is_over_limit());
+}
+
+/// Hundreds of events without end stay within the budget, and leave room for an ordinary one.
+#[test]
+fn events_without_end_share_a_budget() {
+    const BUDGET: usize = 1 << 20;
+    let budget = ReplyBudget::new(BUDGET);
+    let mut framers: Vec<_> = (0..300).map(|_| EventFramer::new(&budget)).collect();
+    let part = Bytes::from(vec![b'x'; 4096]);
+    for _ in 0..12 {
+        for framer in framers.iter_mut().filter(|framer| !framer.is_over_limit()) {
+            framer.push(part.clone());
+            assert!(budget.used() <= BUDGET);
+        }
+    }
+    let mut framer = EventFramer::new(&budget);
+    assert_eq!(framer.push(Bytes::from_static(b"id: 1\nda")), None);
+    assert_eq!(framer.push(Bytes::from_static(b"ta: a\n\n")).unwrap().len(), 15);
+    drop(framers);
+    assert_eq!(budget.used(), 0);
+}
+
+/// An event whose bytes were not all buffered is neither forwarded nor taken for the stream's end.
+#[test]
+fn event_over_the_budget_never_completes() {
+    let mut framer = EventFramer::new(&ReplyBudget::new(100));
+    let complete = framer.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
+    assert_eq!(complete.unwrap().len(), 15);
+    assert!(framer.is_over_limit() && framer.has_partial());
+    assert_eq!(framer.push(Bytes::from_static(b"ta: b\n\n")), None);
+    assert_eq!(framer.last_event_id(), Some(1));
+}
