One function reads an endpoint's answer, and counts it if over its limit

Heads over their limit are counted where they are sent for, so that those of streams count too; read_answer limits the size of an answer and gives its connection back.

--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -12,9 +12,8 @@
 use crate::endpoints::EndpointEntry;
 use crate::health::CallEnd;
 use crate::pool::SendError;
-use crate::reply::collect_body;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
-use crate::sending::{SendTarget, SentReply, count_over_limit, send};
+use crate::sending::{SendTarget, SentReply, read_answer, send};
 use crate::state::EntryState;
 
 /// Retry-After when no endpoint accepts a call: calls take about 60 ms, so capacity is free again
@@ -24,8 +23,6 @@
 const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
 /// Time over which callers come back after the pause of the endpoints that could serve them.
 const PAUSE_SPREAD: Duration = Duration::from_millis(500);
-/// Maximum size of an endpoint's answer, in bytes.
-const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// Failed connection attempts after which a call is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -129,7 +126,6 @@
             (AttemptOutcome::NotSent("no connection to the endpoint".into()), CallEnd::Broken)
         }
         Ok(Err(error @ (SendError::NoReply { .. } | SendError::TooLarge { .. }))) => {
-            count_over_limit(state, "answer", error.is_over_limit());
             (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken)
         }
         Err(_) => (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken),
@@ -164,19 +160,16 @@
     if !sent.is_genuine() {
         return (AttemptOutcome::Unknown("answer is not the endpoint's".into()), CallEnd::Broken);
     }
-    let body = sent.reply.lease.meter(sent.reply.body);
-    let body = collect_body(body, MAX_ANSWER_BYTES, state.pool.budget());
-    let body = match timeout_at(call.deadline, body).await {
-        Ok(Ok(body)) => body,
+    let read = timeout_at(call.deadline, read_answer(state, sent.reply)).await;
+    let (parts, body) = match read {
+        Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
-            count_over_limit(state, "answer", error.is_over_limit());
             return (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken);
         }
         Err(_) => {
             return (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken);
         }
     };
-    sent.reply.lease.return_to_pool();
     // These statuses tell a caller that the request has not run. Without the endpoint's not-run
     // header that is uncertain, so they are not forwarded.
     let is_not_run_status = matches!(
@@ -189,7 +182,7 @@
         let fault = format!("endpoint answered {status} and may have run the request");
         return (AttemptOutcome::Unknown(fault.into()), CallEnd::Failed);
     }
-    let response = endpoint_response(status, &sent.reply.parts.headers, full_body(body));
+    let response = endpoint_response(status, &parts.headers, full_body(body));
     if status.is_server_error() {
         return (AttemptOutcome::Failed(response), CallEnd::Failed);
     }
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -17,6 +17,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::path::PathStage;
 use crate::pool::{PooledReply, SendError, SendOptions, build_request, host_header};
+use crate::reply::{ReplyError, collect_body};
 use crate::response::end_to_end_headers;
 use crate::state::EntryState;
 
@@ -25,6 +26,8 @@
 /// Timeout for the connection of a probe, and for its reply: endpoints report their state within a
 /// few ms, even at full load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
+/// Maximum size of an endpoint's answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// KV cache usage of an endpoint below which a refusal cannot be due to a full cache: a single
 /// stream takes only a small part of it.
 const MIN_FULL_KV_USAGE: f64 = 0.6;
@@ -105,6 +108,7 @@
         ..SendOptions::within(remaining, MAX_IDLE)
     };
     let sent = state.pool.send(target.endpoint.address, request, options).await;
+    count_over_limit(state, "answer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
     let sent = SentReply { reply, head };
@@ -174,8 +178,21 @@
     fetched
 }
 
+/// Reads the body of an endpoint's answer; counts it if it is over its limit.
+pub(crate) async fn read_answer(
+    state: &EntryState,
+    reply: PooledReply,
+) -> Result<(response::Parts, Bytes), ReplyError> {
+    let body = reply.lease.meter(reply.body);
+    let body = collect_body(body, MAX_ANSWER_BYTES, state.pool.budget()).await;
+    count_over_limit(state, "answer", body.as_ref().is_err_and(ReplyError::is_over_limit));
+    let body = body?;
+    reply.lease.return_to_pool();
+    Ok((reply.parts, body))
+}
+
 /// Counts a reply that was given up because it was over a limit.
-pub(crate) fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
+fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
     if is_over_limit {
         state.metrics.count(MetricName::OversizedReplies, &[what]);
     }
