Answers other than 200 to streams are limited, and streams are metered

A first stage that answers 404 without end filled the host for as long as the request had time.

Cause: source.rs still collected such an answer without any limit, and read its streams without counting bytes that become no part of them.

Change: it uses read_answer, the body of ConnectionLease::meter and a framer that counts toward the pool's budget, as calls to plain services do.

--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -13,7 +13,6 @@
 use futures::StreamExt;
 use futures::stream::{self, LocalBoxStream};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Response, StatusCode};
 use jacinthrock::EndpointName;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -26,10 +25,11 @@
 use crate::path::{PathStage, crossings};
 use crate::pool::{ConnectionLease, SendError};
 use crate::queue::{QueuePosition, WaitClass};
+use crate::reply::ReplyBody;
 use crate::reroute::reroute;
 use crate::response::{ResponseBody, endpoint_response, full_body};
 use crate::sending::{
-    SendTarget, SentReply, check_refusal, exclude_endpoint, probe, probe_entry, send,
+    SendTarget, SentReply, check_refusal, exclude_endpoint, probe, probe_entry, read_answer, send,
 };
 use crate::stall::MIN_SILENCE;
 use crate::state::{EntryState, PathQuery};
@@ -399,7 +399,7 @@
             is_silent: is_silent.clone(),
             resume_after,
             retry,
-            framer: EventFramer::default(),
+            framer: EventFramer::new(context.state.pool.budget()),
             open: None,
         };
         let steps = stream::unfold(Some(reader), |reader| async move {
@@ -425,7 +425,7 @@
 struct OpenStream {
     guard: StreamGuard,
     first: EndpointEntry,
-    body: Incoming,
+    body: ReplyBody,
     lease: ConnectionLease,
     silence: SilenceHandler,
     _hold: StageHold,
@@ -472,7 +472,8 @@
         let mut silence = SilenceHandler::new(&self.is_silent);
         let sent = self.send(&guard, &first, urgency, &mut silence).await?;
         let parts = sent.reply.parts;
-        let (body, lease) = (sent.reply.body, sent.reply.lease);
+        let lease = sent.reply.lease;
+        let body = lease.meter(sent.reply.body);
         self.open = Some(OpenStream { guard, first, body, lease, silence, _hold: hold });
         Ok(SourceStep::Opened(SourceHead { status: parts.status, headers: parts.headers }))
     }
@@ -567,13 +568,16 @@
             context.avoid.borrow_mut().insert(first.name.clone());
             return Err(self.log_failure(guard, SourceFailure::Unknown(reason.into())));
         }
-        let body = timeout_at(context.call.deadline, sent.reply.body.collect()).await;
-        let Ok(Ok(body)) = body else {
-            return Err(self.log_failure(guard, SourceFailure::Unknown(reason.into())));
+        let answer = read_answer(state, sent.reply);
+        let (parts, body) = match timeout_at(context.call.deadline, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => {
+                let reason = format!("{reason}, then: {error}").into();
+                return Err(self.log_failure(guard, SourceFailure::Unknown(reason)));
+            }
+            Err(_) => return Err(self.log_failure(guard, SourceFailure::Unknown(reason.into()))),
         };
-        sent.reply.lease.return_to_pool();
-        let body = full_body(body.to_bytes());
-        let response = endpoint_response(status, &sent.reply.parts.headers, body);
+        let response = endpoint_response(status, &parts.headers, full_body(body));
         Err(SourceFailure::Response(Box::new(response)))
     }
 
