--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use http_body_util::BodyExt;
 use hyper::{Response, StatusCode};
 use jacinthrock::{CallRefusal, EndpointName, ResultCode};
 use rand::seq::IndexedRandom;
@@ -14,7 +13,7 @@
 use crate::health::CallEnd;
 use crate::pool::SendError;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
-use crate::sending::{SendTarget, SentReply, send};
+use crate::sending::{SendTarget, SentReply, read_answer, send};
 use crate::state::EntryState;
 
 /// Retry-After when no endpoint accepts a call: calls take about 60 ms, so capacity is free again
@@ -122,11 +121,11 @@
     let target = SendTarget { endpoint: entry, path: &[], resume_after: None, urgency: None };
     let sent = timeout_at(call.deadline, send(state, call, target)).await;
     let (outcome, call_end) = match sent {
-        Ok(Ok(sent)) => classify_reply(call, sent).await,
+        Ok(Ok(sent)) => classify_reply(state, call, sent).await,
         Ok(Err(SendError::NotSent { .. })) => {
             (AttemptOutcome::NotSent("no connection to the endpoint".into()), CallEnd::Broken)
         }
-        Ok(Err(error @ SendError::NoReply { .. })) => {
+        Ok(Err(error @ (SendError::NoReply { .. } | SendError::TooLarge { .. }))) => {
             (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken)
         }
         Err(_) => (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken),
@@ -147,7 +146,11 @@
     outcome
 }
 
-async fn classify_reply(call: &AllowedCall, sent: SentReply) -> (AttemptOutcome, CallEnd) {
+async fn classify_reply(
+    state: &EntryState,
+    call: &AllowedCall,
+    sent: SentReply,
+) -> (AttemptOutcome, CallEnd) {
     let status = sent.reply.parts.status;
     if sent.is_not_run() {
         let fault = format!("endpoint refused with {status}");
@@ -157,20 +160,16 @@
     if !sent.is_genuine() {
         return (AttemptOutcome::Unknown("answer is not the endpoint's".into()), CallEnd::Broken);
     }
-    let body = timeout_at(call.deadline, sent.reply.body.collect()).await;
-    let body = match body {
-        Ok(Ok(body)) => body.to_bytes(),
+    let read = timeout_at(call.deadline, read_answer(state, sent.reply)).await;
+    let (parts, body) = match read {
+        Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
-            return (
-                AttemptOutcome::Unknown(format!("answer broke off: {error}").into()),
-                CallEnd::Broken,
-            );
+            return (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken);
         }
         Err(_) => {
             return (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken);
         }
     };
-    sent.reply.lease.return_to_pool();
     // These statuses tell a caller that the request has not run. Without the endpoint's not-run
     // header that is uncertain, so they are not forwarded.
     let is_not_run_status = matches!(
@@ -183,7 +182,7 @@
         let fault = format!("endpoint answered {status} and may have run the request");
         return (AttemptOutcome::Unknown(fault.into()), CallEnd::Failed);
     }
-    let response = endpoint_response(status, &sent.reply.parts.headers, full_body(body));
+    let response = endpoint_response(status, &parts.headers, full_body(body));
     if status.is_server_error() {
         return (AttemptOutcome::Failed(response), CallEnd::Failed);
     }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HOST, HeaderValue};
@@ -20,6 +20,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::reply::{
+    MeteredStream, ReplyBody, ReplyBudget, ReplyError, ReplyProgress, collect_body, error_chain,
+    is_endless,
+};
+
 /// Time after which a connection with unacknowledged data is closed, so that an unreachable host is
 /// detected; round trips take a few ms.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -29,6 +34,12 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Maximum number of idle connections for each address; more are open only while requests run.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
+/// Maximum size of a reply's head, in bytes; also of the buffer of a connection.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+/// Maximum size of a small reply, in bytes: a report of an endpoint or its reply to an order.
+const MAX_SMALL_REPLY_BYTES: usize = 256 << 10;
+/// Bytes that the buffered replies of a pool may take together, unless the pool says otherwise.
+const MAX_BUFFERED_BYTES: usize = 24 << 20;
 
 type RequestSender = SendRequest<Full<Bytes>>;
 
@@ -53,18 +64,38 @@
         /// What failed.
         reason: Box<str>,
     },
+    /// The request was sent and may have run; its reply was given up because of its size.
+    #[error("answer from {address} is over its limit: {reason}")]
+    TooLarge {
+        /// Address.
+        address: SocketAddr,
+        /// What was exceeded.
+        reason: Box<str>,
+    },
 }
 
-struct IdleConnection {
+struct Connection {
     sender: RequestSender,
     task: AbortHandle,
+    progress: ReplyProgress,
+}
+
+struct IdleConnection {
+    connection: Connection,
     idle_since: Instant,
 }
 
 /// Idle connections by address. Clones share the same pool.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
+    budget: ReplyBudget,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        Self::new(ReplyBudget::new(MAX_BUFFERED_BYTES))
+    }
 }
 
 /// A connection that is in use by a request. Dropping the lease closes the connection, so that the
@@ -72,7 +103,8 @@
 pub struct ConnectionLease {
     pool: ConnectionPool,
     address: SocketAddr,
-    connection: Option<(RequestSender, AbortHandle)>,
+    connection: Option<Connection>,
+    progress: ReplyProgress,
 }
 
 /// A reply whose body has not been read.
@@ -94,13 +126,47 @@
     pub connect_timeout: Duration,
     /// Timeout for the head of the reply, or in `fetch` for the whole reply.
     pub head_timeout: Duration,
+    /// Maximum size of the reply's body in `fetch`, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl SendError {
+    /// Whether the reply was given up because of its size.
+    pub fn is_over_limit(&self) -> bool {
+        matches!(self, Self::TooLarge { .. })
+    }
+
+    fn from_head(address: SocketAddr, error: &hyper::Error) -> Self {
+        if is_endless(error) {
+            return Self::TooLarge { address, reason: error_chain(error) };
+        }
+        if error.is_parse_too_large() {
+            let reason = format!("head exceeds {MAX_HEAD_BYTES} bytes").into();
+            return Self::TooLarge { address, reason };
+        }
+        Self::NoReply { address, reason: error_chain(error) }
+    }
+
+    fn from_reply(address: SocketAddr, error: &ReplyError) -> Self {
+        let reason = error.to_string().into();
+        if error.is_over_limit() {
+            Self::TooLarge { address, reason }
+        } else {
+            Self::NoReply { address, reason }
+        }
+    }
 }
 
 impl SendOptions {
     /// Options of a small request, with `limit` as timeout both for a new connection and for the
     /// reply.
     pub fn within(limit: Duration, max_idle: Duration) -> Self {
-        Self { max_idle, connect_timeout: limit, head_timeout: limit }
+        Self {
+            max_idle,
+            connect_timeout: limit,
+            head_timeout: limit,
+            max_body_bytes: MAX_SMALL_REPLY_BYTES,
+        }
     }
 }
 
@@ -134,6 +200,16 @@
 }
 
 impl ConnectionPool {
+    /// Creates a pool without connections, whose buffered replies stay within a budget.
+    pub fn new(budget: ReplyBudget) -> Self {
+        Self { idle: Rc::default(), budget }
+    }
+
+    /// Budget of the replies that are buffered.
+    pub fn budget(&self) -> &ReplyBudget {
+        &self.budget
+    }
+
     /// Sends a request and waits for the head of the reply.
     pub async fn send(
         &self,
@@ -141,26 +217,25 @@
         request: Request<Full<Bytes>>,
         options: SendOptions,
     ) -> Result<PooledReply, SendError> {
-        let (mut sender, task) = match self.take_idle(address, options.max_idle) {
+        let mut connection = match self.take_idle(address, options.max_idle) {
             Some(connection) => connection,
             None => connect(address, options.connect_timeout).await?,
         };
-        let lease = |sender| ConnectionLease {
-            pool: self.clone(),
-            address,
-            connection: Some((sender, task.clone())),
-        };
-        let response = sender.send_request(request);
-        let mut lease = lease(sender);
+        let progress = connection.progress.clone();
+        progress.restart();
+        let response = connection.sender.send_request(request);
+        let mut lease =
+            ConnectionLease { pool: self.clone(), address, connection: Some(connection), progress };
         let no_reply = |reason: Box<str>| SendError::NoReply { address, reason };
         match timeout(options.head_timeout, response).await {
             Ok(Ok(response)) => {
+                lease.progress.suspend();
                 let (parts, body) = Response::into_parts(response);
                 Ok(PooledReply { parts, body, lease })
             }
             Ok(Err(error)) => {
                 lease.close();
-                Err(no_reply(error.to_string().into()))
+                Err(SendError::from_head(address, &error))
             }
             Err(_) => {
                 lease.close();
@@ -169,7 +244,8 @@
         }
     }
 
-    /// Sends a request and reads the complete reply within `head_timeout`.
+    /// Sends a request and reads the complete reply within `head_timeout`. The connection of a reply
+    /// that is too large is closed at once.
     pub async fn fetch(
         &self,
         address: SocketAddr,
@@ -180,12 +256,14 @@
         let reply = self.send(address, request, options).await?;
         let remaining = options.head_timeout.saturating_sub(started.elapsed());
         let no_reply = |reason: Box<str>| SendError::NoReply { address, reason };
-        let body = timeout(remaining, reply.body.collect()).await;
+        let body = reply.lease.meter(reply.body);
+        let body = collect_body(body, options.max_body_bytes, &self.budget);
+        let body = timeout(remaining, body).await;
         let body =
             body.map_err(|_| no_reply("timed out while reading the response body".into()))?;
-        let body = body.map_err(|error| no_reply(error.to_string().into()))?;
+        let body = body.map_err(|error| SendError::from_reply(address, &error))?;
         reply.lease.return_to_pool();
-        Ok((reply.parts, body.to_bytes()))
+        Ok((reply.parts, body))
     }
 
     /// Closes connections that have been idle for longer than `max_idle`, and drops closed ones.
@@ -194,9 +272,9 @@
         self.idle.borrow_mut().retain(|_, connections| {
             connections.retain(|connection| {
                 let is_kept = now.saturating_duration_since(connection.idle_since) <= max_idle
-                    && !connection.sender.is_closed();
+                    && !connection.connection.sender.is_closed();
                 if !is_kept {
-                    connection.task.abort();
+                    connection.connection.task.abort();
                 }
                 is_kept
             });
@@ -204,52 +282,53 @@
         });
     }
 
-    fn take_idle(
-        &self,
-        address: SocketAddr,
-        max_idle: Duration,
-    ) -> Option<(RequestSender, AbortHandle)> {
+    fn take_idle(&self, address: SocketAddr, max_idle: Duration) -> Option<Connection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(connection) = connections.pop() {
-            let is_fresh = connection.idle_since.elapsed() <= max_idle;
+        while let Some(IdleConnection { connection, idle_since }) = connections.pop() {
+            let is_fresh = idle_since.elapsed() <= max_idle;
             if is_fresh && connection.sender.is_ready() {
-                return Some((connection.sender, connection.task));
+                return Some(connection);
             }
             connection.task.abort();
         }
         None
     }
 
-    fn put_idle(&self, address: SocketAddr, sender: RequestSender, task: AbortHandle) {
+    fn put_idle(&self, address: SocketAddr, connection: Connection) {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
         if connections.len() >= MAX_IDLE_PER_ADDRESS {
-            task.abort();
+            connection.task.abort();
             return;
         }
-        connections.push(IdleConnection { sender, task, idle_since: Instant::now() });
+        connections.push(IdleConnection { connection, idle_since: Instant::now() });
     }
 }
 
 impl ConnectionLease {
+    /// Body read from the connection, which is closed if bytes arrive that do not become part of it.
+    pub fn meter(&self, body: Incoming) -> ReplyBody {
+        ReplyBody::new(body, self.progress.clone())
+    }
+
     /// Returns the connection to the pool. Call this only after the reply has been read completely.
     pub fn return_to_pool(mut self) {
-        let Some((mut sender, task)) = self.connection.take() else { return };
+        let Some(mut connection) = self.connection.take() else { return };
         let (pool, address) = (self.pool.clone(), self.address);
         tokio::task::spawn_local(async move {
             // Bytes after the reply belong to no request: the connection closes itself on them
             // instead of becoming ready.
-            match sender.ready().await {
-                Ok(()) => pool.put_idle(address, sender, task),
-                Err(_) => task.abort(),
+            match connection.sender.ready().await {
+                Ok(()) => pool.put_idle(address, connection),
+                Err(_) => connection.task.abort(),
             }
         });
     }
 
     fn close(&mut self) {
-        if let Some((_, task)) = self.connection.take() {
-            task.abort();
+        if let Some(connection) = self.connection.take() {
+            connection.task.abort();
         }
     }
 }
@@ -260,10 +339,7 @@
     }
 }
 
-async fn connect(
-    address: SocketAddr,
-    limit: Duration,
-) -> Result<(RequestSender, AbortHandle), SendError> {
+async fn connect(address: SocketAddr, limit: Duration) -> Result<Connection, SendError> {
     let not_sent = |reason: Box<str>| SendError::NotSent { address, reason, is_refused: false };
     let stream = timeout(limit, TcpStream::connect(address)).await;
     let stream = stream.map_err(|_| not_sent("time for the connection is over".into()))?;
@@ -273,13 +349,17 @@
         is_refused: error.kind() == io::ErrorKind::ConnectionRefused,
     })?;
     set_socket_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let progress = ReplyProgress::default();
+    let stream = MeteredStream::new(stream, progress.clone());
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string().into()))?;
     let task = tokio::task::spawn_local(async move {
         // A pending request receives the error itself; on an idle connection it can be ignored.
         let _ = connection.await;
     });
-    Ok((sender, task.abort_handle()))
+    Ok(Connection { sender, task: task.abort_handle(), progress })
 }
 
 /// Disables Nagle's algorithm and sets the TCP options that detect an unreachable peer.
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -1,11 +1,13 @@
 //! Sends calls to endpoints, and probes endpoints that are suspected of failure.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_LENGTH, HeaderValue};
+use hyper::http::response;
 use hyper::{Method, Request, StatusCode, Uri, Version};
 use jacinthrock::{EndpointName, MetricName};
 use tokio::time::Instant;
@@ -15,6 +17,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::path::PathStage;
 use crate::pool::{PooledReply, SendError, SendOptions, build_request, host_header};
+use crate::reply::{ReplyError, collect_body};
 use crate::response::end_to_end_headers;
 use crate::state::EntryState;
 
@@ -23,6 +26,8 @@
 /// Timeout for the connection of a probe, and for its reply: endpoints report their state within a
 /// few ms, even at full load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
+/// Maximum size of an endpoint's answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
 /// KV cache usage of an endpoint below which a refusal cannot be due to a full cache: a single
 /// stream takes only a small part of it.
 const MIN_FULL_KV_USAGE: f64 = 0.6;
@@ -100,8 +105,10 @@
         },
         connect_timeout: CONNECT_TIMEOUT.min(remaining),
         head_timeout: remaining,
+        ..SendOptions::within(remaining, MAX_IDLE)
     };
     let sent = state.pool.send(target.endpoint.address, request, options).await;
+    count_over_limit(state, "answer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
     let sent = SentReply { reply, head };
@@ -159,6 +166,39 @@
     state.path_changed.notify_waiters();
 }
 
+/// Fetches a small reply; counts it under `what` if it is over its limit.
+pub(crate) async fn fetch(
+    state: &EntryState,
+    what: &'static str,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    options: SendOptions,
+) -> Result<(response::Parts, Bytes), SendError> {
+    let fetched = state.pool.fetch(address, request, options).await;
+    count_over_limit(state, what, fetched.as_ref().is_err_and(SendError::is_over_limit));
+    fetched
+}
+
+/// Reads the body of an endpoint's answer; counts it if it is over its limit.
+pub(crate) async fn read_answer(
+    state: &EntryState,
+    reply: PooledReply,
+) -> Result<(response::Parts, Bytes), ReplyError> {
+    let body = reply.lease.meter(reply.body);
+    let body = collect_body(body, MAX_ANSWER_BYTES, state.pool.budget()).await;
+    count_over_limit(state, "answer", body.as_ref().is_err_and(ReplyError::is_over_limit));
+    let body = body?;
+    reply.lease.return_to_pool();
+    Ok((reply.parts, body))
+}
+
+/// Counts a reply that was given up because it was over a limit.
+fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
+    if is_over_limit {
+        state.metrics.count(MetricName::OversizedReplies, &[what]);
+    }
+}
+
 /// Fetches the state that an endpoint reports; `None` if the reply is not a valid report.
 pub(crate) async fn fetch_report(
     state: &EntryState,
@@ -168,7 +208,7 @@
     let uri = Uri::from_static(state.codec.report_path());
     let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
     let options = SendOptions::within(limit, Duration::ZERO);
-    let fetched = state.pool.fetch(entry.address, request, options).await;
+    let fetched = fetch(state, "report", entry.address, request, options).await;
     let (parts, body) = fetched.inspect_err(|error| note_error(state, entry, error))?;
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
     if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
