An endpoint is one start at one address

What callers saw: after an endpoint had come back at its former address, streams were sent to paths through the dead one and refused after four sends within a millisecond, each answered by the same 421.

Causes: endpoints were told apart by name alone. The former entry, which the registry lists until it expires, stayed in the table beside the new one; a restart under the same name kept the streams, the health and the flags of the former start. And the address in a refusal, a refused order or a report of stalled streams was resolved to the first entry by name at that address: the new endpoint, which was then excluded for seconds, while the dead one stayed in the paths.

Change: an entry that is listed later at the same address, or under the same name, ends the former. That one is no longer used by any host, its streams are told to go on over other paths at once, and what was observed of it is dropped, but for its end. Stages of a path carry the start, so that a restarted endpoint is not taken for the one that was lost. The former entry is listed again if the later one goes first, since a clock may have been set back between the two. An address is looked for among the stages of the path that the request or order was sent on; for a stall, behind the first stage that reports it, on this host's streams.

--- a/crates/entry/src/detour.rs
+++ b/crates/entry/src/detour.rs
@@ -31,12 +31,14 @@
 ///
 /// let stage = |name: &str, from, to| PathStage {
 ///     name: name.into(),
+///     start_unix_ms: 1,
 ///     address: ([10, 0, 0, 1], 80).into(),
 ///     span: LayerSpan { from, to },
 ///     domain: "north".into(),
 /// };
 /// let spare = StageView {
 ///     name: "c".into(),
+///     start_unix_ms: 1,
 ///     address: ([10, 0, 0, 2], 80).into(),
 ///     domain: "north".into(),
 ///     span: LayerSpan { from: 3, to: 8 },
--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -35,7 +35,7 @@
 /// An endpoint's entry in the registry.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct EndpointEntry {
-    /// Name of the endpoint; each start has a new one.
+    /// Name of the endpoint; a later start may have the same one.
     pub name: EndpointName,
     /// Service that it serves.
     pub service: ServiceName,
@@ -69,6 +69,14 @@
         EndpointStart { name: &self.name, start_unix_ms: self.start_unix_ms }
     }
 
+    /// Whether this entry shows that another endpoint has ended: it is of a later start at the same
+    /// address.
+    pub fn has_replaced(&self, other: &EndpointEntry) -> bool {
+        self.address == other.address
+            && self.start_unix_ms > other.start_unix_ms
+            && other.start_unix_ms > 0
+    }
+
     /// Number of layers whose weights take memory, including an order under way.
     pub fn weight_layers(&self) -> u16 {
         let spans = [self.layers, self.under_way].into_iter().flatten().filter(|s| s.count() > 0);
@@ -121,6 +129,10 @@
     changes: VecDeque<EndpointChange>,
     change_count: ChangeNumber,
     entries: BTreeMap<EndpointName, EndpointEntry>,
+    /// Entries that are still listed although another endpoint has started at their address since.
+    replaced: BTreeMap<EndpointName, EndpointEntry>,
+    /// Endpoints of which a later start was listed, until they are taken by `take_ended`.
+    ended: Vec<EndpointName>,
     vanished: BTreeMap<EndpointName, Instant>,
     grace_until: Option<Instant>,
     /// Endpoints that were removed, with their start time and the time of their removal.
@@ -141,6 +153,12 @@
         self.entries.values()
     }
 
+    /// Endpoints that have ended since the last call, as a later start under their name or at their
+    /// address shows.
+    pub fn take_ended(&mut self) -> Vec<EndpointName> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Entry of one endpoint.
     pub fn get(&self, name: &str) -> Option<&EndpointEntry> {
         self.entries.get(name)
@@ -226,13 +244,14 @@
         let entries: Vec<_> = entries.collect();
         let fresh: BTreeMap<_, _> =
             entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
-        let missing: Vec<_> =
-            self.entries.keys().filter(|name| !fresh.contains_key(*name)).cloned().collect();
+        let known = self.entries.keys().chain(self.replaced.keys());
+        let missing: Vec<_> = known.filter(|name| !fresh.contains_key(*name)).cloned().collect();
         for name in missing {
             self.remove(name, now);
         }
         for (name, entry) in fresh {
-            if self.entries.get(&name) != Some(&entry) {
+            let known = self.entries.get(&name).or_else(|| self.replaced.get(&name));
+            if known != Some(&entry) {
                 self.put(entry);
             }
             self.vanished.remove(&name);
@@ -314,6 +333,10 @@
         for name in &due {
             self.vanished.remove(name);
             if let Some(entry) = self.entries.remove(name) {
+                let address = entry.address;
+                self.record_removal(entry, now);
+                self.restore_at(address);
+            } else if let Some(entry) = self.replaced.remove(name) {
                 self.record_removal(entry, now);
             }
         }
@@ -335,7 +358,10 @@
                 let skip = (seen - kept_from) as usize;
                 Some(EndpointUpdate::Changes(self.changes.iter().skip(skip).cloned().collect()))
             }
-            None => Some(EndpointUpdate::Whole(self.entries.values().cloned().collect())),
+            None => {
+                let known = self.entries.values().chain(self.replaced.values());
+                Some(EndpointUpdate::Whole(known.cloned().collect()))
+            }
         };
         (self.change_count, update)
     }
@@ -379,9 +405,46 @@
 
     fn put(&mut self, entry: EndpointEntry) {
         self.record_change(EndpointChange::Put(entry.clone()));
+        let is_same_start = self.entries.get(&entry.name).is_some_and(|known| {
+            known.start_unix_ms == entry.start_unix_ms && known.address == entry.address
+        });
+        if !is_same_start && !self.replace_former_starts(&entry) {
+            self.replaced.insert(entry.name.clone(), entry);
+            return;
+        }
+        self.replaced.remove(&entry.name);
         self.entries.insert(entry.name.clone(), entry);
     }
 
+    /// Ends the entries that had the name or the address of a start before it; returns whether this
+    /// start is the latest at its address. Under one name the registry lists the latest.
+    fn replace_former_starts(&mut self, entry: &EndpointEntry) -> bool {
+        let mut others = self.entries.values().filter(|other| other.name != entry.name);
+        if others.any(|other| other.has_replaced(entry)) {
+            return false;
+        }
+        let ended = |other: &&EndpointEntry| other.name == entry.name || entry.has_replaced(other);
+        let ended = self.entries.values().filter(ended).map(|other| other.name.clone());
+        let ended: Vec<_> = ended.collect();
+        for name in &ended {
+            if let Some(other) = self.entries.remove(name) {
+                self.replaced.insert(name.clone(), other);
+            }
+        }
+        self.ended.extend(ended);
+        true
+    }
+
+    /// Lists an endpoint again that seemed to have ended: the later start at its address is gone.
+    fn restore_at(&mut self, address: SocketAddr) {
+        let at_address = self.replaced.values().filter(|entry| entry.address == address);
+        let latest = at_address.max_by_key(|entry| entry.start_unix_ms);
+        if let Some(entry) = latest.cloned() {
+            self.replaced.remove(&entry.name);
+            self.entries.insert(entry.name.clone(), entry);
+        }
+    }
+
     fn record_change(&mut self, change: EndpointChange) {
         self.change_count += 1;
         self.changes.push_back(change);
@@ -391,11 +454,17 @@
     }
 
     fn remove(&mut self, name: EndpointName, now: Instant) {
+        if let Some(entry) = self.replaced.remove(&name) {
+            self.record_removal(entry, now);
+            return;
+        }
         let Some(entry) = self.entries.remove(&name) else { return };
         if self.defer_removal(&name, &entry, now) {
             self.entries.insert(name, entry);
         } else {
+            let address = entry.address;
             self.record_removal(entry, now);
+            self.restore_at(address);
         }
     }
 
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -273,6 +273,7 @@
 
 /// Drops state of endpoints that are no longer listed, and wakes requests that wait for a change.
 pub(crate) fn endpoints_changed(state: &EntryState) {
+    state.forget_ended();
     let endpoints = state.endpoints.borrow();
     state.health.borrow_mut().retain(|name| endpoints.get(name).is_some());
     drop(endpoints);
--- a/crates/entry/src/health.rs
+++ b/crates/entry/src/health.rs
@@ -184,6 +184,13 @@
         record.reply_ms * queue * (1.0 + FAILURE_COST_FACTOR * record.failure_share)
     }
 
+    /// Forgets what was observed of the former start of an endpoint, except for its open calls.
+    pub fn forget(&mut self, name: &str) {
+        if let Some(record) = self.records.get_mut(name) {
+            *record = HealthRecord { open_calls: record.open_calls, ..HealthRecord::default() };
+        }
+    }
+
     /// Removes endpoints that are no longer known, unless they have open calls or have just ended.
     pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.records.retain(|name, record| {
--- a/crates/entry/src/inflight.rs
+++ b/crates/entry/src/inflight.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::path::{PathStage, crossings};
+use crate::path::{PathStage, crossings, stage_at};
 use crate::stall::{StreamNumber, StreamView};
 
 /// Weight of the newest sample in moving averages of event times.
@@ -210,6 +211,13 @@
         through.map(|record| record.request_reroute()).count()
     }
 
+    /// The endpoint at an address that streams from a first stage run through.
+    pub fn stage_behind(&self, first: &str, address: SocketAddr) -> Option<EndpointName> {
+        let paths = self.records.values().map(|record| record.path());
+        let mut started = paths.filter(|path| path.first().is_some_and(|s| &*s.name == first));
+        started.find_map(|path| stage_at(&path, address).map(|stage| stage.name.clone()))
+    }
+
     /// Restarts the silence of every stream; called after this host itself was stalled.
     pub fn reset_silence(&self, now: Instant) {
         self.records.values().for_each(|record| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -70,7 +70,7 @@
 };
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
-pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap};
+pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap, stage_at};
 pub use poison::{BlamedPart, PoisonReport, PoisonTable, PromptPart, RequestTag};
 pub use pool::{
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
--- a/crates/entry/src/notices.rs
+++ b/crates/entry/src/notices.rs
@@ -24,12 +24,12 @@
 /// was restored may list it again.
 const UNLISTED_TIME: Duration = Duration::from_secs(120);
 
-/// Identity of one start of an endpoint: its name, and its start time in ms since the Unix epoch.
+/// Identity of one start of an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct EndpointStart<'a> {
     /// Name.
     pub name: &'a EndpointName,
-    /// Start time.
+    /// Start time, in ms since the Unix epoch; 0 if it reports none.
     pub start_unix_ms: u64,
 }
 
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -12,6 +12,7 @@
 use jacinthrock::{DomainName, EndpointName};
 
 use crate::endpoints::LayerSpan;
+use crate::notices::EndpointStart;
 
 /// Extra cost of a crossing between failure domains, in ms per token: about the time of a whole
 /// path, so that a stream crosses only if its domain has no path or a much slower one.
@@ -41,6 +42,8 @@
 pub struct StageView {
     /// Endpoint.
     pub name: EndpointName,
+    /// Its start time, in ms since the Unix epoch.
+    pub start_unix_ms: u64,
     /// Address.
     pub address: SocketAddr,
     /// Failure domain.
@@ -66,6 +69,8 @@
 pub struct PathStage {
     /// Endpoint.
     pub name: EndpointName,
+    /// Its start time, in ms since the Unix epoch.
+    pub start_unix_ms: u64,
     /// Address.
     pub address: SocketAddr,
     /// Layers that it runs for the stream.
@@ -74,6 +79,30 @@
     pub domain: DomainName,
 }
 
+impl PathStage {
+    /// The start of the endpoint.
+    pub fn start(&self) -> EndpointStart<'_> {
+        EndpointStart { name: &self.name, start_unix_ms: self.start_unix_ms }
+    }
+}
+
+/// The stage of a path at an address. Endpoints name one another by address alone, and another
+/// endpoint may have started at it since.
+///
+/// ```
+/// use jacinthrock_entry::{LayerSpan, PathStage, stage_at};
+///
+/// let address = ([10, 0, 0, 1], 80).into();
+/// let span = LayerSpan { from: 0, to: 4 };
+/// let domain = "north".into();
+/// let path = [PathStage { name: "a".into(), start_unix_ms: 1, address, span, domain }];
+/// assert_eq!(stage_at(&path, address), Some(&path[0]));
+/// assert_eq!(stage_at(&path, ([10, 0, 0, 2], 80).into()), None);
+/// ```
+pub fn stage_at(path: &[PathStage], address: SocketAddr) -> Option<&PathStage> {
+    path.iter().find(|stage| stage.address == address)
+}
+
 /// Number of crossings between failure domains along a path.
 pub fn crossings(path: &[PathStage]) -> usize {
     path.windows(2).filter(|pair| pair[0].domain != pair[1].domain).count()
@@ -220,6 +249,7 @@
         let span = LayerSpan { from: boundaries[partial.start], to: boundaries[position] };
         path.push(PathStage {
             name: stage.name.clone(),
+            start_unix_ms: stage.start_unix_ms,
             address: stage.address,
             span,
             domain: stage.domain.clone(),
--- a/crates/entry/src/reroute.rs
+++ b/crates/entry/src/reroute.rs
@@ -11,7 +11,7 @@
 use crate::call::AllowedCall;
 use crate::inflight::StreamGuard;
 use crate::orders::{OrderReply, post_order};
-use crate::path::{PathStage, crossings};
+use crate::path::{PathStage, crossings, stage_at};
 use crate::pool::SendError;
 use crate::state::{EntryState, PathQuery};
 
@@ -70,7 +70,8 @@
         let order = state.codec.repath_order(&call.head.attempt, &path);
         let reply = post_order(state, &first, order, REPATH_TIMEOUT).await;
         let fault_at = reply.as_ref().ok().and_then(|reply| reply.fault_at);
-        let culprit = fault_at.and_then(|address| state.endpoint_at(address));
+        let culprit = fault_at.and_then(|address| stage_at(&path, address));
+        let culprit = culprit.map(|stage| stage.name.clone());
         let sent = RepathOrder { call, old: &old, new: &path, culprit: culprit.as_ref() };
         sent.record(state, &reply);
         match reply {
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -250,7 +250,8 @@
                 state.path_changed.notify_waiters();
             }
             for address in report.map(|report| report.stalled).unwrap_or_default() {
-                if let Some(other) = state.endpoint_at(address) {
+                let other = state.inflight.borrow().stage_behind(&name, address);
+                if let Some(other) = other {
                     suspect(&state, &other, "reported as stalled by the first stage");
                 }
             }
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -23,7 +23,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
 use crate::inflight::{StreamGuard, StreamRecord};
-use crate::path::{PathStage, crossings};
+use crate::path::{PathStage, crossings, stage_at};
 use crate::pool::{ConnectionLease, SendError};
 use crate::queue::{QueuePosition, WaitClass};
 use crate::reply::ReplyBody;
@@ -574,8 +574,9 @@
         let state = &context.state;
         let status = sent.reply.parts.status;
         if sent.is_not_run() {
-            let at = sent.head.fault_at.and_then(|address| state.endpoint_at(address));
-            let culprit = at.unwrap_or_else(|| first.name.clone());
+            let path = guard.record().path();
+            let at = sent.head.fault_at.and_then(|address| stage_at(&path, address));
+            let culprit = at.map_or(&first.name, |stage| &stage.name).clone();
             if status == StatusCode::MISDIRECTED_REQUEST {
                 // Another endpoint may have taken over the address.
                 context.record_broken(first);
@@ -746,7 +747,7 @@
             return Ok(());
         }
         let path = record.path();
-        if let Some(stage) = path[1..].iter().find(|stage| context.state.has_ended(&stage.name)) {
+        if let Some(stage) = path[1..].iter().find(|stage| context.state.has_ended(stage)) {
             let reason = format!("{} has ended, and nothing stands in for it", stage.name);
             return Err(SourceFailure::Unknown(reason.into()));
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -528,6 +528,27 @@
         self.recently_probed.borrow_mut().set(name, now, now + PROBE_VALIDITY);
     }
 
+    /// Drops what this host knows of endpoints that have ended, as a later start shows, and has
+    /// their streams continue over other paths.
+    pub fn forget_ended(&self) {
+        let ended = self.endpoints.borrow_mut().take_ended();
+        for name in ended {
+            let streams = self.inflight.borrow().request_reroute_through(&name);
+            log::info!(
+                event = "endpoint_replaced", endpoint = &*name, streams;
+                "a later start has taken over the endpoint's name or address"
+            );
+            if self.endpoint(&name).is_some() {
+                self.health.borrow_mut().forget(&name);
+            } else {
+                self.health.borrow_mut().record_replaced(&name, Instant::now());
+            }
+            for flags in [&self.suspected, &self.recently_probed, &self.overloaded] {
+                flags.borrow_mut().clear(&name);
+            }
+        }
+    }
+
     /// Removes flags and exclusions of endpoints that are no longer listed.
     pub fn prune_unlisted(&self) {
         let endpoints = self.endpoints.borrow();
@@ -615,10 +636,12 @@
         let engine = rules.engine(query.service)?;
         let lost: BTreeSet<EndpointName> = {
             let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
-            let names = path.iter().map(|stage| &stage.name);
-            let is_lost =
-                |name: &&EndpointName| endpoints.get(name).is_none() || health.is_down(name);
-            names.filter(is_lost).cloned().collect()
+            let is_lost = |stage: &&PathStage| {
+                let entry = endpoints.get(&stage.name);
+                entry.is_none_or(|entry| entry.start_unix_ms != stage.start_unix_ms)
+                    || health.is_down(&stage.name)
+            };
+            path.iter().filter(is_lost).map(|stage| stage.name.clone()).collect()
         };
         if lost.is_empty() {
             return None;
@@ -714,6 +737,7 @@
                 let is_overloaded = overloaded.is_set(&entry.name, now);
                 Some(StageView {
                     name: entry.name.clone(),
+                    start_unix_ms: entry.start_unix_ms,
                     address: entry.address,
                     domain: entry.domain.clone(),
                     span,
@@ -731,27 +755,23 @@
             .collect()
     }
 
-    /// Name of the endpoint at an address.
-    pub fn endpoint_at(&self, address: SocketAddr) -> Option<EndpointName> {
-        let endpoints = self.endpoints.borrow();
-        endpoints.entries().find(|entry| entry.address == address).map(|entry| entry.name.clone())
-    }
-
     /// Whether an endpoint, at which a send was over at the given time, is known to have ended: its
     /// entry is of another start, or its address has shown so since.
     pub fn has_ended_since(&self, endpoint: EndpointStart<'_>, at: Instant) -> bool {
         let is_other_start = self
             .endpoint(endpoint.name)
             .is_some_and(|entry| entry.start_unix_ms != endpoint.start_unix_ms);
-        let ended_at = self.health.borrow().ended_at(endpoint.name);
-        is_other_start || ended_at.is_some_and(|ended| ended >= at)
+        let health = self.health.borrow();
+        let has_shown = health.ended_at(endpoint.name).is_some_and(|ended| ended >= at);
+        is_other_start || has_shown || health.is_replaced(endpoint.name)
     }
 
     /// Whether a later stage of a path is known to have ended, or has left the registry.
-    pub fn has_ended(&self, name: &str) -> bool {
-        let entry = self.endpoint(name);
-        let is_replaced = entry.as_ref().is_none_or(|entry| self.is_replaced(entry));
-        is_replaced || self.health.borrow().ended_at(name).is_some()
+    pub fn has_ended(&self, stage: &PathStage) -> bool {
+        let entry = self.endpoint(&stage.name);
+        let entry = entry.filter(|entry| entry.start_unix_ms == stage.start_unix_ms);
+        let is_replaced = entry.is_none_or(|entry| self.is_replaced(&entry));
+        is_replaced || self.health.borrow().ended_at(&stage.name).is_some()
     }
 
     /// Records that an endpoint has ended without having left: the streams that it cut are evidence
--- a/crates/entry/tests/detour_loss.rs
+++ b/crates/entry/tests/detour_loss.rs
@@ -14,6 +14,7 @@
 fn view(name: &str, domain: &str, from: u16, to: u16) -> StageView {
     StageView {
         name: name.into(),
+        start_unix_ms: 1,
         address: ([10, 0, 0, 1], 80).into(),
         domain: domain.into(),
         span: LayerSpan { from, to },
--- a/crates/entry/tests/path_choice.rs
+++ b/crates/entry/tests/path_choice.rs
@@ -11,6 +11,7 @@
 fn stage(number: usize, card: &CardView, span: LayerSpan) -> StageView {
     StageView {
         name: card.name.clone(),
+        start_unix_ms: 1,
         address: SocketAddr::from(([10, 0, 0, 1], 1_000 + number as u16)),
         domain: card.domain.clone(),
         span,
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -210,6 +210,15 @@
         registry.remove_endpoint(&self.name);
     }
 
+    /// Ends the endpoint without a word, and writes the entry of a later start at its address.
+    pub(crate) fn restart_as(&self, registry: &FakeRegistry, name: &str, start_unix_ms: u64) {
+        self.is_alive.set(false);
+        let former = self.entry.borrow().clone();
+        let entry =
+            EndpointEntry { name: name.into(), start_unix_ms, layers: None, orders: 0, ..former };
+        registry.write_endpoint(entry);
+    }
+
     async fn reply(
         &self,
         request: Request<Incoming>,
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -45,6 +45,7 @@
 pub(crate) fn stage(name: &str, domain: &str, from: u16, to: u16) -> PathStage {
     PathStage {
         name: name.into(),
+        start_unix_ms: 1,
         address: ([10, 0, 0, 1], 80).into(),
         span: LayerSpan { from, to },
         domain: domain.into(),
