Fault soak of the real entry process, with a checker that stands apart

Starts entry hosts, a stand-in store and stand-in endpoints as processes of their own, draws a schedule of faults from a seed, and judges only what callers, endpoints and the store recorded.

--- /dev/null
+++ b/crates/soak/src/content.rs
@@ -0,0 +1,48 @@
+//! Content of requests and answers, unique for each attempt; stand-ins make it, the checker
+//! compares it.
+
+/// Fewest events of a stream.
+const MIN_EVENTS: u64 = 5;
+/// Number of different lengths of streams.
+const EVENT_RANGE: u64 = 20;
+/// Number of different lengths of plain bodies, in lines.
+const LINE_RANGE: u64 = 60;
+
+fn digest(attempt: &str) -> u64 {
+    attempt.bytes().fold(0xcbf2_9ce4_8422_2325, |digest, byte| {
+        (digest ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    }) >> 8
+}
+
+/// Body of a caller's request.
+pub fn request_body(attempt: &str) -> String {
+    format!("{{\"attempt\":\"{attempt}\"}}")
+}
+
+/// Path of a request on a route.
+///
+/// ```
+/// assert_eq!(jacinthrock_soak::content::request_path("desk", "a1"), "/desk/a1?q=a1");
+/// ```
+pub fn request_path(route: &str, attempt: &str) -> String {
+    format!("/{route}/{attempt}?q={attempt}")
+}
+
+/// Body of a plain answer.
+pub fn plain_body(attempt: &str, endpoint: &str) -> String {
+    format!("{attempt} {endpoint}\n").repeat(1 + (digest(attempt) % LINE_RANGE) as usize)
+}
+
+/// Events of a stream.
+///
+/// ```
+/// assert!(jacinthrock_soak::content::event_count("a1") >= 5);
+/// ```
+pub fn event_count(attempt: &str) -> u64 {
+    MIN_EVENTS + digest(attempt) % EVENT_RANGE
+}
+
+/// One event of a stream.
+pub fn event_text(attempt: &str, endpoint: &str, number: u64) -> String {
+    format!("id: {number}\ndata: {attempt} {number}/{} {endpoint}\n\n", event_count(attempt))
+}
--- /dev/null
+++ b/crates/soak/src/host_fleet.rs
@@ -0,0 +1,234 @@
+//! The entry hosts of a run: their processes, the load balancer's checks, and samples.
+
+use std::cell::{Cell, RefCell};
+use std::fs::{self, File};
+use std::io;
+use std::net::{IpAddr, SocketAddr};
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout};
+
+use crate::checks::GRACE;
+use crate::drive::SiteJournal;
+use crate::process::send_signal;
+use crate::record::{Event, HostName};
+
+const FRONT_PORT: u16 = 7_301;
+const READY_PORT: u16 = 7_302;
+/// Ports for traffic between hosts.
+const INTERNAL_PORTS: [u16; 2] = [7_303, 7_304];
+/// Descriptors that a process may have.
+pub(crate) const MAX_DESCRIPTORS: u64 = 1_000;
+/// Interval of the load balancer's readiness checks; two misses take a host out of rotation.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between the end of a process and its next start.
+const RESTART_DELAY: Duration = Duration::from_millis(400);
+/// Interval at which the driver looks whether a process has ended.
+const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+/// Time after the end of the grace at which the driver kills a process.
+const KILL_DELAY: Duration = Duration::from_millis(200);
+/// Size of a page of memory.
+const PAGE_KB: f64 = 4.0;
+
+/// An entry host.
+pub(crate) struct EntryHost {
+    pub(crate) name: HostName,
+    address: IpAddr,
+    program: PathBuf,
+    folder: PathBuf,
+    life: Cell<u32>,
+    process: RefCell<Option<Child>>,
+    is_told: Cell<bool>,
+    is_frozen: Cell<bool>,
+    /// Whether the driver killed the present process.
+    was_killed: Cell<bool>,
+    /// Time from the end to the next start.
+    start_after: Cell<Duration>,
+    pub(crate) is_in_rotation: Cell<bool>,
+    journal: Rc<SiteJournal>,
+}
+
+impl EntryHost {
+    pub(crate) fn new(
+        number: usize,
+        address: IpAddr,
+        store: SocketAddr,
+        program: PathBuf,
+        folder: PathBuf,
+        journal: Rc<SiteJournal>,
+    ) -> io::Result<Self> {
+        let name: HostName = format!("host-{number}").into();
+        let document = json!({
+            "nodeName": name, "ip": address, "zone": "north", "isBootstrap": false,
+            "listen": {"frontAddr": SocketAddr::new(address, FRONT_PORT),
+                "readyAddr": SocketAddr::new(address, READY_PORT)},
+            "internalPorts": INTERNAL_PORTS,
+            "limits": {"maxFds": MAX_DESCRIPTORS, "cpuShare": 0.25, "cores": 1,
+                "linkMbps": 1_000.0},
+            "bounds": {"graceS": GRACE.as_secs_f64(), "retryRatio": 0.2, "retryWindowS": 10,
+                "retrySlack": 100},
+            "platform": {"address": store.to_string()},
+        });
+        fs::write(folder.join(format!("{name}.json")), document.to_string())?;
+        Ok(Self {
+            name,
+            address,
+            program,
+            folder,
+            life: Cell::default(),
+            process: RefCell::default(),
+            is_told: Cell::default(),
+            is_frozen: Cell::default(),
+            was_killed: Cell::default(),
+            start_after: Cell::new(RESTART_DELAY),
+            is_in_rotation: Cell::default(),
+            journal,
+        })
+    }
+
+    pub(crate) fn front(&self) -> SocketAddr {
+        SocketAddr::new(self.address, FRONT_PORT)
+    }
+
+    pub(crate) fn is_up(&self) -> bool {
+        self.process.borrow().is_some()
+    }
+
+    fn log(&self) -> PathBuf {
+        self.folder.join(format!("{}.{}.log", self.name, self.life.get()))
+    }
+
+    pub(crate) fn start(&self) -> io::Result<()> {
+        self.life.set(self.life.get() + 1);
+        self.is_told.set(false);
+        self.was_killed.set(false);
+        self.start_after.set(RESTART_DELAY);
+        let errors = self.folder.join(format!("{}.{}.err", self.name, self.life.get()));
+        let process = Command::new(&self.program)
+            .env("JACINTHROCK_CONFIG", self.folder.join(format!("{}.json", self.name)))
+            .stdin(Stdio::null())
+            .stdout(File::create(self.log())?)
+            .stderr(File::create(errors)?)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.process.replace(Some(process));
+        self.journal.note(Event::HostStarted { host: self.name.clone(), life: self.life.get() });
+        Ok(())
+    }
+
+    pub(crate) fn signal(&self, signal: Signal) -> bool {
+        self.process.borrow().as_ref().is_some_and(|process| send_signal(process, signal))
+    }
+
+    /// Tells the process to stop, unless it has been told.
+    pub(crate) fn tell_stop(&self) -> bool {
+        if self.is_told.get() || self.is_frozen.get() || !self.signal(Signal::TERM) {
+            return false;
+        }
+        self.is_told.set(true);
+        self.journal.note(Event::HostTold { host: self.name.clone(), life: self.life.get() });
+        true
+    }
+
+    pub(crate) fn kill(&self, start_after: Duration) -> bool {
+        self.was_killed.set(self.signal(Signal::KILL));
+        self.start_after.set(start_after);
+        self.was_killed.get()
+    }
+
+    /// Freezes the process for a time; false if it is frozen already or not there.
+    pub(crate) fn freeze(&self) -> bool {
+        !self.is_frozen.get() && self.signal(Signal::STOP) && !self.is_frozen.replace(true)
+    }
+
+    pub(crate) fn thaw(&self) {
+        self.is_frozen.set(false);
+        self.signal(Signal::CONT);
+    }
+
+    /// Watches the process and starts it again whenever it has ended, until the run ends.
+    pub(crate) async fn keep_up(self: Rc<Self>) -> io::Result<()> {
+        let mut told_for = Duration::ZERO;
+        loop {
+            sleep(WATCH_INTERVAL).await;
+            // The kill at the end of the grace waits for a frozen process, which cannot end.
+            if self.is_told.get() && !self.is_frozen.get() {
+                told_for += WATCH_INTERVAL;
+                if told_for > GRACE + KILL_DELAY && !self.was_killed.get() {
+                    self.kill(RESTART_DELAY);
+                }
+            }
+            let ended = match self.process.borrow_mut().as_mut() {
+                Some(process) => process.try_wait()?,
+                None => None,
+            };
+            let Some(status) = ended else { continue };
+            told_for = Duration::ZERO;
+            self.process.replace(None);
+            self.is_frozen.set(false);
+            let text = fs::read_to_string(self.log())?;
+            self.journal.note(Event::HostEnded {
+                host: self.name.clone(),
+                life: self.life.get(),
+                was_killed: self.was_killed.get(),
+                is_success: status.success(),
+                wrote_end: text.contains(r#""event":"end""#),
+            });
+            sleep(self.start_after.get()).await;
+            self.start()?;
+        }
+    }
+
+    /// Takes the host into rotation once it is ready, and out after two misses.
+    pub(crate) async fn check(self: Rc<Self>) {
+        let mut misses = 0;
+        loop {
+            let ready = timeout(CHECK_INTERVAL, self.is_ready()).await.ok().flatten();
+            self.journal.note(Event::Checked { host: self.name.clone(), ready });
+            misses = if ready == Some(true) { 0 } else { misses + 1 };
+            if misses == 0 || misses >= 2 {
+                self.is_in_rotation.set(misses == 0);
+            }
+            self.sample();
+            sleep(CHECK_INTERVAL).await;
+        }
+    }
+
+    async fn is_ready(&self) -> Option<bool> {
+        let address = SocketAddr::new(self.address, READY_PORT);
+        let stream = TcpStream::connect(address).await.ok()?;
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let connection = tokio::task::spawn_local(connection);
+        let request = Request::get("/readiness").header("host", "x").body(Full::<Bytes>::default());
+        let response = sender.send_request(request.expect("a valid request")).await.ok()?;
+        connection.abort();
+        Some(response.status() == StatusCode::OK)
+    }
+
+    /// Records memory and descriptors; a process that ends meanwhile has none.
+    fn sample(&self) {
+        let id = self.process.borrow().as_ref().and_then(Child::id);
+        let Some(id) = id else { return };
+        let Ok(memory) = fs::read_to_string(format!("/proc/{id}/statm")) else { return };
+        let Ok(descriptors) = fs::read_dir(format!("/proc/{id}/fd")) else { return };
+        let pages = memory.split(' ').nth(1).and_then(|pages| pages.parse::<f64>().ok());
+        self.journal.note(Event::Sampled {
+            host: self.name.clone(),
+            life: self.life.get(),
+            resident_mb: pages.unwrap_or_default() * PAGE_KB / 1_024.0,
+            descriptors: descriptors.count() as u64,
+        });
+    }
+}
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,206 @@
+//! The schedule of faults that a seed gives.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::site_config::ConfigChange;
+
+/// Time without faults at the start.
+const CALM_START: Duration = Duration::from_secs(3);
+/// Shortest and longest pause between the starts of two faults, in milliseconds.
+const FAULT_PAUSE_MS: std::ops::Range<u64> = 100..900;
+
+/// A fault.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// SIGTERM, perhaps a second one, and a start once the process has ended.
+    StopHost { host: usize, again_after: Option<Duration> },
+    /// SIGSTOP, and SIGCONT after a time.
+    FreezeHost { host: usize, time: Duration },
+    /// SIGKILL, and a start at the same address.
+    KillHost { host: usize, start_after: Duration },
+    /// SIGHUP.
+    ReloadHost { host: usize },
+    /// A new version of the configuration.
+    ChangeConfig { change: ConfigChange },
+    /// The store leaves calls without reply.
+    SilenceStore { time: Duration },
+    /// The store replies late.
+    SlowStore { time: Duration, delay: Duration },
+    /// The store replies 503.
+    FailStore { time: Duration },
+    /// The store drops its history.
+    CompactStore {},
+    /// The store returns from a copy; the operator and endpoints write again after a while.
+    RestoreStore { age: Duration, rewrite_after: Duration },
+    /// The store's process is frozen.
+    FreezeStore { time: Duration },
+    /// An endpoint leaves: its entry, and perhaps its answers, say so; it ends later.
+    DrainEndpoint { endpoint: usize, says_so: bool, stay: Duration },
+    /// An endpoint turns all requests away, with Retry-After.
+    PauseEndpoint { endpoint: usize, time: Duration, retry_after: Duration },
+    /// An endpoint's process is killed and started again.
+    CrashEndpoint { endpoint: usize, start_after: Duration, keeps_name: bool },
+    /// An endpoint's process is frozen.
+    FreezeEndpoint { endpoint: usize, time: Duration },
+}
+
+/// Kinds of faults, as `--leave-out` takes them.
+pub const FAULT_KINDS: [&str; 15] = [
+    "stop_host",
+    "freeze_host",
+    "kill_host",
+    "reload_host",
+    "change_config",
+    "silence_store",
+    "slow_store",
+    "fail_store",
+    "compact_store",
+    "restore_store",
+    "freeze_store",
+    "drain_endpoint",
+    "pause_endpoint",
+    "crash_endpoint",
+    "freeze_endpoint",
+];
+
+impl Fault {
+    /// Kind of the fault.
+    ///
+    /// ```
+    /// use jacinthrock_soak::plan::Fault;
+    ///
+    /// assert_eq!(Fault::ReloadHost { host: 0 }.kind(), "reload_host");
+    /// ```
+    pub fn kind(&self) -> &'static str {
+        let index = match self {
+            Self::StopHost { .. } => 0,
+            Self::FreezeHost { .. } => 1,
+            Self::KillHost { .. } => 2,
+            Self::ReloadHost { .. } => 3,
+            Self::ChangeConfig { .. } => 4,
+            Self::SilenceStore { .. } => 5,
+            Self::SlowStore { .. } => 6,
+            Self::FailStore { .. } => 7,
+            Self::CompactStore {} => 8,
+            Self::RestoreStore { .. } => 9,
+            Self::FreezeStore { .. } => 10,
+            Self::DrainEndpoint { .. } => 11,
+            Self::PauseEndpoint { .. } => 12,
+            Self::CrashEndpoint { .. } => 13,
+            Self::FreezeEndpoint { .. } => 14,
+        };
+        FAULT_KINDS[index]
+    }
+}
+
+/// A fault and its time after the start of the run.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct PlannedFault {
+    /// Time after the start.
+    pub after: Duration,
+    /// The fault.
+    pub fault: Fault,
+}
+
+/// Size of a run.
+#[derive(Clone, Debug)]
+pub struct PlanSize {
+    /// Number of entry hosts.
+    pub hosts: usize,
+    /// Number of endpoints.
+    pub endpoints: usize,
+    /// Time in which faults start, with the calm start.
+    pub time: Duration,
+    /// Kinds of faults to leave out.
+    pub left_out: BTreeSet<Box<str>>,
+}
+
+/// Draws the schedule of a seed. Faults that are left out change nothing of the others.
+///
+/// ```
+/// use std::collections::BTreeSet;
+/// use std::time::Duration;
+/// use jacinthrock_soak::plan::{PlanSize, draw_plan};
+///
+/// let time = Duration::from_secs(20);
+/// let size = PlanSize { hosts: 3, endpoints: 6, time, left_out: BTreeSet::new() };
+/// assert_eq!(draw_plan(7, &size).len(), draw_plan(7, &size).len());
+/// ```
+pub fn draw_plan(seed: u64, size: &PlanSize) -> Vec<PlannedFault> {
+    let mut draws = ChaCha8Rng::seed_from_u64(seed);
+    let mut plan = Vec::new();
+    let mut after = CALM_START;
+    let mut number = 0;
+    // Each seed has a few favourite kinds, so that kinds also come in series.
+    let favourites: Vec<u32> = (0..3).map(|_| draws.random_range(0..32)).collect();
+    // Most checks excuse hosts and stores that were disturbed, so that each seed lacks some kinds.
+    let is_store_sound = draws.random_bool(0.4);
+    let mut absent: BTreeSet<&str> =
+        FAULT_KINDS.into_iter().filter(|_| draws.random_bool(0.3)).collect();
+    absent.extend(FAULT_KINDS.iter().filter(|kind| is_store_sound && kind.ends_with("_store")));
+    while after < size.time {
+        number += 1;
+        let kind = match draws.random_bool(0.4) {
+            true => *favourites.choose(&mut draws).expect("favourites"),
+            false => draws.random_range(0..32),
+        };
+        let fault = draw_fault(kind, number, size, &mut draws);
+        if !absent.contains(fault.kind()) && !size.left_out.contains(fault.kind()) {
+            plan.push(PlannedFault { after, fault });
+        }
+        after += Duration::from_millis(draws.random_range(FAULT_PAUSE_MS));
+    }
+    plan
+}
+
+fn draw_fault(kind: u32, number: u32, size: &PlanSize, draws: &mut ChaCha8Rng) -> Fault {
+    let host = draws.random_range(0..size.hosts);
+    let endpoint = draws.random_range(0..size.endpoints);
+    let mut time = |range| Duration::from_millis(draws.random_range::<u64, _>(range));
+    match kind {
+        0..4 => {
+            let again_after = time(0..2_000);
+            let again_after = Some(again_after).filter(|_| draws.random_bool(0.4));
+            Fault::StopHost { host, again_after }
+        }
+        4 | 5 => Fault::FreezeHost { host, time: time(200..3_000) },
+        6 => Fault::KillHost { host, start_after: time(200..1_000) },
+        7 | 8 => Fault::ReloadHost { host },
+        9..15 => {
+            let change = match draws.random_range(0..6) {
+                0 | 1 => ConfigChange::AddRoute(number),
+                2 => ConfigChange::RemoveRoute,
+                3 => ConfigChange::MoveRoute,
+                4 => ConfigChange::AddKey(number),
+                _ => ConfigChange::RevokeKey,
+            };
+            Fault::ChangeConfig { change }
+        }
+        15 => Fault::SilenceStore { time: time(300..5_000) },
+        16 => Fault::SlowStore { time: time(300..4_000), delay: time(50..1_500) },
+        17 => Fault::FailStore { time: time(300..4_000) },
+        18 | 19 => Fault::CompactStore {},
+        20 => Fault::RestoreStore { age: time(500..6_000), rewrite_after: time(0..400) },
+        21 => Fault::FreezeStore { time: time(200..3_000) },
+        22..25 => {
+            let stay = time(2_500..5_000);
+            Fault::DrainEndpoint { endpoint, says_so: draws.random_bool(0.7), stay }
+        }
+        25 | 26 => {
+            let retry_after = time(700..4_000);
+            Fault::PauseEndpoint { endpoint, time: time(300..3_000), retry_after }
+        }
+        27..30 => {
+            let start_after = time(100..5_000);
+            Fault::CrashEndpoint { endpoint, start_after, keeps_name: draws.random_bool(0.5) }
+        }
+        _ => Fault::FreezeEndpoint { endpoint, time: time(200..3_000) },
+    }
+}
--- /dev/null
+++ b/crates/soak/tests/checks.rs
@@ -0,0 +1,259 @@
+//! Checks on records made by hand: a sound run has no violation, and each check catches what it is
+//! for.
+
+use std::time::Duration;
+
+use jacinthrock_soak::checks::{CHECKS, find_violations};
+use jacinthrock_soak::content::{event_count, event_text, plain_body, request_body, request_path};
+use jacinthrock_soak::history::History;
+use jacinthrock_soak::mutations::MUTATIONS;
+use jacinthrock_soak::plan::Fault;
+use jacinthrock_soak::record::{CallEnd, Event, Moment, Record};
+use jacinthrock_soak::site_config::{ConfigChange, LASTING_KEY, MOVING_ROUTE, SiteConfig};
+
+const START: Duration = Duration::from_secs(1_000);
+/// Length of the run made by hand.
+const RUN_SECONDS: u64 = 40;
+const HOST: &str = "host-0";
+
+fn ms(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[derive(Default)]
+struct RecordBuilder {
+    records: Vec<Record>,
+    calls: u64,
+}
+
+impl RecordBuilder {
+    fn add(&mut self, at: Moment, event: Event) {
+        self.records.push(Record { at, event });
+    }
+
+    fn send(&mut self, at: Moment, route: &str) -> Box<str> {
+        self.calls += 1;
+        let attempt: Box<str> = format!("{:016x}", self.calls).into();
+        let key = matches!(route, "look" | MOVING_ROUTE).then(|| LASTING_KEY.into());
+        self.add(
+            at,
+            Event::Sent {
+                attempt: attempt.clone(),
+                host: HOST.into(),
+                route: route.into(),
+                key,
+                deadline: ms(8_000),
+                is_kept: true,
+            },
+        );
+        attempt
+    }
+
+    fn arrive(&mut self, at: Moment, route: &str, endpoint: &str, attempt: &str) {
+        let customer = matches!(route, "look" | MOVING_ROUTE).then(|| "alpha".into());
+        self.add(
+            at,
+            Event::Arrived {
+                endpoint: endpoint.into(),
+                attempt: attempt.into(),
+                path: request_path(route, attempt).into(),
+                body: request_body(attempt).into(),
+                customer,
+                has_key: false,
+                deadline_ms: Some(7_990),
+            },
+        );
+    }
+
+    fn run(&mut self, at: Moment, endpoint: &str, attempt: &str) {
+        self.add(at, Event::Ran { endpoint: endpoint.into(), attempt: attempt.into() });
+    }
+
+    fn end(&mut self, at: Moment, attempt: &str, end: CallEnd, stamp: &str, body: String) {
+        self.add(
+            at,
+            Event::Ended {
+                attempt: attempt.into(),
+                end,
+                stamp: Some(stamp.into()),
+                is_leaving: false,
+                body: body.into(),
+            },
+        );
+    }
+
+    /// A call that one endpoint serves.
+    fn serve(&mut self, at: Moment, route: &str, endpoint: &str) {
+        let attempt = self.send(at, route);
+        self.arrive(at + ms(1), route, endpoint, &attempt);
+        self.run(at + ms(1), endpoint, &attempt);
+        let finished =
+            Event::Finished { endpoint: endpoint.into(), attempt: attempt.clone(), is_whole: true };
+        self.add(at + ms(50), finished);
+        let body = match route {
+            "guide" | "talk" => (1..=event_count(&attempt))
+                .map(|number| event_text(&attempt, endpoint, number))
+                .collect(),
+            _ => plain_body(&attempt, endpoint),
+        };
+        self.end(at + ms(51), &attempt, CallEnd::Answered(200), endpoint, body);
+    }
+
+    fn write_config(&mut self, at: Moment, config: SiteConfig) {
+        let version = Some(config.version);
+        self.add(at, Event::ConfigSent { config });
+        let (kind, name, state) = ("config".into(), "main".into(), "".into());
+        self.add(at + ms(1), Event::Stored { kind, name, version, state });
+    }
+
+    fn list(&mut self, at: Moment, endpoint: &str, state: &str) {
+        let (kind, name, state) = ("servers".into(), endpoint.into(), state.into());
+        self.add(at, Event::Stored { kind, name, version: None, state });
+    }
+
+    fn freeze(&mut self, target: &str, fault: Fault, from: Moment, to: Moment) {
+        let kind = fault.kind().into();
+        self.add(from, Event::FaultBegan { target: target.into(), fault });
+        self.add(to, Event::FaultEnded { target: target.into(), kind });
+    }
+
+    fn find(mut self) -> Vec<(&'static str, String)> {
+        self.records.sort_by_key(|record| record.at);
+        let found = find_violations(&History::new(&self.records));
+        found.into_iter().map(|violation| (violation.check, violation.text)).collect()
+    }
+}
+
+/// A run without faults.
+fn sound_run() -> RecordBuilder {
+    let mut builder = RecordBuilder::default();
+    builder.write_config(START, SiteConfig::first());
+    builder.add(START, Event::HostStarted { host: HOST.into(), life: 1 });
+    for endpoint in ["desk-0.1", "look-0.1", "guide-0.1"] {
+        builder.list(START, endpoint, "ready");
+    }
+    for second in 5..RUN_SECONDS {
+        let at = START + Duration::from_secs(second);
+        let routes =
+            [("desk", "desk"), ("look", "look"), (MOVING_ROUTE, "look"), ("talk", "guide")];
+        for (route, service) in routes.into_iter().chain([("guide", "guide")]) {
+            builder.serve(at, route, &format!("{service}-0.1"));
+        }
+        let (host, life) = (HOST.into(), 1);
+        builder.add(at, Event::Sampled { host, life, resident_mb: 12.0, descriptors: 40 });
+        builder.add(at, Event::Checked { host: HOST.into(), ready: Some(true) });
+    }
+    builder
+}
+
+/// A moment of the sound run at which the host is in touch.
+fn late(after_ms: u64) -> Moment {
+    START + Duration::from_secs(30) + ms(after_ms)
+}
+
+#[test]
+fn sound_run_has_no_violation() {
+    assert_eq!(sound_run().find(), []);
+}
+
+#[test]
+fn each_mutation_is_caught_by_its_check() {
+    for mutation in &MUTATIONS {
+        let mut builder = sound_run();
+        builder.records.sort_by_key(|record| record.at);
+        assert!(mutation.apply(&mut builder.records), "{} changes nothing", mutation.name);
+        let found = builder.find();
+        let is_caught = found.iter().any(|(check, _)| *check == mutation.caught_by);
+        assert!(is_caught, "{}: {found:?}", mutation.name);
+    }
+}
+
+#[test]
+fn each_check_has_a_mutation() {
+    for check in &CHECKS {
+        let is_covered = MUTATIONS.iter().any(|mutation| mutation.caught_by == check.name);
+        assert!(is_covered, "{}", check.name);
+    }
+}
+
+#[test]
+fn frozen_host_is_excused_from_ending_a_call_in_time() {
+    let overdue = |is_frozen| {
+        let mut builder = sound_run();
+        let attempt = builder.send(late(0), "desk");
+        builder.end(late(3_500), &attempt, CallEnd::Overdue, "desk-0.1", String::new());
+        if is_frozen {
+            let fault = Fault::FreezeHost { host: 0, time: ms(900) };
+            builder.freeze(HOST, fault, late(100), late(1_000));
+        }
+        builder.find().iter().any(|(check, _)| *check == "overdue")
+    };
+    assert!(overdue(false));
+    assert!(!overdue(true));
+}
+
+#[test]
+fn call_is_not_lost_where_its_endpoint_crashed() {
+    let lost = |has_crashed| {
+        let mut builder = sound_run();
+        let attempt = builder.send(late(0), "desk");
+        builder.arrive(late(1), "desk", "desk-0.1", &attempt);
+        builder.run(late(1), "desk-0.1", &attempt);
+        if has_crashed {
+            builder.add(late(20), Event::EndpointEnded { endpoint: "desk-0.1".into() });
+        }
+        builder.end(late(30), &attempt, CallEnd::Broken("closed".into()), "desk-0.1", "".into());
+        builder.find().iter().any(|(check, _)| *check == "lost")
+    };
+    assert!(lost(false));
+    assert!(!lost(true));
+}
+
+#[test]
+fn restart_of_an_endpoint_ends_its_leaving() {
+    let late_request = |is_relisted| {
+        let mut builder = sound_run();
+        builder.list(late(0), "desk-0.1", "draining");
+        if is_relisted {
+            builder.list(late(1_500), "desk-0.1", "ready");
+        }
+        builder.serve(late(2_500), "desk", "desk-0.1");
+        builder.find().iter().any(|(check, _)| *check == "drain_listed")
+    };
+    assert!(late_request(false));
+    assert!(!late_request(true));
+}
+
+#[test]
+fn request_that_waited_in_a_frozen_endpoint_is_not_late() {
+    let late_request = |is_frozen| {
+        let mut builder = sound_run();
+        builder.records.retain(|record| record.at < late(0));
+        builder.list(late(0), "desk-0.1", "draining");
+        let attempt = builder.send(late(1_000), "desk");
+        if is_frozen {
+            let fault = Fault::FreezeEndpoint { endpoint: 0, time: ms(1_500) };
+            builder.freeze("desk-0.1", fault, late(900), late(2_400));
+        }
+        builder.arrive(late(2_410), "desk", "desk-0.1", &attempt);
+        builder.run(late(2_410), "desk-0.1", &attempt);
+        let body = plain_body(&attempt, "desk-0.1");
+        builder.end(late(2_500), &attempt, CallEnd::Answered(200), "desk-0.1", body);
+        builder.find().iter().any(|(check, _)| *check == "drain_listed")
+    };
+    assert!(late_request(false));
+    assert!(!late_request(true));
+}
+
+#[test]
+fn version_is_due_only_two_seconds_after_its_acknowledgement() {
+    let found = |after_ms| {
+        let mut builder = sound_run();
+        builder.records.retain(|record| record.at < late(0));
+        builder.write_config(late(0), SiteConfig::first().changed(&ConfigChange::MoveRoute));
+        builder.serve(late(after_ms), MOVING_ROUTE, "look-0.1");
+        builder.find().iter().any(|(check, _)| *check == "in_force")
+    };
+    assert!(!found(1_900));
+    assert!(found(2_100));
+}
