Links between hosts, endpoints and the store are disturbed in soaks

Proxies on loopback delay, hold one way, reset, silence for good, or garble. An endpoint that is silent for a while is still sound: only its end excuses lost calls and further attempts.

--- a/crates/soak/src/checks.rs
+++ b/crates/soak/src/checks.rs
@@ -113,5 +113,7 @@
 /// Whether a host was in touch from one moment to another.
 pub(crate) fn is_in_touch(history: &History, host: &str, from: Moment, to: Moment) -> bool {
     let from = from.saturating_sub(STABLE_TIME);
-    history.is_host_calm(host, from, to) && history.is_store_calm(from, to)
+    history.is_host_calm(host, from, to)
+        && history.are_links_calm(host, from, to)
+        && history.is_store_calm(from, to)
 }
--- a/crates/soak/src/checks/endpoints.rs
+++ b/crates/soak/src/checks/endpoints.rs
@@ -101,6 +101,7 @@
                         && span.contains(&history.earliest_arrival(arrival))
                         && !is_reborn(history, arrival, refusal.at)
                         && history.is_host_calm(&call.host, refusal.at, arrival.at)
+                        && history.are_links_calm(&call.host, refusal.at, arrival.at)
                 })
             });
             let count = in_pause.count();
--- a/crates/soak/src/checks/runs.rs
+++ b/crates/soak/src/checks/runs.rs
@@ -22,6 +22,8 @@
 const MAX_GONE: usize = 3;
 /// Time for which a lost call may have been open without having reached an endpoint.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Time for which a sound endpoint may fall silent.
+const SOUND_SILENCE: Duration = Duration::from_millis(1_500);
 /// Time after SIGTERM in which a host may take streams that outlast the grace.
 const EARLY_TIME: Duration = Duration::from_secs(3);
 
@@ -94,7 +96,7 @@
         let counted: BTreeSet<_> = call
             .runs
             .iter()
-            .filter(|run| history.is_endpoint_calm(&run.endpoint, run.at, call.end()))
+            .filter(|run| history.is_endpoint_there(&run.endpoint, run.at, call.end()))
             .map(|run| &run.endpoint)
             .collect();
         if counted.len() > route.max_attempts {
@@ -115,10 +117,9 @@
                 let used = if repeats { spent } else { Duration::ZERO };
                 given + used > call.deadline + DEADLINE_SLACK
             });
-            if is_late
-                && is_calm
-                && history.is_endpoint_calm(&arrival.endpoint, call.sent, arrival.at)
-            {
+            let is_endpoint_calm =
+                history.is_endpoint_sound(&arrival.endpoint, Duration::ZERO, call.sent, arrival.at);
+            if is_late && is_calm && is_endpoint_calm {
                 let text = format!("{given:?} given {spent:?} after it was sent");
                 findings.add(call, arrival.at, text);
             }
@@ -211,7 +212,8 @@
     let is_out_of_time = open >= call.deadline.min(route.timeout);
     let is_taken = !call.arrivals.is_empty() || open > LOSS_SLACK;
     let is_endpoints_fault = call.arrivals.iter().any(|arrival| {
-        !history.is_endpoint_calm(&arrival.endpoint, call.sent, ending.at + TRAVEL_TIME)
+        let until = ending.at + TRAVEL_TIME;
+        !history.is_endpoint_sound(&arrival.endpoint, SOUND_SILENCE, call.sent, until)
     });
     (is_taken && !is_out_of_time && !is_endpoints_fault).then_some(ending.at)
 }
@@ -224,6 +226,7 @@
         let Some((life, told)) = life.and_then(|life| Some((life, life.told?))) else { continue };
         let calm_from = call.sent.saturating_sub(STABLE_TIME);
         let is_unplanned = history.is_frozen(&call.host, calm_from, broken)
+            || !history.are_links_calm(&call.host, calm_from, broken)
             || (life.was_killed && life.ended.is_some_and(|ended| ended < told + GRACE))
             || was_killed_before(history, call, calm_from);
         let is_plain = history.route(&call.route).is_some_and(|route| !route.kind.is_stream());
--- a/crates/soak/src/drive.rs
+++ b/crates/soak/src/drive.rs
@@ -274,15 +274,11 @@
         site.write_config(SiteConfig::first()).await;
         for number in 0..options.size.endpoints {
             let services = [PLAIN_SERVICES[0], ENGINE_SERVICE, PLAIN_SERVICES[1]];
-            let address = SocketAddr::new(addresses.take(), STAND_IN_PORT);
+            let own = [(); 2].map(|()| SocketAddr::new(addresses.take(), STAND_IN_PORT));
             let service = services[number % services.len()];
-            let endpoint = EndpointSlot::new(
-                number,
-                service,
-                address,
-                site.journal.clone(),
-                site.store.clone(),
-            );
+            let endpoint =
+                EndpointSlot::new(number, service, own, site.journal.clone(), site.store.clone());
+            let endpoint = endpoint.await?;
             endpoint.start(false).await?;
             site.endpoints.push(Rc::new(endpoint));
         }
@@ -294,7 +290,8 @@
                 options.entry.clone(),
                 options.folder.clone(),
                 site.journal.clone(),
-            )?;
+            )
+            .await?;
             host.start()?;
             let host = Rc::new(host);
             let kept = host.clone();
@@ -353,6 +350,19 @@
             | Fault::PauseEndpoint { .. }
             | Fault::CrashEndpoint { .. }
             | Fault::FreezeEndpoint { .. } => self.apply_to_endpoint(fault).await,
+            Fault::DisturbEndpointLink { endpoint, how, time } => {
+                let endpoint = &self.endpoints[*endpoint];
+                let name = endpoint.name();
+                self.journal.begin(&name, fault);
+                endpoint.link.disturb(*how, *time).await;
+                self.journal.end(&name, fault);
+            }
+            Fault::DisturbStoreLink { host, how, time } => {
+                let host = &self.hosts[*host];
+                self.journal.begin(&host.name, fault);
+                host.store_link.disturb(*how, *time).await;
+                self.journal.end(&host.name, fault);
+            }
             Fault::ChangeConfig { change } => {
                 let next = self.configs.current().changed(change);
                 self.write_config(next).await;
@@ -380,12 +390,12 @@
             }
             Fault::FreezeHost { host, time } => {
                 let host = &self.hosts[*host];
-                self.journal.begin(&host.name, fault);
                 if host.freeze() {
+                    self.journal.begin(&host.name, fault);
                     sleep(*time).await;
                     host.thaw();
+                    self.journal.end(&host.name, fault);
                 }
-                self.journal.end(&host.name, fault);
             }
             Fault::KillHost { host, start_after } => {
                 let host = &self.hosts[*host];
--- a/crates/soak/src/endpoint_fleet.rs
+++ b/crates/soak/src/endpoint_fleet.rs
@@ -13,6 +13,7 @@
 
 use crate::drive::{SiteJournal, StoreHandle};
 use crate::endpoint::{EndpointCommand, SLOTS};
+use crate::link::LinkProxy;
 use crate::process::{StandInProcess, send_signal};
 use crate::record::{EndpointName, Event};
 use crate::site_config::ENGINE_SERVICE;
@@ -29,6 +30,9 @@
     number: usize,
     service: Box<str>,
     address: SocketAddr,
+    /// Address of the link to it, which its entry names.
+    listed: SocketAddr,
+    pub(crate) link: LinkProxy,
     starts: Cell<u32>,
     name: RefCell<EndpointName>,
     process: RefCell<Option<StandInProcess>>,
@@ -39,24 +43,26 @@
 }
 
 impl EndpointSlot {
-    pub(crate) fn new(
+    pub(crate) async fn new(
         number: usize,
         service: &str,
-        address: SocketAddr,
+        [address, listed]: [SocketAddr; 2],
         journal: Rc<SiteJournal>,
         store: Rc<StoreHandle>,
-    ) -> Self {
-        Self {
+    ) -> io::Result<Self> {
+        Ok(Self {
             number,
             service: service.into(),
             address,
+            listed,
+            link: LinkProxy::start(listed, address).await?,
             starts: Cell::default(),
             name: RefCell::default(),
             process: RefCell::default(),
             is_ending: Cell::default(),
             journal,
             store,
-        }
+        })
     }
 
     /// Name of the endpoint that is there now.
@@ -106,7 +112,7 @@
     }
 
     async fn list(&self, state: &str, born: u64) {
-        let mut entry = json!({"service": self.service, "address": self.address, "zone": "north",
+        let mut entry = json!({"service": self.service, "address": self.listed, "zone": "north",
             "slots": SLOTS, "state": state, "sequence": 0, "born": born, "version": 1});
         if &*self.service == ENGINE_SERVICE {
             entry["routeKind"] = "k".into();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -166,9 +166,12 @@
     pub host_faults: BTreeMap<HostName, Vec<Span>>,
     /// Freezes of hosts alone.
     pub host_freezes: BTreeMap<HostName, Vec<Span>>,
+    /// Disturbed links of one host, or of all.
+    pub link_faults: Vec<(Option<HostName>, Span)>,
     pub store_faults: Vec<Span>,
-    /// Freezes and absences of endpoints.
-    pub endpoint_faults: BTreeMap<EndpointName, Vec<Span>>,
+    /// Times in which endpoints were not there.
+    pub endpoint_ends: BTreeMap<EndpointName, Vec<Span>>,
+    pub endpoint_freezes: BTreeMap<EndpointName, Vec<Span>>,
     pub endpoint_starts: Vec<(Moment, EndpointName)>,
     pub listings: Vec<Listing>,
     pub samples: Vec<Sample>,
@@ -260,14 +263,14 @@
                 }
             }
             Event::EndpointStarted { endpoint, .. } => {
-                for span in self.endpoint_faults.entry(endpoint.clone()).or_default() {
+                for span in self.endpoint_ends.entry(endpoint.clone()).or_default() {
                     span.to = span.to.min(at);
                 }
                 self.endpoint_starts.push((at, endpoint));
             }
             Event::EndpointEnded { endpoint } => {
                 let span = Span { from: at, to: Moment::MAX };
-                self.endpoint_faults.entry(endpoint).or_default().push(span);
+                self.endpoint_ends.entry(endpoint).or_default().push(span);
             }
             _ => {}
         }
@@ -342,8 +345,13 @@
             }
             Fault::KillHost { .. } => self.host_faults.entry(target).or_default().push(span),
             Fault::FreezeEndpoint { .. } => {
-                self.endpoint_faults.entry(target).or_default().push(span);
+                self.endpoint_freezes.entry(target).or_default().push(span);
             }
+            Fault::DisturbEndpointLink { .. } => {
+                self.link_faults.push((None, span));
+                self.endpoint_ends.entry(target).or_default().push(span);
+            }
+            Fault::DisturbStoreLink { .. } => self.link_faults.push((Some(target), span)),
             // A store may drop its history whenever it likes.
             Fault::CompactStore {} => {}
             _ if &*target == "store" => self.store_faults.push(span),
@@ -364,14 +372,36 @@
                 close(self.host_freezes.get_mut(target));
                 close(self.host_faults.get_mut(target));
             }
+            "disturb_endpoint_link" => {
+                close(self.endpoint_ends.get_mut(target));
+                self.close_link(at, None);
+            }
+            "disturb_store_link" => self.close_link(at, Some(target)),
             "kill_host" => {}
-            "freeze_endpoint" => close(self.endpoint_faults.get_mut(target)),
+            "freeze_endpoint" => close(self.endpoint_freezes.get_mut(target)),
             "compact_store" => {}
             _ if target == "store" => close(Some(&mut self.store_faults)),
             _ => {}
         }
     }
 
+    fn close_link(&mut self, at: Moment, host: Option<&str>) {
+        let mut open = self
+            .link_faults
+            .iter_mut()
+            .filter(|(of, span)| of.as_deref() == host && span.to == Moment::MAX);
+        if let Some((_, span)) = open.next() {
+            span.to = at;
+        }
+    }
+
+    /// Whether a host's links were sound in all of a span.
+    pub fn are_links_calm(&self, host: &str, from: Moment, to: Moment) -> bool {
+        let mut spans =
+            self.link_faults.iter().filter(|(of, _)| of.as_deref().is_none_or(|of| of == host));
+        !spans.any(|(_, span)| span.meets(from, to))
+    }
+
     /// Whether a host ran undisturbed in all of a span.
     pub fn is_host_calm(&self, host: &str, from: Moment, to: Moment) -> bool {
         let spans = self.host_faults.get(host).into_iter().flatten();
@@ -389,10 +419,24 @@
         !self.store_faults.iter().any(|span| span.meets(from, to))
     }
 
-    /// Whether an endpoint was there and ran in all of a span.
-    pub fn is_endpoint_calm(&self, endpoint: &str, from: Moment, to: Moment) -> bool {
-        let spans = self.endpoint_faults.get(endpoint).into_iter().flatten();
-        !spans.into_iter().any(|span| span.meets(from, to))
+    /// Whether an endpoint was there in all of a span.
+    pub fn is_endpoint_there(&self, endpoint: &str, from: Moment, to: Moment) -> bool {
+        let ends = self.endpoint_ends.get(endpoint).into_iter().flatten();
+        !ends.into_iter().any(|span| span.meets(from, to))
+    }
+
+    /// Whether an endpoint was there in all of a span, and never silent for longer than a time.
+    pub fn is_endpoint_sound(
+        &self,
+        endpoint: &str,
+        silence: Duration,
+        from: Moment,
+        to: Moment,
+    ) -> bool {
+        let freezes = self.endpoint_freezes.get(endpoint).into_iter().flatten();
+        let mut met = freezes.into_iter().filter(|span| span.meets(from, to));
+        self.is_endpoint_there(endpoint, from, to)
+            && !met.any(|span| span.to.saturating_sub(span.from) > silence)
     }
 
     /// The process of a host that ran at a moment.
@@ -410,7 +454,7 @@
     /// When a request that an endpoint read at a time reached it at the earliest: while the endpoint
     /// was frozen, it read nothing.
     pub fn earliest_arrival(&self, arrival: &Arrival) -> Moment {
-        let spans = self.endpoint_faults.get(&arrival.endpoint).into_iter().flatten();
+        let spans = self.endpoint_freezes.get(&arrival.endpoint).into_iter().flatten();
         let thawed = spans
             .into_iter()
             .filter(|span| span.to <= arrival.at && arrival.at - span.to < THAW_TIME);
--- a/crates/soak/src/host_fleet.rs
+++ b/crates/soak/src/host_fleet.rs
@@ -22,11 +22,14 @@
 
 use crate::checks::GRACE;
 use crate::drive::SiteJournal;
+use crate::link::LinkProxy;
 use crate::process::send_signal;
 use crate::record::{Event, HostName};
 
 const FRONT_PORT: u16 = 7_301;
 const READY_PORT: u16 = 7_302;
+/// Port of the link to the store.
+const STORE_LINK_PORT: u16 = 7_305;
 /// Ports for traffic between hosts.
 const INTERNAL_PORTS: [u16; 2] = [7_303, 7_304];
 /// Descriptors that a process may have.
@@ -46,6 +49,7 @@
 pub(crate) struct EntryHost {
     pub(crate) name: HostName,
     address: IpAddr,
+    pub(crate) store_link: LinkProxy,
     program: PathBuf,
     folder: PathBuf,
     life: Cell<u32>,
@@ -61,7 +65,7 @@
 }
 
 impl EntryHost {
-    pub(crate) fn new(
+    pub(crate) async fn new(
         number: usize,
         address: IpAddr,
         store: SocketAddr,
@@ -70,6 +74,7 @@
         journal: Rc<SiteJournal>,
     ) -> io::Result<Self> {
         let name: HostName = format!("host-{number}").into();
+        let link_address = SocketAddr::new(address, STORE_LINK_PORT);
         let document = json!({
             "nodeName": name, "ip": address, "zone": "north", "isBootstrap": false,
             "listen": {"frontAddr": SocketAddr::new(address, FRONT_PORT),
@@ -79,12 +84,13 @@
                 "linkMbps": 1_000.0},
             "bounds": {"graceS": GRACE.as_secs_f64(), "retryRatio": 0.2, "retryWindowS": 10,
                 "retrySlack": 100},
-            "platform": {"address": store.to_string()},
+            "platform": {"address": link_address},
         });
         fs::write(folder.join(format!("{name}.json")), document.to_string())?;
         Ok(Self {
             name,
             address,
+            store_link: LinkProxy::start(link_address, store).await?,
             program,
             folder,
             life: Cell::default(),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod checks;
 pub mod content;
 pub mod history;
+pub mod link;
 pub mod mutations;
 pub mod plan;
 pub mod record;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,7 +17,7 @@
 use tokio::task::LocalSet;
 
 const DEFAULT_HOSTS: usize = 3;
-const DEFAULT_ENDPOINTS: usize = 6;
+const DEFAULT_ENDPOINTS: usize = 9;
 const DEFAULT_SECONDS: u64 = 24;
 const DEFAULT_CALLERS: u64 = 24;
 /// Exit code of a run that could not be made.
@@ -38,7 +38,7 @@
                 optional --seeds range: String
                 /// Number of entry hosts (default 3).
                 optional --hosts count: usize
-                /// Number of endpoints (default 6).
+                /// Number of endpoints (default 9).
                 optional --endpoints count: usize
                 /// Number of callers (default 24).
                 optional --callers count: u64
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -8,6 +8,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::link::LinkFault;
 use crate::site_config::ConfigChange;
 
 /// Time without faults at the start.
@@ -49,10 +50,14 @@
     CrashEndpoint { endpoint: usize, start_after: Duration, keeps_name: bool },
     /// An endpoint's process is frozen.
     FreezeEndpoint { endpoint: usize, time: Duration },
+    /// Links of all hosts to an endpoint are disturbed.
+    DisturbEndpointLink { endpoint: usize, how: LinkFault, time: Duration },
+    /// The link of a host to the store is disturbed.
+    DisturbStoreLink { host: usize, how: LinkFault, time: Duration },
 }
 
 /// Kinds of faults, as `--leave-out` takes them.
-pub const FAULT_KINDS: [&str; 15] = [
+pub const FAULT_KINDS: [&str; 17] = [
     "stop_host",
     "freeze_host",
     "kill_host",
@@ -68,6 +73,8 @@
     "pause_endpoint",
     "crash_endpoint",
     "freeze_endpoint",
+    "disturb_endpoint_link",
+    "disturb_store_link",
 ];
 
 impl Fault {
@@ -95,6 +102,8 @@
             Self::PauseEndpoint { .. } => 12,
             Self::CrashEndpoint { .. } => 13,
             Self::FreezeEndpoint { .. } => 14,
+            Self::DisturbEndpointLink { .. } => 15,
+            Self::DisturbStoreLink { .. } => 16,
         };
         FAULT_KINDS[index]
     }
@@ -139,17 +148,19 @@
     let mut after = CALM_START;
     let mut number = 0;
     // Each seed has a few favourite kinds, so that kinds also come in series.
-    let favourites: Vec<u32> = (0..3).map(|_| draws.random_range(0..32)).collect();
+    let favourites: Vec<u32> = (0..3).map(|_| draws.random_range(0..37)).collect();
     // Most checks excuse hosts and stores that were disturbed, so that each seed lacks some kinds.
     let is_store_sound = draws.random_bool(0.4);
     let mut absent: BTreeSet<&str> =
         FAULT_KINDS.into_iter().filter(|_| draws.random_bool(0.3)).collect();
     absent.extend(FAULT_KINDS.iter().filter(|kind| is_store_sound && kind.ends_with("_store")));
+    let are_links_sound = draws.random_bool(0.5);
+    absent.extend(FAULT_KINDS.iter().filter(|kind| are_links_sound && kind.ends_with("_link")));
     while after < size.time {
         number += 1;
         let kind = match draws.random_bool(0.4) {
             true => *favourites.choose(&mut draws).expect("favourites"),
-            false => draws.random_range(0..32),
+            false => draws.random_range(0..37),
         };
         let fault = draw_fault(kind, number, size, &mut draws);
         if !absent.contains(fault.kind()) && !size.left_out.contains(fault.kind()) {
@@ -201,6 +212,25 @@
             let start_after = time(100..5_000);
             Fault::CrashEndpoint { endpoint, start_after, keeps_name: draws.random_bool(0.5) }
         }
-        _ => Fault::FreezeEndpoint { endpoint, time: time(200..3_000) },
+        30 | 31 => Fault::FreezeEndpoint { endpoint, time: time(200..3_000) },
+        32..35 => {
+            let time = time(100..2_500);
+            Fault::DisturbEndpointLink { endpoint, how: draw_link_fault(draws), time }
+        }
+        _ => {
+            let time = time(300..4_000);
+            Fault::DisturbStoreLink { host, how: draw_link_fault(draws), time }
+        }
+    }
+}
+
+fn draw_link_fault(draws: &mut ChaCha8Rng) -> LinkFault {
+    match draws.random_range(0..6) {
+        0 => LinkFault::Delay(Duration::from_millis(draws.random_range(5..400))),
+        1 => LinkFault::HoldRequests,
+        2 => LinkFault::HoldAnswers,
+        3 => LinkFault::Reset,
+        4 => LinkFault::Silence,
+        _ => LinkFault::Garble,
     }
 }
--- a/crates/soak/src/site_config.rs
+++ b/crates/soak/src/site_config.rs
@@ -90,7 +90,7 @@
 const ADDED_CUSTOMER: &str = "beta";
 const PLAIN_TIMEOUT: Duration = Duration::from_secs(3);
 const STREAM_TIMEOUT: Duration = Duration::from_secs(8);
-const MAX_ATTEMPTS: usize = 3;
+const MAX_ATTEMPTS: usize = 2;
 
 impl SiteConfig {
     /// First version.
--- a/crates/soak/src/store.rs
+++ b/crates/soak/src/store.rs
@@ -239,6 +239,10 @@
         let end = Instant::now() + Duration::from_millis(field("waitMs").unwrap_or_default());
         loop {
             let changed = self.changed.notified();
+            // Watches that wait when the store falls silent never get a reply.
+            if self.mode.get() == StoreMode::Silent {
+                std::future::pending::<()>().await;
+            }
             if after < self.floor.get() || after > self.revision.get() || era != self.era.get() {
                 return status(StatusCode::GONE, json!({}));
             }
