--- a/crates/soak/src/content.rs
+++ b/crates/soak/src/content.rs
@@ -5,6 +5,11 @@
 const MIN_EVENTS: u64 = 5;
 /// Number of different lengths of streams.
 const EVENT_RANGE: u64 = 20;
+/// One in so many streams is long.
+const LONG_SHARE: u64 = 8;
+/// Fewest events of a long stream, and number of different lengths.
+const MIN_LONG_EVENTS: u64 = 80;
+const LONG_EVENT_RANGE: u64 = 120;
 /// Number of different lengths of plain bodies, in lines.
 const LINE_RANGE: u64 = 60;
 
@@ -39,7 +44,11 @@
 /// assert!(jacinthrock_soak::content::event_count("a1") >= 5);
 /// ```
 pub fn event_count(attempt: &str) -> u64 {
-    MIN_EVENTS + digest(attempt) % EVENT_RANGE
+    let digest = digest(attempt);
+    match digest % LONG_SHARE {
+        0 => MIN_LONG_EVENTS + digest / LONG_SHARE % LONG_EVENT_RANGE,
+        _ => MIN_EVENTS + digest / LONG_SHARE % EVENT_RANGE,
+    }
 }
 
 /// One event of a stream.
