--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -7,7 +7,7 @@
 
 use serde::Serialize;
 
-use crate::checks::{RECOVERY_TIME, Violation};
+use crate::checks::{RECOVERY_TIME, Violation, is_in_touch};
 use crate::history::History;
 use crate::plan::PlannedFault;
 use crate::record::{CallEnd, Event, Record};
@@ -40,6 +40,8 @@
     pub calls: usize,
     /// Calls by how they ended.
     pub ends: BTreeMap<String, usize>,
+    /// Share of the calls before the last fault whose host was in touch, so that all bounds held.
+    pub in_touch: f64,
     /// Share of the calls that were served after the time to recover.
     pub served_at_end: f64,
     /// Largest memory of a process, in MB.
@@ -100,6 +102,7 @@
             faults,
             calls: history.calls.len(),
             ends,
+            in_touch: in_touch_share(history),
             served_at_end: served.count() as f64 / late.len().max(1) as f64,
             resident_mb: samples.iter().map(|sample| sample.resident_mb).fold(0.0, f64::max),
             descriptors: samples.iter().map(|sample| sample.descriptors).max().unwrap_or(0),
@@ -115,6 +118,14 @@
     }
 }
 
+fn in_touch_share(history: &History) -> f64 {
+    let calls = history.calls.values().filter(|call| call.sent < history.last_fault);
+    let judged = calls.map(|call| is_in_touch(history, &call.host, call.sent, call.end()));
+    let (judged, count) =
+        judged.fold((0, 0_usize), |(judged, count), is| (judged + usize::from(is), count + 1));
+    judged as f64 / count.max(1) as f64
+}
+
 fn trail(attempt: &str, records: &[Record], folder: &Path) -> Vec<String> {
     let names_it = |event: &Event| match event {
         Event::Sent { attempt: named, .. }
@@ -146,11 +157,12 @@
     // Writing to a string never fails.
     let _ = writeln!(
         text,
-        "seed {}: {verdict}, {} calls {:?}, {:.3} served at the end, up to {:.0} MB and {} \
+        "seed {}: {verdict}, {} calls {:?}, {:.2} in touch, {:.3} served at the end, up to {:.0} MB and {} \
          descriptors, faults {:?}",
         report.seed,
         report.calls,
         report.ends,
+        report.in_touch,
         report.served_at_end,
         report.resident_mb,
         report.descriptors,
