--- a/crates/soak/src/drive.rs
+++ b/crates/soak/src/drive.rs
@@ -38,6 +38,10 @@
 const START_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for which calls go on after the time to recover.
 const CALM_END: Duration = Duration::from_secs(3);
+/// Interval at which the driver looks whether the machine leaves it processor time, and how late it
+/// may be.
+const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+const MAX_LATENESS: Duration = Duration::from_millis(150);
 /// Added routes and keys that probes still ask for, newest first.
 const PROBED_CHANGES: usize = 4;
 
@@ -181,6 +185,7 @@
         next_attempt: Cell::new(1),
         seed,
     });
+    tokio::task::spawn_local(watch_machine(site.journal.clone()));
     let tasks = (0..options.callers)
         .map(|number| tokio::task::spawn_local(run_caller(callers.clone(), number)));
     let mut tasks: Vec<_> = tasks.collect();
@@ -251,6 +256,18 @@
     Ok(text.lines().map(serde_json::from_str).collect::<Result<_, _>>()?)
 }
 
+/// Records times in which this process, and probably the others, got no processor time.
+async fn watch_machine(journal: Rc<SiteJournal>) {
+    loop {
+        let due = Instant::now() + WATCH_INTERVAL;
+        sleep_until(due).await;
+        let time = due.elapsed();
+        if time > MAX_LATENESS {
+            journal.note(Event::Starved { time });
+        }
+    }
+}
+
 fn write_records(folder: &Path, records: &[Record]) -> io::Result<()> {
     let mut file = BufWriter::new(File::create(folder.join(RECORDS_FILE))?);
     for record in records {
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -166,7 +166,7 @@
     pub host_faults: BTreeMap<HostName, Vec<Span>>,
     /// Freezes of hosts alone.
     pub host_freezes: BTreeMap<HostName, Vec<Span>>,
-    /// Disturbed links of one host, or of all.
+    /// Disturbed links of one host, or of all; also times in which the machine was overloaded.
     pub link_faults: Vec<(Option<HostName>, Span)>,
     pub store_faults: Vec<Span>,
     /// Times in which endpoints were not there.
@@ -295,6 +295,9 @@
                     self.listings.push(Listing { at, endpoint: name, is_ready });
                 }
             },
+            Event::Starved { time } => {
+                self.link_faults.push((None, Span { from: at.saturating_sub(time), to: at }));
+            }
             Event::FaultBegan { target, fault } => self.begin_fault(at, target, &fault),
             Event::FaultEnded { target, kind } => self.end_fault(at, &target, &kind),
             Event::HostStarted { host, .. } => {
--- a/crates/soak/src/record.rs
+++ b/crates/soak/src/record.rs
@@ -101,6 +101,8 @@
     ConfigSent { config: SiteConfig },
     /// The store acknowledged a write: the version of a configuration, or the state of an endpoint.
     Stored { kind: Box<str>, name: Box<str>, version: Option<ConfigVersion>, state: Box<str> },
+    /// The driver got no processor time for a while, up to now.
+    Starved { time: Duration },
     /// A fault began at a target.
     FaultBegan { target: Box<str>, fault: Fault },
     /// A fault ended.
--- a/crates/soak/tests/checks.rs
+++ b/crates/soak/tests/checks.rs
@@ -192,6 +192,21 @@
     assert!(!overdue(true));
 }
 
+#[test]
+fn overloaded_machine_is_excused_from_ending_a_call_in_time() {
+    let overdue = |is_starved| {
+        let mut builder = sound_run();
+        let attempt = builder.send(late(0), "desk");
+        builder.end(late(3_500), &attempt, CallEnd::Overdue, "desk-0.1", String::new());
+        if is_starved {
+            builder.add(late(3_400), Event::Starved { time: ms(500) });
+        }
+        builder.find().iter().any(|(check, _)| *check == "overdue")
+    };
+    assert!(overdue(false));
+    assert!(!overdue(true));
+}
+
 #[test]
 fn call_is_not_lost_where_its_endpoint_crashed() {
     let lost = |has_crashed| {
