--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -170,7 +170,9 @@
 }
 
 fn judge_again(flags: &flags::Judge) -> Result<ExitCode, String> {
-    let report = judge_folder(0, &flags.folder).map_err(|error| error.to_string())?;
+    let name = flags.folder.file_name().unwrap_or_default().to_string_lossy();
+    let seed = name.trim_start_matches("seed-").parse().unwrap_or_default();
+    let report = judge_folder(seed, &flags.folder).map_err(|error| error.to_string())?;
     print!("{}", render_text(&report));
     if flags.mutate {
         let outcome = mutate_folder(&flags.folder).map_err(|error| error.to_string())?;
--- a/crates/soak/src/mutations.rs
+++ b/crates/soak/src/mutations.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::checks::is_in_touch;
 use crate::history::{Call, History, service_of};
 use crate::record::{CallEnd, Event, Moment, Record};
 use crate::site_config::{ConfigChange, MOVING_ROUTE, RouteKind};
@@ -77,12 +78,14 @@
 
 /// Time that is longer than any slack of the checks.
 const LONG_TIME: Duration = Duration::from_secs(1);
+/// Time before a call that a mutation may change.
+const CALM_TIME: Duration = Duration::from_secs(4);
 /// Repeats that no budget allows.
 const REPEATS: usize = 2_000;
 /// Calls that one mutation changes where a single one is excused.
 const MANY: usize = 12;
 
-/// Calls that one endpoint served at once, latest first.
+/// Calls of hosts in touch that one endpoint served at once, latest first.
 fn served(history: &History, is_kind: fn(RouteKind) -> bool) -> impl Iterator<Item = &Call> {
     let mut calls: Vec<_> = history
         .calls
@@ -93,6 +96,12 @@
                 && call.status() == Some(200)
                 && call.arrivals.len() == 1
                 && call.runs.len() == 1
+                && is_in_touch(
+                    history,
+                    &call.host,
+                    call.sent.saturating_sub(CALM_TIME),
+                    call.end() + LONG_TIME,
+                )
         })
         .collect();
     calls.sort_by_key(|call| std::cmp::Reverse(call.sent));
@@ -295,6 +304,9 @@
     is_delayed: impl Fn(&Event) -> bool,
 ) -> Option<()> {
     let calls: Vec<_> = served(history, |kind| kind == RouteKind::Resumable).take(MANY).collect();
+    if calls.len() < MANY {
+        return None;
+    }
     for call in calls {
         set_end(records, call, CallEnd::Left)?;
         for record in records.0.iter_mut() {
@@ -470,11 +482,11 @@
 
 fn host_stands_still(history: &History, records: &mut RecordList) -> Option<()> {
     let host = &history.lives.last()?.host;
-    let checks = records.0.iter_mut().rev().filter_map(|record| match &mut record.event {
+    let checks = records.0.iter_mut().filter_map(|record| match &mut record.event {
         Event::Checked { host: checked, ready } if checked == host => Some(ready),
         _ => None,
     });
-    checks.take(3).for_each(|ready| *ready = None);
+    checks.for_each(|ready| *ready = None);
     Some(())
 }
 
