A silent stream is sent elsewhere only while its caller still waits long enough

Change: no hedge later than one second after the last event; the pause between searches for a detour doubles.

--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -57,7 +57,8 @@
 const MAX_SENDS: u32 = 4;
 /// Number of arrivals of events after which an endpoint has gone on past the beginning of an answer.
 const ANSWERED_ARRIVALS: u32 = 2;
-/// Time after a failed search for a detour before the next, while a source stays silent.
+/// Time after the first failed search for a detour before the next, while a source stays silent; it
+/// doubles with each further one, since each may try orders that endpoints refuse.
 const REROUTE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
 /// Why a source ended before the end of the stream.
@@ -706,11 +707,13 @@
     is_silent: Rc<Cell<bool>>,
     /// When to look again, after a search that found none.
     next_search: Option<Instant>,
+    retry_delay: Duration,
 }
 
 impl SilenceHandler {
     fn new(is_silent: &Rc<Cell<bool>>) -> Self {
-        Self { is_silent: is_silent.clone(), next_search: None }
+        let is_silent = is_silent.clone();
+        Self { is_silent, next_search: None, retry_delay: REROUTE_RETRY_DELAY }
     }
 
     /// Waits until a detour is to be searched for.
@@ -732,6 +735,7 @@
         let record = guard.record();
         let was_silent = self.next_search.take().is_some();
         if was_silent && record.silence(Instant::now()) < MIN_SILENCE {
+            self.retry_delay = REROUTE_RETRY_DELAY;
             return Ok(());
         }
         if reroute(&context.state, &context.call, guard).await {
@@ -751,7 +755,8 @@
             let reason = format!("{} has ended, and nothing stands in for it", stage.name);
             return Err(SourceFailure::Unknown(reason.into()));
         }
-        self.next_search = Some(Instant::now() + REROUTE_RETRY_DELAY);
+        self.next_search = Some(Instant::now() + self.retry_delay);
+        self.retry_delay *= 2;
         self.is_silent.set(true);
         Ok(())
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -24,6 +24,9 @@
 };
 use crate::state::EntryState;
 
+/// Silence after which a stream is not sent to another endpoint beside the silent one: the other
+/// would have to read the whole prompt before the caller gives up.
+const MAX_HEDGE_SILENCE: Duration = Duration::from_secs(1);
 /// Retry-After of requests with a prompt part that crashes endpoints, which stays so for minutes.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum sources that a stream waits for at the same time.
@@ -219,8 +222,9 @@
 
     /// Opens another source beside a silent one, if that is allowed.
     fn hedge(&mut self) {
-        let is_worthwhile =
-            self.sources.len() < MAX_SOURCES && self.context.may_resend(RetryReason::Hedge);
+        let is_worthwhile = self.sources.len() < MAX_SOURCES
+            && self.context.last_event_at.get().elapsed() < MAX_HEDGE_SILENCE
+            && self.context.may_resend(RetryReason::Hedge);
         let position = self.resume_position().filter(|_| is_worthwhile);
         if !std::mem::replace(&mut self.is_silence_logged, true) || position.is_some() {
             let call = &self.context.call;
