An answer that ends clears the parts of its prompt, however short it is

What callers would see: after some ordinary crashes, a service whose answers come as one event has a part of its prompts blamed that all requests share, and all its requests refused.

Cause: parts were cleared by the second arrival of events, which such an answer doesn't have.

Test: ordinary_crashes_blame_no_part_of_short_answers (two hosts, three engines, twelve crashes: both hosts blamed a sound part) fails on the parent commit and passes now.

--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -200,6 +200,12 @@
         }
     }
 
+    /// Records that an endpoint has gone on past the beginning of the answer, or has ended it.
+    fn record_answer(&self) {
+        let parts = &self.call.head.shared_parts;
+        self.state.poison.borrow_mut().record_answer(parts, Instant::now());
+    }
+
     /// Records that an endpoint broke off the stream before it went on past its first event.
     fn record_cut(&self, first: &EndpointEntry) {
         let head = &self.call.head;
@@ -223,7 +229,8 @@
         let stages: Vec<&str> = path.iter().map(|stage| &*stage.name).collect();
         log::info!(
             event = "stream_fault", attempt = &*self.call.head.attempt, sends = self.sends(), fault,
-            stages:? = stages, parts:? = self.call.head.shared_parts, last_event = self.last_event_id.get().unwrap_or(0),
+            stages:? = stages, parts:? = self.call.head.shared_parts,
+            last_event = self.last_event_id.get().unwrap_or(0),
             silent_ms = self.last_event_at.get().elapsed().as_millis() as u64,
             age_ms = self.call.arrived.elapsed().as_millis() as u64; "stream failed on its path"
         );
@@ -637,14 +644,16 @@
             Ok(Some(events)) => {
                 open.arrivals += 1;
                 if open.arrivals == ANSWERED_ARRIVALS {
-                    let parts = &self.context.call.head.shared_parts;
-                    self.context.state.poison.borrow_mut().record_answer(parts, Instant::now());
+                    self.context.record_answer();
                 }
                 self.open = Some(open);
                 Ok(SourceStep::Events(events, self.framer.last_event_id()))
             }
             Ok(None) => {
-                let OpenStream { guard, lease, .. } = open;
+                let OpenStream { guard, lease, arrivals, .. } = open;
+                if arrivals < ANSWERED_ARRIVALS {
+                    self.context.record_answer();
+                }
                 lease.return_to_pool();
                 drop(guard);
                 self.context.state.wake_queue();
