--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,364 @@
+//! What the sources of one stream share: where its request was sent, and where it may be sent next.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jacinthrock::EndpointName;
+use sha2::{Digest, Sha256};
+use tokio::time::{Instant, timeout_at};
+
+use crate::attempts::AttemptLog;
+use crate::call::AllowedCall;
+use crate::endpoints::EndpointEntry;
+use crate::path::{PathStage, crossings};
+use crate::queue::{QueuePosition, WaitClass};
+use crate::sending::probe_entry;
+use crate::source::SourceFailure;
+use crate::state::{EntryState, PathQuery};
+
+/// Maximum wait for a path when none has room: most of the delay of the first event that callers
+/// tolerate. Beyond that, a refusal with a retry delay serves them better.
+const MAX_PATH_WAIT: Duration = Duration::from_millis(350);
+/// A request whose deadline is shorter than the route's timeout by more than this margin is a
+/// retry, since callers count their deadline from the first attempt.
+const RETRY_DEADLINE_MARGIN: Duration = Duration::from_millis(100);
+/// Time since the last event after which callers have given up, so that an interrupted stream is
+/// not resumed.
+pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_millis(1_900);
+/// Part of the retry budget reserved for resuming interrupted streams. A stream without any event
+/// yet can be refused, and its caller may retry; a silent one may go on by itself.
+const RESUME_RESERVED_SHARE: f64 = 0.2;
+/// Maximum sends per stream, regardless of the rules; more would only add to an overload.
+const MAX_SENDS: u32 = 4;
+
+/// Why a request is sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RetryReason {
+    /// The sources before have failed.
+    Fault,
+    /// The only source is silent.
+    Hedge,
+}
+
+impl RetryReason {
+    /// Label in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Fault => "stream",
+            Self::Hedge => "hedge",
+        }
+    }
+}
+
+/// What the sources of one stream share.
+pub(crate) struct StreamContext {
+    pub(crate) state: Rc<EntryState>,
+    pub(crate) call: Rc<AllowedCall>,
+    pub(crate) last_event_id: Cell<Option<u64>>,
+    /// Time of the last event, or of the request's arrival before the first.
+    pub(crate) last_event_at: Cell<Instant>,
+    sends: Cell<u32>,
+    attempts: RefCell<AttemptLog>,
+    /// Endpoints that failed or refused the stream.
+    avoid: RefCell<BTreeSet<EndpointName>>,
+    /// First stages on which sources wait.
+    held: RefCell<BTreeSet<EndpointName>>,
+}
+
+/// Endpoints at which the next path of a stream may start.
+struct StartLimits {
+    /// Endpoints to choose from, once the route allows no others.
+    starts: Option<BTreeSet<EndpointName>>,
+    avoid: BTreeSet<EndpointName>,
+}
+
+impl StreamContext {
+    pub(crate) fn new(state: &Rc<EntryState>, call: Rc<AllowedCall>) -> Self {
+        Self {
+            state: state.clone(),
+            last_event_id: Cell::new(None),
+            last_event_at: Cell::new(call.arrived),
+            sends: Cell::new(0),
+            attempts: RefCell::default(),
+            avoid: RefCell::default(),
+            held: RefCell::default(),
+            call,
+        }
+    }
+
+    /// Number of times that the request was sent or tried to be sent.
+    pub(crate) fn sends(&self) -> u32 {
+        self.sends.get()
+    }
+
+    /// Records that the request is being sent to a first stage.
+    pub(crate) fn record_send(&self, first: &EndpointEntry) {
+        self.sends.set(self.sends() + 1);
+        self.attempts.borrow_mut().record_send(first.start());
+    }
+
+    /// Takes back a send that got no connection.
+    pub(crate) fn record_unsent(&self, first: &EndpointEntry) {
+        self.attempts.borrow_mut().record_unsent(first.start());
+    }
+
+    /// Keeps the stream away from an endpoint that failed or refused it.
+    pub(crate) fn avoid(&self, name: &EndpointName) {
+        self.avoid.borrow_mut().insert(name.clone());
+    }
+
+    /// Whether the request may be sent again, as far as the route, the retry budget and the time
+    /// allow it.
+    pub(crate) fn may_resend(&self, reason: RetryReason) -> bool {
+        self.sends() < MAX_SENDS
+            && !self.call.remaining().is_zero()
+            && self.state.has_retry(&self.call.service, self.reserved_share(reason))
+            && (reason == RetryReason::Fault || self.may_hedge())
+    }
+
+    /// Whether there is an endpoint to start at other than those on which sources wait.
+    fn may_hedge(&self) -> bool {
+        let limits = self.start_limits();
+        let Some(starts) = limits.starts else { return true };
+        let now = Instant::now();
+        starts.difference(&limits.avoid).any(|name| {
+            self.state.endpoint(name).is_some_and(|entry| self.state.accepts_work(&entry, now))
+        })
+    }
+
+    /// Part of the retry budget that a retry must leave for interrupted streams.
+    fn reserved_share(&self, reason: RetryReason) -> f64 {
+        let is_interrupted = reason == RetryReason::Fault && self.last_event_id.get().is_some();
+        if is_interrupted { 0.0 } else { RESUME_RESERVED_SHARE }
+    }
+
+    /// Takes a retry from the budget.
+    pub(crate) fn take_retry(&self, reason: RetryReason) -> bool {
+        self.state.allow_retry(&self.call.service, reason.label(), self.reserved_share(reason))
+    }
+
+    /// Fails if a part of the prompt is known to crash endpoints. Returns whether the request is a
+    /// trial of such a part.
+    pub(crate) fn check_prompt(&self) -> Result<bool, SourceFailure> {
+        let (parts, now) = (&self.call.head.shared_parts, Instant::now());
+        let mut table = self.state.poison.borrow_mut();
+        let is_blamed = table.is_blamed(parts, now);
+        match table.verdict(parts, self.state.is_holder(), now) {
+            Some(blamed) => Err(SourceFailure::PoisonPrompt(blamed.to_string().into())),
+            None => Ok(is_blamed),
+        }
+    }
+
+    /// Records that an endpoint has gone on past the beginning of the answer, or has ended it.
+    pub(crate) fn record_answer(&self) {
+        let parts = &self.call.head.shared_parts;
+        self.state.poison.borrow_mut().record_answer(parts, Instant::now());
+    }
+
+    /// Records that an endpoint broke off the stream before it went on past its first event.
+    pub(crate) fn record_cut(&self, first: &EndpointEntry) {
+        let head = &self.call.head;
+        let mut hasher = Sha256::new();
+        hasher.update(head.own_part.as_deref().unwrap_or(&head.attempt));
+        let tag = hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+        let mut table = self.state.poison.borrow_mut();
+        table.record_break(first.start(), &head.shared_parts, tag, Instant::now());
+    }
+
+    /// When the first of the endpoints at which paths start wants requests again, if all have asked
+    /// for a pause.
+    pub(crate) fn pause_end(&self) -> Option<Instant> {
+        let starts = |entry: &EndpointEntry| {
+            entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
+        };
+        self.state.first_pause_end(&self.call.service, starts)
+    }
+
+    pub(crate) fn log_fault(&self, path: &[PathStage], fault: &str) {
+        let stages: Vec<&str> = path.iter().map(|stage| &*stage.name).collect();
+        log::info!(
+            event = "stream_fault", attempt = &*self.call.head.attempt, sends = self.sends(), fault,
+            stages:? = stages, parts:? = self.call.head.shared_parts,
+            last_event = self.last_event_id.get().unwrap_or(0),
+            silent_ms = self.last_event_at.get().elapsed().as_millis() as u64,
+            age_ms = self.call.arrived.elapsed().as_millis() as u64; "stream failed on its path"
+        );
+    }
+
+    /// Records that the request is over at a first stage.
+    pub(crate) fn record_over(&self, first: &EndpointEntry) {
+        self.attempts.borrow_mut().record_over(first.start(), Instant::now());
+    }
+
+    /// Records that the connection to a first stage broke, and finds out whether it has ended.
+    pub(crate) fn record_broken(&self, first: &EndpointEntry) {
+        self.record_over(first);
+        tokio::task::spawn_local(probe_entry(self.state.clone(), first.clone()));
+    }
+
+    /// Endpoints that count against the maximum number of attempts, by their starts.
+    fn counted_attempts(&self) -> Vec<EndpointName> {
+        let mut attempts = self.attempts.borrow_mut();
+        attempts.counted(|endpoint, at| self.state.has_ended_since(endpoint, at))
+    }
+
+    pub(crate) fn log_resend(&self, first: &EndpointEntry, resume_after: Option<u64>) {
+        log::info!(
+            event = "stream_resent", attempt = &*self.call.head.attempt, endpoint = &*first.name,
+            sends = self.sends(), counted:? = self.counted_attempts(),
+            resume_after = resume_after.unwrap_or(0); "stream is sent again"
+        );
+    }
+
+    /// After the maximum number of attempts, a path must start at an endpoint that was tried before.
+    fn start_limits(&self) -> StartLimits {
+        let counted = self.counted_attempts();
+        let held = self.held.borrow();
+        let mut avoid: BTreeSet<_> = self.avoid.borrow().union(&held).cloned().collect();
+        if counted.len() >= self.call.route.max_attempts.max(1) as usize {
+            let starts = counted.into_iter().filter(|name| !held.contains(name)).collect();
+            return StartLimits { starts: Some(starts), avoid };
+        }
+        avoid.extend(self.attempts.borrow().over().cloned());
+        StartLimits { starts: None, avoid }
+    }
+
+    /// Expected maximum number of tokens in the stream's KV cache.
+    pub(crate) fn expected_tokens(&self) -> u32 {
+        let rules = self.state.rules();
+        let engine = rules.as_ref().and_then(|rules| rules.engine(&self.call.service));
+        let (prompt, answer) =
+            engine.map_or((0, 0), |e| (e.mean_prompt_tokens, e.mean_output_tokens));
+        let head = &self.call.head;
+        let answer = head
+            .output_tokens_hint
+            .unwrap_or(answer)
+            .min(head.max_output_tokens.unwrap_or(u32::MAX));
+        head.prompt_tokens.unwrap_or(prompt) + answer
+    }
+
+    /// Calls a function with the requirements for the next path.
+    fn with_query<T>(&self, run: impl FnOnce(&EntryState, &PathQuery<'_>) -> T) -> T {
+        let limits = self.start_limits();
+        let query = PathQuery {
+            service: &self.call.service,
+            tokens: self.expected_tokens(),
+            starts: limits.starts.as_ref(),
+            avoid: &limits.avoid,
+        };
+        run(&self.state, &query)
+    }
+
+    fn find_path(&self) -> Option<Rc<[PathStage]>> {
+        self.with_query(|state, query| state.find_path(query))
+    }
+
+    /// Records that the stream takes a path.
+    fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
+        let now = Instant::now();
+        self.state.path_queue.borrow_mut().record_served(now);
+        self.state.consume_crossings(crossings(&path));
+        path
+    }
+
+    /// Class of the stream in the queue.
+    fn wait_class(&self) -> WaitClass {
+        let head = &self.call.head;
+        let is_retried = head
+            .deadline
+            .is_some_and(|deadline| deadline + RETRY_DEADLINE_MARGIN < self.call.route.timeout);
+        if self.last_event_id.get().is_some() {
+            WaitClass::Interrupted
+        } else if is_retried || self.sends() > 0 {
+            WaitClass::Retried
+        } else {
+            WaitClass::New
+        }
+    }
+
+    /// Waits for a path with room, for as long as the caller benefits from it.
+    pub(crate) async fn wait_for_path(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
+        // An interrupted stream may wait until its caller gives up.
+        let until = match self.wait_class() {
+            WaitClass::Interrupted => self.last_event_at.get() + CALLER_TIMEOUT,
+            WaitClass::Retried | WaitClass::New => Instant::now() + MAX_PATH_WAIT,
+        };
+        let until = until.min(self.call.deadline);
+        // A stream that may start at few endpoints would hold up those behind it.
+        let is_limited = self.start_limits().starts.is_some();
+        if (is_limited || self.state.path_queue.borrow().is_empty())
+            && let Some(path) = self.find_path()
+        {
+            return Ok(self.accept_path(path));
+        }
+        if self.pause_end().is_some_and(|end| end >= until) {
+            return Err(SourceFailure::NoPath("all first stages have asked for a pause".into()));
+        }
+        let guard = (!is_limited)
+            .then(|| QueueGuard::new(&self.state, self.wait_class(), self.call.priority));
+        let expected_wait = guard.as_ref().map_or(Duration::ZERO, |guard| guard.expected_wait);
+        if Instant::now() + expected_wait > until {
+            let wait_ms = expected_wait.as_millis();
+            return Err(SourceFailure::NoPath(format!("the line is {wait_ms} ms long").into()));
+        }
+        loop {
+            let path_changed = self.state.path_changed.notified();
+            if guard.as_ref().is_none_or(QueueGuard::is_first)
+                && let Some(path) = self.find_path()
+            {
+                return Ok(self.accept_path(path));
+            }
+            if timeout_at(until, path_changed).await.is_err() {
+                return Err(SourceFailure::NoPath(
+                    self.with_query(|state, query| state.explain_no_path(query)),
+                ));
+            }
+        }
+    }
+}
+
+/// Keeps a stream in the queue of waiting streams until dropped.
+struct QueueGuard {
+    state: Rc<EntryState>,
+    position: QueuePosition,
+    expected_wait: Duration,
+}
+
+impl QueueGuard {
+    fn new(state: &Rc<EntryState>, class: WaitClass, priority: u8) -> Self {
+        let (position, expected_wait) = state.path_queue.borrow_mut().join(class, priority);
+        Self { state: state.clone(), position, expected_wait }
+    }
+
+    fn is_first(&self) -> bool {
+        self.state.path_queue.borrow().is_first(self.position)
+    }
+}
+
+impl Drop for QueueGuard {
+    fn drop(&mut self) {
+        self.state.path_queue.borrow_mut().leave(self.position);
+        self.state.path_changed.notify_waiters();
+    }
+}
+
+/// Keeps other sources of the stream away from a first stage until dropped.
+pub(crate) struct StageHold {
+    context: Rc<StreamContext>,
+    name: EndpointName,
+}
+
+impl StageHold {
+    pub(crate) fn new(context: &Rc<StreamContext>, name: &EndpointName) -> Self {
+        context.held.borrow_mut().insert(name.clone());
+        Self { context: context.clone(), name: name.clone() }
+    }
+}
+
+impl Drop for StageHold {
+    fn drop(&mut self) {
+        self.context.held.borrow_mut().remove(&self.name);
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod adapter;
 mod attempts;
 mod call;
+mod context;
 mod detour;
 mod endpoints;
 mod events;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -18,10 +18,9 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, unknown_outcome};
+use crate::context::{CALLER_TIMEOUT, RetryReason, StreamContext};
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
-use crate::source::{
-    CALLER_TIMEOUT, RetryReason, SourceFailure, SourceHead, SourceStep, StreamContext, StreamSource,
-};
+use crate::source::{SourceFailure, SourceHead, SourceStep, StreamSource};
 use crate::state::EntryState;
 
 /// Silence after which a stream is not sent to another endpoint beside the silent one: the other
