Hosts together keep to the rate limits of endpoints

What callers saw: nothing yet; an endpoint in need got up to twice what its named limit allows, so that it stayed in need.

Cause: nothing decoded the header, and each host decides alone. Class of fault: a bound on the sum over all hosts that no host keeps for the others.

Change: the adapter decodes the limit. Each request to such an endpoint takes a permit. The holder of the placement lease issues as many permits as the limits allow; hosts and relays draw them by demand in the exchanges of loads and return what they do not use. Hosts that do not hear the holder issue themselves the share of one host. Paths and plain calls choose among endpoints that they have a permit for; what has none goes elsewhere, waits as for a pause, or is refused at once with a Retry-After by the next permit.

--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -53,8 +53,20 @@
     pub urgency: Option<u8>,
 }
 
+/// What a reply says of the rate of requests that its endpoint takes from all hosts together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum RateNotice {
+    /// The endpoint names no limit.
+    #[default]
+    Unlimited,
+    /// The endpoint takes this many requests per second.
+    Limit(f64),
+    /// The endpoint names a limit that is no rate.
+    Unreadable,
+}
+
 /// Fields decoded from the head of an endpoint's reply.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ReplyHead {
     /// Whether the endpoint guarantees that it has not run the request.
     pub is_not_run: bool,
@@ -70,6 +82,8 @@
     pub is_leaving: bool,
     /// Time for which the endpoint wants no requests from this host.
     pub retry_after: Option<Duration>,
+    /// Requests that the endpoint takes from all hosts together.
+    pub rate: RateNotice,
 }
 
 /// Encodes and decodes the platform's headers and bodies.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -167,13 +167,13 @@
         table.record_break(first.start(), &head.shared_parts, tag, Instant::now());
     }
 
-    /// When the first of the endpoints at which paths start wants requests again, if all have asked
-    /// for a pause.
-    pub(crate) fn pause_end(&self) -> Option<Instant> {
+    /// When the first of the endpoints at which paths start takes requests again, if none does at
+    /// present.
+    pub(crate) fn next_opening(&self) -> Option<Instant> {
         let starts = |entry: &EndpointEntry| {
             entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
         };
-        self.state.first_pause_end(&self.call.service, starts)
+        self.state.first_opening(&self.call.service, starts)
     }
 
     pub(crate) fn log_fault(&self, path: &[PathStage], fault: &str) {
@@ -247,6 +247,7 @@
             tokens: self.expected_tokens(),
             starts: limits.starts.as_ref(),
             avoid: &limits.avoid,
+            ignores_rates: false,
         };
         run(&self.state, &query)
     }
@@ -280,6 +281,13 @@
 
     /// Waits for a path with room, for as long as the caller benefits from it.
     pub(crate) async fn wait_for_path(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
+        let found = self.search_path().await;
+        let first = found.as_ref().ok().and_then(|path| path.first());
+        self.state.record_held_back(&self.call.service, first);
+        found
+    }
+
+    async fn search_path(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
         // An interrupted stream may wait until its caller gives up.
         let until = match self.wait_class() {
             WaitClass::Interrupted => self.last_event_at.get() + CALLER_TIMEOUT,
@@ -293,8 +301,8 @@
         {
             return Ok(self.accept_path(path));
         }
-        if self.pause_end().is_some_and(|end| end >= until) {
-            return Err(SourceFailure::NoPath("all first stages have asked for a pause".into()));
+        if self.next_opening().is_some_and(|opening| opening >= until) {
+            return Err(SourceFailure::NoPath("no first stage takes requests at present".into()));
         }
         let guard = (!is_limited)
             .then(|| QueueGuard::new(&self.state, self.wait_class(), self.call.priority));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -27,12 +27,14 @@
 mod orders;
 mod path;
 mod peers;
+mod permits;
 mod placement;
 mod plain;
 mod poison;
 mod pool;
 mod queue;
 mod quota;
+mod rates;
 mod relay;
 mod reply;
 mod reroute;
@@ -50,7 +52,7 @@
 mod watchdog;
 
 pub use adapter::{
-    CallCodec, CallHead, EndpointReport, RecordGroup, RegistryClient, RegistryError,
+    CallCodec, CallHead, EndpointReport, RateNotice, RecordGroup, RegistryClient, RegistryError,
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
 pub use attempts::AttemptLog;
@@ -64,7 +66,7 @@
 pub use health::{CallEnd, HealthTable};
 pub use heartbeat::{HeartbeatWatcher, LookFinding, LoopHeartbeat};
 pub use inflight::{StageLoad, StreamGuard, StreamRecord, StreamTable};
-pub use jacinthrock::{DomainName, EndpointName, ServiceName};
+pub use jacinthrock::{DomainName, EndpointName, HostName, ServiceName};
 pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
 pub use loads::{
     LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share,
@@ -72,6 +74,7 @@
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{PathStage, StageView, cheapest_path, crossings, first_gap, stage_at};
+pub use permits::PermitPools;
 pub use poison::{BlamedPart, PoisonReport, PoisonTable, PromptPart, RequestTag};
 pub use pool::{
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
@@ -79,6 +82,7 @@
 };
 pub use queue::{QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
+pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::ReturnSchedule;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -11,6 +11,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use jacinthrock::HostName;
+use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -24,6 +25,7 @@
 use crate::loads::LoadSum;
 use crate::poison::PoisonReport;
 use crate::pool::{SendOptions, build_request};
+use crate::rates::{PermitDraw, PermitGrant, SharedRate};
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
@@ -68,6 +70,12 @@
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
+    /// Rate limits of endpoints, as the host knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    rates: Vec<SharedRate>,
+    /// Permits that the host draws for itself or for its group.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    draws: Vec<PermitDraw>,
 }
 
 /// Reply of the holder of the placement lease, or of a relay, to a load report.
@@ -104,6 +112,12 @@
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
+    /// Rate limits of endpoints, as the replying host knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    rates: Vec<SharedRate>,
+    /// Permits for the host or for its group.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    grants: Vec<PermitGrant>,
 }
 
 /// The newest rules that a host knows of.
@@ -190,6 +204,7 @@
     let mut seen: Option<TablePosition> = None;
     loop {
         sleep(EXCHANGE_INTERVAL).await;
+        issue_own_share(&state);
         if state.is_holder() {
             seen = None;
             apply_own_total(&state);
@@ -227,10 +242,59 @@
     let total = state.relay_loads.borrow_mut().group_total(&own, now);
     state.peer_loads.borrow_mut().update(total, own, state.host_count(), now);
     state.holder_heard.set(Some(now));
+    let draws = state.rates.borrow_mut().draws(now);
+    let grants = draw_permits(state, &state.options.host, &draws);
+    grants.iter().for_each(|grant| state.rates.borrow_mut().grant(grant, now));
     state.update_retry_share();
     state.wake_queue();
 }
 
+/// Lets this host send its share to endpoints with a rate limit while it does not hear the holder,
+/// from which hosts draw their permits.
+fn issue_own_share(state: &EntryState) {
+    if state.has_heard_holder() {
+        state.rates.borrow_mut().end_share();
+    } else if !state.peers.borrow().is_empty() {
+        let draw = rand::rng().random_range(0.0..1.0);
+        state.rates.borrow_mut().issue_share(state.host_count(), draw, Instant::now());
+        state.wake_queue();
+    }
+}
+
+/// Gives a host permits from the pools of this host, which the holder fills.
+fn draw_permits(state: &EntryState, host: &HostName, draws: &[PermitDraw]) -> Vec<PermitGrant> {
+    let now = Instant::now();
+    let (rates, mut pools) = (state.rates.borrow(), state.permits.borrow_mut());
+    if state.is_holder() {
+        rates.limits().for_each(|(endpoint, per_s)| pools.issue(endpoint, per_s, now));
+    }
+    let grants = draws.iter().filter_map(|draw| {
+        let rounding = rand::rng().random_range(0.0..1.0);
+        pools.draw(host, draw, rounding, now)
+    });
+    grants.collect()
+}
+
+/// Permits that a host draws from the holder or from its relay; a relay draws for its group, with
+/// itself as a member.
+fn upstream_draws(state: &EntryState, has_members: bool) -> Vec<PermitDraw> {
+    let now = Instant::now();
+    let draws = state.rates.borrow_mut().draws(now);
+    if !has_members {
+        return draws;
+    }
+    let grants = draw_permits(state, &state.options.host, &draws);
+    grants.iter().for_each(|grant| state.rates.borrow_mut().grant(grant, now));
+    state.permits.borrow_mut().draws(now)
+}
+
+fn apply_rates(state: &EntryState, rates: &[SharedRate]) {
+    for shared in rates {
+        let change = state.rates.borrow_mut().apply(shared, Instant::now());
+        state.note_rate(&shared.endpoint, "host", change);
+    }
+}
+
 /// Exchanges loads with one host; returns whether its reply was of use.
 async fn exchange_with(
     state: &EntryState,
@@ -241,12 +305,16 @@
     let own = state.own_load();
     let group = state.relay_loads.borrow_mut().group_total(&own, Instant::now());
     let known = seen.take().filter(|position| position.host == *host);
+    let has_members = state.relay_loads.borrow_mut().has_members(Instant::now());
+    let draws = upstream_draws(state, has_members);
     let report = HostReport {
         host: state.options.host.clone(),
         sum: group,
         seen: known.map(|position| (position.boot, position.number)),
         excluded: state.exclusions.borrow().shared(Instant::now()),
         poison: state.poison.borrow_mut().report(Instant::now()),
+        rates: state.rates.borrow().shared(Instant::now()),
+        draws,
     };
     let reply = match serde_json::to_vec(&report) {
         Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
@@ -255,6 +323,8 @@
     match reply {
         Ok(reply) => {
             let is_useful = reply.is_useful();
+            apply_rates(state, &reply.rates);
+            take_grants(state, &reply.grants, has_members);
             let position =
                 TablePosition { host: host.clone(), boot: reply.boot, number: reply.number };
             *seen = apply_reply(state, own, &report.sum, reply).then_some(position);
@@ -270,6 +340,21 @@
     }
 }
 
+/// Takes the permits that this host has drawn, as a relay for its group.
+fn take_grants(state: &EntryState, grants: &[PermitGrant], has_members: bool) {
+    let now = Instant::now();
+    if !grants.is_empty() {
+        state.path_changed.notify_waiters();
+    }
+    for grant in grants {
+        if has_members {
+            state.permits.borrow_mut().add(grant, now);
+        } else {
+            state.rates.borrow_mut().grant(grant, now);
+        }
+    }
+}
+
 /// Applies a reply to a load report; returns whether this host's table is now up to date with the
 /// other host's. `reported` is the load that the report contained.
 fn apply_reply(state: &EntryState, own: LoadSum, reported: &LoadSum, reply: HolderReply) -> bool {
@@ -341,6 +426,9 @@
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
+    /// Rate limits of endpoints.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    rates: Vec<SharedRate>,
 }
 
 impl HostStatus {
@@ -364,14 +452,17 @@
     futures::future::join_all(statuses).await.into_iter().flatten().collect()
 }
 
-/// Takes over what other hosts know of prompt parts that crash endpoints, before this host takes
-/// calls. Loads are exchanged only once a placement holder is known.
+/// Takes over what other hosts know of prompt parts that crash endpoints and of rate limits, before
+/// this host takes calls. Loads are exchanged only once a placement holder is known.
 pub(crate) async fn learn_at_start(state: Rc<EntryState>) {
     let until = Instant::now() + START_TIME;
     while Instant::now() < until {
         let statuses = fetch_statuses(&state).await;
         let is_answered = !statuses.is_empty();
-        statuses.into_iter().for_each(|status| apply_poison(&state, status.poison));
+        for status in statuses {
+            apply_poison(&state, status.poison);
+            apply_rates(&state, &status.rates);
+        }
         if is_answered {
             break;
         }
@@ -402,6 +493,7 @@
         can_reach_registry: state.can_reach_registry(),
         holder: holder.map(|holder| (holder.host, holder.address)),
         poison: state.poison.borrow_mut().report(Instant::now()),
+        rates: state.rates.borrow().shared(Instant::now()),
     }
 }
 
@@ -475,6 +567,8 @@
     let is_holder = state.is_holder();
     apply_exclusions(state, report.excluded);
     apply_poison(state, report.poison);
+    apply_rates(state, &report.rates);
+    let grants = draw_permits(state, &report.host, &report.draws);
     let own = state.own_load();
     let total = {
         let mut loads = state.relay_loads.borrow_mut();
@@ -505,6 +599,8 @@
         excluded: state.exclusions.borrow().shared(Instant::now()),
         rules: rules_report(state, now),
         poison: state.poison.borrow_mut().report(now),
+        rates: state.rates.borrow().shared(now),
+        grants,
     }
 }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -6,7 +6,7 @@
 use hyper::{Response, StatusCode};
 use jacinthrock::{CallRefusal, EndpointName, ResultCode};
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 
 use crate::call::{AllowedCall, count_outcome, unknown_outcome};
 use crate::endpoints::EndpointEntry;
@@ -19,10 +19,11 @@
 /// Retry-After when no endpoint accepts a call: calls take about 60 ms, so capacity is free again
 /// soon.
 const BUSY_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Longest pause of all endpoints that a call waits for; its caller expects an answer soon after.
-const MAX_PAUSE_WAIT: Duration = Duration::from_millis(200);
-/// Time over which callers come back after the pause of the endpoints that could serve them.
-const PAUSE_SPREAD: Duration = Duration::from_millis(500);
+/// Longest time that a call waits for endpoints none of which takes a request at present; its caller
+/// expects an answer soon after.
+const MAX_WAIT: Duration = Duration::from_millis(200);
+/// Time over which callers come back once the first of these endpoints takes requests again.
+const RETURN_SPREAD: Duration = Duration::from_millis(500);
 /// Failed connection attempts after which a call is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -51,20 +52,24 @@
     let mut last_response: Option<Response<ResponseBody>> = None;
     let mut last_fault: Box<str> = "no endpoint is registered".into();
     let mut retry_after = BUSY_RETRY_AFTER;
+    let wait_end = Instant::now() + MAX_WAIT.min(call.remaining());
+    state.record_held_back(&call.service, None);
     while tried.len() < call.route.max_attempts.max(1) as usize
         && connect_failures < MAX_CONNECT_FAILURES
     {
         let Some(entry) = pick_endpoint(state, &call.service, &tried) else {
-            let Some(until) = state.first_pause_end(&call.service, |_| true) else { break };
-            let pause = until.saturating_duration_since(Instant::now());
+            let Some(opening) = state.first_opening(&call.service, |_| true) else { break };
             let is_untried = |entry: &EndpointEntry| !tried.contains(&entry.name);
-            let untried_until = state.first_pause_end(&call.service, is_untried);
-            if untried_until == Some(until) && pause < MAX_PAUSE_WAIT.min(call.remaining()) {
-                sleep_until(until).await;
+            let is_next = state.first_opening(&call.service, is_untried) == Some(opening);
+            let delay = opening.saturating_duration_since(Instant::now());
+            // Calls that wait already go first.
+            let delay = delay * (state.waiting_calls.get() + 1);
+            if is_next && Instant::now() + delay < wait_end {
+                wait_for_opening(state, opening).await;
                 continue;
             }
-            last_fault = "all endpoints have asked for a pause".into();
-            retry_after = pause + PAUSE_SPREAD.mul_f64(rand::random());
+            last_fault = "no endpoint takes requests at present".into();
+            retry_after = delay + RETURN_SPREAD.mul_f64(rand::random());
             break;
         };
         if !tried.is_empty() && !state.allow_retry(&call.service, "plain", 0.0) {
@@ -114,6 +119,15 @@
     Err(unknown_outcome(state, call, last_fault))
 }
 
+/// Waits until an endpoint is expected to take a request again, or a permit arrives.
+async fn wait_for_opening(state: &EntryState, opening: Instant) {
+    let changed = state.path_changed.notified();
+    state.waiting_calls.set(state.waiting_calls.get() + 1);
+    let _waiting = WaitingCall { state };
+    // Either end of the wait leads to another look.
+    let _ = timeout_at(opening, changed).await;
+}
+
 async fn attempt(state: &EntryState, call: &AllowedCall, entry: &EndpointEntry) -> AttemptOutcome {
     let started = Instant::now();
     state.health.borrow_mut().begin_call(&entry.name);
@@ -197,11 +211,12 @@
 ) -> Option<EndpointEntry> {
     let now = Instant::now();
     let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
-    let notices = state.notices.borrow();
+    let (notices, rates) = (state.notices.borrow(), state.rates.borrow());
     let candidates = endpoints.entries().filter(|entry| {
         &*entry.service == service
             && !state.is_leaving_endpoint(entry)
             && !notices.is_paused(entry.start(), now)
+            && rates.may_send(entry.start(), now)
             && !tried.contains(&entry.name)
     });
     let (mut healthy, mut suspect) = (Vec::new(), Vec::new());
@@ -220,6 +235,17 @@
     healthy.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
 }
 
+/// Counts a call as waiting until this guard is dropped.
+struct WaitingCall<'a> {
+    state: &'a EntryState,
+}
+
+impl Drop for WaitingCall<'_> {
+    fn drop(&mut self) {
+        self.state.waiting_calls.set(self.state.waiting_calls.get() - 1);
+    }
+}
+
 /// Counts a call as open at an endpoint until this guard is dropped.
 struct OpenCall<'a> {
     state: &'a EntryState,
--- a/crates/entry/src/reroute.rs
+++ b/crates/entry/src/reroute.rs
@@ -64,7 +64,13 @@
     let tokens = guard.record().tokens();
     for _ in 0..MAX_ORDERS {
         let old = guard.record().path();
-        let query = PathQuery { service: &call.service, tokens, starts: None, avoid: &avoid };
+        let query = PathQuery {
+            service: &call.service,
+            tokens,
+            starts: None,
+            avoid: &avoid,
+            ignores_rates: true,
+        };
         let Some(path) = state.find_detour(&old, &query) else { return false };
         let Some(first) = state.endpoint(&path[0].name) else { return false };
         let order = state.codec.repath_order(&call.head.attempt, &path);
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -12,7 +12,7 @@
 use jacinthrock::{EndpointName, MetricName};
 use tokio::time::Instant;
 
-use crate::adapter::{EndpointReport, ReplyHead, SendHead};
+use crate::adapter::{EndpointReport, RateNotice, ReplyHead, SendHead};
 use crate::call::AllowedCall;
 use crate::endpoints::EndpointEntry;
 use crate::path::PathStage;
@@ -107,7 +107,12 @@
         head_timeout: remaining,
         ..SendOptions::within(remaining, MAX_IDLE)
     };
+    let sent_at = Instant::now();
+    take_permit(state, call, target.endpoint);
     let sent = state.pool.send(target.endpoint.address, request, options).await;
+    if let Err(SendError::NotSent { .. }) = &sent {
+        state.rates.borrow_mut().give_back(target.endpoint.start(), Instant::now());
+    }
     count_over_limit(state, "answer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
@@ -116,9 +121,34 @@
     if sent.head.is_for_attempt || sent.is_not_run() {
         note_reply(state, target.endpoint, sent.reply.parts.status, &sent.head);
     }
+    if sent.head.is_for_attempt && sent.reply.parts.status != StatusCode::MISDIRECTED_REQUEST {
+        note_rate(state, target.endpoint, &sent.head, sent_at);
+    }
     Ok(sent)
 }
 
+/// Takes the permit of a request; paths and endpoints are chosen among those that have one left.
+fn take_permit(state: &EntryState, call: &AllowedCall, entry: &EndpointEntry) {
+    if !state.rates.borrow_mut().take(entry.start(), Instant::now()) {
+        log::info!(
+            event = "permit_lacking", attempt = &*call.head.attempt, endpoint = &*entry.name;
+            "request is sent without a permit of its endpoint's rate limit"
+        );
+    }
+}
+
+/// Records what an endpoint's reply to a request of `sent_at` says of its rate limit.
+fn note_rate(state: &EntryState, entry: &EndpointEntry, head: &ReplyHead, sent_at: Instant) {
+    let (now, mut rates) = (Instant::now(), state.rates.borrow_mut());
+    let change = match head.rate {
+        RateNotice::Limit(per_s) => rates.observe_limit(entry.start(), per_s, now),
+        RateNotice::Unlimited => rates.observe_no_limit(entry.start(), sent_at, now),
+        RateNotice::Unreadable => None,
+    };
+    drop(rates);
+    state.note_rate(&entry.name, "reply", change);
+}
+
 /// Records what an endpoint's reply says of the endpoint itself.
 pub(crate) fn note_reply(
     state: &EntryState,
@@ -208,11 +238,14 @@
     let uri = Uri::from_static(state.codec.report_path());
     let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
     let options = SendOptions::within(limit, Duration::ZERO);
+    let sent_at = Instant::now();
     let fetched = fetch(state, "report", entry.address, request, options).await;
     let (parts, body) = fetched.inspect_err(|error| note_error(state, entry, error))?;
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
     if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
-        note_reply(state, entry, parts.status, &state.codec.read_reply("", &parts.headers));
+        let head = state.codec.read_reply("", &parts.headers);
+        note_reply(state, entry, parts.status, &head);
+        note_rate(state, entry, &head, sent_at);
     }
     if report.is_none() {
         let status = parts.status.as_u16();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -25,10 +25,12 @@
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
 use crate::notices::{EndpointNotices, EndpointStart};
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
+use crate::permits::PermitPools;
 use crate::poison::PoisonTable;
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
 use crate::quota::CrossingQuota;
+use crate::rates::{RateChange, RateTable};
 use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
 use crate::returns::ReturnSchedule;
 use crate::rules::{EngineProfile, RuleIndex, RulesVersion, ServingRules};
@@ -153,6 +155,10 @@
     pub poison: RefCell<PoisonTable>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
+    /// Rate limits that endpoints have named, with this host's permits.
+    pub rates: RefCell<RateTable>,
+    /// Permits for the hosts that exchange through this host.
+    pub permits: RefCell<PermitPools>,
     /// Streams in flight.
     pub inflight: Rc<RefCell<StreamTable>>,
     /// Notified whenever a path may have become available.
@@ -174,6 +180,8 @@
     pub relay_loads: RefCell<RelayLoads>,
     /// Choice of the relay that this host exchanges through.
     pub relay_picker: RefCell<RelayPicker>,
+    /// Plain calls that wait for an endpoint to take a request again.
+    pub waiting_calls: Cell<u32>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
     /// Outcomes of streams, for the delay after which refused callers come back.
@@ -216,6 +224,8 @@
     pub starts: Option<&'a BTreeSet<EndpointName>>,
     /// Endpoints to avoid.
     pub avoid: &'a BTreeSet<EndpointName>,
+    /// Whether a path may also start at endpoints that take no request at present.
+    pub ignores_rates: bool,
 }
 
 impl EntryState {
@@ -226,6 +236,7 @@
         registry: Box<dyn RegistryClient>,
     ) -> Self {
         let budget = RetryBudget::new(budget_options(&options, 1.0));
+        let boot_id = rand::random();
         Self {
             options,
             codec,
@@ -239,11 +250,13 @@
             has_asked_hosts: Cell::new(false),
             poison: RefCell::new(PoisonTable::new(Instant::now())),
             notices: RefCell::default(),
+            rates: RefCell::new(RateTable::new(boot_id)),
+            permits: RefCell::default(),
             inflight: Rc::default(),
             path_changed: Notify::new(),
             peers: RefCell::default(),
             placement_holder: RefCell::default(),
-            boot_id: rand::random(),
+            boot_id,
             endpoints_confirmed: Cell::new(None),
             holder_confirmed: Cell::new(None),
             holder_heard: Cell::new(None),
@@ -252,6 +265,7 @@
             is_placing: Cell::new(false),
             registry_restored: Notify::new(),
             peer_loads: RefCell::default(),
+            waiting_calls: Cell::new(0),
             path_queue: RefCell::default(),
             return_schedule: RefCell::default(),
             stop_plan: Cell::new(None),
@@ -556,7 +570,11 @@
             flags.borrow_mut().retain(|name| endpoints.get(name).is_some());
         }
         self.exclusions.borrow_mut().retain(|name| endpoints.get(name).is_some());
-        self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), Instant::now());
+        let now = Instant::now();
+        self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), now);
+        let mut rates = self.rates.borrow_mut();
+        rates.prune(|name| endpoints.get(name).is_some(), now);
+        self.permits.borrow_mut().retain(|start| rates.limit_per_s(start).is_some());
     }
 
     /// Whether an endpoint leaves, as the registry lists it or as it says itself.
@@ -564,16 +582,18 @@
         entry.is_draining || self.notices.borrow().is_leaving(entry.start())
     }
 
-    /// When the first of a service's endpoints wants requests again, if all that could take one
-    /// have asked for a pause. `can_start` tells which could.
-    pub fn first_pause_end(
+    /// When the first of a service's endpoints takes a request again, as far as known, if none of
+    /// those that could take one does at present: they have asked for a pause, or this host has no
+    /// permit of their rate limit. `can_start` tells which could.
+    pub fn first_opening(
         &self,
         service: &str,
         can_start: impl Fn(&EndpointEntry) -> bool,
     ) -> Option<Instant> {
         let now = Instant::now();
         let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
-        let notices = self.notices.borrow();
+        let (notices, rates) = (self.notices.borrow(), self.rates.borrow());
+        let hosts = self.host_count();
         let candidates = endpoints.entries().filter(|entry| {
             &*entry.service == service
                 && !self.is_leaving_endpoint(entry)
@@ -582,12 +602,56 @@
         });
         let mut first = None;
         for entry in candidates {
-            let until = notices.paused_until(entry.start(), now)?;
+            let delay = rates.permit_delay(entry.start(), hosts, now);
+            let until = notices
+                .paused_until(entry.start(), now)
+                .max(delay.and_then(|delay| now.checked_add(delay)))?;
             first = Some(first.map_or(until, |first: Instant| first.min(until)));
         }
         first
     }
 
+    /// Logs a change of an endpoint's rate limit, and lets streams that wait look again.
+    pub fn note_rate(&self, name: &str, source: &str, change: Option<RateChange>) {
+        let Some(RateChange { before, after, sent, held_back }) = change else { return };
+        log::info!(
+            event = "rate_limit", endpoint = name, source, per_s:? = after, before:? = before, sent,
+            held_back; "endpoint has changed the requests that it takes from all hosts together"
+        );
+        if before.is_none() {
+            self.metrics.count(MetricName::Ejections, &["rate_limited"]);
+        }
+        if after.is_none() {
+            self.path_changed.notify_waiters();
+        }
+    }
+
+    /// Records the endpoints at which a stream would have started but for their rate limits. `first`
+    /// is where it starts instead, if anywhere; hosts start streams in their own failure domain if
+    /// they can.
+    pub fn record_held_back(&self, service: &str, first: Option<&PathStage>) {
+        let now = Instant::now();
+        let mut rates = self.rates.borrow_mut();
+        let is_home = first.is_some_and(|stage| stage.domain == self.options.domain);
+        let starts: Vec<EndpointName> = {
+            let endpoints = self.endpoints.borrow();
+            let entries = rates.exhausted(now).filter_map(|start| endpoints.get(start.name));
+            let wanted = entries.filter(|entry| {
+                &*entry.service == service
+                    && entry.layers.is_none_or(|span| span.from == 0 && span.count() > 0)
+                    && (!is_home || entry.domain == self.options.domain)
+                    && first.is_none_or(|stage| stage.name != entry.name)
+                    && self.accepts_work(entry, now)
+            });
+            wanted.map(|entry| entry.name.clone()).collect()
+        };
+        for name in starts {
+            if let Some(entry) = self.endpoint(&name) {
+                rates.record_held_back(entry.start(), now);
+            }
+        }
+    }
+
     /// Finds the cheapest path for a stream, or `None` if none has room.
     pub fn find_path(&self, query: &PathQuery<'_>) -> Option<Rc<[PathStage]>> {
         self.path_with(query, |engine| self.admitted_link_share(engine, query.tokens))
@@ -710,6 +774,7 @@
         let endpoints = self.endpoints.borrow();
         let (inflight, suspected) = (self.inflight.borrow(), self.suspected.borrow());
         let overloaded = self.overloaded.borrow();
+        let rates = self.rates.borrow();
         let usable = endpoints.entries().filter(|entry| {
             &*entry.service == query.service
                 && self.accepts_work(entry, now)
@@ -749,6 +814,7 @@
                     penalty_ms: suspect_ms,
                     may_start: has_slots
                         && !self.notices.borrow().is_paused(entry.start(), now)
+                        && (query.ignores_rates || rates.may_send(entry.start(), now))
                         && query.starts.is_none_or(|starts| starts.contains(&entry.name)),
                 })
             })
@@ -821,7 +887,13 @@
         let none = BTreeSet::new();
         rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
             |(name, _)| {
-                let query = PathQuery { service: name, tokens: 1, starts: None, avoid: &none };
+                let query = PathQuery {
+                    service: name,
+                    tokens: 1,
+                    starts: None,
+                    avoid: &none,
+                    ignores_rates: true,
+                };
                 // Readiness ignores the crossing quota of this host.
                 self.path_with(&query, |engine| self.link_share(engine)).is_some()
             },
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -96,8 +96,8 @@
     state.return_schedule.borrow_mut().record_refused(now);
     let delay = state.return_schedule.borrow_mut().delay(now, call.remaining());
     let retry_after = delay + state.path_queue.borrow().drain_time();
-    let pause = relay.context.pause_end().map(|end| end.saturating_duration_since(now));
-    let retry_after = retry_after.max(pause.unwrap_or_default());
+    let opening = relay.context.next_opening().map(|at| at.saturating_duration_since(now));
+    let retry_after = retry_after.max(opening.unwrap_or_default());
     Err(not_run_refusal(ResultCode::NoChain, fault, retry_after))
 }
 
--- a/crates/entry/tests/endpoint_identity.rs
+++ b/crates/entry/tests/endpoint_identity.rs
@@ -140,7 +140,13 @@
 /// Puts a stream on the path that a host finds, and returns it.
 fn stream_of(state: &EntryState) -> StreamGuard {
     let avoid = BTreeSet::new();
-    let query = PathQuery { service: "guide", tokens: 10, starts: None, avoid: &avoid };
+    let query = PathQuery {
+        service: "guide",
+        tokens: 10,
+        starts: None,
+        avoid: &avoid,
+        ignores_rates: false,
+    };
     let path = state.find_path(&query).expect("a path");
     StreamGuard::new(state.inflight.clone(), path, 10, Instant::now())
 }
@@ -166,7 +172,13 @@
     assert!(state.accepts_work(&entry, now), "{name} has the former start's faults");
     assert!(state.has_ended(last) && state.has_ended_since(last.start(), now));
     let avoid = BTreeSet::new();
-    let query = PathQuery { service: "guide", tokens: 10, starts: None, avoid: &avoid };
+    let query = PathQuery {
+        service: "guide",
+        tokens: 10,
+        starts: None,
+        avoid: &avoid,
+        ignores_rates: false,
+    };
     let new_path = state.find_detour(&path, &query);
     assert!(new_path.is_none_or(|new_path| !new_path.contains(last)));
 }
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -20,7 +20,7 @@
 use hyper_util::rt::TokioIo;
 use jacinthrock_entry::{
     CallCodec, CallHead, CallerLimits, CardProfile, EndpointEntry, EndpointName, EndpointReport,
-    EngineProfile, EntryOptions, EntryState, LayerSpan, PathStage, ReplyHead, SendHead,
+    EngineProfile, EntryOptions, EntryState, LayerSpan, PathStage, RateNotice, ReplyHead, SendHead,
     ServiceRule, ServingRules, run_entry,
 };
 use serde_json::{Value, json};
@@ -322,6 +322,7 @@
             fault_at: None,
             is_leaving: false,
             retry_after: None,
+            rate: RateNotice::Unlimited,
         }
     }
 
