A domain whose first stages are all limited gets another start

Cause: a stream starts at an endpoint that holds the first layer, one for each failure domain on this site, and all three named a limit.

Change: the planner is told which endpoints are limited, and which of these hosts want more of than they take. If all starts of a domain are exceeded, the card without which the domain keeps the most room becomes a starter: its neighbours take over its layers while it serves, then it holds the first layer alone, and streams go on through the limited cards, whose limits count starts only. The next holder of the lease takes the starters over; they end with the limits. An order whose endpoint reports that it is at work does not expire, since a second starter was moved beside a first that waited for its streams.

--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -12,7 +12,7 @@
 use crate::version::RegistryVersion;
 
 /// A contiguous range of a model's layers, excluding its end.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LayerSpan {
     /// First layer.
     pub from: u16,
@@ -30,6 +30,11 @@
     pub fn holds(self, layer: u16) -> bool {
         self.from <= layer && layer < self.to
     }
+
+    /// Whether the spans have a layer in common.
+    pub fn overlaps(self, other: Self) -> bool {
+        self.from.max(other.from) < self.to.min(other.to)
+    }
 }
 
 /// An endpoint's entry in the registry.
@@ -79,9 +84,9 @@
 
     /// Number of layers whose weights take memory, including an order under way.
     pub fn weight_layers(&self) -> u16 {
-        let spans = [self.layers, self.under_way].into_iter().flatten().filter(|s| s.count() > 0);
-        let from = spans.clone().map(|span| span.from).min().unwrap_or(0);
-        spans.map(|span| span.to).max().unwrap_or(0) - from
+        let [held, under_way] = [self.layers, self.under_way].map(Option::unwrap_or_default);
+        let shared = held.to.min(under_way.to).saturating_sub(held.from.max(under_way.from));
+        held.count() + under_way.count() - shared
     }
 }
 
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -12,6 +12,11 @@
 //! Extended cards have little room left, and the layer with the least room limits the streams of a
 //! domain. Layers therefore move between cards until the room is balanced: the new holder loads
 //! them first, and the old holder releases them once another card serves them.
+//!
+//! Streams start at the cards that hold the first layer. If the rate limits of all of them in a
+//! domain leave too few starts, another card of the domain becomes a starter: its neighbours take
+//! over its layers, then it holds the first layer alone, and streams go on from it through the
+//! limited cards, whose limits count starts only.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -36,6 +41,8 @@
 const MIN_COPY_ROOM_SHARE: f64 = 0.5;
 /// Most layers that one order adds to a card while rebalancing; more take too long to load.
 const MAX_HANDOVER_LAYERS: u16 = 6;
+/// Layers that a starter holds.
+const STARTER_SPAN: LayerSpan = LayerSpan { from: 0, to: 1 };
 /// Weight of a copy in another domain, relative to a copy in the card's own domain.
 const REMOTE_COPY_WEIGHT: f64 = 0.01;
 
@@ -48,6 +55,17 @@
     pub layer_mb: f64,
 }
 
+/// Requests that may start at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartRate {
+    /// The endpoint has named no rate limit.
+    Unlimited,
+    /// It takes as many as hosts want to start there.
+    Sufficient,
+    /// Hosts want to start more there than it takes.
+    Exceeded,
+}
+
 /// The planner's view of one endpoint and its card.
 #[derive(Clone, Debug, PartialEq)]
 pub struct CardView {
@@ -69,6 +87,8 @@
     pub used_mb: f64,
     /// Whether no order to the endpoint is pending.
     pub is_free: bool,
+    /// Requests that may start here.
+    pub start_rate: StartRate,
 }
 
 /// An order to an endpoint to hold a span of layers.
@@ -83,7 +103,7 @@
 /// Plans the layout of one model over successive rounds.
 ///
 /// ```
-/// use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner, ModelShape};
+/// use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner, ModelShape, StartRate};
 ///
 /// let card = CardView {
 ///     name: "a".into(),
@@ -95,6 +115,7 @@
 ///     is_idle: true,
 ///     used_mb: 0.0,
 ///     is_free: true,
+///     start_rate: StartRate::Unlimited,
 /// };
 /// let shape = ModelShape { layers: 4, layer_mb: 10.0 };
 /// let orders = LayoutPlanner::default().orders(shape, &[card]);
@@ -103,6 +124,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct LayoutPlanner {
     targets: BTreeMap<DomainName, DomainTarget>,
+    /// The starter of each domain that needs one, from its choice on.
+    starters: BTreeMap<DomainName, EndpointName>,
 }
 
 /// The balanced layout that a domain moves towards. It is kept while the set of cards stays the
@@ -120,22 +143,100 @@
     ///
     /// An order either adds or releases layers, never both, so that the held and the ordered layers
     /// always fit on the card together. A layer is released only if other cards of the domain hold
-    /// it.
+    /// it. A starter is moved as a whole, once other cards serve all of its layers.
     pub fn orders(&mut self, shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
-        let mut draft = LayoutDraft::new(shape, cards);
+        self.update_starters(shape, cards);
+        let mut draft = LayoutDraft::new(shape, cards, self.starters.values().cloned().collect());
         draft.place_empty_cards();
         draft.close_gaps();
+        draft.move_starters();
         if draft.is_unchanged() {
             draft.rebalance(&mut self.targets);
         }
         draft.orders()
     }
+
+    /// Chooses starters for domains that need one, and drops those that are no longer needed.
+    fn update_starters(&mut self, shape: ModelShape, cards: &[CardView]) {
+        let starts = |card: &&CardView| card.held.is_some_and(|span| span.holds(0));
+        let is_limited = |domain: &str| {
+            let mut in_domain = cards.iter().filter(starts).filter(|card| &*card.domain == domain);
+            in_domain.any(|card| card.start_rate != StartRate::Unlimited)
+        };
+        self.starters.retain(|domain, name| {
+            let is_usable = cards
+                .iter()
+                .any(|card| card.name == *name && card.domain == *domain && card.held.is_some());
+            is_usable && is_limited(domain)
+        });
+        let domains: BTreeSet<&DomainName> = cards.iter().map(|card| &card.domain).collect();
+        for domain in domains {
+            let mut started = cards.iter().filter(starts).filter(|card| card.domain == *domain);
+            // A former holder of the placement lease may have moved one.
+            let mut moved = cards.iter().filter(|card| {
+                card.domain == *domain
+                    && card.held == Some(STARTER_SPAN)
+                    && card.start_rate == StartRate::Unlimited
+            });
+            if is_limited(domain) && !self.starters.contains_key(domain) {
+                self.starters.extend(moved.next().map(|card| (domain.clone(), card.name.clone())));
+            }
+            let is_exceeded = |card: &CardView| card.start_rate == StartRate::Exceeded;
+            let needs_starter = is_limited(domain) && started.all(is_exceeded);
+            if !needs_starter || self.starters.contains_key(domain) {
+                continue;
+            }
+            let excluded: BTreeSet<_> = self.starters.values().cloned().collect();
+            if let Some(name) = best_starter(shape, cards, domain, &excluded) {
+                self.starters.insert(domain.clone(), name);
+                self.targets.remove(domain);
+            }
+        }
+    }
+}
+
+/// The card of a domain without which the tightest layer of the domain keeps the most room.
+fn best_starter(
+    shape: ModelShape,
+    cards: &[CardView],
+    domain: &str,
+    excluded: &BTreeSet<EndpointName>,
+) -> Option<EndpointName> {
+    let is_candidate = |card: &&CardView| {
+        let fits = card.held.is_some_and(|span| {
+            let layers = f64::from(span.count() + STARTER_SPAN.count());
+            let streams_mb = card.used_mb * STREAM_MEMORY_MARGIN;
+            layers * shape.layer_mb + streams_mb <= card.memory_mb
+        });
+        &*card.domain == domain
+            && card.start_rate == StartRate::Unlimited
+            && card.is_free
+            && card.held.is_some()
+            && card.held == card.loaded
+            && fits
+    };
+    let rooms = cards.iter().filter(is_candidate).filter_map(|card| {
+        let mut reserved = excluded.clone();
+        reserved.insert(card.name.clone());
+        let mut draft = LayoutDraft::new(shape, cards, reserved);
+        while let Some((index, span)) = draft.best_extension(domain, 1, 0.0) {
+            draft.extend(index, span);
+        }
+        let others: Vec<_> =
+            draft.members(domain).into_iter().filter(|index| !draft.is_reserved(*index)).collect();
+        let is_whole = draft.copies[domain].iter().all(|count| *count > 0);
+        is_whole.then(|| (draft.min_room(&others), &card.name))
+    });
+    let best = rooms.max_by(|a, b| a.0.total_cmp(&b.0).then_with(|| b.1.cmp(a.1)));
+    best.map(|(_, name)| name.clone())
 }
 
 /// Layout of one round while it is planned.
 struct LayoutDraft<'a> {
     shape: ModelShape,
     cards: &'a [CardView],
+    /// Starters, whose layers count as if they were gone.
+    reserved: BTreeSet<EndpointName>,
     /// Planned span of each card.
     spans: Vec<Option<LayerSpan>>,
     /// Number of copies of each layer, by domain.
@@ -145,23 +246,56 @@
 }
 
 impl<'a> LayoutDraft<'a> {
-    fn new(shape: ModelShape, cards: &'a [CardView]) -> Self {
+    fn new(shape: ModelShape, cards: &'a [CardView], reserved: BTreeSet<EndpointName>) -> Self {
         let spans: Vec<_> = cards.iter().map(|card| card.held.filter(|s| s.count() > 0)).collect();
-        let mut draft =
-            Self { shape, cards, spans, copies: BTreeMap::new(), serving_copies: BTreeMap::new() };
+        let (copies, serving_copies) = (BTreeMap::new(), BTreeMap::new());
+        let mut draft = Self { shape, cards, reserved, spans, copies, serving_copies };
         for card in cards {
             let none = vec![0; usize::from(shape.layers)];
             draft.serving_copies.entry(&card.domain).or_insert_with(|| none.clone());
             draft.copies.entry(&card.domain).or_insert(none);
         }
         for index in 0..cards.len() {
-            if let Some(span) = draft.spans[index] {
+            if let Some(span) = draft.spans[index].filter(|_| !draft.is_reserved(index)) {
                 draft.add_copies(index, span);
             }
         }
         draft
     }
 
+    fn is_reserved(&self, index: usize) -> bool {
+        self.reserved.contains(&self.cards[index].name)
+    }
+
+    /// Moves starters whose layers other cards of their domain serve.
+    fn move_starters(&mut self) {
+        for index in 0..self.cards.len() {
+            let card = &self.cards[index];
+            let Some(span) = self.spans[index].filter(|_| self.is_reserved(index)) else {
+                continue;
+            };
+            let is_served = (span.from..span.to).all(|layer| self.serving(index, layer) > 0);
+            if card.is_free && span != STARTER_SPAN && is_served {
+                self.spans[index] = Some(STARTER_SPAN);
+            }
+        }
+    }
+
+    /// Number of other cards of a card's domain that serve a layer and keep it.
+    fn serving(&self, index: usize, layer: u16) -> usize {
+        let others = self.cards.iter().zip(&self.spans).enumerate();
+        let serving = others.filter(|(other, (card, held))| {
+            // A card that has only just been ordered to load the layer does not serve it yet.
+            let serves = card.loaded.is_some_and(|loaded| loaded.holds(layer));
+            *other != index
+                && !self.is_reserved(*other)
+                && card.domain == self.cards[index].domain
+                && serves
+                && held.is_some_and(|held| held.holds(layer))
+        });
+        serving.count()
+    }
+
     fn add_copies(&mut self, index: usize, span: LayerSpan) {
         let domain = &*self.cards[index].domain;
         let is_serving = self.cards[index].loaded.is_some();
@@ -265,7 +399,8 @@
             |layer: u16| counts.get(usize::from(layer)).is_some_and(|count| *count < wanted);
         let mut best: Option<(f64, usize, LayerSpan)> = None;
         for (index, card) in self.cards.iter().enumerate() {
-            let Some(span) = self.spans[index].filter(|_| card.is_free) else { continue };
+            let is_extensible = card.is_free && !self.is_reserved(index);
+            let Some(span) = self.spans[index].filter(|_| is_extensible) else { continue };
             if &*card.domain != domain || !(is_first || card.loaded.is_some()) {
                 continue;
             }
@@ -297,6 +432,9 @@
         targets.retain(|domain, _| domains.contains(&&**domain));
         for domain in domains {
             let members = self.members(domain);
+            if members.iter().any(|index| self.is_reserved(*index)) {
+                continue;
+            }
             let names = || members.iter().map(|index| &self.cards[*index].name);
             let is_current = |target: &DomainTarget| {
                 target.members.len() == members.len()
@@ -435,19 +573,7 @@
         target: LayerSpan,
         copies: usize,
     ) -> LayerSpan {
-        let domain = &*self.cards[index].domain;
-        let is_redundant = |layer: u16| {
-            let others = self.cards.iter().zip(&self.spans).enumerate();
-            let serving = others.filter(|(other, (card, held))| {
-                // A card that has only just been ordered to load the layer does not serve it yet.
-                let serves = card.loaded.is_some_and(|loaded| loaded.holds(layer));
-                *other != index
-                    && &*card.domain == domain
-                    && serves
-                    && held.is_some_and(|held| held.holds(layer))
-            });
-            serving.count() >= copies
-        };
+        let is_redundant = |layer: u16| self.serving(index, layer) >= copies;
         let mut left = span;
         while left.count() > 1 && left.from < target.from && is_redundant(left.from) {
             left.from += 1;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -67,7 +67,7 @@
 pub use heartbeat::{HeartbeatWatcher, LookFinding, LoopHeartbeat};
 pub use inflight::{StageLoad, StreamGuard, StreamRecord, StreamTable};
 pub use jacinthrock::{DomainName, EndpointName, HostName, ServiceName};
-pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
+pub use layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape, StartRate};
 pub use loads::{
     LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share,
 };
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -20,6 +20,8 @@
 /// Time whose permits all hosts may hold together. Hosts that begin to send at the same time send
 /// as many beyond the limit.
 const MAX_HELD_TIME: Duration = Duration::from_millis(1_250);
+/// Time for which hosts must want more permits than there are until the limit counts as exceeded.
+const EXCEEDED_AFTER: Duration = Duration::from_millis(500);
 /// Time after which what a host wanted no longer counts.
 const MAX_WANT_AGE: Duration = Duration::from_millis(600);
 /// Time after which permits that a host was given are used or have expired.
@@ -44,6 +46,8 @@
     draws: BTreeMap<HostName, HostDraw>,
     /// Permits that all hosts may hold together; a relay holds what it gets.
     max_held: f64,
+    /// Since when hosts have wanted more permits than there are.
+    exceeded_since: Option<Instant>,
 }
 
 impl PermitPool {
@@ -54,6 +58,7 @@
             issued_at: now,
             draws: BTreeMap::new(),
             max_held: f64::MAX,
+            exceeded_since: None,
         }
     }
 
@@ -87,6 +92,8 @@
         let wanted = (draw.wanted - granted).max(0.0);
         let held = draw.held + granted as u32;
         self.draws.insert(host.clone(), HostDraw { at: now, wanted, held });
+        let is_exceeded = self.wanted_by_others("", now + EXCHANGE_INTERVAL) >= 1.0;
+        self.exceeded_since = self.exceeded_since.or(Some(now)).filter(|_| is_exceeded);
         granted as u32
     }
 
@@ -174,6 +181,14 @@
         self.pool(start, now).permits += f64::from(grant.permits);
     }
 
+    /// Whether hosts have wanted more permits than there are for some time.
+    pub fn is_exceeded(&self, endpoint: EndpointStart<'_>, now: Instant) -> bool {
+        let pool = self.by_name.get(endpoint.name);
+        let pool = pool.filter(|pool| pool.start_unix_ms == endpoint.start_unix_ms);
+        pool.and_then(|pool| pool.exceeded_since)
+            .is_some_and(|since| now.saturating_duration_since(since) >= EXCEEDED_AFTER)
+    }
+
     /// Drops the pools of endpoints without a limit.
     pub fn retain(&mut self, is_limited: impl Fn(EndpointStart<'_>) -> bool) {
         self.by_name.retain(|name, pool| {
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -17,9 +17,9 @@
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use crate::adapter::{RecordGroup, RegistryError, RegistryRecord};
-use crate::endpoints::LayerSpan;
+use crate::endpoints::{EndpointEntry, LayerSpan};
 use crate::follow::endpoints_changed;
-use crate::layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape};
+use crate::layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape, StartRate};
 use crate::orders::post_order;
 use crate::peers;
 use crate::relay::spread_time;
@@ -486,7 +486,8 @@
             for order in planner.orders(shape, &cards) {
                 let card = cards.iter().find(|card| card.name == order.name);
                 let held = card.and_then(|card| card.held);
-                let new = order.span.count().saturating_sub(held.map_or(0, LayerSpan::count));
+                let kept = held.filter(|held| held.overlaps(order.span));
+                let new = order.span.count().saturating_sub(kept.map_or(0, LayerSpan::count));
                 let load =
                     engine.load_time.mul_f64(f64::from(new) / f64::from(engine.layers.max(1)));
                 tokio::task::spawn_local(send_order(state.clone(), tracker.clone(), order, load));
@@ -511,7 +512,14 @@
             let report = fetch_report(&state, &entry, ORDER_TIMEOUT).await;
             let Ok(Some(report)) = report else { return };
             let layers = report.layers;
-            if layers != Some(span) || report.is_busy {
+            if report.is_busy {
+                // Streams may pass through the layers that it releases for longer than usual.
+                if let Some(order) = done.borrow_mut().pending.get_mut(&name) {
+                    order.expires_at = order.expires_at.max(Instant::now() + REFUSED_PAUSE);
+                }
+                return;
+            }
+            if layers != Some(span) {
                 return;
             }
             if let Some(order) = done.borrow_mut().pending.get_mut(&name) {
@@ -580,11 +588,21 @@
             is_idle,
             used_mb: state.total_load(&entry.name).token_layers as f64 * token_layer_mb,
             is_free: pending.is_none(),
+            start_rate: start_rate(state, entry, now),
         });
     }
     views
 }
 
+/// Requests that may start at an endpoint.
+fn start_rate(state: &EntryState, entry: &EndpointEntry, now: Instant) -> StartRate {
+    if state.rates.borrow().limit_per_s(entry.start()).is_none() {
+        return StartRate::Unlimited;
+    }
+    let is_exceeded = state.permits.borrow().is_exceeded(entry.start(), now);
+    if is_exceeded { StartRate::Exceeded } else { StartRate::Sufficient }
+}
+
 /// Sends an order to an endpoint and records it as pending; `load` is the expected loading time.
 async fn send_order(
     state: Rc<EntryState>,
@@ -621,10 +639,12 @@
         tracker.borrow_mut().pending.insert(order.name.clone(), pending);
         return;
     }
-    let is_releasing = held.is_some_and(|held| held.count() > order.span.count());
+    let is_moving = held.is_some_and(|held| !held.overlaps(order.span));
+    let is_releasing = is_moving || held.is_some_and(|held| held.count() > order.span.count());
     if is_releasing {
         // Before the endpoint releases the layers, all hosts must learn not to use them there.
-        state.endpoints.borrow_mut().mark_releasing(&order.name, order.span);
+        let kept = if is_moving { LayerSpan::default() } else { order.span };
+        state.endpoints.borrow_mut().mark_releasing(&order.name, kept);
         endpoints_changed(&state);
         sleep(spread_time(state.host_count()) * 2).await;
     }
--- a/crates/entry/tests/layout_cards.rs
+++ b/crates/entry/tests/layout_cards.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner};
+use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner, StartRate};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use support::{
@@ -209,3 +209,61 @@
         }
     }
 }
+
+/// Marks the cards that hold the first layer and some others as limited, the first as exceeded.
+fn limit_starts(cards: &mut [CardView]) {
+    for (number, card) in cards.iter_mut().enumerate() {
+        let is_start = card.held.is_some_and(|span| span.holds(0));
+        if is_start
+            && card.start_rate == StartRate::Unlimited
+            && card.held.map(LayerSpan::count) != Some(1)
+        {
+            card.start_rate = StartRate::Exceeded;
+        } else if number % 4 == 0 && card.start_rate == StartRate::Unlimited {
+            card.start_rate = StartRate::Sufficient;
+        }
+    }
+}
+
+fn has_free_start(cards: &[CardView], domain: &str) -> bool {
+    cards.iter().any(|card| {
+        &*card.domain == domain
+            && card.start_rate == StartRate::Unlimited
+            && card.held.is_some_and(|span| span.holds(0))
+    })
+}
+
+/// All first stages of a site named a rate limit, and no other endpoint held the first layer.
+#[test]
+fn another_card_starts_streams_where_all_first_stages_are_limited() {
+    let mut cards = empty_fleet();
+    converge(&mut cards);
+    limit_starts(&mut cards);
+    let mut planner = LayoutPlanner::default();
+    for round in 0..TARGET_ROUNDS {
+        let orders = planner.orders(SHAPE, &cards);
+        println!("{round}: {orders:?}");
+        apply_orders(&mut cards, &orders);
+        for domain in DOMAINS {
+            assert!(capacity_of(&cards, domain) > 0.0, "{domain} lacks a layer in round {round}");
+        }
+    }
+    for domain in DOMAINS {
+        assert!(has_free_start(&cards, domain), "{domain} has no other start");
+    }
+    assert!(planner.orders(SHAPE, &cards).is_empty(), "the layout with starters is not settled");
+    let orders = LayoutPlanner::default().orders(SHAPE, &cards);
+    assert!(orders.is_empty(), "another holder moves the starters: {orders:?}");
+    for card in &mut cards {
+        card.start_rate = StartRate::Unlimited;
+    }
+    let settled = (0..100).find(|_| {
+        let orders = planner.orders(SHAPE, &cards);
+        apply_orders(&mut cards, &orders);
+        for domain in DOMAINS {
+            assert!(capacity_of(&cards, domain) > 0.0, "{domain} lacks a layer afterwards");
+        }
+        orders.is_empty()
+    });
+    assert!(settled.is_some(), "the layout does not settle after the limits");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -1,7 +1,11 @@
 //! Cards and stages of a sample deployment, and measures of their layout.
 #![allow(dead_code)]
 
-use jacinthrock_entry::{CardView, LayerSpan, LayoutOrder, LayoutPlanner, ModelShape, PathStage};
+use std::collections::BTreeSet;
+
+use jacinthrock_entry::{
+    CardView, LayerSpan, LayoutOrder, LayoutPlanner, ModelShape, PathStage, StartRate,
+};
 
 /// Model of 80 layers of 1,750 MB each.
 pub(crate) const SHAPE: ModelShape = ModelShape { layers: 80, layer_mb: 1_750.0 };
@@ -34,6 +38,7 @@
                     is_idle: true,
                     used_mb: 0.0,
                     is_free: true,
+                    start_rate: StartRate::Unlimited,
                 });
             }
         }
@@ -58,11 +63,10 @@
         let card = cards.iter_mut().find(|card| card.name == order.name).expect("an ordered card");
         let old = card.held;
         let most = (card.memory_mb / SHAPE.layer_mb).floor() as u16;
-        let joined = old.map_or(order.span, |old| LayerSpan {
-            from: old.from.min(order.span.from),
-            to: old.to.max(order.span.to),
-        });
-        assert!(joined.count() <= most, "{order:?} with {old:?} does not fit {}", card.memory_mb);
+        let old_layers = old.into_iter().flat_map(|old| old.from..old.to);
+        let joined: BTreeSet<u16> = old_layers.chain(order.span.from..order.span.to).collect();
+        let fits = joined.len() <= usize::from(most);
+        assert!(fits, "{order:?} with {old:?} does not fit {}", card.memory_mb);
         card.held = Some(order.span);
         card.loaded = Some(order.span);
     }
