--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use jacinthrock::HostName;
+use jacinthrock::{HostName, MetricName};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use serde::de::DeserializeOwned;
@@ -244,7 +244,7 @@
     state.holder_heard.set(Some(now));
     let draws = state.rates.borrow_mut().draws(now);
     let grants = draw_permits(state, &state.options.host, &draws);
-    grants.iter().for_each(|grant| state.rates.borrow_mut().grant(grant, now));
+    take_grants(state, &grants, false);
     state.update_retry_share();
     state.wake_queue();
 }
@@ -284,7 +284,7 @@
         return draws;
     }
     let grants = draw_permits(state, &state.options.host, &draws);
-    grants.iter().for_each(|grant| state.rates.borrow_mut().grant(grant, now));
+    take_grants(state, &grants, false);
     state.permits.borrow_mut().draws(now)
 }
 
@@ -340,14 +340,15 @@
     }
 }
 
-/// Takes the permits that this host has drawn, as a relay for its group.
-fn take_grants(state: &EntryState, grants: &[PermitGrant], has_members: bool) {
+/// Takes permits that this host has drawn, for itself or as a relay for its group.
+fn take_grants(state: &EntryState, grants: &[PermitGrant], is_for_group: bool) {
     let now = Instant::now();
     if !grants.is_empty() {
         state.path_changed.notify_waiters();
     }
     for grant in grants {
-        if has_members {
+        state.metrics.add(MetricName::RatePermits, &["granted"], i64::from(grant.permits));
+        if is_for_group {
             state.permits.borrow_mut().add(grant, now);
         } else {
             state.rates.borrow_mut().grant(grant, now);
--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -29,6 +29,8 @@
 /// Lowest rate that is kept to, in requests per second: an endpoint that takes none is asked this
 /// often whether that is still so.
 const MIN_RATE: f64 = 0.05;
+/// Shortest time between two changes of an endpoint's limit that are logged.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which other hosts are told that a limit has ended.
 const LIFTED_MEMORY: Duration = Duration::from_secs(10);
 /// Time after which the record of an endpoint without a limit is dropped.
@@ -96,6 +98,8 @@
     pub sent: u32,
     /// Requests that this host has not sent to the endpoint because of it.
     pub held_back: u32,
+    /// Whether to log the change: an endpoint may change its limit in each answer.
+    pub is_logged: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -145,6 +149,7 @@
     held_back: u32,
     /// Part of a permit that this host has issued itself, and up to which time.
     self_issued: Option<(f64, Instant)>,
+    logged_at: Option<Instant>,
 }
 
 impl EndpointRate {
@@ -160,6 +165,7 @@
             sent: 0,
             held_back: 0,
             self_issued: None,
+            logged_at: None,
         }
     }
 
@@ -203,11 +209,20 @@
         (stock + f64::from(self.debt) - self.permits.len() as f64).max(0.0)
     }
 
-    fn set_observation(&mut self, observation: RateObservation) -> Option<RateChange> {
+    fn set_observation(
+        &mut self,
+        observation: RateObservation,
+        now: Instant,
+    ) -> Option<RateChange> {
         let before = self.limit_per_s();
         self.observation = Some(observation);
         let after = observation.limit_per_s;
-        let change = RateChange { before, after, sent: self.sent, held_back: self.held_back };
+        let is_logged = self.logged_at.is_none_or(|at| now - at >= LOG_INTERVAL);
+        let (sent, held_back) = (self.sent, self.held_back);
+        let change = RateChange { before, after, sent, held_back, is_logged };
+        if before != after && is_logged {
+            self.logged_at = Some(now);
+        }
         if after.is_none() {
             self.permits.clear();
             self.self_issued = None;
@@ -255,7 +270,7 @@
         now: Instant,
     ) -> Option<RateChange> {
         let observation = self.observation(Some(limit_per_s), now);
-        self.rate(endpoint, now)?.set_observation(observation)
+        self.rate(endpoint, now)?.set_observation(observation, now)
     }
 
     /// Records that an endpoint has answered a request of `sent_at` without naming a limit; returns
@@ -272,7 +287,7 @@
             return None;
         }
         let observation = self.observation(None, now);
-        self.rate(endpoint, now)?.set_observation(observation)
+        self.rate(endpoint, now)?.set_observation(observation, now)
     }
 
     /// Whether a request may be sent to an endpoint at present.
@@ -427,7 +442,7 @@
         });
         let id = shared.observation;
         let observation = RateObservation { limit_per_s: shared.limit_per_s, at, id };
-        if is_newer { rate.set_observation(observation) } else { None }
+        if is_newer { rate.set_observation(observation, now) } else { None }
     }
 
     /// Drops endpoints that are no longer listed and those that nothing is known of any more.
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -130,6 +130,7 @@
 /// Takes the permit of a request; paths and endpoints are chosen among those that have one left.
 fn take_permit(state: &EntryState, call: &AllowedCall, entry: &EndpointEntry) {
     if !state.rates.borrow_mut().take(entry.start(), Instant::now()) {
+        state.metrics.count(MetricName::RatePermits, &["lacking"]);
         log::info!(
             event = "permit_lacking", attempt = &*call.head.attempt, endpoint = &*entry.name;
             "request is sent without a permit of its endpoint's rate limit"
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -613,11 +613,14 @@
 
     /// Logs a change of an endpoint's rate limit, and lets streams that wait look again.
     pub fn note_rate(&self, name: &str, source: &str, change: Option<RateChange>) {
-        let Some(RateChange { before, after, sent, held_back }) = change else { return };
-        log::info!(
-            event = "rate_limit", endpoint = name, source, per_s:? = after, before:? = before, sent,
-            held_back; "endpoint has changed the requests that it takes from all hosts together"
-        );
+        let Some(RateChange { before, after, sent, held_back, is_logged }) = change else { return };
+        if is_logged {
+            log::info!(
+                event = "rate_limit", endpoint = name, source, per_s:? = after, before:? = before,
+                sent, held_back;
+                "endpoint has changed the requests that it takes from all hosts together"
+            );
+        }
         if before.is_none() {
             self.metrics.count(MetricName::Ejections, &["rate_limited"]);
         }
@@ -648,6 +651,7 @@
         for name in starts {
             if let Some(entry) = self.endpoint(&name) {
                 rates.record_held_back(entry.start(), now);
+                self.metrics.count(MetricName::RatePermits, &["held_back"]);
             }
         }
     }
--- a/crates/entry/tests/rate_limits.rs
+++ b/crates/entry/tests/rate_limits.rs
@@ -395,3 +395,16 @@
         assert_eq!(simulation.hosts[0].table.limit_per_s(endpoint(&name)), Some(per_s));
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn limits_that_change_in_each_answer_are_logged_once_a_second() {
+    let (mut table, name) = (RateTable::new(1), NAME.into());
+    let mut logged = 0;
+    for number in 0..200 {
+        tokio::time::advance(STEP).await;
+        let per_s = 2.0 + f64::from(number % 2);
+        let change = table.observe_limit(endpoint(&name), per_s, Instant::now());
+        logged += u32::from(change.is_some_and(|change| change.is_logged));
+    }
+    assert_eq!(logged, 2);
+}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -60,6 +60,7 @@
     Tokens = "jacinthrock_tokens_total", Counter, ["kind"], "Tokens from endpoints: accepted, duplicate or stray.";
     Attempts = "jacinthrock_attempts_total", Counter, ["end"], "Attempts at answers, by how they ended.";
     Ejections = "jacinthrock_ejections_total", Counter, ["reason"], "Endpoints taken out of the choice, by reason.";
+    RatePermits = "jacinthrock_rate_permits_total", Counter, ["event"], "Permits for requests to endpoints with a rate limit: granted to the host or its group, lacking at a send; and requests held_back by a limit.";
     OversizedReplies = "jacinthrock_oversized_replies_total", Counter, ["source"], "Replies given up because they were over a limit, by source: answer, report, order or peer.";
     ConfigRevision = "jacinthrock_config_revision", Gauge, [], "Configuration revision in force.";
     ConfigUnconfirmed = "jacinthrock_config_unconfirmed", Gauge, [], "1 while the platform has not answered lately and the host serves with the revision it has.";
