A starter that is exceeded itself is replaced by another card; sums of held permits saturate

Found by reading: a domain kept its starter when the starter itself named a limit that callers exceed, since it only asked whether a starter existed. The test of starters now limits them too; it failed before.

--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -164,10 +164,13 @@
             in_domain.any(|card| card.start_rate != StartRate::Unlimited)
         };
         self.starters.retain(|domain, name| {
-            let is_usable = cards
-                .iter()
-                .any(|card| card.name == *name && card.domain == *domain && card.held.is_some());
-            is_usable && is_limited(domain)
+            let is_usable = |card: &CardView| {
+                card.name == *name
+                    && card.domain == *domain
+                    && card.held.is_some()
+                    && card.start_rate != StartRate::Exceeded
+            };
+            cards.iter().any(is_usable) && is_limited(domain)
         });
         let domains: BTreeSet<&DomainName> = cards.iter().map(|card| &card.domain).collect();
         for domain in domains {
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -82,7 +82,7 @@
     fn draw(&mut self, host: &HostName, draw: &PermitDraw, rounding: f64, now: Instant) -> u32 {
         self.permits += f64::from(draw.returned);
         self.draws.remove(host);
-        let held = self.held(now) + draw.held;
+        let held = self.held(now).saturating_add(draw.held);
         let room = (self.max_held - f64::from(held)).max(0.0);
         let total = draw.wanted + self.wanted_by_others(host, now);
         let share = if total > 0.0 { (self.permits / total).min(1.0) } else { 0.0 };
@@ -90,7 +90,7 @@
         let granted = whole.min(self.permits.min(room).floor()).max(0.0);
         self.permits -= granted;
         let wanted = (draw.wanted - granted).max(0.0);
-        let held = draw.held + granted as u32;
+        let held = draw.held.saturating_add(granted as u32);
         self.draws.insert(host.clone(), HostDraw { at: now, wanted, held });
         let is_exceeded = self.wanted_by_others("", now + EXCHANGE_INTERVAL) >= 1.0;
         self.exceeded_since = self.exceeded_since.or(Some(now)).filter(|_| is_exceeded);
@@ -107,7 +107,7 @@
             endpoint: endpoint.clone(),
             start_unix_ms: self.start_unix_ms,
             wanted: (wanted - self.permits).max(0.0),
-            held: self.held(now) + self.permits as u32,
+            held: self.held(now).saturating_add(self.permits as u32),
             returned: returned as u32,
         }
     }
--- a/crates/entry/tests/layout_cards.rs
+++ b/crates/entry/tests/layout_cards.rs
@@ -225,6 +225,15 @@
     }
 }
 
+/// Marks all cards that hold the first layer as exceeded, starters too.
+fn limit_all_starts(cards: &mut [CardView]) {
+    for card in cards {
+        if card.held.is_some_and(|span| span.holds(0)) {
+            card.start_rate = StartRate::Exceeded;
+        }
+    }
+}
+
 fn has_free_start(cards: &[CardView], domain: &str) -> bool {
     cards.iter().any(|card| {
         &*card.domain == domain
@@ -254,6 +263,14 @@
     assert!(planner.orders(SHAPE, &cards).is_empty(), "the layout with starters is not settled");
     let orders = LayoutPlanner::default().orders(SHAPE, &cards);
     assert!(orders.is_empty(), "another holder moves the starters: {orders:?}");
+    limit_all_starts(&mut cards);
+    for _ in 0..TARGET_ROUNDS {
+        let orders = planner.orders(SHAPE, &cards);
+        apply_orders(&mut cards, &orders);
+    }
+    for domain in DOMAINS {
+        assert!(has_free_start(&cards, domain), "{domain} has no start beside a limited starter");
+    }
     for card in &mut cards {
         card.start_rate = StartRate::Unlimited;
     }
