Calls that wait for a pause wait for its end, not in line; calls wait for permits at all

What callers would have seen: since permits, a plain call took the time to the end of a pause of all endpoints times the number of calls that wait already for its own wait, and was refused with a Retry-After as long; and none waited for a permit, since two estimates of the same time were compared to the nanosecond. Found by reading the diff. Only permits are waited for in line now.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -173,7 +173,7 @@
         let starts = |entry: &EndpointEntry| {
             entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
         };
-        self.state.first_opening(&self.call.service, starts)
+        self.state.first_opening(&self.call.service, 0, starts)
     }
 
     pub(crate) fn log_fault(&self, path: &[PathStage], fault: &str) {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -257,7 +257,7 @@
     } else if !state.peers.borrow().is_empty() {
         let draw = rand::rng().random_range(0.0..1.0);
         state.rates.borrow_mut().issue_share(state.host_count(), draw, Instant::now());
-        state.wake_queue();
+        state.path_changed.notify_waiters();
     }
 }
 
--- a/crates/entry/src/permits.rs
+++ b/crates/entry/src/permits.rs
@@ -172,7 +172,7 @@
     /// On a relay: what it draws for its group.
     pub fn draws(&mut self, now: Instant) -> Vec<PermitDraw> {
         let draws = self.by_name.iter_mut().map(|(name, pool)| pool.group_draw(name, now));
-        draws.filter(PermitDraw::says_something).collect()
+        draws.filter(PermitDraw::has_effect).collect()
     }
 
     /// On a relay: adds permits that it got for its group.
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -24,6 +24,8 @@
 const MAX_WAIT: Duration = Duration::from_millis(200);
 /// Time over which callers come back once the first of these endpoints takes requests again.
 const RETURN_SPREAD: Duration = Duration::from_millis(500);
+/// Difference below which two estimates of a time are the same.
+const SAME_TIME: Duration = Duration::from_millis(1);
 /// Failed connection attempts after which a call is refused.
 const MAX_CONNECT_FAILURES: u32 = 3;
 
@@ -58,14 +60,18 @@
         && connect_failures < MAX_CONNECT_FAILURES
     {
         let Some(entry) = pick_endpoint(state, &call.service, &tried) else {
-            let Some(opening) = state.first_opening(&call.service, |_| true) else { break };
-            let is_untried = |entry: &EndpointEntry| !tried.contains(&entry.name);
-            let is_next = state.first_opening(&call.service, is_untried) == Some(opening);
-            let delay = opening.saturating_duration_since(Instant::now());
-            // Calls that wait already go first.
-            let delay = delay * (state.waiting_calls.get() + 1);
-            if is_next && Instant::now() + delay < wait_end {
-                wait_for_opening(state, opening).await;
+            let ahead = state.waiting_calls.get();
+            let opening = |is_wanted: &dyn Fn(&EndpointEntry) -> bool| {
+                state.first_opening(&call.service, ahead, is_wanted)
+            };
+            let Some(first) = opening(&|_| true) else { break };
+            let untried = opening(&|entry| !tried.contains(&entry.name));
+            let delay = first.saturating_duration_since(Instant::now());
+            // Two estimates of the same delay are taken at slightly different times.
+            let is_untried =
+                untried.is_some_and(|at| at.saturating_duration_since(first) < SAME_TIME);
+            if is_untried && first < wait_end {
+                wait_for_opening(state, first).await;
                 continue;
             }
             last_fault = "no endpoint takes requests at present".into();
--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -71,7 +71,7 @@
 
 impl PermitDraw {
     /// Whether the draw has any effect.
-    pub(crate) fn says_something(&self) -> bool {
+    pub(crate) fn has_effect(&self) -> bool {
         self.wanted > 0.0 || self.held > 0 || self.returned > 0
     }
 }
@@ -338,17 +338,19 @@
         exhausted.map(|(name, rate)| EndpointStart { name, start_unix_ms: rate.start_unix_ms })
     }
 
-    /// Expected time until this host, one of `hosts`, gets the next permit for an endpoint that
-    /// takes no request at present; none if it takes one.
+    /// Expected time until this host, one of `hosts`, gets a permit for an endpoint that takes no
+    /// request at present, with `ahead` requests that wait for one before; none if it takes one.
     pub fn permit_delay(
         &self,
         endpoint: EndpointStart<'_>,
         hosts: usize,
+        ahead: u32,
         now: Instant,
     ) -> Option<Duration> {
         let rate = self.find(endpoint).filter(|rate| !rate.may_send(now))?;
         let equal_share = rate.kept_per_s()? / hosts.max(1) as f64;
-        Some(Duration::from_secs_f64(rate.granted.value(now).max(equal_share).recip()))
+        let interval = Duration::from_secs_f64(rate.granted.value(now).max(equal_share).recip());
+        Some(interval.saturating_mul(ahead.saturating_add(1)))
     }
 
     /// Limits that are kept to, in requests per second.
@@ -373,7 +375,7 @@
                 returned: std::mem::take(&mut rate.returned),
             }
         });
-        draws.filter(PermitDraw::says_something).collect()
+        draws.filter(PermitDraw::has_effect).collect()
     }
 
     /// Adds permits.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -584,10 +584,12 @@
 
     /// When the first of a service's endpoints takes a request again, as far as known, if none of
     /// those that could take one does at present: they have asked for a pause, or this host has no
-    /// permit of their rate limit. `can_start` tells which could.
+    /// permit of their rate limit, for which `ahead` requests wait already. `can_start` tells which
+    /// could.
     pub fn first_opening(
         &self,
         service: &str,
+        ahead: u32,
         can_start: impl Fn(&EndpointEntry) -> bool,
     ) -> Option<Instant> {
         let now = Instant::now();
@@ -602,7 +604,7 @@
         });
         let mut first = None;
         for entry in candidates {
-            let delay = rates.permit_delay(entry.start(), hosts, now);
+            let delay = rates.permit_delay(entry.start(), hosts, ahead, now);
             let until = notices
                 .paused_until(entry.start(), now)
                 .max(delay.and_then(|delay| now.checked_add(delay)))?;
