A huge rate limit issues no more permits than callers want

Found by reading the diff: a host that does not hear the holder issued itself the whole share of a limit, one entry of memory for each permit. An endpoint that names 1e6 a second had 66,667 of them with no caller; 1e300 would have filled the host. Now at most what its callers want. The test failed before.

--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -407,8 +407,10 @@
             let whole = part.floor();
             let is_stocked = rate.permits.len() as f64 >= whole.max(1.0);
             if whole >= 1.0 && !is_stocked {
-                rate.granted.record(whole, now);
-                rate.add_permits(whole as u32, now);
+                // A limit may be far above what callers want.
+                let issued = whole.min(rate.wanted(now).ceil().max(1.0));
+                rate.granted.record(issued, now);
+                rate.add_permits(issued as u32, now);
             }
             rate.self_issued = Some((part - whole, now));
         }
--- a/crates/entry/tests/rate_limits.rs
+++ b/crates/entry/tests/rate_limits.rs
@@ -408,3 +408,16 @@
     }
     assert_eq!(logged, 2);
 }
+
+#[tokio::test(start_paused = true)]
+async fn share_of_a_huge_limit_is_no_more_than_callers_want() {
+    let (mut table, name) = (RateTable::new(1), NAME.into());
+    table.observe_limit(endpoint(&name), 1e6, Instant::now());
+    for _ in 0..5 {
+        table.issue_share(6, 0.5, Instant::now());
+        tokio::time::advance(EXCHANGE).await;
+    }
+    let held: u32 = table.draws(Instant::now()).iter().map(|draw| draw.held).sum();
+    assert!(held < 10, "{held} permits without any caller");
+    assert!(table.may_send(endpoint(&name), Instant::now()));
+}
