Failed sends name the fingerprint of their request

What was missing: each attempt of a caller has a new identifier, so that logs could not tell whether one request was under way at several ends of endpoints. The fingerprint is a hash of host name, path, customer and body; the customer's key is not part of it.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,5 +1,6 @@
 //! Receives a caller's request, checks it against the rules and dispatches it to a service.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::adapter::CallHead;
+use crate::fingerprint::RequestFingerprint;
 use crate::response::{ResponseBody, not_run_refusal, refuse, unknown_refusal};
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
 use crate::state::EntryState;
@@ -44,9 +46,19 @@
     pub(crate) arrived: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
+    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 impl AllowedCall {
+    /// Identity of the request, the same whenever its caller sends it again.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = request_host(&self.parts);
+            let customer = self.customer.as_deref();
+            RequestFingerprint::new(host, &self.parts.uri, customer, &self.body)
+        })
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -152,8 +164,7 @@
     head: CallHead,
     arrived: Instant,
 ) -> Result<AllowedCall, (Box<str>, CallRefusal)> {
-    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| parts.uri.host()).unwrap_or_default();
+    let host = request_host(&parts);
     let Some(route) = rules.route(host, parts.uri.path()) else {
         let detail = format!("{host}{} under rules {}", parts.uri.path(), rules.rules().version);
         return Err((head.attempt, CallRefusal::not_run(ResultCode::UnknownPath, detail)));
@@ -181,9 +192,16 @@
         body,
         head,
         arrived,
+        fingerprint: OnceCell::new(),
     })
 }
 
+/// Host name that a request is for.
+fn request_host(parts: &Parts) -> &str {
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    host.or_else(|| parts.uri.host()).unwrap_or_default()
+}
+
 /// Counts a request for a service by its outcome.
 pub(crate) fn count_outcome(state: &EntryState, service: &str, outcome: &str) {
     state.metrics.count(MetricName::Requests, &[service, outcome]);
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -179,7 +179,8 @@
     pub(crate) fn log_fault(&self, path: &[PathStage], fault: &str) {
         let stages: Vec<&str> = path.iter().map(|stage| &*stage.name).collect();
         log::info!(
-            event = "stream_fault", attempt = &*self.call.head.attempt, sends = self.sends(), fault,
+            event = "stream_fault", attempt = &*self.call.head.attempt,
+            request:% = self.call.fingerprint(), sends = self.sends(), fault,
             stages:? = stages, parts:? = self.call.head.shared_parts,
             last_event = self.last_event_id.get().unwrap_or(0),
             silent_ms = self.last_event_at.get().elapsed().as_millis() as u64,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod events;
 mod exclusions;
 mod expiry;
+mod fingerprint;
 mod follow;
 mod freshness;
 mod front;
@@ -62,6 +63,7 @@
 };
 pub use events::EventFramer;
 pub use exclusions::{ExclusionTable, SharedExclusion};
+pub use fingerprint::RequestFingerprint;
 pub use freshness::{RulesEvidence, RulesFreshness};
 pub use health::{CallEnd, HealthTable};
 pub use heartbeat::{HeartbeatWatcher, LookFinding, LoopHeartbeat};
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -157,7 +157,8 @@
     | AttemptOutcome::Unknown(fault) = &outcome
     {
         log::info!(
-            event = "attempt_failed", attempt = &*call.head.attempt, endpoint = &*entry.name,
+            event = "attempt_failed", attempt = &*call.head.attempt,
+            request:% = call.fingerprint(), endpoint = &*entry.name,
             service = &*call.service, fault = &**fault,
             open = state.health.borrow().open_calls(&entry.name),
             age_ms = call.arrived.elapsed().as_millis() as u64; "attempt at an endpoint failed"
