A refused connection alone proves no end of an endpoint

What callers saw: nothing yet; a host whose connections to endpoints are all reset and refused took each endpoint for ended, and its broken requests as evidence against prompt parts and requests, at all hosts.

Cause: one refused connection counted as the end. Class of fault: a failure that belongs to the link, or to this host, is charged to the endpoint and from there to requests.

Change: an endpoint counts as crashed once a connection was refused, another endpoint has replied to this host since, and a second look was refused too. A later start at the address proves it at once, as before. Streams go round an endpoint at the first refusal, as before.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`.
+//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -11,6 +11,7 @@
 mod context;
 mod detour;
 mod endpoints;
+mod ends;
 mod events;
 mod exclusions;
 mod expiry;
@@ -61,6 +62,7 @@
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
 };
+pub use ends::EndClaims;
 pub use events::EventFramer;
 pub use exclusions::{ExclusionTable, SharedExclusion};
 pub use fingerprint::RequestFingerprint;
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -158,6 +158,7 @@
     head: &ReplyHead,
 ) {
     let now = Instant::now();
+    state.end_claims.borrow_mut().record_reply(entry.start());
     if head.is_leaving && state.notices.borrow_mut().mark_leaving(entry.start(), now) {
         log::info!(
             event = "endpoint_leaving", endpoint = &*entry.name, born = entry.start_unix_ms,
@@ -180,15 +181,20 @@
 
 /// Records what a failed send says of the endpoint.
 fn note_error(state: &EntryState, entry: &EndpointEntry, error: &SendError) {
-    let is_refused = matches!(error, SendError::NotSent { is_refused: true, .. });
-    if is_refused && state.health.borrow_mut().record_refused(&entry.name, Instant::now()) {
+    if !matches!(error, SendError::NotSent { is_refused: true, .. }) {
+        return;
+    }
+    let now = Instant::now();
+    if state.health.borrow_mut().record_refused(&entry.name, now) {
         endpoint_ended(state, entry, "nothing listens at its address");
     }
+    if state.end_claims.borrow_mut().record_refused(entry, now) {
+        state.record_crash(entry);
+    }
 }
 
 /// Lets streams that wait go on without an endpoint that has ended.
 fn endpoint_ended(state: &EntryState, entry: &EndpointEntry, reason: &str) {
-    state.record_crash(entry);
     let rerouted = state.inflight.borrow().request_reroute_through(&entry.name);
     log::info!(
         event = "endpoint_ended", endpoint = &*entry.name, streams = rerouted, reason;
@@ -273,6 +279,7 @@
         Ok(Some(report)) if report.start_unix_ms != entry.start_unix_ms => {
             let error = "another start replies at its address";
             if state.health.borrow_mut().record_replaced(&name, Instant::now()) {
+                state.record_crash(&entry);
                 endpoint_ended(&state, &entry, error);
             }
             mark_down(&state, &name, error);
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -18,6 +18,7 @@
 use crate::call::AllowedCall;
 use crate::detour::detour;
 use crate::endpoints::{EndpointEntry, EndpointTable};
+use crate::ends::EndClaims;
 use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
 use crate::expiry::ExpiringFlags;
 use crate::freshness::RulesFreshness;
@@ -155,6 +156,8 @@
     pub has_asked_hosts: Cell<bool>,
     /// Evidence on prompt parts that crash endpoints.
     pub poison: RefCell<PoisonTable>,
+    /// Endpoints of which it is open whether they have ended.
+    pub end_claims: RefCell<EndClaims>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
     /// Rate limits that endpoints have named, with this host's permits.
@@ -251,6 +254,7 @@
             exclusions: RefCell::default(),
             has_asked_hosts: Cell::new(false),
             poison: RefCell::new(PoisonTable::new(Instant::now())),
+            end_claims: RefCell::default(),
             notices: RefCell::default(),
             rates: RefCell::new(RateTable::new(boot_id)),
             permits: RefCell::default(),
--- a/crates/entry/src/watchdog.rs
+++ b/crates/entry/src/watchdog.rs
@@ -6,7 +6,7 @@
 use jacinthrock::EndpointName;
 use tokio::time::{Instant, sleep};
 
-use crate::sending::{probe, suspect};
+use crate::sending::{probe, probe_entry, suspect};
 use crate::stall::detect_stalls;
 use crate::state::EntryState;
 
@@ -31,6 +31,9 @@
         }
         last_check = now;
         check_streams(&state, now);
+        for entry in state.end_claims.borrow_mut().take_due() {
+            tokio::task::spawn_local(probe_entry(state.clone(), entry));
+        }
         if now - last_probe >= PROBE_INTERVAL {
             last_probe = now;
             probe_down_endpoints(&state);
