Streams that may be the cause of crashes are tried by the holder

What callers saw: nothing yet; found by reading. A stream is checked before and after its wait for a path. In an open case the first check used up the send that the holder of the placement lease may make, and the second refused it, so that the case stayed open.

Change: the first check counts as the start of the trial. A caller can also not name another request as a part of its prompt any more.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -16,7 +16,7 @@
 
 use crate::adapter::CallHead;
 use crate::fingerprint::RequestFingerprint;
-use crate::poison::{BlamedPart, PromptPart, request_suspect};
+use crate::poison::{BlamedPart, PromptPart, is_request, request_suspect};
 use crate::response::{ResponseBody, not_run_refusal, refuse, unknown_refusal};
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
 use crate::state::EntryState;
@@ -69,7 +69,9 @@
 
     /// All that may be the cause of a crash: the request, and the parts that it shares with others.
     pub(crate) fn suspects(&self, parts: &[PromptPart]) -> Vec<PromptPart> {
-        [self.suspect()].into_iter().chain(parts.iter().cloned()).collect()
+        // A caller must not name another request as a part of its prompt.
+        let parts = parts.iter().filter(|part| !is_request(part));
+        [self.suspect()].into_iter().chain(parts.cloned()).collect()
     }
 
     /// Time until the deadline.
--- a/crates/entry/src/poison.rs
+++ b/crates/entry/src/poison.rs
@@ -81,7 +81,7 @@
 const MAX_ANSWERED_REQUESTS: usize = 4_096;
 /// Maximum number of requests that are blamed at a time.
 const MAX_BLAMED_REQUESTS: usize = 64;
-/// First character of the suspects that are requests; ids of parts are hexadecimal.
+/// First character of the suspects that are requests; no part of a prompt is taken that has it.
 const REQUEST_MARK: char = '#';
 
 /// Time after the last crash or refusal at which blame ends.
@@ -532,8 +532,9 @@
         }
         self.derive_findings();
         let at = self.at(now);
-        if let Some(unsettled) = self.unsettled_request(parts, may_try, at) {
-            return Some(unsettled);
+        if let Some(unsettled) = self.unsettled_request(parts, at) {
+            let is_sent = may_try && self.start_unsettled(at);
+            return (!is_sent).then_some(unsettled);
         }
         let mut blamed = self.findings.iter().filter(|finding| {
             let record = self.blames.get(&finding.part);
@@ -550,38 +551,34 @@
         Some(blamed_part(&finding.part, record, at))
     }
 
-    /// A request that was under way at enough crashes to be blamed, but not alone. The holder of the
-    /// placement lease sends such requests one after the other, until one of them is the cause of a
-    /// crash or is answered.
-    fn unsettled_request(
-        &mut self,
-        parts: &[PromptPart],
-        may_try: bool,
-        at: TableTime,
-    ) -> Option<BlamedPart> {
-        let request = parts.first().filter(|part| is_request(part))?;
+    /// The request, if it was under way at enough crashes to be blamed, but not alone. The holder of
+    /// the placement lease sends such requests one after the other, until one of them is the cause
+    /// of a crash or is answered.
+    fn unsettled_request(&self, suspects: &[PromptPart], at: TableTime) -> Option<BlamedPart> {
+        let request = suspects.first().filter(|suspect| is_request(suspect))?;
         if self.blames.contains_key(request) {
             return None;
         }
         let explained = self.explained_crashes(at);
-        let times: Vec<_> = self
-            .open_crashes(request)
-            .filter_map(|(key, at)| (!explained.contains(key)).then_some(at))
-            .collect();
-        if times.len() < MIN_REQUEST_CRASHES
-            || moments(times.iter().copied(), REQUEST_MOMENT) < MIN_REQUEST_MOMENTS
-        {
-            return None;
-        }
-        let is_free = self.tried_unsettled.is_none_or(|tried| at - tried >= millis(UNSETTLED_WAIT));
-        if may_try && is_free {
+        let crashes = self.open_crashes(request).filter(|(key, _)| !explained.contains(key));
+        let times: Vec<_> = crashes.map(|(_, crashed_at)| crashed_at).collect();
+        let first = times.iter().min().copied()?;
+        let is_enough = times.len() >= MIN_REQUEST_CRASHES
+            && moments(times.iter().copied(), REQUEST_MOMENT) >= MIN_REQUEST_MOMENTS;
+        is_enough.then(|| BlamedPart {
+            part: request.clone(),
+            crashes: u32::try_from(times.len()).unwrap_or(u32::MAX),
+            since: Duration::from_millis(age_of(first, at)),
+        })
+    }
+
+    /// Counts an unsettled request as sent, unless another one was sent a moment ago.
+    fn start_unsettled(&mut self, at: TableTime) -> bool {
+        let is_due = self.tried_unsettled.is_none_or(|tried| at - tried >= millis(UNSETTLED_WAIT));
+        if is_due {
             self.tried_unsettled = Some(at);
-            return None;
         }
-        let first = times.iter().min().copied().unwrap_or(at);
-        let since = Duration::from_millis(age_of(first, at));
-        let crashes = u32::try_from(times.len()).unwrap_or(u32::MAX);
-        Some(BlamedPart { part: request.clone(), crashes, since })
+        is_due
     }
 
     /// Crashes at which a request was under way, and after which it was not answered.
@@ -592,10 +589,15 @@
         crashes.map(|(key, record)| (key, record.at))
     }
 
-    /// Whether one of the parts is blamed, without counting a refusal.
+    /// Whether one of the parts is blamed, or may be the cause of crashes that has not been settled,
+    /// without counting a refusal.
     pub fn is_blamed(&mut self, parts: &[PromptPart], now: Instant) -> bool {
-        !self.crashes.is_empty()
-            && self.blamed(now).iter().any(|blamed| valid_parts(parts).any(|p| *p == blamed.part))
+        if self.crashes.is_empty() {
+            return false;
+        }
+        let is_blamed =
+            self.blamed(now).iter().any(|blamed| valid_parts(parts).any(|p| *p == blamed.part));
+        is_blamed || self.unsettled_request(parts, self.at(now)).is_some()
     }
 
     /// The parts that are blamed.
@@ -1070,7 +1072,7 @@
                 && !others.iter().any(|other| is_rival(&other)))
 }
 
-fn is_request(suspect: &str) -> bool {
+pub(crate) fn is_request(suspect: &str) -> bool {
     suspect.starts_with(REQUEST_MARK)
 }
 
