Move path search out of state.rs

routing.rs computes the candidates of a path from the tables that it is handed; random draws and the time are arguments. search.rs gathers them from EntryState. The poison checks are methods of AllowedCall, dispatch.rs receives requests and calls plain and stream, and failure.rs holds SourceFailure, so that none of these is imported in a circle. Behaviour is unchanged.

Import cycle around state, as the strongly connected component of the use lines: 10 modules before (call, context, orders, plain, reroute, response, sending, source, state, stream), none after; follow and peers still import each other.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,34 +1,27 @@
-//! Receives a caller's request, checks it against the rules and dispatches it to a service.
+//! Requests that the rules allow.
 
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::request::Parts;
-use hyper::{Request, Response};
 use jacinthrock::{CallRefusal, CustomerName, MetricName, ResultCode, ServiceName};
 use rand::Rng;
-use tokio::time::{Instant, timeout};
+use sha2::{Digest, Sha256};
+use tokio::time::Instant;
 
 use crate::adapter::CallHead;
+use crate::endpoints::EndpointEntry;
 use crate::fingerprint::RequestFingerprint;
 use crate::poison::{BlamedPart, PromptPart, is_request, request_suspect};
-use crate::response::{ResponseBody, not_run_refusal, refuse, unknown_refusal};
+use crate::response::unknown_refusal;
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
 use crate::state::EntryState;
-use crate::{plain, stream};
 
-/// Retry-After while this host has no rules: it reads them within a few ms of its start.
-const NO_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Retry-After of requests that crash endpoints, which they do for minutes.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(60);
-/// Timeout for receiving a request's body; callers send it right after the head.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A request that the rules allow, with its route and service.
 pub(crate) struct AllowedCall {
     /// Request head as received.
@@ -74,6 +67,47 @@
         [self.suspect()].into_iter().chain(parts.cloned()).collect()
     }
 
+    /// Returns what is known to crash endpoints, the request itself or a part of its prompt, unless
+    /// it is sent as a trial; otherwise whether it is one. To be asked before every send.
+    pub(crate) fn check_poison(&self, state: &EntryState) -> Result<bool, BlamedPart> {
+        let (mut table, now) = (state.poison.borrow_mut(), Instant::now());
+        if table.is_empty() {
+            return Ok(false);
+        }
+        let suspects = self.suspects(&self.head.shared_parts);
+        let is_blamed = table.is_blamed(&suspects, now);
+        table.verdict(&suspects, state.is_holder(), now).map_or(Ok(is_blamed), Err)
+    }
+
+    /// Whether a request was under way at so many crashes that this host does not send it again by
+    /// itself.
+    pub(crate) fn is_doubtful(&self, state: &EntryState) -> bool {
+        let table = state.poison.borrow();
+        !table.is_empty() && table.is_doubtful(&self.suspect())
+    }
+
+    /// Records that an endpoint has answered a request, or has gone on past the beginning of a
+    /// stream.
+    pub(crate) fn record_answer(&self, state: &EntryState) {
+        let suspects = self.suspects(&self.head.shared_parts);
+        state.poison.borrow_mut().record_answer(&suspects, Instant::now());
+    }
+
+    /// Records that an endpoint broke off a request. `parts` are those parts of its prompt that may
+    /// be the cause, apart from the request itself.
+    pub(crate) fn record_cut(
+        &self,
+        state: &EntryState,
+        endpoint: &EndpointEntry,
+        parts: &[PromptPart],
+    ) {
+        let mut hasher = Sha256::new();
+        hasher.update(self.head.own_part.as_deref().unwrap_or(&self.head.attempt));
+        let tag = hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
+        let mut table = state.poison.borrow_mut();
+        table.record_break(endpoint.start(), &self.suspects(parts), tag, Instant::now());
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -98,81 +132,8 @@
     }
 }
 
-/// Serves one request: receives its body, checks it against the rules and calls the service.
-pub(crate) async fn serve(
-    state: Rc<EntryState>,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let arrived = Instant::now();
-    let open = OpenRequest::new(&state);
-    let (parts, body) = request.into_parts();
-    let head = state.codec.read_call(&parts.headers);
-    let Some(rules) = state.rules() else {
-        let refusal =
-            not_run_refusal(ResultCode::NotReady, "no rules are known yet", NO_RULES_RETRY_AFTER);
-        return refuse(&state, &head.attempt, refusal);
-    };
-    let body = Limited::new(body, rules.rules().limits.body_bytes);
-    let body = match timeout(BODY_TIMEOUT, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            let code = if error.is::<http_body_util::LengthLimitError>() {
-                ResultCode::BodyTooLarge
-            } else {
-                ResultCode::MalformedRequest
-            };
-            return refuse(&state, &head.attempt, CallRefusal::not_run(code, error.to_string()));
-        }
-        Err(_) => {
-            let refusal = CallRefusal::not_run(ResultCode::RequestTimeout, "body not received");
-            return refuse(&state, &head.attempt, refusal);
-        }
-    };
-    let mut call = match allow(&rules, parts, body, head, arrived) {
-        Ok(call) => call,
-        Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
-    };
-    if let Some(refusal) = limit_to_stop(&state, &mut call) {
-        return refuse(&state, &call.head.attempt, refusal);
-    }
-    state.record_first(&call.service);
-    let attempt = call.head.attempt.clone();
-    let outcome = if call.route.is_stream {
-        stream::serve(&state, Rc::new(call), open).await
-    } else {
-        plain::serve(&state, &call).await
-    };
-    match outcome {
-        Ok(response) => response,
-        Err(refusal) => refuse(&state, &attempt, refusal),
-    }
-}
-
-/// While the host stops: refuses a call that would not be whole before its end, and limits the time
-/// of others to it.
-fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
-    let plan = state.stop_plan.get()?;
-    let now = Instant::now();
-    let longest = state.stream_times.borrow().longest(&call.service, now);
-    let is_accepted = if call.route.is_stream {
-        plan.accepts_stream(now, longest, call.route.retry_policy.is_idempotent())
-    } else {
-        plan.accepts_call(now)
-    };
-    if !is_accepted {
-        let left = plan.last_answer().saturating_duration_since(now).as_millis();
-        let detail =
-            format!("the host stops in {left} ms; streams take {} ms", longest.as_millis());
-        let delay = plan.return_delay(now, rand::rng().random_range(0.0..1.0));
-        return Some(CallRefusal::not_run(ResultCode::Draining, detail).with_retry_after(delay));
-    }
-    if !call.route.is_stream {
-        call.deadline = call.deadline.min(plan.last_answer());
-    }
-    None
-}
-
-fn allow(
+/// Checks a request against the rules, and picks its service.
+pub(crate) fn allow(
     rules: &RuleIndex,
     parts: Parts,
     body: Bytes,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,12 +11,13 @@
 use crate::attempts::AttemptLog;
 use crate::call::AllowedCall;
 use crate::endpoints::EndpointEntry;
+use crate::failure::SourceFailure;
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
 use crate::queue::{QueuePosition, WaitClass};
+use crate::routing::PathQuery;
 use crate::sending::probe_entry;
-use crate::source::SourceFailure;
-use crate::state::{EntryState, PathQuery};
+use crate::state::EntryState;
 
 /// Maximum wait for a path when none has room: most of the delay of the first event that callers
 /// tolerate. Beyond that, a refusal with a retry delay serves them better.
@@ -113,7 +114,7 @@
     /// allow it.
     pub(crate) fn may_resend(&self, reason: RetryReason) -> bool {
         self.sends() < MAX_SENDS
-            && !self.state.is_doubtful(&self.call)
+            && !self.call.is_doubtful(&self.state)
             && !self.call.remaining().is_zero()
             && self.state.has_retry(&self.call.service, self.reserved_share(reason))
             && (reason == RetryReason::Fault || self.may_hedge())
@@ -143,18 +144,18 @@
     /// Fails if the request or a part of its prompt is known to crash endpoints. Returns whether it
     /// is sent as a trial all the same.
     pub(crate) fn check_poison(&self) -> Result<bool, SourceFailure> {
-        self.state.check_poison(&self.call).map_err(SourceFailure::Poison)
+        self.call.check_poison(&self.state).map_err(SourceFailure::Poison)
     }
 
     /// Records that an endpoint has gone on past the beginning of the answer, or has ended it.
     pub(crate) fn record_answer(&self) {
-        self.state.record_answer(&self.call);
+        self.call.record_answer(&self.state);
     }
 
     /// Records that an endpoint broke off the stream before it went on past its first event. `parts`
     /// are those parts of its prompt that may be the cause, apart from the request itself.
     pub(crate) fn record_cut(&self, first: &EndpointEntry, parts: &[PromptPart]) {
-        self.state.record_cut(&self.call, first, parts);
+        self.call.record_cut(&self.state, first, parts);
     }
 
     /// When the first of the endpoints at which paths start takes requests again, if none does at
--- /dev/null
+++ b/crates/entry/src/dispatch.rs
@@ -0,0 +1,95 @@
+//! Receives a caller's request, checks it against the rules and dispatches it to a service.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response};
+use jacinthrock::{CallRefusal, ResultCode};
+use rand::Rng;
+use tokio::time::{Instant, timeout};
+
+use crate::call::{AllowedCall, OpenRequest, allow};
+use crate::response::{ResponseBody, not_run_refusal, refuse};
+use crate::state::EntryState;
+use crate::{plain, stream};
+
+/// Retry-After while this host has no rules: it reads them within a few ms of its start.
+const NO_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Timeout for receiving a request's body; callers send it right after the head.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Serves one request: receives its body, checks it against the rules and calls the service.
+pub(crate) async fn serve(
+    state: Rc<EntryState>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let arrived = Instant::now();
+    let open = OpenRequest::new(&state);
+    let (parts, body) = request.into_parts();
+    let head = state.codec.read_call(&parts.headers);
+    let Some(rules) = state.rules() else {
+        let refusal =
+            not_run_refusal(ResultCode::NotReady, "no rules are known yet", NO_RULES_RETRY_AFTER);
+        return refuse(&state, &head.attempt, refusal);
+    };
+    let body = Limited::new(body, rules.rules().limits.body_bytes);
+    let body = match timeout(BODY_TIMEOUT, body.collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) => {
+            let code = if error.is::<http_body_util::LengthLimitError>() {
+                ResultCode::BodyTooLarge
+            } else {
+                ResultCode::MalformedRequest
+            };
+            return refuse(&state, &head.attempt, CallRefusal::not_run(code, error.to_string()));
+        }
+        Err(_) => {
+            let refusal = CallRefusal::not_run(ResultCode::RequestTimeout, "body not received");
+            return refuse(&state, &head.attempt, refusal);
+        }
+    };
+    let mut call = match allow(&rules, parts, body, head, arrived) {
+        Ok(call) => call,
+        Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
+    };
+    if let Some(refusal) = limit_to_stop(&state, &mut call) {
+        return refuse(&state, &call.head.attempt, refusal);
+    }
+    state.record_first(&call.service);
+    let attempt = call.head.attempt.clone();
+    let outcome = if call.route.is_stream {
+        stream::serve(&state, Rc::new(call), open).await
+    } else {
+        plain::serve(&state, &call).await
+    };
+    match outcome {
+        Ok(response) => response,
+        Err(refusal) => refuse(&state, &attempt, refusal),
+    }
+}
+
+/// While the host stops: refuses a call that would not be whole before its end, and limits the time
+/// of others to it.
+fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
+    let plan = state.stop_plan.get()?;
+    let now = Instant::now();
+    let longest = state.stream_times.borrow().longest(&call.service, now);
+    let is_accepted = if call.route.is_stream {
+        plan.accepts_stream(now, longest, call.route.retry_policy.is_idempotent())
+    } else {
+        plan.accepts_call(now)
+    };
+    if !is_accepted {
+        let left = plan.last_answer().saturating_duration_since(now).as_millis();
+        let detail =
+            format!("the host stops in {left} ms; streams take {} ms", longest.as_millis());
+        let delay = plan.return_delay(now, rand::rng().random_range(0.0..1.0));
+        return Some(CallRefusal::not_run(ResultCode::Draining, detail).with_retry_after(delay));
+    }
+    if !call.route.is_stream {
+        call.deadline = call.deadline.min(plan.last_answer());
+    }
+    None
+}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -18,7 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::call;
+use crate::dispatch;
 use crate::pool::set_socket_options;
 use crate::response::{ResponseBody, full_body};
 use crate::state::EntryState;
@@ -84,7 +84,7 @@
     let limits = state.rules().map(|rules| rules.rules().limits).unwrap_or_default();
     let service = service_fn(move |request: Request<Incoming>| {
         let state = state.clone();
-        async move { Ok::<_, Infallible>(call::serve(state, request).await) }
+        async move { Ok::<_, Infallible>(dispatch::serve(state, request).await) }
     });
     let mut builder = http1::Builder::new();
     // The HTTP library's head timeout also runs while a connection is idle.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,9 @@
 //! The entry process, one per entry host.
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
-//! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`.
+//! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `routing`, `detour`,
+//! `stall`, `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`,
+//! `ends`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -10,11 +11,13 @@
 mod call;
 mod context;
 mod detour;
+mod dispatch;
 mod endpoints;
 mod ends;
 mod events;
 mod exclusions;
 mod expiry;
+mod failure;
 mod fingerprint;
 mod follow;
 mod freshness;
@@ -42,8 +45,10 @@
 mod reroute;
 mod response;
 mod returns;
+mod routing;
 mod rules;
 mod run;
+mod search;
 mod sending;
 mod shutdown;
 mod source;
@@ -65,6 +70,7 @@
 pub use ends::EndClaims;
 pub use events::EventFramer;
 pub use exclusions::{ExclusionTable, SharedExclusion};
+pub use expiry::ExpiringFlags;
 pub use fingerprint::RequestFingerprint;
 pub use freshness::{RulesEvidence, RulesFreshness};
 pub use health::{CallEnd, HealthTable};
@@ -90,6 +96,7 @@
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::ReturnSchedule;
+pub use routing::{PathQuery, RoutingView};
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
@@ -97,5 +104,5 @@
 pub use run::{EntryError, run_entry};
 pub use shutdown::{OtherHosts, StopPlan, StreamTimes};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
-pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
+pub use state::{EntryOptions, EntryState, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -79,7 +79,7 @@
             retry_after = delay + RETURN_SPREAD.mul_f64(rand::random());
             break;
         };
-        if let Err(blamed) = state.check_poison(call) {
+        if let Err(blamed) = call.check_poison(state) {
             if !has_run {
                 count_outcome(state, &call.service, "not_run");
                 return Err(poison_refusal(&blamed));
@@ -119,7 +119,7 @@
         if has_run && !call.route.retry_policy.is_idempotent() {
             break;
         }
-        if call.remaining().is_zero() || state.is_doubtful(call) {
+        if call.remaining().is_zero() || call.is_doubtful(state) {
             break;
         }
     }
@@ -227,13 +227,13 @@
     if status.is_server_error() {
         return (AttemptOutcome::Failed(response), CallEnd::Failed);
     }
-    state.record_answer(call);
+    call.record_answer(state);
     (AttemptOutcome::Response(response), CallEnd::Succeeded)
 }
 
 /// Records that the connection of a call broke, and finds out whether the endpoint has ended.
 fn record_broken(state: &Rc<EntryState>, call: &AllowedCall, entry: &EndpointEntry) {
-    state.record_cut(call, entry, &[]);
+    call.record_cut(state, entry, &[]);
     tokio::task::spawn_local(probe_entry(state.clone(), entry.clone()));
 }
 
--- a/crates/entry/src/reroute.rs
+++ b/crates/entry/src/reroute.rs
@@ -13,7 +13,8 @@
 use crate::orders::{OrderReply, post_order};
 use crate::path::{PathStage, crossings, stage_at};
 use crate::pool::SendError;
-use crate::state::{EntryState, PathQuery};
+use crate::routing::PathQuery;
+use crate::state::EntryState;
 
 /// Timeout of an order. Endpoints answer within a few ms, and callers give up after two seconds of
 /// silence, part of which has already passed.
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -12,19 +12,19 @@
 use futures::StreamExt;
 use futures::stream::{self, LocalBoxStream};
 use http_body_util::BodyExt;
-use hyper::{HeaderMap, Response, StatusCode};
+use hyper::{HeaderMap, StatusCode};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::context::{RetryReason, StageHold, StreamContext};
 use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
+use crate::failure::SourceFailure;
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
-use crate::poison::BlamedPart;
 use crate::pool::{ConnectionLease, SendError};
 use crate::reply::ReplyBody;
 use crate::reroute::reroute;
-use crate::response::{ResponseBody, endpoint_response, full_body};
+use crate::response::{endpoint_response, full_body};
 use crate::sending::{
     SendTarget, SentReply, check_refusal, exclude_endpoint, probe, read_answer, send,
 };
@@ -42,22 +42,6 @@
 /// doubles with each further one, since each may try orders that endpoints refuse.
 const REROUTE_RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Why a source ended before the end of the stream.
-pub(crate) enum SourceFailure {
-    /// The endpoint sent a reply that is not a stream, to be forwarded to the caller.
-    Response(Box<Response<ResponseBody>>),
-    /// The request has not run.
-    NotRun(Box<str>),
-    /// The request may have run.
-    Unknown(Box<str>),
-    /// No path has room, for the given reason.
-    NoPath(Box<str>),
-    /// The request or a part of its prompt crashes endpoints; it was not sent to another one.
-    Poison(BlamedPart),
-    /// The deadline of the request has passed.
-    DeadlinePassed,
-}
-
 /// Head of the reply with which a source opened.
 #[derive(Default)]
 pub(crate) struct SourceHead {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of an entry process.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,14 +9,10 @@
 use jacinthrock::{
     BudgetOptions, DomainName, EndpointName, HostName, MetricName, MetricRegistry, RetryBudget,
 };
-use rand::Rng;
-use sha2::{Digest, Sha256};
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::adapter::{CallCodec, RegistryClient};
-use crate::call::AllowedCall;
-use crate::detour::detour;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
 use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
@@ -24,25 +20,23 @@
 use crate::freshness::RulesFreshness;
 use crate::health::HealthTable;
 use crate::heartbeat::LoopHeartbeat;
-use crate::inflight::{StageLoad, StreamTable};
+use crate::inflight::StreamTable;
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
 use crate::notices::{EndpointNotices, EndpointStart};
-use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path, first_gap};
+use crate::path::PathStage;
 use crate::permits::PermitPools;
-use crate::poison::{BlamedPart, PoisonTable, PromptPart};
+use crate::poison::PoisonTable;
 use crate::pool::ConnectionPool;
 use crate::queue::WaitQueue;
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
-use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
+use crate::relay::{RelayCandidate, RelayPicker};
 use crate::returns::ReturnSchedule;
-use crate::rules::{EngineProfile, RuleIndex, RulesVersion, ServingRules};
+use crate::routing::{accepts_work, is_leaving};
+use crate::rules::{RuleIndex, RulesVersion, ServingRules};
 use crate::shutdown::{StopPlan, StreamTimes};
 use crate::version::{RegistryEra, RegistryVersion};
 
-/// Cost of a stage that is suspected to be down, in ms per token: more than a whole path over other
-/// cards.
-const SUSPECT_COST_MS: f64 = 40.0;
 /// Maximum age of the registry's last confirmation of the holder's endpoint table for hosts to rely
 /// on it. Endpoints that leave must be known within two seconds; with 1,800 ms, a host whose holder
 /// was rejected by the registry learned of them too late.
@@ -55,12 +49,6 @@
 const REGISTRY_SEEN_TIME: Duration = Duration::from_millis(1_500);
 /// Time for which a host that has heard of the placement holder counts on it.
 const HOLDER_HEARD_TIME: Duration = Duration::from_millis(1_500);
-/// Maximum random increase of a stage's cost per stream, at the shortest load exchange interval.
-/// Without jitter, hosts that know the same load totals all choose the same path until the next
-/// exchange.
-const COST_JITTER: f64 = 0.1;
-/// Upper bound on the jitter, which grows with the load exchange interval.
-const MAX_COST_JITTER: f64 = 0.5;
 /// Time for which an endpoint that has refused a stream gets no other; some streams end in that
 /// time and leave room, and the next load exchange shows the streams of other hosts.
 const OVERLOAD_TIME: Duration = Duration::from_millis(250);
@@ -73,13 +61,6 @@
 /// a window and do not know what they have already used.
 const BUDGET_SHARE: f64 = 0.7;
 
-/// Ratio of the crossing quotas of all hosts together to the capacity of the inter-domain link;
-/// above 1, since few hosts use theirs at the same time. 0.75 kept streams from free paths when one
-/// domain had lost endpoints.
-const QUOTA_OVERCOMMIT_RATIO: f64 = 2.0;
-/// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
-const MAX_OCCUPANCY: f64 = 0.95;
-
 /// Another entry host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerHost {
@@ -205,34 +186,22 @@
     pub heartbeat: LoopHeartbeat,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
+    /// Endpoints that are suspected to be down.
+    pub(crate) suspected: RefCell<ExpiringFlags>,
+    /// Endpoints that have just refused a stream.
+    pub(crate) overloaded: RefCell<ExpiringFlags>,
+    /// Paths between failure domains that this host may still start.
+    pub(crate) crossing_quota: RefCell<CrossingQuota>,
     rules: RefCell<Rc<RuleIndex>>,
     rules_version: Cell<Option<RegistryVersion>>,
     registry_era: Cell<Option<RegistryEra>>,
     registry_seen: Cell<Option<Instant>>,
     era_since: Cell<Instant>,
-    suspected: RefCell<ExpiringFlags>,
     recently_probed: RefCell<ExpiringFlags>,
-    overloaded: RefCell<ExpiringFlags>,
-    crossing_quota: RefCell<CrossingQuota>,
     retry_budget: RefCell<RetryBudget>,
     retry_share: RefCell<SmoothedShare>,
 }
 
-/// Requirements for a path.
-#[derive(Clone, Copy, Debug)]
-pub struct PathQuery<'a> {
-    /// Service whose model is to run.
-    pub service: &'a str,
-    /// Expected maximum number of tokens of the stream.
-    pub tokens: u32,
-    /// Endpoints at which the path may start, or `None` for any.
-    pub starts: Option<&'a BTreeSet<EndpointName>>,
-    /// Endpoints to avoid.
-    pub avoid: &'a BTreeSet<EndpointName>,
-    /// Whether a path may also start at endpoints that take no request at present.
-    pub ignores_rates: bool,
-}
-
 impl EntryState {
     /// Creates the state of an entry process before it has read anything from the registry.
     pub fn new(
@@ -278,15 +247,15 @@
             stream_times: RefCell::default(),
             heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
+            suspected: RefCell::default(),
+            overloaded: RefCell::default(),
+            crossing_quota: RefCell::default(),
             rules: RefCell::default(),
             rules_version: Cell::new(None),
             registry_era: Cell::new(None),
             registry_seen: Cell::new(None),
             era_since: Cell::new(Instant::now()),
-            suspected: RefCell::default(),
             recently_probed: RefCell::default(),
-            overloaded: RefCell::default(),
-            crossing_quota: RefCell::default(),
             retry_budget: RefCell::new(budget),
             retry_share: RefCell::default(),
         }
@@ -424,12 +393,6 @@
         self.peers.borrow().len() + 1
     }
 
-    /// Number of entry hosts in this host's failure domain, including this one.
-    fn domain_host_count(&self) -> usize {
-        let peers = self.peers.borrow();
-        peers.values().filter(|peer| peer.domain == self.options.domain).count() + 1
-    }
-
     /// Records the first attempt of a request in the retry budget of its service.
     pub fn record_first(&self, service: &str) {
         self.retry_budget.borrow_mut().record_first(Instant::now(), service, service);
@@ -536,9 +499,13 @@
     /// Whether an endpoint accepts work, as far as this host knows: it neither leaves nor is it
     /// down or excluded.
     pub fn accepts_work(&self, entry: &EndpointEntry, now: Instant) -> bool {
-        !self.is_leaving_endpoint(entry)
-            && !self.health.borrow().is_down(&entry.name)
-            && !self.exclusions.borrow().is_excluded(entry, now)
+        accepts_work(
+            entry,
+            &self.notices.borrow(),
+            &self.health.borrow(),
+            &self.exclusions.borrow(),
+            now,
+        )
     }
 
     /// Clears the suspicion of an endpoint that has answered a probe.
@@ -585,7 +552,7 @@
 
     /// Whether an endpoint leaves, as the registry lists it or as it says itself.
     pub fn is_leaving_endpoint(&self, entry: &EndpointEntry) -> bool {
-        entry.is_draining || self.notices.borrow().is_leaving(entry.start())
+        is_leaving(entry, &self.notices.borrow())
     }
 
     /// When the first of a service's endpoints takes a request again, as far as known, if none of
@@ -664,175 +631,6 @@
         }
     }
 
-    /// Finds the cheapest path for a stream, or `None` if none has room.
-    pub fn find_path(&self, query: &PathQuery<'_>) -> Option<Rc<[PathStage]>> {
-        self.path_with(query, |engine| self.admitted_link_share(engine, query.tokens))
-            .map(Into::into)
-    }
-
-    /// Finds the cheapest path, given the share of the inter-domain link in use.
-    fn path_with(
-        &self,
-        query: &PathQuery<'_>,
-        link_share: impl FnOnce(&EngineProfile) -> f64,
-    ) -> Option<Vec<PathStage>> {
-        let rules = self.rules()?;
-        let engine = rules.engine(query.service)?;
-        let stages = self.stage_views(engine, query);
-        cheapest_path(engine.layers, &self.options.domain, link_share(engine), &stages)
-    }
-
-    /// Uses this host's quota for new crossings between failure domains.
-    pub fn consume_crossings(&self, crossings: usize) {
-        self.crossing_quota.borrow_mut().consume(crossings);
-    }
-
-    /// Share of the inter-domain link in use, or `CLOSED_LINK` if this host has no crossing
-    /// quota left.
-    fn admitted_link_share(&self, engine: &EngineProfile, tokens: u32) -> f64 {
-        let per_s = self.crossings_per_s(engine, tokens);
-        let draw = rand::rng().random_range(0.0..1.0);
-        let may_cross =
-            self.crossing_quota.borrow_mut().allows_crossing(Instant::now(), per_s, draw);
-        if may_cross { self.link_share(engine) } else { CLOSED_LINK }
-    }
-
-    /// This host's share of the inter-domain link, in stream crossings per second.
-    fn crossings_per_s(&self, engine: &EngineProfile, tokens: u32) -> f64 {
-        let stream_mbit = f64::from(tokens) * engine.activation_bytes * 8.0 / 1e6;
-        if engine.link_mbps <= 0.0 || stream_mbit <= 0.0 {
-            return f64::INFINITY;
-        }
-        engine.link_mbps * QUOTA_OVERCOMMIT_RATIO / stream_mbit / self.host_count() as f64
-    }
-
-    /// Finds replacements for the lost stages of a running stream's path.
-    pub fn find_detour(&self, path: &[PathStage], query: &PathQuery<'_>) -> Option<Vec<PathStage>> {
-        let rules = self.rules()?;
-        let engine = rules.engine(query.service)?;
-        let lost: BTreeSet<EndpointName> = {
-            let (endpoints, health) = (self.endpoints.borrow(), self.health.borrow());
-            let is_lost = |stage: &&PathStage| {
-                let entry = endpoints.get(&stage.name);
-                entry.is_none_or(|entry| entry.start_unix_ms != stage.start_unix_ms)
-                    || health.is_down(&stage.name)
-            };
-            path.iter().filter(is_lost).map(|stage| stage.name.clone()).collect()
-        };
-        if lost.is_empty() {
-            return None;
-        }
-        let stages = self.stage_views(engine, query);
-        let link_share = self.admitted_link_share(engine, query.tokens);
-        let new_path = detour(path, &lost, link_share, &stages);
-        if new_path.is_none() {
-            log_no_detour(path, &lost, &stages);
-        }
-        new_path
-    }
-
-    /// Load of all hosts' streams on an endpoint, as far as this host knows.
-    pub fn total_load(&self, name: &str) -> StageLoad {
-        let mut load = self.inflight.borrow().load(name);
-        let others = self.peer_loads.borrow().load(name, load, Instant::now());
-        load.add(others.unwrap_or_default());
-        load
-    }
-
-    /// Share of an endpoint's KV cache that the known streams take.
-    pub fn known_kv_usage(&self, entry: &EndpointEntry) -> Option<f64> {
-        let rules = self.rules()?;
-        let engine = rules.engine(&entry.service)?;
-        let card = engine.cards.get(entry.card.as_deref()?)?;
-        let capacity = engine.kv_capacity(card, entry.weight_layers());
-        Some(self.total_load(&entry.name).token_layers as f64 / capacity)
-    }
-
-    /// Share of the inter-domain link that the streams of all hosts use.
-    fn link_share(&self, engine: &EngineProfile) -> f64 {
-        let others = self.peer_loads.borrow().crossing_tokens_per_s(Instant::now());
-        let tokens = self.inflight.borrow().crossing_tokens_per_s() + others;
-        if engine.link_mbps <= 0.0 {
-            return 0.0;
-        }
-        tokens * engine.activation_bytes * 8.0 / 1e6 / engine.link_mbps
-    }
-
-    /// Explains why there is no path, for logs and refusals.
-    pub fn explain_no_path(&self, query: &PathQuery<'_>) -> Box<str> {
-        let rules = self.rules();
-        let Some(engine) = rules.as_ref().and_then(|rules| rules.engine(query.service)) else {
-            return "the service has no engine".into();
-        };
-        let stages = self.stage_views(engine, query);
-        let Some(gap) = first_gap(engine.layers, &stages) else {
-            let share = self.link_share(engine);
-            return format!("no path joins {} stages; pipe share {share:.2}", stages.len()).into();
-        };
-        let holders = stages.iter().filter(|stage| stage.span.holds(gap)).map(|stage| {
-            format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.kv_usage)
-        });
-        let holders: Vec<_> = holders.collect();
-        format!("layer {gap} has no room; holders: {holders:?}").into()
-    }
-
-    /// Endpoints of a service that accept work, as candidates for a path.
-    fn stage_views(&self, engine: &EngineProfile, query: &PathQuery<'_>) -> Vec<StageView> {
-        let now = Instant::now();
-        let domain_host_count = self.domain_host_count() as u32;
-        let interval_ratio = spread_time(self.host_count()).div_duration_f64(EXCHANGE_INTERVAL);
-        let jitter = (COST_JITTER * interval_ratio).min(MAX_COST_JITTER);
-        let others = self.peer_loads.borrow();
-        let endpoints = self.endpoints.borrow();
-        let (inflight, suspected) = (self.inflight.borrow(), self.suspected.borrow());
-        let overloaded = self.overloaded.borrow();
-        let rates = self.rates.borrow();
-        let usable = endpoints.entries().filter(|entry| {
-            &*entry.service == query.service
-                && self.accepts_work(entry, now)
-                && !query.avoid.contains(&entry.name)
-        });
-        usable
-            .filter_map(|entry| {
-                let span = entry.layers.filter(|span| span.count() > 0)?;
-                let card = engine.cards.get(entry.card.as_deref()?)?;
-                let mut load = inflight.load(&entry.name);
-                match others.load(&entry.name, load, now) {
-                    Some(others) => load.add(others),
-                    // Without recent loads of the other hosts, those in the same domain are
-                    // assumed to load the stage as much as this host does.
-                    None if entry.domain == self.options.domain => load.scale(domain_host_count),
-                    None => {}
-                }
-                let new = f64::from(query.tokens) * f64::from(span.count());
-                let occupancy = (load.token_layers as f64 + new)
-                    / engine.kv_capacity(card, entry.weight_layers());
-                let slot_usage = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
-                let has_slots = span.from > 0 || slot_usage < MAX_OCCUPANCY;
-                let suspect_ms =
-                    if suspected.is_set(&entry.name, now) { SUSPECT_COST_MS } else { 0.0 };
-                let is_overloaded = overloaded.is_set(&entry.name, now);
-                Some(StageView {
-                    name: entry.name.clone(),
-                    start_unix_ms: entry.start_unix_ms,
-                    address: entry.address,
-                    domain: entry.domain.clone(),
-                    span,
-                    layer_ms: card.step_factor * engine.step_ms / f64::from(engine.layers)
-                        * rand::rng().random_range(1.0..=1.0 + jitter),
-                    streams: f64::from(load.streams),
-                    kv_usage: occupancy,
-                    has_room: occupancy < MAX_OCCUPANCY && !is_overloaded,
-                    penalty_ms: suspect_ms,
-                    may_start: has_slots
-                        && !self.notices.borrow().is_paused(entry.start(), now)
-                        && (query.ignores_rates || rates.may_send(entry.start(), now))
-                        && query.starts.is_none_or(|starts| starts.contains(&entry.name)),
-                })
-            })
-            .collect()
-    }
-
     /// Whether an endpoint, at which a send was over at the given time, is known to have ended: its
     /// entry is of another start, or its address has shown so since.
     pub fn has_ended_since(&self, endpoint: EndpointStart<'_>, at: Instant) -> bool {
@@ -860,47 +658,6 @@
         }
     }
 
-    /// Returns what is known to crash endpoints, the request itself or a part of its prompt, unless
-    /// it is sent as a trial; otherwise whether it is one. To be asked before every send.
-    pub(crate) fn check_poison(&self, call: &AllowedCall) -> Result<bool, BlamedPart> {
-        let (mut table, now) = (self.poison.borrow_mut(), Instant::now());
-        if table.is_empty() {
-            return Ok(false);
-        }
-        let suspects = call.suspects(&call.head.shared_parts);
-        let is_blamed = table.is_blamed(&suspects, now);
-        table.verdict(&suspects, self.is_holder(), now).map_or(Ok(is_blamed), Err)
-    }
-
-    /// Whether a request was under way at so many crashes that this host does not send it again by
-    /// itself.
-    pub(crate) fn is_doubtful(&self, call: &AllowedCall) -> bool {
-        let table = self.poison.borrow();
-        !table.is_empty() && table.is_doubtful(&call.suspect())
-    }
-
-    /// Records that an endpoint has answered a request, or has gone on past the beginning of a
-    /// stream.
-    pub(crate) fn record_answer(&self, call: &AllowedCall) {
-        let suspects = call.suspects(&call.head.shared_parts);
-        self.poison.borrow_mut().record_answer(&suspects, Instant::now());
-    }
-
-    /// Records that an endpoint broke off a request. `parts` are those parts of its prompt that may
-    /// be the cause, apart from the request itself.
-    pub(crate) fn record_cut(
-        &self,
-        call: &AllowedCall,
-        endpoint: &EndpointEntry,
-        parts: &[PromptPart],
-    ) {
-        let mut hasher = Sha256::new();
-        hasher.update(call.head.own_part.as_deref().unwrap_or(&call.head.attempt));
-        let tag = hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes));
-        let mut table = self.poison.borrow_mut();
-        table.record_break(endpoint.start(), &call.suspects(parts), tag, Instant::now());
-    }
-
     /// Changes the evidence on prompt parts, and logs the parts that are blamed from then on.
     pub fn change_poison(&self, change: impl FnOnce(&mut PoisonTable, Instant)) {
         let now = Instant::now();
@@ -933,43 +690,6 @@
     pub fn endpoint(&self, name: &str) -> Option<EndpointEntry> {
         self.endpoints.borrow().get(name).cloned()
     }
-
-    /// Whether requests can be served: rules are known, other hosts were asked, and each model has a
-    /// path.
-    pub fn is_ready(&self) -> bool {
-        let may_serve = !self.is_leaving() && self.has_asked_hosts.get();
-        let Some(rules) = self.rules().filter(|_| may_serve) else { return false };
-        let none = BTreeSet::new();
-        rules.rules().services.iter().filter(|(_, service)| service.engine.is_some()).all(
-            |(name, _)| {
-                let query = PathQuery {
-                    service: name,
-                    tokens: 1,
-                    starts: None,
-                    avoid: &none,
-                    ignores_rates: true,
-                };
-                // Readiness ignores the crossing quota of this host.
-                self.path_with(&query, |engine| self.link_share(engine)).is_some()
-            },
-        )
-    }
-}
-
-/// Logs the layers that could not be replaced, with the endpoints nearby that hold some of them.
-fn log_no_detour(path: &[PathStage], lost: &BTreeSet<EndpointName>, stages: &[StageView]) {
-    let missing = path.iter().filter(|stage| lost.contains(&stage.name)).map(|stage| {
-        let is_nearby = |view: &&StageView| {
-            let overlaps = view.span.from < stage.span.to && stage.span.from < view.span.to;
-            view.domain == stage.domain && overlaps
-        };
-        let holders = stages.iter().filter(is_nearby);
-        let holders: Vec<_> =
-            holders.map(|view| (&*view.name, view.span, view.kv_usage, view.has_room)).collect();
-        (&*stage.name, stage.span, holders)
-    });
-    let missing: Vec<_> = missing.collect();
-    log::info!(event = "no_detour", missing:? = missing; "no endpoints can replace lost stages");
 }
 
 /// Limits of a host with the given share of the budget. Only the slack is divided between hosts:
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -19,8 +19,9 @@
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
 use crate::context::{CALLER_TIMEOUT, RetryReason, StreamContext};
+use crate::failure::SourceFailure;
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
-use crate::source::{SourceFailure, SourceHead, SourceStep, StreamSource};
+use crate::source::{SourceHead, SourceStep, StreamSource};
 use crate::state::EntryState;
 
 /// Silence after which a stream is not sent to another endpoint beside the silent one: the other
