--- a/crates/entry/tests/routing_views.rs
+++ b/crates/entry/tests/routing_views.rs
@@ -210,8 +210,8 @@
     assert!(tables.stages_for(&query, tables.now).iter().all(|stage| !stage.may_start));
 }
 
-/// An endpoint with a rate limit starts no path without a permit, except for searches that do not
-/// send: detours, and the readiness of the host.
+/// An endpoint with a rate limit starts no path without a permit, except in searches that start no
+/// stream: detours, and the readiness of the host.
 #[test]
 fn endpoint_without_a_permit_starts_no_path() {
     let mut tables = HostTables::new();
