Starters as capacity of the layout: number per domain from usage and memory

The layout counted memory and copies of layers, but never starts, so that streams were refused for want of a slot while later layers had memory left. The new module starts.rs decides how many starters a domain should have; the planner chooses cards one at a time and goes on to rebalance the others.

--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -13,10 +13,11 @@
 //! domain. Layers therefore move between cards until the room is balanced: the new holder loads
 //! them first, and the old holder releases them once another card serves them.
 //!
-//! Streams start at the cards that hold the first layer. If the rate limits of all of them in a
-//! domain leave too few starts, another card of the domain becomes a starter: its neighbours take
-//! over its layers, then it holds the first layer alone, and streams go on from it through the
-//! limited cards, whose limits count starts only.
+//! Streams start at the cards that hold the first layer. If these accept too few starts, because of
+//! their slots (module `starts`) or since the rate limits of all of them are exceeded, other cards of
+//! the domain become starters, one at a time: the neighbours take over the layers of a starter, then
+//! it holds the first layer alone, and streams go on from it through the other cards. A starter that
+//! is no longer needed moves to the layers with the fewest copies.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -27,7 +28,7 @@
 /// Share of a card's memory for weights when it is first placed; the rest is for the KV cache. A
 /// larger share can add a second copy to a domain, at the expense of the first copy's streams; a
 /// smaller one makes each stream pass through more cards.
-const WEIGHT_SHARE: f64 = 0.6;
+pub(crate) const WEIGHT_SHARE: f64 = 0.6;
 /// Largest share of a card's memory for weights, when closing a gap or rebalancing.
 const MAX_WEIGHT_SHARE: f64 = 0.9;
 /// Memory that a card must keep free when it is extended, as a multiple of what its streams use. An
@@ -89,6 +90,10 @@
     pub is_free: bool,
     /// Requests that may start here.
     pub start_rate: StartRate,
+    /// Number of streams that may start here and be in progress at the same time.
+    pub slots: u32,
+    /// Streams in progress that started here, over all hosts.
+    pub starts: u32,
 }
 
 /// An order to an endpoint to hold a span of layers.
@@ -116,6 +121,8 @@
 ///     used_mb: 0.0,
 ///     is_free: true,
 ///     start_rate: StartRate::Unlimited,
+///     slots: 192,
+///     starts: 0,
 /// };
 /// let shape = ModelShape { layers: 4, layer_mb: 10.0 };
 /// let orders = LayoutPlanner::default().orders(shape, &[card]);
@@ -124,8 +131,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct LayoutPlanner {
     targets: BTreeMap<DomainName, DomainTarget>,
-    /// The starter of each domain that needs one, from its choice on.
-    starters: BTreeMap<DomainName, EndpointName>,
+    /// Number of starters that each domain should have for want of slots.
+    wanted: BTreeMap<DomainName, usize>,
+    /// The starters of each domain, from their choice on.
+    starters: BTreeMap<DomainName, BTreeSet<EndpointName>>,
+    /// Former starters that still hold the first layer alone.
+    released: BTreeSet<EndpointName>,
 }
 
 /// The balanced layout that a domain moves towards. It is kept while the set of cards stays the
@@ -146,59 +157,162 @@
     /// it. A starter is moved as a whole, once other cards serve all of its layers.
     pub fn orders(&mut self, shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
         self.update_starters(shape, cards);
-        let mut draft = LayoutDraft::new(shape, cards, self.starters.values().cloned().collect());
+        let mut draft = LayoutDraft::new(shape, cards, self.reserved());
         draft.place_empty_cards();
         draft.close_gaps();
-        draft.move_starters();
+        draft.move_starters(&self.released);
         if draft.is_unchanged() {
             draft.rebalance(&mut self.targets);
         }
         draft.orders()
     }
 
-    /// Chooses starters for domains that need one, and drops those that are no longer needed.
+    /// Sets the number of starters that each domain should have for want of slots; none at first.
+    ///
+    /// ```
+    /// use jacinthrock_entry::LayoutPlanner;
+    ///
+    /// let mut planner = LayoutPlanner::default();
+    /// planner.set_wanted([("north".into(), 2)].into());
+    /// ```
+    pub fn set_wanted(&mut self, wanted: BTreeMap<DomainName, usize>) {
+        self.wanted = wanted;
+    }
+
+    /// Keeps, releases and chooses starters so that each domain gets as many as it should have.
     fn update_starters(&mut self, shape: ModelShape, cards: &[CardView]) {
-        let starts = |card: &&CardView| card.held.is_some_and(|span| span.holds(0));
-        let is_limited = |domain: &str| {
-            let mut in_domain = cards.iter().filter(starts).filter(|card| &*card.domain == domain);
-            in_domain.any(|card| card.start_rate != StartRate::Unlimited)
-        };
-        self.starters.retain(|domain, name| {
-            let is_usable = |card: &CardView| {
-                card.name == *name
-                    && card.domain == *domain
-                    && card.held.is_some()
-                    && card.start_rate != StartRate::Exceeded
-            };
-            cards.iter().any(is_usable) && is_limited(domain)
+        for (domain, names) in &mut self.starters {
+            names.retain(|name| {
+                cards.iter().any(|card| {
+                    card.name == *name
+                        && card.domain == *domain
+                        && card.held.is_some()
+                        && card.start_rate != StartRate::Exceeded
+                })
+            });
+        }
+        self.released.retain(|name| {
+            cards.iter().any(|card| card.name == *name && card.held == Some(STARTER_SPAN))
         });
         let domains: BTreeSet<&DomainName> = cards.iter().map(|card| &card.domain).collect();
         for domain in domains {
-            let mut started = cards.iter().filter(starts).filter(|card| card.domain == *domain);
-            // A former holder of the placement lease may have moved one.
-            let mut moved = cards.iter().filter(|card| {
-                card.domain == *domain
-                    && card.held == Some(STARTER_SPAN)
-                    && card.start_rate == StartRate::Unlimited
-            });
-            if is_limited(domain) && !self.starters.contains_key(domain) {
-                self.starters.extend(moved.next().map(|card| (domain.clone(), card.name.clone())));
+            let members: Vec<_> = cards.iter().filter(|card| card.domain == *domain).collect();
+            let wanted = self.wanted.get(domain).copied().unwrap_or_default();
+            let wanted = wanted.max(self.wanted_for_rates(shape, domain, &members));
+            let before = self.starters.get(domain).cloned().unwrap_or_default();
+            self.adopt_starters(shape, domain, &members, wanted);
+            self.release_starter(domain, &members, wanted);
+            self.choose_starter(shape, cards, domain, wanted);
+            if self.starters.get(domain).is_some_and(|names| *names != before) {
+                self.targets.remove(domain);
             }
-            let is_exceeded = |card: &CardView| card.start_rate == StartRate::Exceeded;
-            let needs_starter = is_limited(domain) && started.all(is_exceeded);
-            if !needs_starter || self.starters.contains_key(domain) {
-                continue;
+        }
+    }
+
+    /// Number of starters that a domain should have because of rate limits: one once the limits of
+    /// all its first stages are exceeded, until none of them has a limit.
+    fn wanted_for_rates(
+        &self,
+        shape: ModelShape,
+        domain: &DomainName,
+        members: &[&CardView],
+    ) -> usize {
+        let first_stages = || members.iter().filter(|card| holds_first_layer(card));
+        let is_limited = first_stages().any(|card| card.start_rate != StartRate::Unlimited);
+        let has_starter = self.starters.get(domain).is_some_and(|names| !names.is_empty())
+            || starters_in(shape, members).any(|card| card.start_rate == StartRate::Unlimited);
+        let is_exceeded = first_stages().all(|card| card.start_rate == StartRate::Exceeded);
+        usize::from(is_limited && (has_starter || is_exceeded))
+    }
+
+    /// Takes over starters that a former holder of the placement lease has made, and those that were
+    /// released but have not moved yet.
+    fn adopt_starters(
+        &mut self,
+        shape: ModelShape,
+        domain: &DomainName,
+        members: &[&CardView],
+        wanted: usize,
+    ) {
+        let names = self.starters.entry(domain.clone()).or_default();
+        for card in starters_in(shape, members) {
+            if names.len() < wanted && card.start_rate != StartRate::Exceeded {
+                names.insert(card.name.clone());
+                self.released.remove(&card.name);
             }
-            let excluded: BTreeSet<_> = self.starters.values().cloned().collect();
-            if let Some(name) = best_starter(shape, cards, domain, &excluded) {
-                self.starters.insert(domain.clone(), name);
-                self.targets.remove(domain);
+        }
+    }
+
+    /// Releases a starter if the domain has too many: one that has not moved yet, or else the one
+    /// with the most memory.
+    fn release_starter(&mut self, domain: &DomainName, members: &[&CardView], wanted: usize) {
+        let names = self.starters.entry(domain.clone()).or_default();
+        let is_releasing = members.iter().any(|card| self.released.contains(&card.name));
+        if names.len() <= wanted || is_releasing {
+            return;
+        }
+        let starters = members.iter().filter(|card| names.contains(&card.name));
+        let last = starters.max_by(|a, b| {
+            let is_moving = |card: &CardView| card.held != Some(STARTER_SPAN);
+            is_moving(a)
+                .cmp(&is_moving(b))
+                .then_with(|| a.memory_mb.total_cmp(&b.memory_mb))
+                .then_with(|| b.name.cmp(&a.name))
+        });
+        if let Some(card) = last {
+            names.remove(&card.name);
+            if card.held == Some(STARTER_SPAN) {
+                self.released.insert(card.name.clone());
             }
         }
     }
+
+    /// Chooses another starter if the domain has too few and no card is on its way to become one or
+    /// to be none.
+    fn choose_starter(
+        &mut self,
+        shape: ModelShape,
+        cards: &[CardView],
+        domain: &DomainName,
+        wanted: usize,
+    ) {
+        let excluded = self.reserved();
+        let is_in_transit = |card: &CardView| {
+            let is_reserved = card.domain == *domain && excluded.contains(&card.name);
+            is_reserved && (card.loaded != Some(STARTER_SPAN) || self.released.contains(&card.name))
+        };
+        let names = self.starters.entry(domain.clone()).or_default();
+        if names.len() < wanted && !cards.iter().any(is_in_transit) {
+            names.extend(best_starter(shape, cards, domain, &excluded));
+        }
+    }
+
+    /// Starters and former starters, which the layout of the other cards must do without.
+    fn reserved(&self) -> BTreeSet<EndpointName> {
+        self.starters.values().flatten().chain(&self.released).cloned().collect()
+    }
 }
 
-/// The card of a domain without which the tightest layer of the domain keeps the most room.
+/// Whether a card holds the first layer or has been ordered to.
+fn holds_first_layer(card: &CardView) -> bool {
+    card.held.is_some_and(|span| span.holds(0))
+}
+
+/// Cards of one domain that hold the first layer alone, if another card holds it together with
+/// others: without one, they are the first stages of whole copies.
+pub(crate) fn starters_in<'a>(
+    shape: ModelShape,
+    members: &[&'a CardView],
+) -> impl Iterator<Item = &'a CardView> {
+    let is_starter = |card: &CardView| card.held == Some(STARTER_SPAN);
+    let has_other = members.iter().any(|card| holds_first_layer(card) && !is_starter(card));
+    let may_have = has_other && shape.layers > STARTER_SPAN.count();
+    let starters = members.iter().copied().filter(move |card| may_have && is_starter(card));
+    starters.collect::<Vec<_>>().into_iter()
+}
+
+/// The card of a domain without which the tightest layer of the domain keeps the most room. A first
+/// stage is none, since the domain would start no more streams than before.
 fn best_starter(
     shape: ModelShape,
     cards: &[CardView],
@@ -213,6 +327,8 @@
         });
         &*card.domain == domain
             && card.start_rate == StartRate::Unlimited
+            && card.slots > 0
+            && !holds_first_layer(card)
             && card.is_free
             && card.held.is_some()
             && card.held == card.loaded
@@ -225,8 +341,7 @@
         while let Some((index, span)) = draft.best_extension(domain, 1, 0.0) {
             draft.extend(index, span);
         }
-        let others: Vec<_> =
-            draft.members(domain).into_iter().filter(|index| !draft.is_reserved(*index)).collect();
+        let others = draft.members(domain);
         let is_whole = draft.copies[domain].iter().all(|count| *count > 0);
         is_whole.then(|| (draft.min_room(&others), &card.name))
     });
@@ -238,7 +353,7 @@
 struct LayoutDraft<'a> {
     shape: ModelShape,
     cards: &'a [CardView],
-    /// Starters, whose layers count as if they were gone.
+    /// Starters and former starters, whose layers count as if they were gone.
     reserved: BTreeSet<EndpointName>,
     /// Planned span of each card.
     spans: Vec<Option<LayerSpan>>,
@@ -270,16 +385,29 @@
         self.reserved.contains(&self.cards[index].name)
     }
 
-    /// Moves starters whose layers other cards of their domain serve.
-    fn move_starters(&mut self) {
+    /// Moves starters and former starters whose layers other cards of their domain serve.
+    fn move_starters(&mut self, released: &BTreeSet<EndpointName>) {
         for index in 0..self.cards.len() {
             let card = &self.cards[index];
             let Some(span) = self.spans[index].filter(|_| self.is_reserved(index)) else {
                 continue;
             };
             let is_served = (span.from..span.to).all(|layer| self.serving(index, layer) > 0);
-            if card.is_free && span != STARTER_SPAN && is_served {
+            if !card.is_free || !is_served {
+                continue;
+            }
+            if !released.contains(&card.name) {
                 self.spans[index] = Some(STARTER_SPAN);
+                continue;
+            }
+            // The layers are loaded while streams still run through the first layer.
+            let left = card.memory_mb - card.used_mb * STREAM_MEMORY_MARGIN;
+            let left = (left / self.shape.layer_mb).floor() - f64::from(span.count());
+            let count = left.clamp(0.0, f64::from(self.max_layers(card, WEIGHT_SHARE))) as u16;
+            if count > 0 {
+                let span = self.least_covered_span(index, count);
+                self.spans[index] = Some(span);
+                self.add_copies(index, span);
             }
         }
     }
@@ -435,9 +563,6 @@
         targets.retain(|domain, _| domains.contains(&&**domain));
         for domain in domains {
             let members = self.members(domain);
-            if members.iter().any(|index| self.is_reserved(*index)) {
-                continue;
-            }
             let names = || members.iter().map(|index| &self.cards[*index].name);
             let is_current = |target: &DomainTarget| {
                 target.members.len() == members.len()
@@ -469,10 +594,12 @@
             || self.min_room(members) < self.balanced_room(members) * REBALANCE_ROOM_SHARE
     }
 
-    /// Indexes of the domain's cards that hold layers.
+    /// Indexes of the domain's cards that hold layers, without starters.
     fn members(&self, domain: &str) -> Vec<usize> {
         let cards = self.cards.iter().zip(&self.spans).enumerate();
-        let held = cards.filter(|(_, (card, span))| &*card.domain == domain && span.is_some());
+        let held = cards.filter(|(index, (card, span))| {
+            &*card.domain == domain && span.is_some() && !self.is_reserved(*index)
+        });
         held.map(|(index, _)| index).collect()
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`.
+//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`,
+//! `starts`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -48,6 +49,7 @@
 mod shutdown;
 mod source;
 mod stall;
+mod starts;
 mod state;
 mod stream;
 mod version;
@@ -97,5 +99,6 @@
 pub use run::{EntryError, run_entry};
 pub use shutdown::{OtherHosts, StopPlan, StreamTimes};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
+pub use starts::{StartChange, StartInputs, StartPlanner};
 pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -20,10 +20,12 @@
 use crate::endpoints::{EndpointEntry, LayerSpan};
 use crate::follow::endpoints_changed;
 use crate::layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape, StartRate};
+use crate::loads::LoadMap;
 use crate::orders::post_order;
 use crate::peers;
 use crate::relay::spread_time;
 use crate::sending::fetch_report;
+use crate::starts::{StartInputs, StartPlanner};
 use crate::state::{EntryState, PlacementHolder};
 use crate::version::RegistryVersion;
 
@@ -464,7 +466,7 @@
 /// Plans the layout of every service in rounds and sends the resulting orders.
 async fn run_planner(state: Rc<EntryState>) {
     let tracker = Rc::new(RefCell::new(OrderTracker::default()));
-    let mut planners: BTreeMap<ServiceName, LayoutPlanner> = BTreeMap::new();
+    let mut planners: BTreeMap<ServiceName, (StartPlanner, LayoutPlanner)> = BTreeMap::new();
     let (mut count, mut since) = (0, Instant::now());
     loop {
         sleep(PLAN_INTERVAL).await;
@@ -474,15 +476,26 @@
         }
         confirm_loaded(&state, &tracker);
         let Some(rules) = state.rules() else { continue };
+        let loads = recent_loads(&state);
         for (service, rule) in &rules.rules().services {
             let Some(engine) = &rule.engine else { continue };
-            let cards = card_views(&state, service, &mut tracker.borrow_mut());
+            let cards = card_views(&state, service, loads.as_ref(), &mut tracker.borrow_mut());
             let is_fresh = cards.iter().all(|card| card.held.is_none());
             if is_fresh && since.elapsed() < SETTLE_TIME {
                 continue;
             }
             let shape = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
-            let planner = planners.entry(service.clone()).or_default();
+            let (starts, planner) = planners.entry(service.clone()).or_default();
+            let tokens = engine.mean_prompt_tokens.saturating_add(engine.mean_output_tokens);
+            let inputs = StartInputs {
+                shape,
+                stream_mb: f64::from(tokens) * engine.token_layer_mb,
+                cards: &cards,
+                has_loads: loads.is_some(),
+                is_first_start: state.options.is_first_start,
+            };
+            update_starts(&state, service, starts, inputs);
+            planner.set_wanted(starts.wanted());
             for order in planner.orders(shape, &cards) {
                 let card = cards.iter().find(|card| card.name == order.name);
                 let held = card.and_then(|card| card.held);
@@ -497,6 +510,33 @@
     }
 }
 
+/// Loads of all hosts on each endpoint; none if this host has not heard the others lately.
+fn recent_loads(state: &EntryState) -> Option<LoadMap> {
+    let now = Instant::now();
+    let mut loads = state.relay_loads.borrow_mut();
+    let is_alone = state.peers.borrow().is_empty();
+    let has_heard = state.peer_loads.borrow().is_fresh(now) && loads.has_members(now);
+    (is_alone || has_heard).then(|| loads.group_total(&state.own_load(), now).loads)
+}
+
+/// Updates the number of starters that each domain of a service should have, and logs its changes.
+fn update_starts(
+    state: &EntryState,
+    service: &str,
+    starts: &mut StartPlanner,
+    inputs: StartInputs<'_>,
+) {
+    for change in starts.update(inputs, Instant::now()) {
+        let labels = [service, &*change.domain];
+        state.metrics.set(MetricName::StartersWanted, &labels, change.wanted as i64);
+        log::info!(
+            event = "starters_wanted", service, domain = &*change.domain, wanted = change.wanted,
+            starts_in_use = change.in_use, start_capacity = change.start_capacity,
+            memory_capacity = change.memory_capacity; "number of starters of a domain changes"
+        );
+    }
+}
+
 /// Asks endpoints whose loading should be complete which layers they hold. The registry learns of
 /// them only with the endpoint's next heartbeat, a second later.
 fn confirm_loaded(state: &Rc<EntryState>, tracker: &Rc<RefCell<OrderTracker>>) {
@@ -546,7 +586,12 @@
 
 /// Views of a service's usable cards for the planner; drops pending orders that are complete,
 /// expired or addressed to an endpoint that is draining or lost.
-fn card_views(state: &EntryState, service: &str, tracker: &mut OrderTracker) -> Vec<CardView> {
+fn card_views(
+    state: &EntryState,
+    service: &str,
+    loads: Option<&LoadMap>,
+    tracker: &mut OrderTracker,
+) -> Vec<CardView> {
     let now = Instant::now();
     let endpoints = state.endpoints.borrow();
     let rules = state.rules();
@@ -589,6 +634,8 @@
             used_mb: state.total_load(&entry.name).token_layers as f64 * token_layer_mb,
             is_free: pending.is_none(),
             start_rate: start_rate(state, entry, now),
+            slots: entry.slots,
+            starts: loads.and_then(|loads| loads.get(&entry.name)).map_or(0, |load| load.starts),
         });
     }
     views
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -39,6 +39,8 @@
                     used_mb: 0.0,
                     is_free: true,
                     start_rate: StartRate::Unlimited,
+                    slots: 192,
+                    starts: 0,
                 });
             }
         }
