--- a/crates/entry/tests/layout_cards.rs
+++ b/crates/entry/tests/layout_cards.rs
@@ -2,7 +2,9 @@
 
 mod support;
 
-use jacinthrock_entry::{CardView, LayerSpan, LayoutPlanner, StartRate};
+use std::collections::{BTreeMap, BTreeSet};
+
+use jacinthrock_entry::{CardView, DomainName, LayerSpan, LayoutOrder, LayoutPlanner, StartRate};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use support::{
@@ -42,12 +44,7 @@
 /// copies, so that streams can do the same after the next loss.
 #[test]
 fn lost_copies_are_replaced() {
-    let mut fleet = empty_fleet();
-    let twins = empty_fleet().into_iter().map(|card| {
-        let name = format!("{}-twin", card.name).into();
-        CardView { name, ..card }
-    });
-    fleet.extend(twins);
+    let mut fleet = twin_fleet();
     converge(&mut fleet);
     for lost in 0..fleet.len() {
         let mut cards = fleet.clone();
@@ -284,3 +281,120 @@
     });
     assert!(settled.is_some(), "the layout does not settle after the limits");
 }
+
+fn starters(cards: &[CardView], domain: &str) -> usize {
+    let near = cards.iter().filter(|card| &*card.domain == domain);
+    near.filter(|card| card.held == Some(LayerSpan { from: 0, to: 1 })).count()
+}
+
+/// A fleet with a second card for each of the sample deployment.
+fn twin_fleet() -> Vec<CardView> {
+    let mut fleet = empty_fleet();
+    let twins = empty_fleet().into_iter().map(|card| {
+        let name = format!("{}-twin", card.name).into();
+        CardView { name, ..card }
+    });
+    fleet.extend(twins);
+    fleet
+}
+
+fn wanted_everywhere(count: usize) -> BTreeMap<DomainName, usize> {
+    DOMAINS.into_iter().map(|domain| (domain.into(), count)).collect()
+}
+
+/// Each change takes memory of the other cards; two at the same time could leave too little.
+#[test]
+fn one_card_of_a_domain_at_a_time_becomes_a_starter() {
+    let mut cards = twin_fleet();
+    converge(&mut cards);
+    let mut planner = LayoutPlanner::default();
+    planner.set_wanted(wanted_everywhere(3));
+    for _ in 0..40 {
+        let before = DOMAINS.map(|domain| starters(&cards, domain));
+        let orders = planner.orders(SHAPE, &cards);
+        let loaded: Vec<_> = cards.iter().map(|card| card.loaded).collect();
+        apply_orders(&mut cards, &orders);
+        for (domain, before) in DOMAINS.into_iter().zip(before) {
+            assert!(starters(&cards, domain) <= before + 1, "{orders:?}");
+        }
+        // While the orders are under way, nothing else changes but what they concern.
+        let under_way = orders.iter().map(|order| &order.name);
+        let under_way: BTreeSet<_> = under_way.collect();
+        for (card, loaded) in cards.iter_mut().zip(loaded) {
+            if under_way.contains(&card.name) {
+                (card.loaded, card.is_free) = (loaded, false);
+            }
+        }
+        let during = planner.orders(SHAPE, &cards);
+        let is_starter = |order: &&LayoutOrder| order.span == LayerSpan { from: 0, to: 1 };
+        for order in during.iter().filter(is_starter) {
+            let domain = &cards.iter().find(|card| card.name == order.name).expect("a card").domain;
+            let is_same = |card: &&CardView| card.domain == *domain && !card.is_free;
+            let starting = cards.iter().filter(is_same).map(|card| card.held);
+            let mut starting = starting.filter(|held| *held == Some(order.span));
+            assert!(starting.next().is_none(), "two starters under way in {domain}");
+        }
+        apply_orders(&mut cards, &during);
+        for card in &mut cards {
+            (card.loaded, card.is_free) = (card.held, true);
+        }
+    }
+    for domain in DOMAINS {
+        assert_eq!(starters(&cards, domain), 3, "{domain}");
+    }
+}
+
+/// A starter for want of slots also serves where rate limits are exceeded; two would take memory.
+#[test]
+fn both_reasons_for_starters_make_one_count() {
+    let mut cards = twin_fleet();
+    converge(&mut cards);
+    limit_starts(&mut cards);
+    let mut planner = LayoutPlanner::default();
+    planner.set_wanted(wanted_everywhere(1));
+    for _ in 0..40 {
+        let orders = planner.orders(SHAPE, &cards);
+        apply_orders(&mut cards, &orders);
+    }
+    for domain in DOMAINS {
+        assert_eq!(starters(&cards, domain), 1, "{domain}");
+    }
+    planner.set_wanted(wanted_everywhere(0));
+    let orders = planner.orders(SHAPE, &cards);
+    assert_eq!(orders, [], "a starter is removed although limits are exceeded");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 16, rng_seed: RngSeed::Fixed(6), ..ProptestConfig::default() })]
+
+    /// While the wanted numbers of starters change and cards are lost and added, no order exceeds the
+    /// memory of a card, planning ends, and every domain keeps a whole copy.
+    #[test]
+    fn planning_with_starters_ends_and_covers(
+        events in prop::collection::vec((0_usize..70, 0_usize..4), 1..10),
+    ) {
+        let mut cards = twin_fleet();
+        converge(&mut cards);
+        let mut planner = LayoutPlanner::default();
+        for (number, (pick, wanted)) in events.into_iter().enumerate() {
+            planner.set_wanted([(DOMAINS[pick % 3].into(), wanted)].into());
+            if pick % 2 == 0 {
+                cards.remove(pick % cards.len());
+            } else {
+                let kind = &empty_fleet()[pick % 39];
+                let name = format!("new-{number}").into();
+                cards.push(CardView { name, is_idle: true, ..kind.clone() });
+            }
+            let is_settled = (0..200).any(|_| {
+                let orders = planner.orders(SHAPE, &cards);
+                apply_orders(&mut cards, &orders);
+                orders.is_empty()
+            });
+            prop_assert!(is_settled, "planning does not end with {} starters", wanted);
+            for domain in DOMAINS {
+                prop_assert!(capacity_of(&cards, domain) > 0.0, "{} lacks a layer", domain);
+            }
+            prop_assert_eq!(starters(&cards, DOMAINS[pick % 3]), wanted);
+        }
+    }
+}
