--- a/crates/entry/tests/start_capacity.rs
+++ b/crates/entry/tests/start_capacity.rs
@@ -172,12 +172,36 @@
 fn small_deployment_with_low_use_keeps_its_layout() {
     for in_use in [0.0, 20.0 / 3.0, 20.0, 45.0] {
         let mut service = Service::small();
+        // One first stage in each domain: a second one has no slots.
+        for domain in DOMAINS {
+            let near = service.cards.iter_mut().filter(|card| &*card.domain == domain);
+            near.filter(|card| is_first_stage(card)).skip(1).for_each(|card| card.slots = 0);
+        }
+        let starts = DOMAINS.map(|domain| service.starts_of(domain));
+        assert!(starts.iter().all(|starts| *starts == 192.0 * 0.95), "{starts:?}");
         let rounds = service.run(200, |_| in_use);
         assert_eq!(changes(&rounds), 0, "starters for {in_use} streams in each domain");
         assert!(rounds.iter().all(|round| round.orders.is_empty()), "the layout changes");
     }
 }
 
+/// A service whose streams mostly start at one card must be able to start them after its loss. The
+/// starter must not come and go although its own domain has spare starts.
+#[test]
+fn largest_first_stage_is_backed_by_starters() {
+    let mut service = Service::large();
+    let large = service.cards.iter_mut().find(|card| is_first_stage(card)).expect("a first stage");
+    large.slots = 3_000;
+    let load = |domain: &str| if domain == "north" { 1_500.0 } else { 120.0 };
+    let rounds = service.run(300, load);
+    let largest = 3_000.0 * 0.95;
+    let left: f64 = DOMAINS.iter().map(|domain| service.starts_of(domain)).sum::<f64>() - largest;
+    println!("{left:.0} starts without the largest, {:?}", service.starter_counts());
+    assert!(left >= 1_740.0, "{left} starts are left after the loss of the largest");
+    assert!(service.wanted().iter().any(|wanted| *wanted > 0));
+    assert_eq!(changes(&rounds[200..]), 0, "the starters come and go");
+}
+
 /// The loss of a first stage at low use is no reason for starters.
 #[test]
 fn small_deployment_with_low_use_gets_no_starter_after_a_loss() {
