--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -123,9 +123,9 @@
         for domain in names {
             let members: Vec<_> = cards.iter().filter(|card| card.domain == *domain).collect();
             let starts = self.domains.entry(domain.clone()).or_default();
-            let present = starters_in(inputs.shape, &members).count();
-            starts.record_cards(&members, present);
-            usages.insert(domain.clone(), DomainUsage::new(&inputs, &members, present));
+            let present: Vec<_> = starters_in(inputs.shape, &members).collect();
+            starts.record_cards(&members, present.len());
+            usages.insert(domain.clone(), DomainUsage::new(&inputs, &members, &present));
         }
         if inputs.has_loads {
             self.add_starters(&usages);
@@ -242,6 +242,8 @@
     starter_capacity: f64,
     /// Typical streams that its tightest layer has memory for.
     memory: f64,
+    /// Memory of one card as a share of the room of all cards that are no starters.
+    starter_room_share: f64,
     cards: usize,
     /// Starters among the cards.
     present: usize,
@@ -250,7 +252,7 @@
 }
 
 impl DomainUsage {
-    fn new(inputs: &StartInputs<'_>, members: &[&CardView], present: usize) -> Self {
+    fn new(inputs: &StartInputs<'_>, members: &[&CardView], starters: &[&CardView]) -> Self {
         let shape = inputs.shape;
         let model_mb = f64::from(shape.layers) * shape.layer_mb;
         let memory_mb: f64 = members.iter().map(|card| card.memory_mb).sum();
@@ -261,14 +263,22 @@
         let first_stages = members.iter().filter(serves_first).map(|card| capacity_of(card));
         let others = members.iter().filter(|card| card.slots > 0).map(|card| capacity_of(card));
         let others: Vec<f64> = others.collect();
+        let room_of = |card: &&CardView| {
+            let layers = card.loaded.map_or(0, |span| span.count());
+            (card.memory_mb - f64::from(layers) * shape.layer_mb).max(0.0)
+        };
+        let starters_mb: f64 = starters.iter().map(room_of).sum();
+        let room_mb = members.iter().map(room_of).sum::<f64>() - starters_mb;
+        let card_mb = memory_mb / members.len().max(1) as f64;
         Self {
             in_use: members.iter().map(|card| f64::from(card.starts)).sum(),
             capacity: first_stages.clone().sum(),
             largest: first_stages.fold(0.0, f64::max),
             starter_capacity: others.iter().sum::<f64>() / others.len().max(1) as f64,
             memory: tightest_streams(inputs, members),
+            starter_room_share: if room_mb > 0.0 { card_mb / room_mb } else { 0.0 },
             cards: members.len(),
-            present,
+            present: starters.len(),
             has_copies: memory_mb * WEIGHT_SHARE >= model_mb * MIN_FIRST_COPIES,
         }
     }
@@ -279,12 +289,11 @@
         (self.capacity + added * self.starter_capacity).max(0.0)
     }
 
-    /// Typical streams that the domain has memory for with a number of starters: each starter takes
-    /// the share of one card from the later layers.
+    /// Typical streams that the domain has memory for with a number of starters. The other cards
+    /// take over the weights of a starter, so that its whole memory is taken from their room.
     fn memory_capacity(&self, starters: usize) -> f64 {
-        let others = self.cards.saturating_sub(self.present) as f64;
-        let left = self.cards.saturating_sub(starters) as f64;
-        if others > 0.0 { self.memory * left / others } else { 0.0 }
+        let added = starters as f64 - self.present as f64;
+        self.memory * (1.0 - added * self.starter_room_share).max(0.0)
     }
 
     /// Share of the start capacity in use with a number of starters.
