Number of starters from memory split evenly; no rebalancing under load beside starters

The memory at the tightest layer moves while cards are lost and replaced, and the number of starters followed. Rebalancing a domain with starters while it has streams made streams pause.

--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -385,6 +385,12 @@
         self.reserved.contains(&self.cards[index].name)
     }
 
+    /// Whether a domain has starters or former starters.
+    fn has_reserved(&self, domain: &str) -> bool {
+        let mut cards = self.cards.iter().filter(|card| &*card.domain == domain);
+        cards.any(|card| self.reserved.contains(&card.name))
+    }
+
     /// Moves starters and former starters whose layers other cards of their domain serve.
     fn move_starters(&mut self, released: &BTreeSet<EndpointName>) {
         for index in 0..self.cards.len() {
@@ -574,6 +580,12 @@
             if !members.iter().all(|index| self.cards[*index].is_free) {
                 continue;
             }
+            // Streams pause at each card that loads or releases layers. A domain with starters has
+            // other room for them than that of its tightest layer.
+            let has_streams = members.iter().any(|index| self.cards[*index].used_mb > 0.0);
+            if has_streams && self.has_reserved(domain) {
+                continue;
+            }
             if !targets.contains_key(domain) && self.is_unbalanced(domain, &members) {
                 let spans = self.balanced_spans(&members).into_iter();
                 let spans = spans.map(|(index, span)| (self.cards[index].name.clone(), span));
--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -56,7 +56,7 @@
     pub in_use: u32,
     /// Streams that its first stages can start, with the starters that it should have.
     pub start_capacity: f64,
-    /// Typical streams that its tightest layer has memory for, with these starters.
+    /// Typical streams for which it has memory with these starters, split evenly over the layers.
     pub memory_capacity: f64,
 }
 
@@ -243,10 +243,10 @@
     largest: f64,
     /// Streams that one more starter can start.
     starter_capacity: f64,
-    /// Typical streams that its tightest layer has memory for.
+    /// Typical streams for which its cards have memory, were it split evenly over the layers.
     memory: f64,
-    /// Memory of one card as a share of the room of all cards that are no starters.
-    starter_room_share: f64,
+    /// Typical streams for which the memory of one card suffices.
+    card_memory: f64,
     cards: usize,
     /// Starters among the cards.
     present: usize,
@@ -266,20 +266,24 @@
         let first_stages = members.iter().filter(serves_first).map(|card| capacity_of(card));
         let others = members.iter().filter(|card| card.slots > 0).map(|card| capacity_of(card));
         let others: Vec<f64> = others.collect();
-        let room_of = |card: &&CardView| {
-            let layers = card.loaded.map_or(0, |span| span.count());
-            (card.memory_mb - f64::from(layers) * shape.layer_mb).max(0.0)
+        let is_whole = (0..shape.layers)
+            .all(|layer| members.iter().any(|card| card.loaded.is_some_and(|s| s.holds(layer))));
+        let is_starter = |card: &CardView| starters.iter().any(|other| other.name == card.name);
+        let carriers = members.iter().filter(|card| card.loaded.is_some() && !is_starter(card));
+        let carriers_mb: f64 = carriers.map(|card| card.memory_mb).sum();
+        let copies = (carriers_mb * WEIGHT_SHARE / model_mb).floor().max(1.0);
+        let streams_in = |memory_mb: f64| {
+            let streams = memory_mb / f64::from(shape.layers) / inputs.stream_mb;
+            if streams.is_finite() { streams.max(0.0) } else { 0.0 }
         };
-        let starters_mb: f64 = starters.iter().map(room_of).sum();
-        let room_mb = members.iter().map(room_of).sum::<f64>() - starters_mb;
-        let card_mb = memory_mb / members.len().max(1) as f64;
+        let room_mb = if is_whole { carriers_mb - copies * model_mb } else { 0.0 };
         Self {
             in_use: members.iter().map(|card| f64::from(card.starts)).sum(),
             capacity: first_stages.clone().sum(),
             largest: first_stages.fold(0.0, f64::max),
             starter_capacity: others.iter().sum::<f64>() / others.len().max(1) as f64,
-            memory: tightest_streams(inputs, members),
-            starter_room_share: if room_mb > 0.0 { card_mb / room_mb } else { 0.0 },
+            memory: streams_in(room_mb),
+            card_memory: streams_in(memory_mb / members.len().max(1) as f64),
             cards: members.len(),
             present: starters.len(),
             has_copies: memory_mb * WEIGHT_SHARE >= model_mb * MIN_FIRST_COPIES,
@@ -293,10 +297,12 @@
     }
 
     /// Typical streams that the domain has memory for with a number of starters. The other cards
-    /// take over the weights of a starter, so that its whole memory is taken from their room.
+    /// take over the weights of a starter, so that its whole memory is taken from their room. The
+    /// present spans don't count: they move while cards are lost and replaced, and the number of
+    /// starters would follow each move.
     fn memory_capacity(&self, starters: usize) -> f64 {
         let added = starters as f64 - self.present as f64;
-        self.memory * (1.0 - added * self.starter_room_share).max(0.0)
+        (self.memory - added * self.card_memory).max(0.0)
     }
 
     /// Share of the start capacity in use with a number of starters.
@@ -317,21 +323,3 @@
             && self.memory_capacity(starters) > self.start_capacity(starters)
     }
 }
-
-/// Number of typical streams that the tightest layer of a domain has memory for; 0 if a layer is
-/// missing or the size of a stream is not known.
-fn tightest_streams(inputs: &StartInputs<'_>, members: &[&CardView]) -> f64 {
-    let StartInputs { shape, stream_mb, .. } = *inputs;
-    let mut rooms = vec![0.0; usize::from(shape.layers)];
-    for card in members {
-        let Some(span) = card.loaded else { continue };
-        let weights = f64::from(span.count()) * shape.layer_mb;
-        let room = (card.memory_mb - weights).max(0.0) / f64::from(span.count().max(1));
-        for layer in span.from..span.to.min(shape.layers) {
-            rooms[usize::from(layer)] += room;
-        }
-    }
-    let tightest = rooms.into_iter().fold(f64::INFINITY, f64::min);
-    let streams = tightest / stream_mb;
-    if streams.is_finite() && stream_mb > 0.0 { streams } else { 0.0 }
-}
