--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -1,6 +1,6 @@
 //! Serving rules: the operator's configuration of routes, services, customers and limits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use jacinthrock::{CustomerName, ServiceName};
@@ -194,6 +194,7 @@
     rules: ServingRules,
     by_host: BTreeMap<Box<str>, Vec<usize>>,
     by_key: BTreeMap<Box<str>, usize>,
+    with_priorities: BTreeSet<ServiceName>,
 }
 
 impl RuleIndex {
@@ -210,7 +211,8 @@
         for (index, customer) in rules.customers.iter().enumerate() {
             by_key.extend(customer.keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { rules, by_host, by_key }
+        let with_priorities = services_with_priorities(&rules.routes);
+        Self { rules, by_host, by_key, with_priorities }
     }
 
     /// The indexed rules.
@@ -261,8 +263,26 @@
         route.targets.last().map(|(service, _)| service)
     }
 
+    /// Whether the stream routes of a service have two or more different priorities.
+    pub fn has_priorities(&self, service: &str) -> bool {
+        self.with_priorities.contains(service)
+    }
+
     /// The engine profile of a service, if it has one.
     pub fn engine(&self, service: &str) -> Option<&EngineProfile> {
         self.rules.services.get(service)?.engine.as_ref()
     }
 }
+
+/// Services whose stream routes have two or more different priorities. A target of weight 0 gets no
+/// requests and does not count.
+fn services_with_priorities(routes: &[RouteRule]) -> BTreeSet<ServiceName> {
+    let mut priorities: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
+    for route in routes.iter().filter(|route| route.is_stream) {
+        for (service, _) in route.targets.iter().filter(|(_, weight)| *weight > 0) {
+            priorities.entry(service).or_default().insert(route.priority);
+        }
+    }
+    let several = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
+    several.map(|(service, _)| service.clone()).collect()
+}
--- a/crates/entry/tests/rules_routes.rs
+++ b/crates/entry/tests/rules_routes.rs
@@ -63,3 +63,26 @@
     assert_eq!(index.pick_target(&route, 0.91).map(|name| &**name), Some("new"));
     assert_eq!(index.pick_target(&route, 1.0).map(|name| &**name), Some("new"));
 }
+
+/// Admission and queueing by priority must stay off for services whose streams all have the same
+/// priority, and for plain calls.
+#[test]
+fn service_has_priorities_if_its_stream_routes_differ() {
+    let with = |is_stream: bool, priority: u8, targets: &[(&str, u32)]| RouteRule {
+        is_stream,
+        priority,
+        targets: targets.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
+        ..route("r", "a.example", "/")
+    };
+    let routes = vec![
+        with(true, 0, &[("mixed", 1), ("even", 1)]),
+        with(true, 2, &[("mixed", 1), ("off", 1), ("even", 0)]),
+        with(true, 2, &[("off", 1)]),
+        with(false, 0, &[("off", 1), ("even", 1)]),
+    ];
+    let index = RuleIndex::new(ServingRules { routes, ..ServingRules::default() });
+    assert!(index.has_priorities("mixed"));
+    for service in ["even", "off", "none"] {
+        assert!(!index.has_priorities(service), "{service} has one priority at most");
+    }
+}
