Queue and decision of waits for services with several priorities

Streams of such services wait in an order that changes once their objective has passed. Not used by the path search yet, and not tested yet.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`.
+//! `relay`, `returns`, `waiting`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`,
+//! `ends`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -51,6 +52,7 @@
 mod state;
 mod stream;
 mod version;
+mod waiting;
 mod watchdog;
 
 pub use adapter::{
@@ -84,7 +86,7 @@
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
     host_header,
 };
-pub use queue::{QueuePosition, WaitClass, WaitQueue};
+pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
@@ -99,3 +101,4 @@
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
 pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
+pub use waiting::{SiteQueue, WaitOrder, WaitingStream};
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -5,12 +5,17 @@
 //! retry after a refusal, then the others by priority and arrival. A stream whose expected wait
 //! exceeds the time for which its caller still benefits is refused at once, with a retry delay that
 //! includes the time to drain the queue.
+//!
+//! Services whose stream routes have different priorities have a queue of their own each, ordered by
+//! what can still be on time; the module `waiting` decides on it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
+use crate::waiting::{WaitOrder, WaitingStream};
+
 /// Weight of the newest interval in the moving average.
 const NEWEST_WEIGHT: f64 = 0.1;
 /// Assumed interval between two served streams before any was measured, about ten per second.
@@ -57,7 +62,7 @@
         let position = QueuePosition { class, priority, number: self.next };
         let ahead = self.waiting.range(..position).count() as u32;
         self.waiting.insert(position);
-        (position, self.interval.unwrap_or(INITIAL_INTERVAL) * ahead)
+        (position, self.interval() * ahead)
     }
 
     /// Removes a stream.
@@ -85,8 +90,81 @@
         }
     }
 
+    /// Average time between two streams that got a path.
+    pub fn interval(&self) -> Duration {
+        self.interval.unwrap_or(INITIAL_INTERVAL)
+    }
+
     /// Expected time until all waiting streams are served.
     pub fn drain_time(&self) -> Duration {
-        self.interval.unwrap_or(INITIAL_INTERVAL) * self.waiting.len() as u32
+        self.interval() * self.waiting.len() as u32
+    }
+}
+
+/// Number of a stream in an [`ObjectiveQueue`].
+pub type QueueNumber = u64;
+
+/// Waiting streams of one service whose stream routes have different priorities. The order of a
+/// stream changes when its objective has passed.
+#[derive(Debug, Default)]
+pub struct ObjectiveQueue {
+    streams: BTreeMap<QueueNumber, (WaitingStream, WaitOrder)>,
+    order: BTreeSet<(WaitOrder, QueueNumber)>,
+    changes: BTreeSet<(Instant, QueueNumber)>,
+    next: QueueNumber,
+}
+
+impl ObjectiveQueue {
+    /// Adds a stream; returns its number and the number of streams that are served before it.
+    pub fn join(&mut self, stream: WaitingStream, now: Instant) -> (QueueNumber, u32) {
+        self.update(now);
+        self.next += 1;
+        let (number, order) = (self.next, stream.order(now));
+        let ahead = self.order.range(..(order, number)).count();
+        self.order.insert((order, number));
+        self.changes.extend(stream.order_change(now).map(|at| (at, number)));
+        self.streams.insert(number, (stream, order));
+        (number, u32::try_from(ahead).unwrap_or(u32::MAX))
+    }
+
+    /// Removes a stream; returns whether it was the first.
+    pub fn leave(&mut self, number: QueueNumber) -> bool {
+        let was_first = self.first() == Some(number);
+        if let Some((stream, order)) = self.streams.remove(&number) {
+            self.order.remove(&(order, number));
+            self.changes.remove(&(stream.on_time_until(), number));
+        }
+        was_first
+    }
+
+    /// Moves streams whose objective has passed; returns whether another stream is first from then
+    /// on.
+    pub fn update(&mut self, now: Instant) -> bool {
+        let before = self.first();
+        while let Some((_, number)) = self.changes.first().copied().filter(|(at, _)| *at <= now) {
+            self.changes.pop_first();
+            if let Some((stream, order)) = self.streams.get_mut(&number) {
+                self.order.remove(&(*order, number));
+                *order = stream.order(now);
+                self.order.insert((*order, number));
+            }
+        }
+        self.first() != before
+    }
+
+    /// The stream that is served first, as of the last update.
+    pub fn first(&self) -> Option<QueueNumber> {
+        self.order.first().map(|(_, number)| *number)
+    }
+
+    /// Whether a stream that joins would be served before all others, as of the last update.
+    pub fn would_be_first(&self, stream: &WaitingStream, now: Instant) -> bool {
+        let order = stream.order(now);
+        self.order.first().is_none_or(|(first, _)| order < *first)
+    }
+
+    /// Whether no stream waits.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
     }
 }
