Count the demand for streams by service and priority over all hosts

In a shortage a host knows only its own few streams. Values of other hosts are bounded; unreadable ones count as 0. tests/loads_sum passes.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthrock::EndpointName;
+use jacinthrock::{EndpointName, ServiceName};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::AttemptLog;
 use crate::call::AllowedCall;
+use crate::demand::DemandMeter;
 use crate::endpoints::EndpointEntry;
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
@@ -59,6 +60,8 @@
     pub(crate) last_event_id: Cell<Option<u64>>,
     /// Time of the last event, or of the request's arrival before the first.
     pub(crate) last_event_at: Cell<Instant>,
+    /// Whether the streams of the service have different priorities.
+    pub(crate) has_priorities: bool,
     sends: Cell<u32>,
     attempts: RefCell<AttemptLog>,
     /// Endpoints that failed or refused the stream.
@@ -76,10 +79,12 @@
 
 impl StreamContext {
     pub(crate) fn new(state: &Rc<EntryState>, call: Rc<AllowedCall>) -> Self {
+        let rules = state.rules();
         Self {
             state: state.clone(),
             last_event_id: Cell::new(None),
             last_event_at: Cell::new(call.arrived),
+            has_priorities: rules.is_some_and(|rules| rules.has_priorities(&call.service)),
             sends: Cell::new(0),
             attempts: RefCell::default(),
             avoid: RefCell::default(),
@@ -88,6 +93,17 @@
         }
     }
 
+    /// Changes the counts of this host's demand, which cover services with priorities only.
+    pub(crate) fn count_demand(
+        &self,
+        record: impl FnOnce(&mut DemandMeter, &ServiceName, u8, Instant),
+    ) {
+        if self.has_priorities {
+            let mut meter = self.state.demand.borrow_mut();
+            record(&mut meter, &self.call.service, self.call.priority, Instant::now());
+        }
+    }
+
     /// Number of times that the request was sent or tried to be sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
@@ -251,6 +267,9 @@
     fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
         let now = Instant::now();
         self.state.path_queue.borrow_mut().record_served(now);
+        if self.sends() == 0 {
+            self.count_demand(DemandMeter::record_started);
+        }
         self.state.consume_crossings(crossings(&path));
         path
     }
@@ -295,8 +314,7 @@
         if self.next_opening().is_some_and(|opening| opening >= until) {
             return Err(SourceFailure::NoPath("no first stage takes requests at present".into()));
         }
-        let guard = (!is_limited)
-            .then(|| QueueGuard::new(&self.state, self.wait_class(), self.call.priority));
+        let guard = (!is_limited).then(|| QueueGuard::new(self));
         let expected_wait = guard.as_ref().map_or(Duration::ZERO, |guard| guard.expected_wait);
         if Instant::now() + expected_wait > until {
             let wait_ms = expected_wait.as_millis();
@@ -319,27 +337,30 @@
 }
 
 /// Keeps a stream in the queue of waiting streams until dropped.
-struct QueueGuard {
-    state: Rc<EntryState>,
+struct QueueGuard<'a> {
+    context: &'a StreamContext,
     position: QueuePosition,
     expected_wait: Duration,
 }
 
-impl QueueGuard {
-    fn new(state: &Rc<EntryState>, class: WaitClass, priority: u8) -> Self {
-        let (position, expected_wait) = state.path_queue.borrow_mut().join(class, priority);
-        Self { state: state.clone(), position, expected_wait }
+impl<'a> QueueGuard<'a> {
+    fn new(context: &'a StreamContext) -> Self {
+        let mut queue = context.state.path_queue.borrow_mut();
+        let (position, expected_wait) = queue.join(context.wait_class(), context.call.priority);
+        context.count_demand(DemandMeter::join_queue);
+        Self { context, position, expected_wait }
     }
 
     fn is_first(&self) -> bool {
-        self.state.path_queue.borrow().is_first(self.position)
+        self.context.state.path_queue.borrow().is_first(self.position)
     }
 }
 
-impl Drop for QueueGuard {
+impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.state.path_queue.borrow_mut().leave(self.position);
-        self.state.path_changed.notify_waiters();
+        self.context.count_demand(DemandMeter::leave_queue);
+        self.context.state.path_queue.borrow_mut().leave(self.position);
+        self.context.state.path_changed.notify_waiters();
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/demand.rs
@@ -0,0 +1,261 @@
+//! Counts of the streams that callers ask for, by service and priority.
+//!
+//! Answers to a load pattern: callers of different priority compete for insufficient capacity over
+//! many hosts, of which each sees a few streams a second. A host's own counts say little about a
+//! shortage; hosts therefore sum them in the exchange of loads.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jacinthrock::ServiceName;
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::Value;
+use tokio::time::Instant;
+
+/// Time over which rates are averaged.
+const AVERAGING_TIME: Duration = Duration::from_secs(2);
+/// Number of priority levels; larger priority numbers count as the last level.
+pub(crate) const MAX_LEVELS: u8 = 10;
+/// Upper bound on a rate from another host, far above what all engines of a deployment accept.
+const MAX_RATE: f64 = 1e6;
+/// Upper bound on a number of waiting streams from another host.
+const MAX_WAITING: u32 = 1_000_000;
+/// Maximum number of services in a report of another host.
+const MAX_SERVICES: usize = 512;
+/// Steps per unit to which rates are rounded, which keeps reports short. The rates of hundreds of
+/// hosts are summed, so that coarser steps would hide a stream a second.
+const RATE_STEPS: f64 = 10_000.0;
+/// Sum below which a rate is a rounding error of additions and subtractions.
+const NEGLIGIBLE_RATE: f64 = 1e-6;
+
+/// Streams of one service and priority.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+#[serde(into = "(f64, f64, f64, u32)")]
+pub struct DemandCount {
+    /// Streams that arrived, per second.
+    pub arrived_per_s: f64,
+    /// Streams that got a path, per second.
+    pub started_per_s: f64,
+    /// Streams that were refused for lack of capacity, per second.
+    pub refused_per_s: f64,
+    /// Streams that wait for a path now.
+    pub waiting: u32,
+}
+
+/// Streams of one service by priority level.
+pub type PriorityDemand = BTreeMap<u8, DemandCount>;
+
+/// Streams by service and priority level.
+pub type DemandMap = BTreeMap<ServiceName, PriorityDemand>;
+
+impl DemandCount {
+    /// The counts with every value that is not finite or negative replaced by 0, and every absurd
+    /// one by a bound.
+    ///
+    /// ```
+    /// use jacinthrock_entry::DemandCount;
+    ///
+    /// let forged = DemandCount { arrived_per_s: f64::NAN, ..DemandCount::default() };
+    /// assert_eq!(forged.sanitized().arrived_per_s, 0.0);
+    /// ```
+    pub fn sanitized(self) -> Self {
+        let rate = |value: f64| if value.is_finite() { value.clamp(0.0, MAX_RATE) } else { 0.0 };
+        Self {
+            arrived_per_s: rate(self.arrived_per_s),
+            started_per_s: rate(self.started_per_s),
+            refused_per_s: rate(self.refused_per_s),
+            waiting: self.waiting.min(MAX_WAITING),
+        }
+    }
+
+    fn add(&mut self, other: Self) {
+        let other = other.sanitized();
+        self.arrived_per_s += other.arrived_per_s;
+        self.started_per_s += other.started_per_s;
+        self.refused_per_s += other.refused_per_s;
+        self.waiting = self.waiting.saturating_add(other.waiting);
+    }
+
+    fn remove(&mut self, other: Self) {
+        let other = other.sanitized();
+        self.arrived_per_s = (self.arrived_per_s - other.arrived_per_s).max(0.0);
+        self.started_per_s = (self.started_per_s - other.started_per_s).max(0.0);
+        self.refused_per_s = (self.refused_per_s - other.refused_per_s).max(0.0);
+        self.waiting = self.waiting.saturating_sub(other.waiting);
+    }
+
+    fn is_negligible(&self) -> bool {
+        let rates = self.arrived_per_s + self.started_per_s + self.refused_per_s;
+        self.waiting == 0 && rates < NEGLIGIBLE_RATE
+    }
+
+    /// Reads the counts of another host; values that are no numbers count as 0.
+    fn from_json(value: &Value) -> Self {
+        let rate = |index| value.get(index).and_then(Value::as_f64).unwrap_or(0.0);
+        let waiting = value.get(3).and_then(Value::as_u64).unwrap_or(0);
+        let counts = Self {
+            arrived_per_s: rate(0),
+            started_per_s: rate(1),
+            refused_per_s: rate(2),
+            waiting: u32::try_from(waiting).unwrap_or(u32::MAX),
+        };
+        counts.sanitized()
+    }
+}
+
+impl From<DemandCount> for (f64, f64, f64, u32) {
+    fn from(count: DemandCount) -> Self {
+        (count.arrived_per_s, count.started_per_s, count.refused_per_s, count.waiting)
+    }
+}
+
+/// Adds the counts of another map.
+pub(crate) fn add_demands(total: &mut DemandMap, other: &DemandMap) {
+    for (service, priorities) in other {
+        let sums = total.entry(service.clone()).or_default();
+        for (priority, count) in priorities {
+            sums.entry(*priority).or_default().add(*count);
+        }
+    }
+}
+
+/// Subtracts the counts of another map, and removes what is then empty.
+pub(crate) fn remove_demands(total: &mut DemandMap, other: &DemandMap) {
+    for (service, priorities) in other {
+        let Some(sums) = total.get_mut(service) else { continue };
+        for (priority, count) in priorities {
+            if let Some(sum) = sums.get_mut(priority) {
+                sum.remove(*count);
+            }
+        }
+        sums.retain(|_, sum| !sum.is_negligible());
+        if sums.is_empty() {
+            total.remove(service);
+        }
+    }
+}
+
+/// Reads the counts of another host. Leaves out what is not readable, so that it does not make the
+/// rest of a report unreadable.
+pub(crate) fn read_demands<'de, D: Deserializer<'de>>(reader: D) -> Result<DemandMap, D::Error> {
+    let value = Value::deserialize(reader)?;
+    let services = value.as_object().into_iter().flatten().take(MAX_SERVICES);
+    let mut demands = DemandMap::new();
+    for (service, priorities) in services {
+        let sums = demands.entry(service.as_str().into()).or_default();
+        for (priority, count) in priorities.as_object().into_iter().flatten() {
+            let Ok(priority) = priority.parse() else { continue };
+            sums.entry(level_of(priority)).or_default().add(DemandCount::from_json(count));
+        }
+    }
+    demands.retain(|_, priorities| !priorities.is_empty());
+    Ok(demands)
+}
+
+/// Level of a priority.
+///
+/// ```
+/// use jacinthrock_entry::level_of;
+///
+/// assert_eq!((level_of(2), level_of(200)), (2, 9));
+/// ```
+pub fn level_of(priority: u8) -> u8 {
+    priority.min(MAX_LEVELS - 1)
+}
+
+/// Counts the streams of this host, and averages their rates.
+///
+/// ```
+/// use jacinthrock_entry::DemandMeter;
+/// use tokio::time::Instant;
+///
+/// let (mut meter, now) = (DemandMeter::default(), Instant::now());
+/// meter.record_arrived(&"a".into(), 1, now);
+/// meter.join_queue(&"a".into(), 1, now);
+/// let counts = meter.counts(now);
+/// assert_eq!((counts["a"][&1].arrived_per_s, counts["a"][&1].waiting), (0.5, 1));
+/// ```
+#[derive(Debug, Default)]
+pub struct DemandMeter {
+    averages: BTreeMap<ServiceName, BTreeMap<u8, DemandAverage>>,
+}
+
+#[derive(Debug)]
+struct DemandAverage {
+    count: DemandCount,
+    updated: Instant,
+}
+
+impl DemandAverage {
+    fn decay(&mut self, now: Instant) -> &mut DemandCount {
+        let elapsed = now.saturating_duration_since(self.updated);
+        let factor = (-elapsed.div_duration_f64(AVERAGING_TIME)).exp();
+        self.count.arrived_per_s *= factor;
+        self.count.started_per_s *= factor;
+        self.count.refused_per_s *= factor;
+        self.updated = self.updated.max(now);
+        &mut self.count
+    }
+}
+
+impl DemandMeter {
+    /// Records that a new stream arrived.
+    pub fn record_arrived(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        self.count(service, priority, now).arrived_per_s += single_rate();
+    }
+
+    /// Records that a stream got its first path.
+    pub fn record_started(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        self.count(service, priority, now).started_per_s += single_rate();
+    }
+
+    /// Records that a stream was refused for lack of capacity.
+    pub fn record_refused(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        self.count(service, priority, now).refused_per_s += single_rate();
+    }
+
+    /// Records that a stream has begun to wait for a path.
+    pub fn join_queue(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        self.count(service, priority, now).waiting += 1;
+    }
+
+    /// Records that a stream no longer waits.
+    pub fn leave_queue(&mut self, service: &ServiceName, priority: u8, now: Instant) {
+        let count = self.count(service, priority, now);
+        count.waiting = count.waiting.saturating_sub(1);
+    }
+
+    /// The averages at a time; leaves out and forgets what has ended.
+    pub fn counts(&mut self, now: Instant) -> DemandMap {
+        let round = |rate: f64| (rate * RATE_STEPS).round() / RATE_STEPS;
+        let mut counts = DemandMap::new();
+        for (service, priorities) in &mut self.averages {
+            for (priority, average) in &mut *priorities {
+                let count = *average.decay(now);
+                let rounded = DemandCount {
+                    arrived_per_s: round(count.arrived_per_s),
+                    started_per_s: round(count.started_per_s),
+                    refused_per_s: round(count.refused_per_s),
+                    waiting: count.waiting,
+                };
+                if !rounded.is_negligible() {
+                    counts.entry(service.clone()).or_default().insert(*priority, rounded);
+                }
+            }
+            priorities.retain(|_, average| !average.count.is_negligible());
+        }
+        self.averages.retain(|_, priorities| !priorities.is_empty());
+        counts
+    }
+
+    fn count(&mut self, service: &ServiceName, priority: u8, now: Instant) -> &mut DemandCount {
+        let averages = self.averages.entry(service.clone()).or_default();
+        let new = || DemandAverage { count: DemandCount::default(), updated: now };
+        averages.entry(level_of(priority)).or_insert_with(new).decay(now)
+    }
+}
+
+/// Rate to which one stream adds.
+fn single_rate() -> f64 {
+    1.0 / AVERAGING_TIME.as_secs_f64()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod call;
 mod context;
+mod demand;
 mod detour;
 mod endpoints;
 mod ends;
@@ -58,6 +59,7 @@
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
 pub use attempts::AttemptLog;
+pub use demand::{DemandCount, DemandMap, DemandMeter, PriorityDemand, level_of};
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::demand::{DemandMap, PriorityDemand, add_demands, read_demands, remove_demands};
 use crate::inflight::StageLoad;
 
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
@@ -34,6 +35,13 @@
     pub loads: LoadMap,
     /// Tokens per second that pass between failure domains.
     pub crossing_tokens_per_s: f64,
+    /// Streams that callers ask for, of services with several priorities.
+    #[serde(
+        default,
+        skip_serializing_if = "DemandMap::is_empty",
+        deserialize_with = "read_demands"
+    )]
+    pub demands: DemandMap,
 }
 
 impl LoadSum {
@@ -43,6 +51,7 @@
         for (name, load) in &other.loads {
             self.loads.entry(name.clone()).or_default().add(*load);
         }
+        add_demands(&mut self.demands, &other.demands);
     }
 
     fn remove(&mut self, other: &Self) {
@@ -53,6 +62,7 @@
                 sum.remove(*load);
             }
         }
+        remove_demands(&mut self.demands, &other.demands);
     }
 }
 
@@ -164,14 +174,17 @@
     /// Load of this host at the time of the exchange.
     own: LoadMap,
     hosts: u32,
+    /// Streams that callers ask for at all hosts.
+    demands: DemandMap,
 }
 
 impl PeerLoads {
     /// Replaces the last total with a new one over `hosts` hosts; `own` is this host's part of it.
     pub fn update(&mut self, mut total: LoadSum, own: LoadSum, hosts: usize, now: Instant) {
+        let demands = total.demands.clone();
         total.remove(&own);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        self.latest = Some(LoadSnapshot { at: now, others: total, own: own.loads, hosts });
+        self.latest = Some(LoadSnapshot { at: now, others: total, own: own.loads, hosts, demands });
     }
 
     /// Whether the last total is recent enough to use.
@@ -204,6 +217,14 @@
         self.fresh_snapshot(now).map_or(0.0, |snapshot| snapshot.others.crossing_tokens_per_s)
     }
 
+    /// Streams of a service that callers ask for at all hosts, by priority level, and the age of
+    /// this total; none if it is too old.
+    pub fn demands(&self, service: &str, now: Instant) -> Option<(PriorityDemand, Duration)> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let demand = snapshot.demands.get(service).cloned().unwrap_or_default();
+        Some((demand, now.saturating_duration_since(snapshot.at)))
+    }
+
     fn fresh_snapshot(&self, now: Instant) -> Option<&LoadSnapshot> {
         let snapshot = self.latest.as_ref()?;
         (now.saturating_duration_since(snapshot.at) < MAX_SNAPSHOT_AGE).then_some(snapshot)
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -1,6 +1,6 @@
 //! Serving rules: the operator's configuration of routes, services, customers and limits.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use jacinthrock::{CustomerName, ServiceName};
@@ -194,6 +194,7 @@
     rules: ServingRules,
     by_host: BTreeMap<Box<str>, Vec<usize>>,
     by_key: BTreeMap<Box<str>, usize>,
+    prioritized: BTreeSet<ServiceName>,
 }
 
 impl RuleIndex {
@@ -210,7 +211,8 @@
         for (index, customer) in rules.customers.iter().enumerate() {
             by_key.extend(customer.keys.iter().map(|key| (key.clone(), index)));
         }
-        Self { rules, by_host, by_key }
+        let prioritized = prioritized_services(&rules);
+        Self { rules, by_host, by_key, prioritized }
     }
 
     /// The indexed rules.
@@ -261,8 +263,26 @@
         route.targets.last().map(|(service, _)| service)
     }
 
+    /// Whether the stream routes of a service have different priorities, so that urgent streams go
+    /// first in a shortage.
+    pub fn has_priorities(&self, service: &str) -> bool {
+        self.prioritized.contains(service)
+    }
+
     /// The engine profile of a service, if it has one.
     pub fn engine(&self, service: &str) -> Option<&EngineProfile> {
         self.rules.services.get(service)?.engine.as_ref()
     }
 }
+
+/// Services whose stream routes have two or more different priorities.
+fn prioritized_services(rules: &ServingRules) -> BTreeSet<ServiceName> {
+    let mut priorities: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
+    for route in rules.routes.iter().filter(|route| route.is_stream) {
+        for (service, _) in &route.targets {
+            priorities.entry(service).or_default().insert(route.priority);
+        }
+    }
+    let several = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
+    several.map(|(service, _)| service.clone()).collect()
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -16,6 +16,7 @@
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::call::AllowedCall;
+use crate::demand::DemandMeter;
 use crate::detour::detour;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
@@ -189,6 +190,8 @@
     pub waiting_calls: Cell<u32>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
+    /// Streams that callers ask for at this host, of services with several priorities.
+    pub demand: RefCell<DemandMeter>,
     /// Outcomes of streams, for the delay after which refused callers come back.
     pub return_schedule: RefCell<ReturnSchedule>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
@@ -273,6 +276,7 @@
             peer_loads: RefCell::default(),
             waiting_calls: Cell::new(0),
             path_queue: RefCell::default(),
+            demand: RefCell::default(),
             return_schedule: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
@@ -396,6 +400,7 @@
         LoadSum {
             loads: inflight.loads().clone(),
             crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
+            demands: self.demand.borrow_mut().counts(Instant::now()),
         }
     }
 
--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -10,7 +10,11 @@
 
 fn sum(streams: u32) -> LoadSum {
     let load = StageLoad { streams, starts: streams, token_layers: u64::from(streams) * 1_000 };
-    LoadSum { loads: [("a".into(), load)].into(), crossing_tokens_per_s: f64::from(streams) }
+    LoadSum {
+        loads: [("a".into(), load)].into(),
+        crossing_tokens_per_s: f64::from(streams),
+        ..LoadSum::default()
+    }
 }
 
 #[tokio::test(start_paused = true)]
