--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod attempts;
 mod call;
 mod context;
+mod demand;
 mod detour;
 mod endpoints;
 mod ends;
@@ -27,6 +28,7 @@
 mod loads;
 mod logs;
 mod notices;
+mod objective_wait;
 mod orders;
 mod path;
 mod peers;
@@ -60,6 +62,7 @@
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
 pub use attempts::AttemptLog;
+pub use demand::{DemandCount, DemandMap, DemandMeter, PriorityDemand, level_of};
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
@@ -101,4 +104,4 @@
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
 pub use state::{EntryOptions, EntryState, PathQuery, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
-pub use waiting::{SiteQueue, WaitOrder, WaitingStream};
+pub use waiting::{SiteQueue, WaitOrder, WaitingStream, free_starts};
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -115,9 +115,9 @@
 }
 
 impl ObjectiveQueue {
-    /// Adds a stream; returns its number and the number of streams that are served before it.
+    /// Adds a stream; returns its number and the number of streams that are served before it,
+    /// as of the last update.
     pub fn join(&mut self, stream: WaitingStream, now: Instant) -> (QueueNumber, u32) {
-        self.update(now);
         self.next += 1;
         let (number, order) = (self.next, stream.order(now));
         let ahead = self.order.range(..(order, number)).count();
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -194,7 +194,7 @@
     rules: ServingRules,
     by_host: BTreeMap<Box<str>, Vec<usize>>,
     by_key: BTreeMap<Box<str>, usize>,
-    with_priorities: BTreeSet<ServiceName>,
+    prioritized: BTreeSet<ServiceName>,
 }
 
 impl RuleIndex {
@@ -211,8 +211,8 @@
         for (index, customer) in rules.customers.iter().enumerate() {
             by_key.extend(customer.keys.iter().map(|key| (key.clone(), index)));
         }
-        let with_priorities = services_with_priorities(&rules.routes);
-        Self { rules, by_host, by_key, with_priorities }
+        let prioritized = prioritized_services(&rules);
+        Self { rules, by_host, by_key, prioritized }
     }
 
     /// The indexed rules.
@@ -263,9 +263,10 @@
         route.targets.last().map(|(service, _)| service)
     }
 
-    /// Whether the stream routes of a service have two or more different priorities.
+    /// Whether the stream routes of a service have different priorities, so that urgent streams go
+    /// first in a shortage.
     pub fn has_priorities(&self, service: &str) -> bool {
-        self.with_priorities.contains(service)
+        self.prioritized.contains(service)
     }
 
     /// The engine profile of a service, if it has one.
@@ -276,9 +277,9 @@
 
 /// Services whose stream routes have two or more different priorities. A target of weight 0 gets no
 /// requests and does not count.
-fn services_with_priorities(routes: &[RouteRule]) -> BTreeSet<ServiceName> {
+fn prioritized_services(rules: &ServingRules) -> BTreeSet<ServiceName> {
     let mut priorities: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
-    for route in routes.iter().filter(|route| route.is_stream) {
+    for route in rules.routes.iter().filter(|route| route.is_stream) {
         for (service, _) in route.targets.iter().filter(|(_, weight)| *weight > 0) {
             priorities.entry(service).or_default().insert(route.priority);
         }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,6 +8,7 @@
 
 use jacinthrock::{
     BudgetOptions, DomainName, EndpointName, HostName, MetricName, MetricRegistry, RetryBudget,
+    ServiceName,
 };
 use rand::Rng;
 use sha2::{Digest, Sha256};
@@ -16,6 +17,7 @@
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::call::AllowedCall;
+use crate::demand::DemandMeter;
 use crate::detour::detour;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
@@ -31,7 +33,7 @@
 use crate::permits::PermitPools;
 use crate::poison::{BlamedPart, PoisonTable, PromptPart};
 use crate::pool::ConnectionPool;
-use crate::queue::WaitQueue;
+use crate::queue::{ObjectiveQueue, WaitQueue};
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
 use crate::relay::{EXCHANGE_INTERVAL, RelayCandidate, RelayPicker, spread_time};
@@ -78,7 +80,7 @@
 /// domain had lost endpoints.
 const QUOTA_OVERCOMMIT_RATIO: f64 = 2.0;
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
-const MAX_OCCUPANCY: f64 = 0.95;
+pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
 
 /// Another entry host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -189,6 +191,10 @@
     pub waiting_calls: Cell<u32>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
+    /// Queues of streams that wait for a path, by service with several priorities.
+    pub objective_queues: RefCell<BTreeMap<ServiceName, ObjectiveQueue>>,
+    /// Streams that callers ask for at this host, of services with several priorities.
+    pub demand: RefCell<DemandMeter>,
     /// Outcomes of streams, for the delay after which refused callers come back.
     pub return_schedule: RefCell<ReturnSchedule>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
@@ -273,6 +279,8 @@
             peer_loads: RefCell::default(),
             waiting_calls: Cell::new(0),
             path_queue: RefCell::default(),
+            objective_queues: RefCell::default(),
+            demand: RefCell::default(),
             return_schedule: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
@@ -396,6 +404,7 @@
         LoadSum {
             loads: inflight.loads().clone(),
             crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
+            demands: self.demand.borrow_mut().counts(Instant::now()),
         }
     }
 
@@ -514,7 +523,7 @@
 
     /// Wakes waiting streams to search for a path again.
     pub fn wake_queue(&self) {
-        if !self.path_queue.borrow().is_empty() {
+        if !self.path_queue.borrow().is_empty() || !self.objective_queues.borrow().is_empty() {
             self.path_changed.notify_waiters();
         }
     }
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -10,11 +10,13 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::ops::RangeBounds;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::context::CALLER_TIMEOUT;
+use crate::demand::{PriorityDemand, level_of};
 
 /// Part of an objective, and of the time after which a caller gives up, for which a stream waits.
 /// The rest is left for the path's first event.
@@ -87,14 +89,26 @@
 /// Streams of a service over all hosts, from a recent exchange of loads.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct SiteQueue {
-    /// Streams that wait, by priority.
-    pub waiting: BTreeMap<u8, u32>,
-    /// Of these, streams that wait at other hosts.
+    /// Streams that wait at other hosts, by priority level.
     pub waiting_elsewhere: BTreeMap<u8, u32>,
-    /// Streams that get a path per second.
+    /// Streams that get a path per second, at all hosts.
     pub started_per_s: f64,
 }
 
+impl SiteQueue {
+    /// Creates the queue from the demand at all hosts and at the other hosts.
+    pub fn new(total: &PriorityDemand, elsewhere: &PriorityDemand) -> Self {
+        Self {
+            waiting_elsewhere: elsewhere.iter().map(|(level, it)| (*level, it.waiting)).collect(),
+            started_per_s: total.values().map(|demand| demand.started_per_s).sum(),
+        }
+    }
+
+    fn waiting(&self, levels: impl RangeBounds<u8>) -> u64 {
+        self.waiting_elsewhere.range(levels).map(|(_, streams)| u64::from(*streams)).sum()
+    }
+}
+
 impl WaitingStream {
     /// Until when the stream can get a path for an on-time answer.
     pub fn on_time_until(&self) -> Instant {
@@ -130,9 +144,8 @@
         (!self.is_interrupted && now < at).then_some(at)
     }
 
-    /// Expected wait, from the streams that wait over all hosts or the `ahead` streams of this host,
-    /// whichever are more, and the rate at which streams get paths. `interval` is the time between
-    /// two streams of this host, which is used while no recent total is known.
+    /// Expected wait. `ahead` streams of this host are served before it, and `interval` is the time
+    /// between two streams of this host, which counts while no recent total is known.
     pub fn expected_wait(
         &self,
         ahead: u32,
@@ -140,17 +153,15 @@
         interval: Duration,
         now: Instant,
     ) -> Duration {
-        let is_usable = |site: &&SiteQueue| site.started_per_s.is_finite();
-        let Some(site) = site.filter(is_usable).filter(|site| site.started_per_s > 0.0) else {
-            return interval.saturating_mul(ahead);
-        };
-        let site_ahead: u64 = match self.order(now) {
+        let is_usable =
+            |site: &&SiteQueue| site.started_per_s.is_finite() && site.started_per_s > 0.0;
+        let Some(site) = site.filter(is_usable) else { return interval.saturating_mul(ahead) };
+        let elsewhere = match self.order(now) {
             WaitOrder::Interrupted { .. } => 0,
-            WaitOrder::OnTime { priority } => count(site.waiting.range(..=priority)),
-            WaitOrder::Late { .. } => count(site.waiting.iter()),
+            WaitOrder::OnTime { priority } => site.waiting(..=level_of(priority)),
+            WaitOrder::Late { .. } => site.waiting(..),
         };
-        let ahead = site_ahead.max(u64::from(ahead));
-        let seconds = ahead as f64 / site.started_per_s;
+        let seconds = (elsewhere + u64::from(ahead)) as f64 / site.started_per_s;
         Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
     }
 
@@ -160,14 +171,19 @@
         now.checked_add(expected_wait).is_none_or(|end| end > self.last_moment())
     }
 
-    /// Whether the stream leaves the `free_starts` of the service to more urgent streams of other
+    /// Whether the stream leaves the free starts of the service to more urgent streams of other
     /// hosts. Once it can no longer wait for an on-time answer, it takes any.
-    pub fn leaves_start(&self, free_starts: u32, site: Option<&SiteQueue>, now: Instant) -> bool {
+    pub fn leaves_start(
+        &self,
+        free_starts: impl FnOnce() -> u64,
+        site: Option<&SiteQueue>,
+        now: Instant,
+    ) -> bool {
         let (WaitOrder::OnTime { priority }, Some(site)) = (self.order(now), site) else {
             return false;
         };
-        let urgent = count(site.waiting_elsewhere.range(..priority));
-        urgent > 0 && u64::from(free_starts) <= urgent
+        let urgent = site.waiting(..level_of(priority));
+        urgent > 0 && free_starts() <= urgent
     }
 
     /// A moment after another, at most the deadline.
@@ -176,6 +192,16 @@
     }
 }
 
-fn count<'a>(waiting: impl Iterator<Item = (&'a u8, &'a u32)>) -> u64 {
-    waiting.map(|(_, streams)| u64::from(*streams)).sum()
+/// Number of streams that may still start at an endpoint with the given number of slots. `max_usage`
+/// is the share of the slots at which no further stream starts there.
+///
+/// ```
+/// use jacinthrock_entry::free_starts;
+///
+/// assert_eq!(free_starts(192, 100, 0.95), 82);
+/// assert_eq!(free_starts(192, 182, 0.95), 0);
+/// ```
+pub fn free_starts(slots: u32, starts: u32, max_usage: f64) -> u32 {
+    let most = (f64::from(slots) * max_usage).ceil() as u32;
+    most.saturating_sub(1).saturating_sub(starts)
 }
