--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -80,6 +80,11 @@
         self.waiting.is_empty()
     }
 
+    /// Number of streams that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Records that a stream got a path.
     pub fn record_served(&mut self, now: Instant) {
         if let Some(last) = self.last_served.replace(now) {
@@ -97,7 +102,7 @@
 
     /// Expected time until all waiting streams are served.
     pub fn drain_time(&self) -> Duration {
-        self.interval() * self.waiting.len() as u32
+        self.interval() * self.len() as u32
     }
 }
 
@@ -167,4 +172,9 @@
     pub fn is_empty(&self) -> bool {
         self.streams.is_empty()
     }
+
+    /// Number of streams that wait.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
 }
--- /dev/null
+++ b/crates/entry/tests/waiting_streams.rs
@@ -0,0 +1,392 @@
+//! How long streams of services with several priorities wait for a path, and in which order.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jacinthrock_entry::{
+    DemandCount, ObjectiveQueue, PriorityDemand, SiteQueue, WaitOrder, WaitingStream, free_starts,
+};
+use tokio::time::Instant;
+
+const DEADLINE: Duration = Duration::from_secs(20);
+/// Interval that a host with four streams a second has measured.
+const HOST_INTERVAL: Duration = Duration::from_millis(250);
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn new_stream(priority: u8, objective_ms: u64, arrived: Instant) -> WaitingStream {
+    WaitingStream {
+        is_interrupted: false,
+        priority,
+        objective: ms(objective_ms),
+        first_arrived: arrived,
+        silent_since: arrived,
+        deadline: arrived + DEADLINE,
+    }
+}
+
+/// A stream that returns `age` after its first attempt.
+fn returned_stream(objective_ms: u64, arrived: Instant, age: Duration) -> WaitingStream {
+    let first_arrived = arrived - age;
+    WaitingStream {
+        first_arrived,
+        deadline: first_arrived + DEADLINE,
+        ..new_stream(0, objective_ms, arrived)
+    }
+}
+
+fn site(waiting_elsewhere: &[(u8, u32)], started_per_s: f64) -> SiteQueue {
+    SiteQueue { waiting_elsewhere: waiting_elsewhere.iter().copied().collect(), started_per_s }
+}
+
+/// Serves all streams of a queue in order, at one time.
+fn served_order(queue: &mut ObjectiveQueue, now: Instant) -> Vec<u64> {
+    queue.update(now);
+    std::iter::from_fn(|| {
+        let first = queue.first()?;
+        queue.leave(first);
+        Some(first)
+    })
+    .collect()
+}
+
+/// In a shortage of some seconds, streams of all kinds wait at one host: those that can still be on
+/// time must not wait behind those that are late anyway, nor an interrupted answer behind either.
+#[tokio::test(start_paused = true)]
+async fn streams_that_can_be_on_time_go_before_late_ones() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now() + DEADLINE);
+    let mut join = |stream, at| queue.join(stream, at).0;
+    let late_short = join(new_stream(0, 500, start), start);
+    let late_short_later = join(new_stream(1, 500, start + ms(1)), start + ms(1));
+    let late_long = join(new_stream(2, 1_000, start + ms(2)), start + ms(2));
+    let now = start + ms(800);
+    let low = join(new_stream(2, 1_000, now), now);
+    let urgent = join(new_stream(0, 500, now), now);
+    let middle = join(new_stream(1, 500, now), now);
+    let returned = join(returned_stream(500, now, ms(1_200)), now);
+    let interrupted = WaitingStream { is_interrupted: true, ..new_stream(2, 1_000, start) };
+    let interrupted = join(interrupted, now);
+    let expected =
+        [interrupted, urgent, middle, low, late_long, returned, late_short, late_short_later];
+    assert_eq!(served_order(&mut queue, now), expected);
+    assert!(queue.is_empty());
+}
+
+/// A burst fills the queue with urgent streams. When their objective has passed, those that came
+/// later and can be on time are first, without any stream having joined or left.
+#[tokio::test(start_paused = true)]
+async fn order_changes_when_an_objective_passes() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
+    let (urgent, _) = queue.join(new_stream(0, 500, start), start);
+    let (low, ahead) = queue.join(new_stream(2, 1_000, start + ms(100)), start + ms(100));
+    assert_eq!((queue.first(), ahead), (Some(urgent), 1));
+    assert!(!queue.update(start + ms(349)), "its objective can still be met");
+    assert!(queue.update(start + ms(350)), "another stream is first, and must be woken");
+    assert_eq!(queue.first(), Some(low));
+    assert!(!queue.update(start + ms(351)), "a change is reported once");
+    // At 800 ms the other is late as well; its objective is longer.
+    assert!(!queue.update(start + ms(800)));
+    assert_eq!(queue.first(), Some(low));
+}
+
+/// Callers of a burst leave while their streams wait: what they leave behind must neither be first
+/// nor count as ahead.
+#[tokio::test(start_paused = true)]
+async fn stream_that_leaves_holds_up_none() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
+    let numbers: Vec<_> =
+        (0..300).map(|_| queue.join(new_stream(0, 500, start), start).0).collect();
+    assert!(queue.leave(numbers[0]), "the first was first");
+    assert!(!queue.leave(numbers[150]), "those behind others need not be woken for");
+    assert!(!queue.leave(numbers[150]), "leaving twice changes nothing");
+    queue.update(start + ms(400));
+    assert_eq!(queue.first(), Some(numbers[1]));
+    for number in &numbers {
+        queue.leave(*number);
+    }
+    assert!(queue.is_empty() && queue.first().is_none());
+    let (_, ahead) = queue.join(new_stream(2, 1_000, start), start);
+    assert_eq!(ahead, 0);
+}
+
+/// In the measured burst, refused callers returned after their objective of 500 ms. A stream waits
+/// for an on-time answer, then until its caller is about to give up, but not past its deadline.
+#[tokio::test(start_paused = true)]
+async fn last_moments_follow_from_objective_and_patience_of_the_caller() {
+    let now = Instant::now() + DEADLINE;
+    let short = new_stream(0, 500, now);
+    assert_eq!(short.on_time_until(), now + ms(350));
+    assert_eq!(short.last_moment(), now + ms(1_400), "0.7 of 2 s");
+    let long = new_stream(2, 1_000, now);
+    assert_eq!((long.on_time_until(), long.last_moment()), (now + ms(700), now + ms(2_800)));
+    let returned = returned_stream(500, now, ms(1_000));
+    assert!(matches!(returned.order(now), WaitOrder::Late { .. }));
+    assert_eq!(returned.last_moment(), now + ms(1_400), "a returned caller waits as long again");
+    let ending = WaitingStream { deadline: now + ms(200), ..short };
+    assert_eq!((ending.on_time_until(), ending.last_moment()), (now + ms(200), now + ms(200)));
+    let interrupted = WaitingStream { is_interrupted: true, ..short };
+    assert_eq!(interrupted.last_moment(), now + ms(1_900), "as for all other services");
+    assert_eq!(interrupted.order_change(now), None);
+}
+
+/// A forged objective or deadline must neither overflow nor keep a stream past its deadline.
+#[tokio::test(start_paused = true)]
+async fn huge_and_zero_objectives_stay_within_the_deadline() {
+    let now = Instant::now();
+    let huge = WaitingStream { objective: Duration::MAX, ..new_stream(0, 0, now) };
+    assert_eq!((huge.on_time_until(), huge.last_moment()), (now + DEADLINE, now + DEADLINE));
+    let zero = new_stream(0, 0, now);
+    assert!(matches!(zero.order(now), WaitOrder::Late { .. }));
+    assert_eq!(zero.last_moment(), now + ms(1_400));
+}
+
+/// The same shortage over more and fewer hosts: 200 streams of priority 0 and 100 of priority 1 wait,
+/// and 150 streams a second get a path. Before, the wait was estimated from the streams of one host,
+/// and at 63 hosts the fourth of them was refused although it would have been served in time.
+#[tokio::test(start_paused = true)]
+async fn expected_wait_is_the_same_at_any_number_of_hosts() {
+    let now = Instant::now() + DEADLINE;
+    for hosts in [6, 63, 195, 300] {
+        let own = [200 / hosts, 100 / hosts];
+        let elsewhere = site(&[(0, 200 - own[0]), (1, 100 - own[1])], 150.0);
+        let wait = |stream: &WaitingStream, ahead| {
+            stream.expected_wait(ahead, Some(&elsewhere), HOST_INTERVAL, now).as_secs_f64()
+        };
+        let urgent = wait(&new_stream(0, 500, now), own[0]);
+        let other = wait(&new_stream(1, 500, now), own[0] + own[1]);
+        assert!((urgent / (200.0 / 150.0) - 1.0).abs() < 0.1, "{urgent:.2} s at {hosts} hosts");
+        assert!((other / (300.0 / 150.0) - 1.0).abs() < 0.1, "{other:.2} s at {hosts} hosts");
+        let late = wait(&returned_stream(500, now, ms(900)), own[0] + own[1]);
+        assert!((late / (300.0 / 150.0) - 1.0).abs() < 0.1, "{late:.2} s at {hosts} hosts");
+    }
+}
+
+/// A site in a shortage: hosts with queues of their own, from which `STARTED_PER_S` streams start
+/// each second, wherever one is first that takes the start.
+struct SampleSite {
+    queues: Vec<ObjectiveQueue>,
+    /// Streams that wait, by host and number.
+    waiting: BTreeMap<(usize, u64), WaitingStream>,
+    /// Waiting streams of each host and priority, at the last exchange.
+    reported: Vec<BTreeMap<u8, u32>>,
+}
+
+/// Streams that start per second.
+const STARTED_PER_S: f64 = 150.0;
+/// Interval of the exchange of loads.
+const EXCHANGE: u64 = 200;
+
+impl SampleSite {
+    fn new(hosts: usize) -> Self {
+        Self {
+            queues: (0..hosts).map(|_| ObjectiveQueue::default()).collect(),
+            waiting: BTreeMap::new(),
+            reported: vec![BTreeMap::new(); hosts],
+        }
+    }
+
+    fn report(&mut self) {
+        self.reported.fill(BTreeMap::new());
+        for ((host, _), stream) in &self.waiting {
+            *self.reported[*host].entry(stream.priority).or_default() += 1;
+        }
+    }
+
+    fn site_queue(&self, host: usize) -> SiteQueue {
+        let mut waiting = BTreeMap::new();
+        let others = self.reported.iter().enumerate().filter(|(other, _)| *other != host);
+        for (priority, streams) in others.flat_map(|(_, reported)| reported) {
+            *waiting.entry(*priority).or_default() += streams;
+        }
+        SiteQueue { waiting_elsewhere: waiting, started_per_s: STARTED_PER_S }
+    }
+
+    fn join(&mut self, host: usize, stream: WaitingStream, now: Instant) {
+        let site = self.site_queue(host);
+        self.queues[host].update(now);
+        let (number, ahead) = self.queues[host].join(stream, now);
+        let wait = stream.expected_wait(ahead, Some(&site), HOST_INTERVAL, now);
+        if !wait.is_zero() && stream.is_refused(wait, now) {
+            self.queues[host].leave(number);
+        } else {
+            self.waiting.insert((host, number), stream);
+        }
+    }
+
+    /// Gives a free start to the first of a host, beginning with `from`, that takes it.
+    fn start_one(&mut self, from: usize, now: Instant) -> Option<WaitingStream> {
+        let hosts = self.queues.len();
+        for host in (0..hosts).map(|step| (from + step) % hosts) {
+            self.queues[host].update(now);
+            let Some(number) = self.queues[host].first() else { continue };
+            let stream = self.waiting[&(host, number)];
+            if !stream.leaves_start(|| 1, Some(&self.site_queue(host)), now) {
+                self.queues[host].leave(number);
+                return self.waiting.remove(&(host, number));
+            }
+        }
+        None
+    }
+
+    fn drop_overdue(&mut self, now: Instant) {
+        let overdue = |stream: &WaitingStream| stream.last_moment() <= now;
+        let gone = self.waiting.iter().filter(|(_, stream)| overdue(stream));
+        let gone: Vec<_> = gone.map(|(key, _)| *key).collect();
+        for (host, number) in gone {
+            self.queues[host].leave(number);
+            self.waiting.remove(&(host, number));
+        }
+    }
+}
+
+/// What came of the streams of a sample site.
+#[derive(Debug, Default)]
+struct SampleOutcome {
+    /// Share of the streams that got a path.
+    served: f64,
+    /// Shares of priorities 0, 1 and 2 that got a path in time for an on-time answer.
+    on_time: [f64; 3],
+}
+
+/// Replays ten seconds in which half more streams arrive than can start, without admission.
+fn replay_shortage(hosts: usize) -> SampleOutcome {
+    let (mut site, start) = (SampleSite::new(hosts), Instant::now());
+    let (mut arrived, mut on_time, mut served) = ([0_u32; 3], [0_u32; 3], 0);
+    let (mut arrivals, mut starts) = (0.0, 0.0);
+    for step in 0..10_000_u64 {
+        let now = start + ms(step);
+        if step % EXCHANGE == 0 {
+            site.report();
+        }
+        site.drop_overdue(now);
+        arrivals += STARTED_PER_S * 1.5 / 1e3;
+        while arrivals >= 1.0 {
+            arrivals -= 1.0;
+            let number: u32 = arrived.iter().sum();
+            // Of ten streams, five are of priority 0, three of 1 and two of 2; hosts get them in an
+            // order that has no pattern with these.
+            let priority = [0, 1, 0, 2, 0, 1, 0, 2, 0, 1][number as usize % 10];
+            let host = number as usize * 7_919 / 10 % hosts;
+            arrived[usize::from(priority)] += 1;
+            let objective_ms = if priority == 2 { 1_000 } else { 500 };
+            site.join(host, new_stream(priority, objective_ms, now), now);
+        }
+        starts += STARTED_PER_S / 1e3;
+        while starts >= 1.0 {
+            starts -= 1.0;
+            if let Some(stream) = site.start_one(step as usize * 31 % hosts, now) {
+                let is_on_time = now <= stream.on_time_until();
+                on_time[usize::from(stream.priority)] += u32::from(is_on_time);
+                served += 1;
+            }
+        }
+    }
+    SampleOutcome {
+        served: f64::from(served) / f64::from(arrived.iter().sum::<u32>()),
+        on_time: std::array::from_fn(|kind| f64::from(on_time[kind]) / f64::from(arrived[kind])),
+    }
+}
+
+/// Ten seconds of a shortage at as many hosts as deployments have: streams that wait for others must
+/// not leave starts unused, whatever the number of hosts.
+#[tokio::test(start_paused = true)]
+async fn share_served_does_not_depend_on_the_number_of_hosts() {
+    let outcomes = [6, 63, 195, 300].map(|hosts| (hosts, replay_shortage(hosts)));
+    for (hosts, outcome) in &outcomes {
+        println!("{hosts} hosts: {outcome:.3?}");
+        let six = &outcomes[0].1;
+        assert!((outcome.served / six.served - 1.0).abs() < 0.1, "{hosts} hosts: {outcomes:?}");
+        assert!(outcome.on_time[0] > outcome.on_time[1], "{hosts} hosts: {outcomes:?}");
+    }
+}
+
+/// A host is cut off from the exchange in a burst: it falls back on what it has measured itself.
+#[tokio::test(start_paused = true)]
+async fn without_a_recent_total_the_wait_is_that_of_the_own_host() {
+    let now = Instant::now();
+    let stream = new_stream(1, 500, now);
+    assert_eq!(stream.expected_wait(3, None, HOST_INTERVAL, now), ms(750));
+    assert!(!stream.leaves_start(|| 0, None, now), "no other host is known to wait");
+}
+
+/// A burst ends the patience of the last in line: a stream is refused at once only if it would get
+/// its path after its last moment, not as soon as it can no longer be on time.
+#[tokio::test(start_paused = true)]
+async fn stream_is_refused_at_once_only_if_it_would_wait_for_too_long() {
+    let now = Instant::now();
+    let stream = new_stream(0, 500, now);
+    for (wait, is_refused) in [(349, false), (351, false), (1_400, false), (1_401, true)] {
+        assert_eq!(stream.is_refused(ms(wait), now), is_refused, "expected wait of {wait} ms");
+    }
+    assert!(stream.is_refused(Duration::MAX, now));
+    let wait = stream.expected_wait(0, Some(&site(&[(0, 200)], 150.0)), HOST_INTERVAL, now);
+    assert!(!stream.is_refused(wait, now), "200 streams are served in 1.3 s");
+    let wait = stream.expected_wait(0, Some(&site(&[(0, 220)], 150.0)), HOST_INTERVAL, now);
+    assert!(stream.is_refused(wait, now), "220 streams are served in 1.5 s");
+    // Less urgent streams are served later, however many wait.
+    let wait = stream.expected_wait(0, Some(&site(&[(1, 900), (2, 900)], 150.0)), ms(1), now);
+    assert_eq!(wait, Duration::ZERO);
+}
+
+/// In a burst, streams of each kind find the last free starts first at their own host. The last ones
+/// go to the urgent streams of other hosts, until the others would be late for them.
+#[tokio::test(start_paused = true)]
+async fn last_free_starts_are_left_to_more_urgent_streams_elsewhere() {
+    let now = Instant::now();
+    let waiting = site(&[(0, 4), (1, 3), (2, 50)], 150.0);
+    let leaves = |priority, free, at| {
+        new_stream(priority, 500, now).leaves_start(|| free, Some(&waiting), at)
+    };
+    assert!(!leaves(0, 0, now), "none is more urgent");
+    assert!(leaves(1, 4, now) && !leaves(1, 5, now));
+    assert!(leaves(2, 7, now) && !leaves(2, 8, now));
+    assert!(leaves(2, 7, now + ms(349)) && !leaves(2, 0, now + ms(350)), "it would be late");
+    assert!(leaves(200, 57, now), "priorities are reported up to the last level");
+    let interrupted = WaitingStream { is_interrupted: true, ..new_stream(2, 500, now) };
+    assert!(!interrupted.leaves_start(|| 0, Some(&waiting), now));
+    let calm = site(&[(2, 50)], 150.0);
+    assert!(!new_stream(1, 500, now).leaves_start(|| panic!("counted in vain"), Some(&calm), now));
+}
+
+/// Forged totals of another host: rates that are no rates and absurd numbers of waiting streams. A
+/// stream may be held back for the time in which it can be on time at most, and the most urgent not
+/// at all.
+#[tokio::test(start_paused = true)]
+async fn forged_totals_do_not_stop_streams() {
+    let now = Instant::now();
+    let stream = new_stream(1, 500, now);
+    for rate in [f64::NAN, f64::INFINITY, f64::NEG_INFINITY, -1.0, 0.0] {
+        let forged = site(&[(0, u32::MAX), (1, u32::MAX)], rate);
+        let wait = stream.expected_wait(2, Some(&forged), HOST_INTERVAL, now);
+        assert_eq!(wait, ms(500), "a rate of {rate} says nothing");
+    }
+    let forged = site(&[(0, u32::MAX), (9, u32::MAX)], f64::MIN_POSITIVE);
+    assert_eq!(stream.expected_wait(2, Some(&forged), HOST_INTERVAL, now), Duration::MAX);
+    assert!(!stream.leaves_start(|| 1, Some(&forged), stream.on_time_until()));
+    assert!(!new_stream(0, 500, now).leaves_start(|| 1, Some(&forged), now));
+}
+
+/// The totals of the exchange, as the decisions read them.
+#[test]
+fn site_queue_holds_waiting_streams_of_others_and_starts_of_all() {
+    let demand =
+        |waiting, started_per_s| DemandCount { waiting, started_per_s, ..DemandCount::default() };
+    let total: PriorityDemand = [(0, demand(7, 100.0)), (1, demand(2, 50.0))].into();
+    let elsewhere: PriorityDemand = [(0, demand(5, 98.0)), (1, demand(2, 50.0))].into();
+    assert_eq!(SiteQueue::new(&total, &elsewhere), site(&[(0, 5), (1, 2)], 150.0));
+}
+
+/// Free starts must be those that the choice of a path would use, also for slots that are few,
+/// none or a forged number.
+#[test]
+fn free_starts_match_the_limit_of_the_path_search() {
+    for slots in [0_u32, 1, 4, 19, 20, 21, 100, 192] {
+        let free = free_starts(slots, 0, 0.95);
+        let accepts = |starts: u32| f64::from(starts + 1) / f64::from(slots.max(1)) < 0.95;
+        let most = (0..).take_while(|starts| accepts(*starts)).count();
+        assert_eq!(free as usize, most, "{slots} slots");
+    }
+    assert_eq!(free_starts(u32::MAX, u32::MAX, 0.95), 0);
+}
