--- a/crates/entry/src/inflight.rs
+++ b/crates/entry/src/inflight.rs
@@ -114,11 +114,11 @@
         }
     }
 
-    /// Adds another load.
+    /// Adds another load, which may be one that a faulty host reports.
     pub fn add(&mut self, other: Self) {
-        self.streams += other.streams;
-        self.starts += other.starts;
-        self.token_layers += other.token_layers;
+        self.streams = self.streams.saturating_add(other.streams);
+        self.starts = self.starts.saturating_add(other.starts);
+        self.token_layers = self.token_layers.saturating_add(other.token_layers);
     }
 
     /// Subtracts another load.
@@ -130,9 +130,9 @@
 
     /// Multiplies the load by a number of hosts.
     pub fn scale(&mut self, hosts: u32) {
-        self.streams *= hosts;
-        self.starts *= hosts;
-        self.token_layers *= u64::from(hosts);
+        self.streams = self.streams.saturating_mul(hosts);
+        self.starts = self.starts.saturating_mul(hosts);
+        self.token_layers = self.token_layers.saturating_mul(u64::from(hosts));
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`, `ends`.
+//! `relay`, `returns`, `demand`, `admission`, `health`, `attempts`, `freshness`, `shutdown`,
+//! `notices`, `poison`, `ends`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
+mod admission;
 mod attempts;
 mod call;
 mod context;
@@ -58,6 +60,10 @@
     CallCodec, CallHead, EndpointReport, RateNotice, RecordGroup, RegistryClient, RegistryError,
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
+pub use admission::{
+    AdmissionRefusal, AdmissionTable, LevelChange, LevelInputs, NewStream, StageCapacity,
+    admitted_shares, service_usage,
+};
 pub use attempts::AttemptLog;
 pub use demand::{DemandCount, DemandMap, DemandMeter, PriorityDemand, level_of};
 pub use detour::detour;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -17,7 +17,7 @@
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 /// Age at which the last total is no longer used.
-const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
+pub(crate) const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
 
 /// Part of the retry budget that hosts share equally; the rest is in proportion to their streams.
 const EQUAL_SHARE: f64 = 0.4;
@@ -208,7 +208,8 @@
     /// Number of streams of the other hosts; none if the last total is too old.
     pub fn streams(&self, now: Instant) -> Option<u32> {
         let snapshot = self.fresh_snapshot(now)?;
-        Some(snapshot.others.loads.values().map(|load| load.starts).sum())
+        let starts = snapshot.others.loads.values().map(|load| load.starts);
+        Some(starts.fold(0, u32::saturating_add))
     }
 
     /// Tokens per second that the other hosts send between failure domains; 0 if the last total is
@@ -246,8 +247,8 @@
 pub fn retry_share(hosts: usize, own: u32, others: Option<u32>) -> f64 {
     let equal = 1.0 / hosts as f64;
     match others {
-        Some(others) if own + others > 0 => {
-            let by_streams = f64::from(own) / f64::from(own + others);
+        Some(others) if own > 0 || others > 0 => {
+            let by_streams = f64::from(own) / (f64::from(own) + f64::from(others));
             EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * by_streams
         }
         _ => equal,
--- a/crates/entry/src/returns.rs
+++ b/crates/entry/src/returns.rs
@@ -16,10 +16,15 @@
 /// Time after which an outcome counts for a third.
 const MEMORY_TIME: Duration = Duration::from_secs(2);
 /// Part of the time left for which callers wait at most; see the platform's protocol.
-const MAX_SHARE_OF_REMAINING: f64 = 1.0 / 3.0;
+pub(crate) const MAX_SHARE_OF_REMAINING: f64 = 1.0 / 3.0;
 /// Largest factor by which the delay in a refusal is randomly prolonged.
 pub(crate) const MAX_JITTER_FACTOR: f64 = 2.0;
 
+/// Delay while the given share of streams is refused.
+pub(crate) fn shortage_delay(refused_share: f64) -> Duration {
+    MIN_DELAY + (MAX_DELAY - MIN_DELAY).mul_f64(refused_share)
+}
+
 /// Recent outcomes of streams, and the delay that follows from them.
 ///
 /// ```
@@ -61,7 +66,7 @@
         self.decay(now);
         let total = self.served + self.refused;
         let refused_share = if total > 0.0 { self.refused / total } else { 0.0 };
-        let delay = MIN_DELAY + (MAX_DELAY - MIN_DELAY).mul_f64(refused_share);
+        let delay = shortage_delay(refused_share);
         let longest = remaining.mul_f64(MAX_SHARE_OF_REMAINING / MAX_JITTER_FACTOR);
         delay.min(longest.max(MIN_DELAY))
     }
