--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -29,6 +29,9 @@
 const SIZE_FACTORS: (f64, f64) = (0.75, 1.25);
 /// Share of an endpoint's slots that streams may take.
 const MAX_SLOT_USAGE: f64 = 0.95;
+/// Time over which shares are averaged. Unaveraged, the share of the last priority deviated from its
+/// mean by 0.2 under steady load, from the chance of single arrivals and refusals.
+const SMOOTHING_TIME: Duration = Duration::from_secs(2);
 /// Shortest time between two reports of a service's level.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest change of a share that is reported.
@@ -95,14 +98,9 @@
 /// assert_eq!(shares[..2], [1.0, 0.625]);
 /// ```
 pub fn admitted_shares(usage: f64, demand: &PriorityDemand) -> [f64; MAX_LEVELS as usize] {
-    let mut arrived = [0.0; MAX_LEVELS as usize];
-    let mut total = DemandCount::default();
-    for (priority, count) in demand {
-        let count = count.sanitized();
-        arrived[usize::from(level_of(*priority))] += count.arrived_per_s;
-        total.started_per_s += count.started_per_s;
-        total.waiting = total.waiting.saturating_add(count.waiting);
-    }
+    let arrived: [f64; MAX_LEVELS as usize] =
+        std::array::from_fn(|level| arrived(demand, level as u8));
+    let total = total_demand(demand);
     let mut shares = [1.0; MAX_LEVELS as usize];
     let is_unused = !usage.is_finite() || usage <= 0.0;
     // Without a stream that started, low usage says nothing about the rate that engines accept.
@@ -125,6 +123,19 @@
     shares
 }
 
+/// Streams that arrive per second, of the priorities that belong to a level.
+fn arrived(demand: &PriorityDemand, level: u8) -> f64 {
+    let counts = demand.iter().filter(|(priority, _)| level_of(**priority) == level);
+    counts.map(|(_, count)| count.sanitized().arrived_per_s).sum()
+}
+
+/// Streams of all priorities.
+fn total_demand(demand: &PriorityDemand) -> DemandCount {
+    let mut total = DemandCount::default();
+    demand.values().for_each(|count| total.add(*count));
+    total
+}
+
 /// A new stream that asks to be admitted.
 #[derive(Clone, Copy, Debug)]
 pub struct NewStream {
@@ -191,8 +202,12 @@
     pub share: f64,
     /// Usage of the service.
     pub usage: f64,
-    /// Streams of this priority at all hosts.
-    pub count: DemandCount,
+    /// Streams of this priority that arrive at all hosts, per second.
+    pub arrived_per_s: f64,
+    /// Streams of all priorities that get a path, per second.
+    pub started_per_s: f64,
+    /// Streams of all priorities that wait.
+    pub waiting: u32,
     /// Age of the total.
     pub age: Duration,
 }
@@ -202,6 +217,8 @@
 struct ServiceLevel {
     shares: [f64; MAX_LEVELS as usize],
     usage: f64,
+    /// Time of the last update from a recent total.
+    updated: Option<Instant>,
     /// Time of the total that the level was computed from; none if there was no recent one.
     total_at: Option<Instant>,
     /// Shares last reported, of the priorities that have occurred.
@@ -214,6 +231,7 @@
         Self {
             shares: [1.0; MAX_LEVELS as usize],
             usage: 0.0,
+            updated: None,
             total_at: None,
             reported: BTreeMap::new(),
             reported_at: None,
@@ -228,6 +246,20 @@
         (age < MAX_SNAPSHOT_AGE).then_some(age)
     }
 
+    /// Moves the shares towards new ones; without a recent total, all streams are admitted.
+    fn smooth_shares(&mut self, shares: Option<[f64; MAX_LEVELS as usize]>, now: Instant) {
+        let last = if shares.is_some() { self.updated.replace(now) } else { self.updated.take() };
+        let elapsed = last.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let weight = 1.0 - (-elapsed.div_duration_f64(SMOOTHING_TIME)).exp();
+        let Some(shares) = shares else {
+            self.shares = [1.0; MAX_LEVELS as usize];
+            return;
+        };
+        for (average, share) in self.shares.iter_mut().zip(shares) {
+            *average += weight * (share - *average);
+        }
+    }
+
     /// Shares of the priorities that have occurred and have changed since the last report.
     fn take_changes(&mut self, inputs: Option<LevelInputs<'_>>, now: Instant) -> Vec<LevelChange> {
         let demand = inputs.map(|inputs| inputs.demand);
@@ -238,6 +270,7 @@
         if last.is_some_and(|at| now.saturating_duration_since(at) < REPORT_INTERVAL) {
             return Vec::new();
         }
+        let total = demand.map(total_demand).unwrap_or_default();
         let mut changes = Vec::new();
         for (priority, reported) in &mut self.reported {
             let share = self.shares[usize::from(*priority)];
@@ -250,7 +283,9 @@
                 priority: *priority,
                 share,
                 usage: self.usage,
-                count: demand.and_then(|d| d.get(priority)).copied().unwrap_or_default(),
+                arrived_per_s: demand.map_or(0.0, |demand| arrived(demand, *priority)),
+                started_per_s: total.started_per_s,
+                waiting: total.waiting,
                 age: inputs.map_or(MAX_SNAPSHOT_AGE, |inputs| inputs.age),
             });
         }
@@ -280,15 +315,23 @@
         let fresh = inputs.filter(|inputs| inputs.age < MAX_SNAPSHOT_AGE);
         level.usage = fresh.map_or(0.0, |inputs| inputs.usage);
         level.total_at = fresh.and_then(|inputs| now.checked_sub(inputs.age));
-        level.shares = fresh.map_or([1.0; MAX_LEVELS as usize], |inputs| {
-            admitted_shares(inputs.usage, inputs.demand)
-        });
+        let shares = fresh.map(|inputs| admitted_shares(inputs.usage, inputs.demand));
+        level.smooth_shares(shares, now);
         level.take_changes(fresh, now)
     }
 
-    /// Forgets services whose streams no longer have different priorities.
-    pub fn retain(&mut self, is_kept: impl Fn(&ServiceName) -> bool) {
-        self.levels.retain(|service, _| is_kept(service));
+    /// Forgets services whose streams no longer have different priorities; returns the priorities
+    /// that had occurred.
+    pub fn remove_others(&mut self, is_kept: impl Fn(&str) -> bool) -> Vec<(ServiceName, u8)> {
+        let mut removed = Vec::new();
+        self.levels.retain(|service, level| {
+            let is_kept = is_kept(service);
+            if !is_kept {
+                removed.extend(level.reported.keys().map(|priority| (service.clone(), *priority)));
+            }
+            is_kept
+        });
+        removed
     }
 
     /// Shares of a service by priority, of those that have occurred.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -12,6 +12,7 @@
 use crate::call::AllowedCall;
 use crate::demand::DemandMeter;
 use crate::endpoints::EndpointEntry;
+use crate::levels::count_stream;
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
 use crate::queue::{QueuePosition, WaitClass};
@@ -275,7 +276,7 @@
     }
 
     /// Class of the stream in the queue.
-    fn wait_class(&self) -> WaitClass {
+    pub(crate) fn wait_class(&self) -> WaitClass {
         let head = &self.call.head;
         let is_retried = head
             .deadline
@@ -348,6 +349,7 @@
         let mut queue = context.state.path_queue.borrow_mut();
         let (position, expected_wait) = queue.join(context.wait_class(), context.call.priority);
         context.count_demand(DemandMeter::join_queue);
+        count_stream(context, "waited");
         Self { context, position, expected_wait }
     }
 
--- a/crates/entry/src/demand.rs
+++ b/crates/entry/src/demand.rs
@@ -68,7 +68,8 @@
         }
     }
 
-    fn add(&mut self, other: Self) {
+    /// Adds other counts.
+    pub(crate) fn add(&mut self, other: Self) {
         let other = other.sanitized();
         self.arrived_per_s += other.arrived_per_s;
         self.started_per_s += other.started_per_s;
@@ -199,7 +200,8 @@
 }
 
 impl DemandMeter {
-    /// Records that a new stream arrived.
+    /// Records that a new stream arrived, unless its caller retries after a refusal: such a stream is
+    /// always admitted, so that it would only reduce the shares of the others.
     pub fn record_arrived(&mut self, service: &ServiceName, priority: u8, now: Instant) {
         self.count(service, priority, now).arrived_per_s += single_rate();
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod heartbeat;
 mod inflight;
 mod layout;
+mod levels;
 mod loads;
 mod logs;
 mod notices;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -136,6 +136,12 @@
         self.outside = Some((now, total));
     }
 
+    /// Age of the holder's last total; zero if there is none, as on the holder.
+    pub fn total_age(&self, now: Instant) -> Duration {
+        let at = self.outside.as_ref().map(|(at, _)| *at);
+        at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Replaces a member's report and returns the total over all hosts: on the holder, the members
     /// are all of them. `None` while the last total from the holder is too old.
     pub fn exchange(
@@ -176,6 +182,8 @@
     hosts: u32,
     /// Streams that callers ask for at all hosts.
     demands: DemandMap,
+    /// Age that the total had at the exchange.
+    total_age: Duration,
 }
 
 impl PeerLoads {
@@ -184,7 +192,30 @@
         let demands = total.demands.clone();
         total.remove(&own);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        self.latest = Some(LoadSnapshot { at: now, others: total, own: own.loads, hosts, demands });
+        let total_age = Duration::ZERO;
+        self.latest = Some(LoadSnapshot {
+            at: now,
+            others: total,
+            own: own.loads,
+            hosts,
+            demands,
+            total_age,
+        });
+    }
+
+    /// Sets the age that the last total had when this host got it from a relay.
+    pub fn set_total_age(&mut self, age: Duration) {
+        if let Some(snapshot) = &mut self.latest {
+            snapshot.total_age = age;
+        }
+    }
+
+    /// Load of all hosts on an endpoint, as the last total says; none if it is too old.
+    pub fn total_load(&self, name: &str, now: Instant) -> Option<StageLoad> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let mut load = snapshot.others.loads.get(name).copied().unwrap_or_default();
+        load.add(snapshot.own.get(name).copied().unwrap_or_default());
+        Some(load)
     }
 
     /// Whether the last total is recent enough to use.
@@ -222,8 +253,9 @@
     /// this total; none if it is too old.
     pub fn demands(&self, service: &str, now: Instant) -> Option<(PriorityDemand, Duration)> {
         let snapshot = self.fresh_snapshot(now)?;
+        let age = snapshot.total_age + now.saturating_duration_since(snapshot.at);
         let demand = snapshot.demands.get(service).cloned().unwrap_or_default();
-        Some((demand, now.saturating_duration_since(snapshot.at)))
+        (age < MAX_SNAPSHOT_AGE).then_some((demand, age))
     }
 
     fn fresh_snapshot(&self, now: Instant) -> Option<&LoadSnapshot> {
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,6 +22,7 @@
 use crate::exclusions::SharedExclusion;
 use crate::follow::endpoints_changed;
 use crate::front::serve_internal;
+use crate::levels::update_levels;
 use crate::loads::LoadSum;
 use crate::poison::PoisonReport;
 use crate::pool::{SendOptions, build_request};
@@ -85,6 +86,9 @@
     /// Whether the total lacks the hosts outside the relay's group.
     #[serde(default)]
     is_partial: bool,
+    /// Age of the part of the total that is from outside the relay's group, in ms.
+    #[serde(default)]
+    total_age_ms: u64,
     /// `boot_id` of the replying host; sequence numbers are valid only for the same one.
     boot: u64,
     /// Sequence number of the last change of its table.
@@ -205,6 +209,7 @@
     loop {
         sleep(EXCHANGE_INTERVAL).await;
         issue_own_share(&state);
+        update_levels(&state);
         if state.is_holder() {
             seen = None;
             apply_own_total(&state);
@@ -241,6 +246,7 @@
     let (own, now) = (state.own_load(), Instant::now());
     let total = state.relay_loads.borrow_mut().group_total(&own, now);
     state.peer_loads.borrow_mut().update(total, own, state.host_count(), now);
+    update_levels(state);
     state.holder_heard.set(Some(now));
     let draws = state.rates.borrow_mut().draws(now);
     let grants = draw_permits(state, &state.options.host, &draws);
@@ -371,7 +377,12 @@
     }
     if !reply.is_partial {
         state.relay_loads.borrow_mut().record_total(reply.total.clone(), reported, now);
-        state.peer_loads.borrow_mut().update(reply.total, own, state.host_count(), now);
+        {
+            let mut loads = state.peer_loads.borrow_mut();
+            loads.update(reply.total, own, state.host_count(), now);
+            loads.set_total_age(Duration::from_millis(reply.total_age_ms));
+        }
+        update_levels(state);
     }
     let age = Duration::from_millis(reply.confirmed_ms);
     let is_confirmed = age < MAX_CONFIRMED_AGE;
@@ -586,6 +597,11 @@
     let version = endpoints.version();
     HolderReply {
         is_partial: total.is_none(),
+        total_age_ms: if is_holder {
+            0
+        } else {
+            whole_ms(state.relay_loads.borrow().total_age(now))
+        },
         total: total.unwrap_or_default(),
         boot: state.boot_id,
         number,
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -269,6 +269,11 @@
         self.prioritized.contains(service)
     }
 
+    /// Services whose stream routes have different priorities.
+    pub fn prioritized_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.prioritized.iter()
+    }
+
     /// The engine profile of a service, if it has one.
     pub fn engine(&self, service: &str) -> Option<&EngineProfile> {
         self.rules.services.get(service)?.engine.as_ref()
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::{CallCodec, RegistryClient};
+use crate::admission::AdmissionTable;
 use crate::call::AllowedCall;
 use crate::demand::DemandMeter;
 use crate::detour::detour;
@@ -192,6 +193,8 @@
     pub path_queue: RefCell<WaitQueue>,
     /// Streams that callers ask for at this host, of services with several priorities.
     pub demand: RefCell<DemandMeter>,
+    /// Shares of new streams that are admitted.
+    pub admission: RefCell<AdmissionTable>,
     /// Outcomes of streams, for the delay after which refused callers come back.
     pub return_schedule: RefCell<ReturnSchedule>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
@@ -277,6 +280,7 @@
             waiting_calls: Cell::new(0),
             path_queue: RefCell::default(),
             demand: RefCell::default(),
+            admission: RefCell::default(),
             return_schedule: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -20,6 +20,7 @@
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
 use crate::context::{CALLER_TIMEOUT, RetryReason, StreamContext};
 use crate::demand::DemandMeter;
+use crate::levels::{admit, count_stream};
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
 use crate::source::{SourceFailure, SourceHead, SourceStep, StreamSource};
 use crate::state::EntryState;
@@ -55,9 +56,7 @@
 ) -> Result<Response<ResponseBody>, CallRefusal> {
     let mut relay = StreamRelay::new(StreamContext::new(state, call), request);
     let call = relay.context.call.clone();
-    if call.head.resume_after.is_none() {
-        relay.context.count_demand(DemandMeter::record_arrived);
-    }
+    admit(&relay.context)?;
     relay.add_source(call.head.resume_after, None);
     loop {
         match relay.next_events().await {
@@ -93,6 +92,7 @@
     count_outcome(state, &call.service, "not_run");
     let now = Instant::now();
     relay.context.count_demand(DemandMeter::record_refused);
+    count_stream(&relay.context, "refused");
     state.return_schedule.borrow_mut().record_refused(now);
     let delay = state.return_schedule.borrow_mut().delay(now, call.remaining());
     let retry_after = delay + state.path_queue.borrow().drain_time();
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -77,6 +77,8 @@
     Orders = "jacinthrock_orders_total", Counter, ["result"], "Orders to endpoints, by result.";
     LoopStalls = "jacinthrock_loop_stalls_total", Counter, [], "Times that the event loop stood still, seen from another thread.";
     AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
+    AdmissionShare = "jacinthrock_admission_share_thousandths", Gauge, ["service", "priority"], "Share of new streams that is admitted, in thousandths, by service and priority.";
+    AdmissionStreams = "jacinthrock_admission_streams_total", Counter, ["service", "priority", "outcome"], "Streams of services with several priorities: admitted, waited for a path, or refused for lack of capacity.";
 }
 
 #[derive(Clone)]
