--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -1,8 +1,6 @@
 //! Applies the admission levels on this host: gathers their inputs, reports their changes and
 //! refuses new streams that are not admitted.
 
-use std::time::Duration;
-
 use jacinthrock::{CallRefusal, MetricName, ResultCode};
 use rand::Rng;
 use tokio::time::Instant;
@@ -127,11 +125,7 @@
         event = "admission_level", service, priority = change.priority,
         share = round(change.share), usage = round(change.usage),
         arrived_per_s = round(change.arrived_per_s), started_per_s = round(change.started_per_s),
-        waiting = change.waiting, age_ms = whole_ms(change.age);
+        waiting = change.waiting, age_ms = change.age.as_millis() as u64;
         "share of new streams that is admitted has changed"
     );
 }
-
-fn whole_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -1,10 +1,12 @@
 //! Load totals that hosts exchange, and shares of the retry budget.
 
 use jacinthrock_entry::{
-    LoadAggregator, LoadSum, PeerLoads, RelayLoads, SmoothedShare, StageLoad, retry_share,
+    DemandCount, DemandMap, DemandMeter, LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads,
+    SmoothedShare, StageLoad, retry_share,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -115,3 +117,134 @@
     assert!(relay.exchange("m1".into(), sum(5), &sum(1), false, later).is_none());
     assert!(!relay.has_members(later + Duration::from_secs(2)));
 }
+
+fn demand(arrived_per_s: f64, waiting: u32) -> LoadSum {
+    let count = DemandCount { arrived_per_s, waiting, ..DemandCount::default() };
+    LoadSum { demands: [("s".into(), [(1, count)].into())].into(), ..sum(1) }
+}
+
+/// Load sum of the previous version, without demands.
+#[derive(Serialize, Deserialize)]
+struct PreviousSum {
+    loads: LoadMap,
+    crossing_tokens_per_s: f64,
+}
+
+/// While a deployment is upgraded, hosts of both versions exchange loads.
+#[test]
+fn reports_of_the_previous_version_and_of_this_one_are_read_by_both() {
+    let previous = PreviousSum { loads: sum(3).loads, crossing_tokens_per_s: 3.0 };
+    let text = serde_json::to_string(&previous).expect("a report");
+    assert_eq!(serde_json::from_str::<LoadSum>(&text).expect("a readable report"), sum(3));
+    assert_eq!(serde_json::to_string(&sum(3)).expect("a report"), text, "demands are left out");
+
+    let text = serde_json::to_string(&demand(2.5, 4)).expect("a report");
+    let read: PreviousSum = serde_json::from_str(&text).expect("a readable report");
+    assert_eq!(read.loads["a"].streams, 1);
+    assert_eq!(serde_json::from_str::<LoadSum>(&text).expect("a readable report"), demand(2.5, 4));
+}
+
+/// What one host reports of its demand must not make the rest of its report unreadable, and no
+/// value that it sends may count as more than a bound.
+#[test]
+fn garbled_demands_count_as_nothing_and_leave_the_loads_readable() {
+    let read = |demands: &str| {
+        let text = format!(
+            r#"{{"loads":{{"a":[7,0,0]}},"crossing_tokens_per_s":1.0,"demands":{demands}}}"#
+        );
+        let read: LoadSum = serde_json::from_str(&text).expect("a readable report");
+        assert_eq!(read.loads["a"].streams, 7, "{demands}");
+        read.demands
+    };
+    for demands in ["null", "7", "[]", "\"x\"", "{\"s\":null}", "{\"s\":{\"x\":[1,1,1,1]}}"] {
+        assert_eq!(read(demands), DemandMap::new(), "{demands}");
+    }
+    let nothing = DemandCount::default();
+    for count in ["null", "[]", "{}", "[null,\"x\",-3,-1]", "[-1e300,[],{},1.5]"] {
+        assert_eq!(read(&format!(r#"{{"s":{{"1":{count}}}}}"#))["s"][&1], nothing, "{count}");
+    }
+    let huge = read(r#"{"s":{"255":[1e300,1,1,18446744073709551615],"9":[1,1,1,1]}}"#);
+    let count = huge["s"][&9];
+    assert_eq!((huge["s"].len(), count.started_per_s), (1, 2.0));
+    assert!(count.arrived_per_s <= 1e6 + 1.0 && count.waiting <= 1_000_001, "{count:?}");
+}
+
+/// Sums with a forged report must not overflow, nor keep anything of it once it has expired.
+#[tokio::test(start_paused = true)]
+async fn forged_report_expires_without_a_trace() {
+    let (mut aggregator, now) = (LoadAggregator::default(), Instant::now());
+    let load = StageLoad { streams: u32::MAX, starts: u32::MAX, token_layers: u64::MAX };
+    let mut forged = demand(f64::INFINITY, u32::MAX);
+    forged.loads.insert("b".into(), load);
+    aggregator.exchange("h1".into(), forged.clone(), now);
+    let total = aggregator.exchange("h2".into(), forged.clone(), now).clone();
+    let mut others = PeerLoads::default();
+    others.update(total, forged, 300, now);
+    assert_eq!(others.load("b", StageLoad::default(), now).map(|load| load.streams), Some(0));
+    assert_eq!(others.load("b", load, now).map(|load| load.streams), Some(0));
+    let later = now + Duration::from_secs(2);
+    let total = aggregator.exchange("h3".into(), demand(2.0, 1), later);
+    assert_eq!(total.demands, demand(2.0, 1).demands);
+}
+
+/// The total must contain each host once, through relays too.
+#[tokio::test(start_paused = true)]
+async fn demands_are_summed_over_relays_and_replaced_by_newer_reports() {
+    let (mut relay, now) = (RelayLoads::default(), Instant::now());
+    relay.exchange("m1".into(), demand(2.0, 1), &demand(1.0, 0), false, now);
+    let reported = relay.group_total(&demand(1.0, 0), now);
+    assert_eq!(reported.demands["s"][&1].arrived_per_s, 3.0);
+    relay.record_total(demand(50.0, 9), &reported, now);
+    let later = now + Duration::from_millis(200);
+    let total = relay.exchange("m1".into(), demand(5.0, 4), &demand(1.0, 0), false, later);
+    let total = total.expect("a fresh total");
+    let count = total.demands["s"][&1];
+    assert_eq!((count.arrived_per_s, count.waiting), (53.0, 12));
+    assert_eq!(relay.total_age(later), Duration::from_millis(200));
+
+    let mut peers = PeerLoads::default();
+    peers.update(total, demand(5.0, 4), 3, later);
+    peers.set_total_age(Duration::from_millis(200));
+    let (found, age) = peers.demands("s", later).expect("a fresh total");
+    assert_eq!((found[&1].arrived_per_s, age), (53.0, Duration::from_millis(200)));
+    assert_eq!(peers.demands("t", later).expect("a fresh total").0.len(), 0);
+    assert!(peers.demands("s", later + Duration::from_millis(2_200)).is_some());
+    assert!(peers.demands("s", later + Duration::from_millis(2_300)).is_none());
+    assert!(peers.is_fresh(later + Duration::from_millis(2_300)), "loads are used as before");
+    peers.set_total_age(Duration::from_millis(u64::MAX));
+    assert!(peers.demands("s", later).is_none());
+}
+
+/// Rates have to follow a burst within seconds, and rates of hosts with a stream in many seconds
+/// must not vanish by rounding: 300 of them add up.
+#[tokio::test(start_paused = true)]
+async fn rates_follow_the_demand_over_two_seconds() {
+    let (mut meter, start) = (DemandMeter::default(), Instant::now());
+    let service = "s".into();
+    for step in 0..500_u32 {
+        meter.record_arrived(&service, 0, start + Duration::from_millis(20) * step);
+    }
+    let end = start + Duration::from_secs(10);
+    let rate = |meter: &mut DemandMeter, at| {
+        meter.counts(at).get("s").map_or(0.0, |counts| counts[&0].arrived_per_s)
+    };
+    let steady = rate(&mut meter, end);
+    assert!((steady - 50.0).abs() < 1.0, "{steady} per second");
+    let later = rate(&mut meter, end + Duration::from_secs(2));
+    assert!((later - steady / std::f64::consts::E).abs() < 0.1, "{later} after two seconds");
+    assert!(meter.counts(end + Duration::from_secs(60)).is_empty());
+
+    let mut meters: Vec<_> = (0..300).map(|_| DemandMeter::default()).collect();
+    for (host, meter) in meters.iter_mut().enumerate() {
+        (0..4).for_each(|turn| {
+            let ms = turn * 10_000 + host as u64 * 10_000 / 300;
+            meter.record_started(&service, 0, start + Duration::from_millis(ms));
+        });
+    }
+    let sum: f64 = meters
+        .iter_mut()
+        .filter_map(|meter| meter.counts(start + Duration::from_secs(40)).remove("s"))
+        .map(|counts| counts[&0].started_per_s)
+        .sum();
+    assert!((sum - 30.0).abs() < 1.0, "{sum} per second over all hosts");
+}
