--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -282,7 +282,7 @@
     }
 
     /// Class of the stream in the queue.
-    fn wait_class(&self) -> WaitClass {
+    pub(crate) fn wait_class(&self) -> WaitClass {
         if self.last_event_id.get().is_some() {
             WaitClass::Interrupted
         } else if self.retry_age().is_some() || self.sends() > 0 {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,11 +2,12 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `detour`, `stall`,
-//! `relay`, `returns`, `waiting`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`,
-//! `ends`.
+//! `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`, `freshness`,
+//! `shutdown`, `notices`, `poison`, `ends`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
+mod admission;
 mod attempts;
 mod call;
 mod context;
@@ -25,6 +26,7 @@
 mod heartbeat;
 mod inflight;
 mod layout;
+mod levels;
 mod loads;
 mod logs;
 mod notices;
@@ -61,6 +63,10 @@
     CallCodec, CallHead, EndpointReport, RateNotice, RecordGroup, RegistryClient, RegistryError,
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
+pub use admission::{
+    AdmissionRefusal, AdmissionTable, LevelChange, LevelInputs, NewStream, StageCapacity,
+    admitted_shares, service_usage,
+};
 pub use attempts::AttemptLog;
 pub use demand::{DemandCount, DemandMap, DemandMeter, PriorityDemand, level_of};
 pub use detour::detour;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -17,7 +17,7 @@
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 /// Age at which the last total is no longer used.
-const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
+pub(crate) const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
 
 /// Part of the retry budget that hosts share equally; the rest is in proportion to their streams.
 const EQUAL_SHARE: f64 = 0.4;
@@ -136,6 +136,12 @@
         self.outside = Some((now, total));
     }
 
+    /// Age of the holder's last total; zero if there is none, as on the holder.
+    pub fn total_age(&self, now: Instant) -> Duration {
+        let at = self.outside.as_ref().map(|(at, _)| *at);
+        at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Replaces a member's report and returns the total over all hosts: on the holder, the members
     /// are all of them. `None` while the last total from the holder is too old.
     pub fn exchange(
@@ -176,6 +182,8 @@
     hosts: u32,
     /// Streams that callers ask for at all hosts.
     demands: DemandMap,
+    /// Age that the total had at the exchange.
+    total_age: Duration,
 }
 
 impl PeerLoads {
@@ -184,7 +192,30 @@
         let demands = total.demands.clone();
         total.remove(&own);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        self.latest = Some(LoadSnapshot { at: now, others: total, own: own.loads, hosts, demands });
+        let total_age = Duration::ZERO;
+        self.latest = Some(LoadSnapshot {
+            at: now,
+            others: total,
+            own: own.loads,
+            hosts,
+            demands,
+            total_age,
+        });
+    }
+
+    /// Sets the age that the last total had when this host got it from a relay.
+    pub fn set_total_age(&mut self, age: Duration) {
+        if let Some(snapshot) = &mut self.latest {
+            snapshot.total_age = age;
+        }
+    }
+
+    /// Load of all hosts on an endpoint, as the last total says; none if it is too old.
+    pub fn total_load(&self, name: &str, now: Instant) -> Option<StageLoad> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let mut load = snapshot.others.loads.get(name).copied().unwrap_or_default();
+        load.add(snapshot.own.get(name).copied().unwrap_or_default());
+        Some(load)
     }
 
     /// Whether the last total is recent enough to use.
@@ -208,7 +239,8 @@
     /// Number of streams of the other hosts; none if the last total is too old.
     pub fn streams(&self, now: Instant) -> Option<u32> {
         let snapshot = self.fresh_snapshot(now)?;
-        Some(snapshot.others.loads.values().map(|load| load.starts).sum())
+        let starts = snapshot.others.loads.values().map(|load| load.starts);
+        Some(starts.fold(0, u32::saturating_add))
     }
 
     /// Tokens per second that the other hosts send between failure domains; 0 if the last total is
@@ -221,8 +253,9 @@
     /// this total; none if it is too old.
     pub fn demands(&self, service: &str, now: Instant) -> Option<(PriorityDemand, Duration)> {
         let snapshot = self.fresh_snapshot(now)?;
+        let age = snapshot.total_age + now.saturating_duration_since(snapshot.at);
         let demand = snapshot.demands.get(service).cloned().unwrap_or_default();
-        Some((demand, now.saturating_duration_since(snapshot.at)))
+        (age < MAX_SNAPSHOT_AGE).then_some((demand, age))
     }
 
     /// Streams of a service that callers ask for at the other hosts, by priority level; none if the
@@ -253,8 +286,8 @@
 pub fn retry_share(hosts: usize, own: u32, others: Option<u32>) -> f64 {
     let equal = 1.0 / hosts as f64;
     match others {
-        Some(others) if own + others > 0 => {
-            let by_streams = f64::from(own) / f64::from(own + others);
+        Some(others) if own > 0 || others > 0 => {
+            let by_streams = f64::from(own) / (f64::from(own) + f64::from(others));
             EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * by_streams
         }
         _ => equal,
--- a/crates/entry/src/objective_wait.rs
+++ b/crates/entry/src/objective_wait.rs
@@ -10,6 +10,7 @@
 
 use crate::context::StreamContext;
 use crate::demand::DemandMeter;
+use crate::levels::count_stream;
 use crate::path::PathStage;
 use crate::queue::QueueNumber;
 use crate::source::SourceFailure;
@@ -137,6 +138,7 @@
         let queue = queues.entry(context.call.service.clone()).or_default();
         let (number, ahead) = queue.join(stream, now);
         context.count_demand(DemandMeter::join_queue);
+        count_stream(context, "waited");
         Self { context, number, ahead }
     }
 
