--- a/crates/entry/tests/queue_waiting.rs
+++ b/crates/entry/tests/queue_waiting.rs
@@ -1,7 +1,11 @@
 //! Order and expected wait of streams that wait for a path.
 
-use jacinthrock_entry::{WaitClass, WaitQueue};
+#[path = "support/streams.rs"]
+mod streams;
+
+use jacinthrock_entry::{ObjectiveQueue, WaitClass, WaitQueue, WaitingStream};
 use std::time::Duration;
+use streams::{DEADLINE, ms, new_stream, returned_stream};
 use tokio::time::Instant;
 
 #[test]
@@ -45,3 +49,73 @@
     assert_eq!(urgent, Duration::ZERO);
     assert_eq!(queue.drain_time().as_millis(), 1_100);
 }
+
+/// Serves all streams of a queue in order, at one time.
+fn served_order(queue: &mut ObjectiveQueue, now: Instant) -> Vec<u64> {
+    queue.update(now);
+    std::iter::from_fn(|| {
+        let first = queue.first()?;
+        queue.leave(first);
+        Some(first)
+    })
+    .collect()
+}
+
+/// In a shortage of some seconds, streams of all kinds wait at one host: those that can still be on
+/// time must not wait behind those that are late anyway, nor an interrupted answer behind either.
+#[tokio::test(start_paused = true)]
+async fn streams_that_can_be_on_time_go_before_late_ones() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now() + DEADLINE);
+    let mut join = |stream, at| queue.join(stream, at).0;
+    let late_short = join(new_stream(0, 500, start), start);
+    let late_short_later = join(new_stream(1, 500, start + ms(1)), start + ms(1));
+    let late_long = join(new_stream(2, 1_000, start + ms(2)), start + ms(2));
+    let now = start + ms(800);
+    let low = join(new_stream(2, 1_000, now), now);
+    let urgent = join(new_stream(0, 500, now), now);
+    let middle = join(new_stream(1, 500, now), now);
+    let returned = join(returned_stream(500, now, ms(1_200)), now);
+    let interrupted = WaitingStream { is_interrupted: true, ..new_stream(2, 1_000, start) };
+    let interrupted = join(interrupted, now);
+    let expected =
+        [interrupted, urgent, middle, low, late_long, returned, late_short, late_short_later];
+    assert_eq!(served_order(&mut queue, now), expected);
+    assert!(queue.is_empty());
+}
+
+/// A burst fills the queue with urgent streams. When their objective has passed, those that came
+/// later and can be on time are first, without any stream having joined or left.
+#[tokio::test(start_paused = true)]
+async fn order_changes_when_an_objective_passes() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
+    let (urgent, _) = queue.join(new_stream(0, 500, start), start);
+    let (low, ahead) = queue.join(new_stream(2, 1_000, start + ms(100)), start + ms(100));
+    assert_eq!((queue.first(), ahead), (Some(urgent), 1));
+    assert!(!queue.update(start + ms(349)), "its objective can still be met");
+    assert!(queue.update(start + ms(350)), "another stream is first, and must be woken");
+    assert_eq!(queue.first(), Some(low));
+    assert!(!queue.update(start + ms(351)), "a change is reported once");
+    // At 800 ms the other is late as well; its objective is longer.
+    assert!(!queue.update(start + ms(800)));
+    assert_eq!(queue.first(), Some(low));
+}
+
+/// Callers of a burst leave while their streams wait: what they leave behind must neither be first
+/// nor count as ahead.
+#[tokio::test(start_paused = true)]
+async fn stream_that_leaves_holds_up_none() {
+    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
+    let numbers: Vec<_> =
+        (0..300).map(|_| queue.join(new_stream(0, 500, start), start).0).collect();
+    assert!(queue.leave(numbers[0]), "the first was first");
+    assert!(!queue.leave(numbers[150]), "those behind others need not be woken for");
+    assert!(!queue.leave(numbers[150]), "leaving twice changes nothing");
+    queue.update(start + ms(400));
+    assert_eq!(queue.first(), Some(numbers[1]));
+    for number in &numbers {
+        queue.leave(*number);
+    }
+    assert!(queue.is_empty() && queue.first().is_none());
+    let (_, ahead) = queue.join(new_stream(2, 1_000, start), start);
+    assert_eq!(ahead, 0);
+}
--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -15,7 +15,9 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use jacinthrock_entry::{EntryState, PathQuery, RetryPolicy, RouteRule, StreamGuard};
+use jacinthrock_entry::{
+    DemandCount, EntryState, LoadSum, PathQuery, RetryPolicy, RouteRule, StreamGuard,
+};
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, LocalSet, yield_now};
 use tokio::time::{Instant, sleep};
@@ -217,3 +219,41 @@
         })
         .await;
 }
+
+/// A report that claims a thousand urgent streams at another host, forged or true, while this host
+/// has free starts. It may hold back a less urgent stream until that can no longer be on time, but
+/// neither refuse it nor hold it any longer, and it does not concern the most urgent ones.
+#[tokio::test(start_paused = true)]
+async fn free_starts_are_left_to_urgent_streams_of_other_hosts_for_a_bounded_time() {
+    LocalSet::new()
+        .run_until(async {
+            let (cluster, guards) = full_host(&[0, 1]).await;
+            let state = &cluster.hosts[0].state;
+            drop(guards);
+            let waiting = DemandCount { waiting: 1_000, ..DemandCount::default() };
+            let demands = [("guide".into(), [(0, waiting)].into())].into();
+            let report = LoadSum { demands, ..LoadSum::default() };
+            let (own, now) = (state.own_load(), Instant::now());
+            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+            sleep(Duration::from_millis(400)).await;
+            let _low = send(state, 1);
+            let joined = until_waiting(state, (0, 1)).await;
+            let _urgent = send(state, 0);
+            let has_started = |priority| {
+                let counts = state.demand.borrow_mut().counts(Instant::now());
+                let demand = counts.get("guide").and_then(|levels| levels.get(&priority).copied());
+                demand.is_some_and(|count| count.started_per_s > 0.0)
+            };
+            while !has_started(0) {
+                sleep(MS).await;
+            }
+            assert!(joined.elapsed() < Duration::from_millis(100), "{:?}", joined.elapsed());
+            assert!(!has_started(1));
+            while !has_started(1) {
+                sleep(MS).await;
+            }
+            let wait = joined.elapsed();
+            assert!(wait.abs_diff(Duration::from_millis(350)) <= 2 * MS, "waited {wait:?}");
+        })
+        .await;
+}
--- a/crates/entry/tests/waiting_streams.rs
+++ b/crates/entry/tests/waiting_streams.rs
@@ -1,4 +1,8 @@
-//! How long streams of services with several priorities wait for a path, and in which order.
+//! How long streams of services with several priorities wait for a path, and which starts they leave
+//! to others.
+
+#[path = "support/streams.rs"]
+mod streams;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,111 +10,16 @@
 use jacinthrock_entry::{
     DemandCount, ObjectiveQueue, PriorityDemand, SiteQueue, WaitOrder, WaitingStream, free_starts,
 };
+use streams::{DEADLINE, ms, new_stream, returned_stream};
 use tokio::time::Instant;
 
-const DEADLINE: Duration = Duration::from_secs(20);
 /// Interval that a host with four streams a second has measured.
 const HOST_INTERVAL: Duration = Duration::from_millis(250);
 
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
-fn new_stream(priority: u8, objective_ms: u64, arrived: Instant) -> WaitingStream {
-    WaitingStream {
-        is_interrupted: false,
-        priority,
-        objective: ms(objective_ms),
-        first_arrived: arrived,
-        silent_since: arrived,
-        deadline: arrived + DEADLINE,
-    }
-}
-
-/// A stream that returns `age` after its first attempt.
-fn returned_stream(objective_ms: u64, arrived: Instant, age: Duration) -> WaitingStream {
-    let first_arrived = arrived - age;
-    WaitingStream {
-        first_arrived,
-        deadline: first_arrived + DEADLINE,
-        ..new_stream(0, objective_ms, arrived)
-    }
-}
-
 fn site(waiting_elsewhere: &[(u8, u32)], started_per_s: f64) -> SiteQueue {
     SiteQueue { waiting_elsewhere: waiting_elsewhere.iter().copied().collect(), started_per_s }
 }
 
-/// Serves all streams of a queue in order, at one time.
-fn served_order(queue: &mut ObjectiveQueue, now: Instant) -> Vec<u64> {
-    queue.update(now);
-    std::iter::from_fn(|| {
-        let first = queue.first()?;
-        queue.leave(first);
-        Some(first)
-    })
-    .collect()
-}
-
-/// In a shortage of some seconds, streams of all kinds wait at one host: those that can still be on
-/// time must not wait behind those that are late anyway, nor an interrupted answer behind either.
-#[tokio::test(start_paused = true)]
-async fn streams_that_can_be_on_time_go_before_late_ones() {
-    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now() + DEADLINE);
-    let mut join = |stream, at| queue.join(stream, at).0;
-    let late_short = join(new_stream(0, 500, start), start);
-    let late_short_later = join(new_stream(1, 500, start + ms(1)), start + ms(1));
-    let late_long = join(new_stream(2, 1_000, start + ms(2)), start + ms(2));
-    let now = start + ms(800);
-    let low = join(new_stream(2, 1_000, now), now);
-    let urgent = join(new_stream(0, 500, now), now);
-    let middle = join(new_stream(1, 500, now), now);
-    let returned = join(returned_stream(500, now, ms(1_200)), now);
-    let interrupted = WaitingStream { is_interrupted: true, ..new_stream(2, 1_000, start) };
-    let interrupted = join(interrupted, now);
-    let expected =
-        [interrupted, urgent, middle, low, late_long, returned, late_short, late_short_later];
-    assert_eq!(served_order(&mut queue, now), expected);
-    assert!(queue.is_empty());
-}
-
-/// A burst fills the queue with urgent streams. When their objective has passed, those that came
-/// later and can be on time are first, without any stream having joined or left.
-#[tokio::test(start_paused = true)]
-async fn order_changes_when_an_objective_passes() {
-    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
-    let (urgent, _) = queue.join(new_stream(0, 500, start), start);
-    let (low, ahead) = queue.join(new_stream(2, 1_000, start + ms(100)), start + ms(100));
-    assert_eq!((queue.first(), ahead), (Some(urgent), 1));
-    assert!(!queue.update(start + ms(349)), "its objective can still be met");
-    assert!(queue.update(start + ms(350)), "another stream is first, and must be woken");
-    assert_eq!(queue.first(), Some(low));
-    assert!(!queue.update(start + ms(351)), "a change is reported once");
-    // At 800 ms the other is late as well; its objective is longer.
-    assert!(!queue.update(start + ms(800)));
-    assert_eq!(queue.first(), Some(low));
-}
-
-/// Callers of a burst leave while their streams wait: what they leave behind must neither be first
-/// nor count as ahead.
-#[tokio::test(start_paused = true)]
-async fn stream_that_leaves_holds_up_none() {
-    let (mut queue, start) = (ObjectiveQueue::default(), Instant::now());
-    let numbers: Vec<_> =
-        (0..300).map(|_| queue.join(new_stream(0, 500, start), start).0).collect();
-    assert!(queue.leave(numbers[0]), "the first was first");
-    assert!(!queue.leave(numbers[150]), "those behind others need not be woken for");
-    assert!(!queue.leave(numbers[150]), "leaving twice changes nothing");
-    queue.update(start + ms(400));
-    assert_eq!(queue.first(), Some(numbers[1]));
-    for number in &numbers {
-        queue.leave(*number);
-    }
-    assert!(queue.is_empty() && queue.first().is_none());
-    let (_, ahead) = queue.join(new_stream(2, 1_000, start), start);
-    assert_eq!(ahead, 0);
-}
-
 /// In the measured burst, refused callers returned after their objective of 500 ms. A stream waits
 /// for an on-time answer, then until its caller is about to give up, but not past its deadline.
 #[tokio::test(start_paused = true)]
