Time after which callers give up is defined with the decision on waits

The decision would otherwise import the stream's context, which imports the queue. No change of behaviour; the tests of queueing and admission pass.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -18,6 +18,7 @@
 use crate::sending::probe_entry;
 use crate::source::SourceFailure;
 use crate::state::{EntryState, PathQuery};
+use crate::waiting::CALLER_TIMEOUT;
 
 /// Maximum wait for a path when none has room: most of the delay of the first event that callers
 /// tolerate. Beyond that, a refusal with a retry delay serves them better.
@@ -25,9 +26,6 @@
 /// A request whose deadline is shorter than the route's timeout by more than this margin is a
 /// retry, since callers count their deadline from the first attempt.
 const RETRY_DEADLINE_MARGIN: Duration = Duration::from_millis(100);
-/// Time since the last event after which callers have given up, so that an interrupted stream is
-/// not resumed.
-pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// Part of the retry budget reserved for resuming interrupted streams. A stream without any event
 /// yet can be refused, and its caller may retry; a silent one may go on by itself.
 const RESUME_RESERVED_SHARE: f64 = 0.2;
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -18,12 +18,13 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
-use crate::context::{CALLER_TIMEOUT, RetryReason, StreamContext};
+use crate::context::{RetryReason, StreamContext};
 use crate::demand::DemandMeter;
 use crate::levels::{admit, count_stream};
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
 use crate::source::{SourceFailure, SourceHead, SourceStep, StreamSource};
 use crate::state::EntryState;
+use crate::waiting::CALLER_TIMEOUT;
 
 /// Silence after which a stream is not sent to another endpoint beside the silent one: the other
 /// would have to read the whole prompt before the caller gives up.
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -15,9 +15,11 @@
 
 use tokio::time::Instant;
 
-use crate::context::CALLER_TIMEOUT;
 use crate::demand::{PriorityDemand, level_of};
 
+/// Time since the last event after which callers have given up, so that an interrupted stream is
+/// not resumed.
+pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// Part of an objective, and of the time after which a caller gives up, for which a stream waits.
 /// The rest is left for the path's first event.
 const WAIT_SHARE: f64 = 0.7;
