--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -32,6 +32,8 @@
 /// Time over which shares are averaged. Unaveraged, the share of the last priority deviated from its
 /// mean by 0.2 under steady load, from the chance of single arrivals and refusals.
 const SMOOTHING_TIME: Duration = Duration::from_secs(2);
+/// Distance at which an averaged share takes the new value, so that it ends at 1.
+const MIN_SHARE_STEP: f64 = 0.005;
 /// Shortest time between two reports of a service's level.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// Smallest change of a share that is reported.
@@ -102,10 +104,7 @@
         std::array::from_fn(|level| arrived(demand, level as u8));
     let total = total_demand(demand);
     let mut shares = [1.0; MAX_LEVELS as usize];
-    let is_unused = !usage.is_finite() || usage <= 0.0;
-    // Without a stream that started, low usage says nothing about the rate that engines accept.
-    let is_calm = usage < ADMIT_ALL_USAGE && (total.waiting == 0 || total.started_per_s <= 0.0);
-    if is_unused || is_calm {
+    if is_calm(usage, &total) {
         return shares;
     }
     let accepted_per_s = total.started_per_s * TARGET_USAGE / usage;
@@ -123,6 +122,14 @@
     shares
 }
 
+/// Whether all streams are to be admitted: usage is low and nothing waits. Also if nothing has
+/// started at low usage, which leaves open at what rate the engines accept streams.
+fn is_calm(usage: f64, total: &DemandCount) -> bool {
+    let is_unused = !usage.is_finite() || usage <= 0.0;
+    let is_idle = total.waiting == 0 || total.started_per_s <= 0.0;
+    is_unused || (usage < ADMIT_ALL_USAGE && is_idle)
+}
+
 /// Streams that arrive per second, of the priorities that belong to a level.
 fn arrived(demand: &PriorityDemand, level: u8) -> f64 {
     let counts = demand.iter().filter(|(priority, _)| level_of(**priority) == level);
@@ -246,17 +253,24 @@
         (age < MAX_SNAPSHOT_AGE).then_some(age)
     }
 
-    /// Moves the shares towards new ones; without a recent total, all streams are admitted.
-    fn smooth_shares(&mut self, shares: Option<[f64; MAX_LEVELS as usize]>, now: Instant) {
-        let last = if shares.is_some() { self.updated.replace(now) } else { self.updated.take() };
-        let elapsed = last.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let weight = 1.0 - (-elapsed.div_duration_f64(SMOOTHING_TIME)).exp();
-        let Some(shares) = shares else {
+    /// Moves the shares towards those of new inputs. When the shortage is over or the total too
+    /// old, all streams are admitted at once.
+    fn smooth_shares(&mut self, inputs: Option<LevelInputs<'_>>, now: Instant) {
+        let short = inputs.filter(|inputs| !is_calm(inputs.usage, &total_demand(inputs.demand)));
+        let Some(inputs) = short else {
             self.shares = [1.0; MAX_LEVELS as usize];
+            self.updated = inputs.map(|_| now);
             return;
         };
+        let last = self.updated.replace(now);
+        let elapsed = last.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let weight = 1.0 - (-elapsed.div_duration_f64(SMOOTHING_TIME)).exp();
+        let shares = admitted_shares(inputs.usage, inputs.demand);
         for (average, share) in self.shares.iter_mut().zip(shares) {
             *average += weight * (share - *average);
+            if (share - *average).abs() < MIN_SHARE_STEP {
+                *average = share;
+            }
         }
     }
 
@@ -315,8 +329,7 @@
         let fresh = inputs.filter(|inputs| inputs.age < MAX_SNAPSHOT_AGE);
         level.usage = fresh.map_or(0.0, |inputs| inputs.usage);
         level.total_at = fresh.and_then(|inputs| now.checked_sub(inputs.age));
-        let shares = fresh.map(|inputs| admitted_shares(inputs.usage, inputs.demand));
-        level.smooth_shares(shares, now);
+        level.smooth_shares(fresh, now);
         level.take_changes(fresh, now)
     }
 
--- a/crates/entry/tests/admission_level.rs
+++ b/crates/entry/tests/admission_level.rs
@@ -299,7 +299,7 @@
 /// A level that follows delayed totals too fast admits too many streams and too few in turn.
 #[tokio::test(start_paused = true)]
 async fn level_does_not_oscillate_under_steady_load() {
-    for factor in [1.8, 2.2, 2.6, 3.0] {
+    for factor in [1.3, 1.6, 1.7, 1.8, 2.0, 2.2, 2.6, 3.0] {
         let outcome = Shortage { shortage_s: 40, ..Shortage::new(63, factor) }.run();
         // The shortage begins after ten seconds.
         let deviations = [0, 1, 2].map(|priority| outcome.deviation(priority, 20));
@@ -425,6 +425,23 @@
     }
 }
 
+/// After a shortage, streams must not be refused while the engines have free starts.
+#[tokio::test(start_paused = true)]
+async fn level_ends_with_the_shortage() {
+    let (mut table, now) = (AdmissionTable::default(), Instant::now());
+    let demand = [(0, count(100.0, 10.0))].into();
+    let inputs = LevelInputs { usage: 0.95, demand: &demand, age: Duration::ZERO };
+    table.update(&service(), Some(inputs), now);
+    assert!(table.admit(&service(), &new_stream(0), 0.0, now).is_err());
+    table.update(&service(), Some(LevelInputs { usage: 0.7, ..inputs }), now);
+    assert!(table.admit(&service(), &new_stream(0), 0.0, now).is_ok());
+    // The next shortage begins from there.
+    let later = now + Duration::from_secs(2);
+    table.update(&service(), Some(inputs), later);
+    let share = table.shares(&service())[&0];
+    assert!((share - (0.4 + 0.6 / std::f64::consts::E)).abs() < 1e-9, "{share}");
+}
+
 /// With more kinds than levels, the last level holds the rest.
 #[test]
 fn many_priorities_share_ten_levels() {
