--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -123,9 +123,10 @@
 }
 
 /// Whether all streams are to be admitted: usage is low and nothing waits. Also if nothing has
-/// started at low usage, which leaves open at what rate the engines accept streams.
+/// started at low usage, which leaves open at what rate the engines accept streams, and if the total
+/// has no arrivals, as from a holder of a version that does not know them.
 fn is_calm(usage: f64, total: &DemandCount) -> bool {
-    let is_unused = !usage.is_finite() || usage <= 0.0;
+    let is_unused = !usage.is_finite() || usage <= 0.0 || total.arrived_per_s <= 0.0;
     let is_idle = total.waiting == 0 || total.started_per_s <= 0.0;
     is_unused || (usage < ADMIT_ALL_USAGE && is_idle)
 }
--- a/src/trail.rs
+++ b/src/trail.rs
@@ -16,7 +16,7 @@
 /// are part of the trail: exclusions of endpoints last for three seconds.
 const LEAD_TIME_MS: i64 = 4_000;
 /// Events of a host that change what it believes, other than about an endpoint.
-const HOST_EVENTS: [&str; 15] = [
+const HOST_EVENTS: [&str; 16] = [
     "start",
     "stop",
     "listener_closed",
@@ -32,6 +32,7 @@
     "duty_void",
     "duty_acting",
     "connection_refused",
+    "admission_level",
 ];
 /// Fields of a line that are part of every line of a trail, and not repeated among its details.
 const SHOWN_FIELDS: [&str; 2] = ["event", "attempt"];
