Merge admission by the demand of all hosts and queueing by objective

For services whose stream routes have different priorities. What each part does stands in docs/design/shortage.md and docs/design/queueing.md.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,11 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthrock::EndpointName;
+use jacinthrock::{EndpointName, ServiceName};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::AttemptLog;
 use crate::call::AllowedCall;
+use crate::demand::DemandMeter;
 use crate::endpoints::EndpointEntry;
 use crate::failure::SourceFailure;
 use crate::path::{PathStage, crossings};
@@ -18,6 +19,7 @@
 use crate::routing::PathQuery;
 use crate::sending::probe_entry;
 use crate::state::EntryState;
+use crate::waiting::CALLER_TIMEOUT;
 
 /// Maximum wait for a path when none has room: most of the delay of the first event that callers
 /// tolerate. Beyond that, a refusal with a retry delay serves them better.
@@ -25,9 +27,6 @@
 /// A request whose deadline is shorter than the route's timeout by more than this margin is a
 /// retry, since callers count their deadline from the first attempt.
 const RETRY_DEADLINE_MARGIN: Duration = Duration::from_millis(100);
-/// Time since the last event after which callers have given up, so that an interrupted stream is
-/// not resumed.
-pub(crate) const CALLER_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// Part of the retry budget reserved for resuming interrupted streams. A stream without any event
 /// yet can be refused, and its caller may retry; a silent one may go on by itself.
 const RESUME_RESERVED_SHARE: f64 = 0.2;
@@ -60,6 +59,8 @@
     pub(crate) last_event_id: Cell<Option<u64>>,
     /// Time of the last event, or of the request's arrival before the first.
     pub(crate) last_event_at: Cell<Instant>,
+    /// Whether the streams of the service have different priorities.
+    pub(crate) has_priorities: bool,
     sends: Cell<u32>,
     attempts: RefCell<AttemptLog>,
     /// Endpoints that failed or refused the stream.
@@ -69,18 +70,20 @@
 }
 
 /// Endpoints at which the next path of a stream may start.
-struct StartLimits {
+pub(crate) struct StartLimits {
     /// Endpoints to choose from, once the route allows no others.
-    starts: Option<BTreeSet<EndpointName>>,
+    pub(crate) starts: Option<BTreeSet<EndpointName>>,
     avoid: BTreeSet<EndpointName>,
 }
 
 impl StreamContext {
     pub(crate) fn new(state: &Rc<EntryState>, call: Rc<AllowedCall>) -> Self {
+        let rules = state.rules();
         Self {
             state: state.clone(),
             last_event_id: Cell::new(None),
             last_event_at: Cell::new(call.arrived),
+            has_priorities: rules.is_some_and(|rules| rules.has_priorities(&call.service)),
             sends: Cell::new(0),
             attempts: RefCell::default(),
             avoid: RefCell::default(),
@@ -89,6 +92,17 @@
         }
     }
 
+    /// Changes the counts of this host's demand, which cover services with priorities only.
+    pub(crate) fn count_demand(
+        &self,
+        record: impl FnOnce(&mut DemandMeter, &ServiceName, u8, Instant),
+    ) {
+        if self.has_priorities {
+            let mut meter = self.state.demand.borrow_mut();
+            record(&mut meter, &self.call.service, self.call.priority, Instant::now());
+        }
+    }
+
     /// Number of times that the request was sent or tried to be sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
@@ -205,7 +219,7 @@
     }
 
     /// After the maximum number of attempts, a path must start at an endpoint that was tried before.
-    fn start_limits(&self) -> StartLimits {
+    pub(crate) fn start_limits(&self) -> StartLimits {
         let counted = self.counted_attempts();
         let held = self.held.borrow();
         let mut avoid: BTreeSet<_> = self.avoid.borrow().union(&held).cloned().collect();
@@ -232,7 +246,7 @@
     }
 
     /// Calls a function with the requirements for the next path.
-    fn with_query<T>(&self, run: impl FnOnce(&EntryState, &PathQuery<'_>) -> T) -> T {
+    pub(crate) fn with_query<T>(&self, run: impl FnOnce(&EntryState, &PathQuery<'_>) -> T) -> T {
         let limits = self.start_limits();
         let query = PathQuery {
             service: &self.call.service,
@@ -244,27 +258,33 @@
         run(&self.state, &query)
     }
 
-    fn find_path(&self) -> Option<Rc<[PathStage]>> {
+    pub(crate) fn find_path(&self) -> Option<Rc<[PathStage]>> {
         self.with_query(|state, query| state.find_path(query))
     }
 
     /// Records that the stream takes a path.
-    fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
+    pub(crate) fn accept_path(&self, path: Rc<[PathStage]>) -> Rc<[PathStage]> {
         let now = Instant::now();
         self.state.path_queue.borrow_mut().record_served(now);
+        if self.sends() == 0 {
+            self.count_demand(DemandMeter::record_started);
+        }
         self.state.consume_crossings(crossings(&path));
         path
     }
 
+    /// Time between the first attempt of the caller and this one, if it returns after a refusal.
+    pub(crate) fn retry_age(&self) -> Option<Duration> {
+        let deadline = self.call.head.deadline?;
+        let is_retried = deadline.saturating_add(RETRY_DEADLINE_MARGIN) < self.call.route.timeout;
+        is_retried.then(|| self.call.route.timeout - deadline)
+    }
+
     /// Class of the stream in the queue.
-    fn wait_class(&self) -> WaitClass {
-        let head = &self.call.head;
-        let is_retried = head
-            .deadline
-            .is_some_and(|deadline| deadline + RETRY_DEADLINE_MARGIN < self.call.route.timeout);
+    pub(crate) fn wait_class(&self) -> WaitClass {
         if self.last_event_id.get().is_some() {
             WaitClass::Interrupted
-        } else if is_retried || self.sends() > 0 {
+        } else if self.retry_age().is_some() || self.sends() > 0 {
             WaitClass::Retried
         } else {
             WaitClass::New
@@ -273,7 +293,11 @@
 
     /// Waits for a path with room, for as long as the caller benefits from it.
     pub(crate) async fn wait_for_path(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
-        let found = self.search_path().await;
+        let found = if self.has_priorities {
+            self.search_by_objective().await
+        } else {
+            self.search_path().await
+        };
         let first = found.as_ref().ok().and_then(|path| path.first());
         self.state.record_held_back(&self.call.service, first);
         found
@@ -296,8 +320,7 @@
         if self.next_opening().is_some_and(|opening| opening >= until) {
             return Err(SourceFailure::NoPath("no first stage takes requests at present".into()));
         }
-        let guard = (!is_limited)
-            .then(|| QueueGuard::new(&self.state, self.wait_class(), self.call.priority));
+        let guard = (!is_limited).then(|| QueueGuard::new(self));
         let expected_wait = guard.as_ref().map_or(Duration::ZERO, |guard| guard.expected_wait);
         if Instant::now() + expected_wait > until {
             let wait_ms = expected_wait.as_millis();
@@ -320,27 +343,28 @@
 }
 
 /// Keeps a stream in the queue of waiting streams until dropped.
-struct QueueGuard {
-    state: Rc<EntryState>,
+struct QueueGuard<'a> {
+    context: &'a StreamContext,
     position: QueuePosition,
     expected_wait: Duration,
 }
 
-impl QueueGuard {
-    fn new(state: &Rc<EntryState>, class: WaitClass, priority: u8) -> Self {
-        let (position, expected_wait) = state.path_queue.borrow_mut().join(class, priority);
-        Self { state: state.clone(), position, expected_wait }
+impl<'a> QueueGuard<'a> {
+    fn new(context: &'a StreamContext) -> Self {
+        let mut queue = context.state.path_queue.borrow_mut();
+        let (position, expected_wait) = queue.join(context.wait_class(), context.call.priority);
+        Self { context, position, expected_wait }
     }
 
     fn is_first(&self) -> bool {
-        self.state.path_queue.borrow().is_first(self.position)
+        self.context.state.path_queue.borrow().is_first(self.position)
     }
 }
 
-impl Drop for QueueGuard {
+impl Drop for QueueGuard<'_> {
     fn drop(&mut self) {
-        self.state.path_queue.borrow_mut().leave(self.position);
-        self.state.path_changed.notify_waiters();
+        self.context.state.path_queue.borrow_mut().leave(self.position);
+        self.context.state.path_changed.notify_waiters();
     }
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `routing`, `detour`,
-//! `stall`, `relay`, `returns`, `health`, `attempts`, `freshness`, `shutdown`, `notices`, `poison`,
-//! `ends`, `starts`.
+//! `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`, `freshness`,
+//! `shutdown`, `notices`, `poison`, `ends`, `starts`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
+mod admission;
 mod attempts;
 mod call;
 mod context;
+mod demand;
 mod detour;
 mod dispatch;
 mod endpoints;
@@ -26,9 +28,11 @@
 mod heartbeat;
 mod inflight;
 mod layout;
+mod levels;
 mod loads;
 mod logs;
 mod notices;
+mod objective_wait;
 mod orders;
 mod path;
 mod peers;
@@ -57,13 +61,19 @@
 mod state;
 mod stream;
 mod version;
+mod waiting;
 mod watchdog;
 
 pub use adapter::{
     CallCodec, CallHead, EndpointReport, RateNotice, RecordGroup, RegistryClient, RegistryError,
     RegistryRecord, RegistryResult, ReplyHead, SendHead,
 };
+pub use admission::{
+    AdmissionRefusal, AdmissionTable, LevelChange, LevelInputs, NewStream, StageCapacity,
+    admitted_shares, service_usage,
+};
 pub use attempts::AttemptLog;
+pub use demand::{DemandCount, DemandMap, DemandMeter, PriorityDemand, level_of};
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
@@ -91,7 +101,7 @@
     ConnectionLease, ConnectionPool, PooledReply, SendError, SendOptions, build_request,
     host_header,
 };
-pub use queue::{QueuePosition, WaitClass, WaitQueue};
+pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
@@ -108,3 +118,4 @@
 pub use starts::{StartChange, StartInputs, StartPlanner};
 pub use state::{EntryOptions, EntryState, PeerHost, PlacementHolder};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
+pub use waiting::{SiteQueue, WaitOrder, WaitingStream, free_starts};
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -11,12 +11,13 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
+use crate::demand::{DemandMap, PriorityDemand, add_demands, read_demands, remove_demands};
 use crate::inflight::StageLoad;
 
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
 /// Age at which the last total is no longer used.
-const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
+pub(crate) const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(2_500);
 
 /// Part of the retry budget that hosts share equally; the rest is in proportion to their streams.
 const EQUAL_SHARE: f64 = 0.4;
@@ -34,6 +35,13 @@
     pub loads: LoadMap,
     /// Tokens per second that pass between failure domains.
     pub crossing_tokens_per_s: f64,
+    /// Streams that callers ask for, of services with several priorities.
+    #[serde(
+        default,
+        skip_serializing_if = "DemandMap::is_empty",
+        deserialize_with = "read_demands"
+    )]
+    pub demands: DemandMap,
 }
 
 impl LoadSum {
@@ -43,6 +51,7 @@
         for (name, load) in &other.loads {
             self.loads.entry(name.clone()).or_default().add(*load);
         }
+        add_demands(&mut self.demands, &other.demands);
     }
 
     fn remove(&mut self, other: &Self) {
@@ -53,6 +62,7 @@
                 sum.remove(*load);
             }
         }
+        remove_demands(&mut self.demands, &other.demands);
     }
 }
 
@@ -126,6 +136,12 @@
         self.outside = Some((now, total));
     }
 
+    /// Age of the holder's last total; zero if there is none, as on the holder.
+    pub fn total_age(&self, now: Instant) -> Duration {
+        let at = self.outside.as_ref().map(|(at, _)| *at);
+        at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at))
+    }
+
     /// Replaces a member's report and returns the total over all hosts: on the holder, the members
     /// are all of them. `None` while the last total from the holder is too old.
     pub fn exchange(
@@ -164,14 +180,42 @@
     /// Load of this host at the time of the exchange.
     own: LoadMap,
     hosts: u32,
+    /// Streams that callers ask for at all hosts.
+    demands: DemandMap,
+    /// Age that the total had at the exchange.
+    total_age: Duration,
 }
 
 impl PeerLoads {
     /// Replaces the last total with a new one over `hosts` hosts; `own` is this host's part of it.
     pub fn update(&mut self, mut total: LoadSum, own: LoadSum, hosts: usize, now: Instant) {
+        let demands = total.demands.clone();
         total.remove(&own);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
-        self.latest = Some(LoadSnapshot { at: now, others: total, own: own.loads, hosts });
+        let total_age = Duration::ZERO;
+        self.latest = Some(LoadSnapshot {
+            at: now,
+            others: total,
+            own: own.loads,
+            hosts,
+            demands,
+            total_age,
+        });
+    }
+
+    /// Sets the age that the last total had when this host got it from a relay.
+    pub fn set_total_age(&mut self, age: Duration) {
+        if let Some(snapshot) = &mut self.latest {
+            snapshot.total_age = age;
+        }
+    }
+
+    /// Load of all hosts on an endpoint, as the last total says; none if it is too old.
+    pub fn total_load(&self, name: &str, now: Instant) -> Option<StageLoad> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let mut load = snapshot.others.loads.get(name).copied().unwrap_or_default();
+        load.add(snapshot.own.get(name).copied().unwrap_or_default());
+        Some(load)
     }
 
     /// Whether the last total is recent enough to use.
@@ -195,7 +239,8 @@
     /// Number of streams of the other hosts; none if the last total is too old.
     pub fn streams(&self, now: Instant) -> Option<u32> {
         let snapshot = self.fresh_snapshot(now)?;
-        Some(snapshot.others.loads.values().map(|load| load.starts).sum())
+        let starts = snapshot.others.loads.values().map(|load| load.starts);
+        Some(starts.fold(0, u32::saturating_add))
     }
 
     /// Tokens per second that the other hosts send between failure domains; 0 if the last total is
@@ -204,6 +249,22 @@
         self.fresh_snapshot(now).map_or(0.0, |snapshot| snapshot.others.crossing_tokens_per_s)
     }
 
+    /// Streams of a service that callers ask for at all hosts, by priority level, and the age of
+    /// this total; none if it is too old.
+    pub fn demands(&self, service: &str, now: Instant) -> Option<(PriorityDemand, Duration)> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let age = snapshot.total_age + now.saturating_duration_since(snapshot.at);
+        let demand = snapshot.demands.get(service).cloned().unwrap_or_default();
+        (age < MAX_SNAPSHOT_AGE).then_some((demand, age))
+    }
+
+    /// Streams of a service that callers ask for at the other hosts, by priority level; none if the
+    /// last total is too old.
+    pub fn other_demands(&self, service: &str, now: Instant) -> Option<PriorityDemand> {
+        let snapshot = self.fresh_snapshot(now)?;
+        Some(snapshot.others.demands.get(service).cloned().unwrap_or_default())
+    }
+
     fn fresh_snapshot(&self, now: Instant) -> Option<&LoadSnapshot> {
         let snapshot = self.latest.as_ref()?;
         (now.saturating_duration_since(snapshot.at) < MAX_SNAPSHOT_AGE).then_some(snapshot)
@@ -225,8 +286,8 @@
 pub fn retry_share(hosts: usize, own: u32, others: Option<u32>) -> f64 {
     let equal = 1.0 / hosts as f64;
     match others {
-        Some(others) if own + others > 0 => {
-            let by_streams = f64::from(own) / f64::from(own + others);
+        Some(others) if own > 0 || others > 0 => {
+            let by_streams = f64::from(own) / (f64::from(own) + f64::from(others));
             EQUAL_SHARE * equal + (1.0 - EQUAL_SHARE) * by_streams
         }
         _ => equal,
--- /dev/null
+++ b/crates/entry/src/objective_wait.rs
@@ -0,0 +1,167 @@
+//! Waits for a path for a stream of a service whose stream routes have different priorities.
+//!
+//! Each host holds the queue of its own streams, and knows those of the other hosts as counts from the
+//! last exchange of loads. The module `waiting` decides.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, timeout_at};
+
+use crate::context::StreamContext;
+use crate::demand::DemandMeter;
+use crate::failure::SourceFailure;
+use crate::levels::count_stream;
+use crate::path::PathStage;
+use crate::queue::QueueNumber;
+use crate::routing::MAX_OCCUPANCY;
+use crate::waiting::{SiteQueue, WaitingStream, free_starts};
+
+impl StreamContext {
+    /// Waits for a path with room until the last moment of the stream.
+    pub(crate) async fn search_by_objective(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
+        let (stream, now) = (self.waiting_stream(), Instant::now());
+        let until = stream.last_moment();
+        // A stream that may start at few endpoints would hold up those behind it.
+        let is_limited = self.start_limits().starts.is_some();
+        let leads = is_limited || self.would_be_first(&stream, now);
+        let leaves_start = leads && self.leaves_start(&stream, now);
+        if leads
+            && !leaves_start
+            && let Some(path) = self.find_path()
+        {
+            return Ok(self.accept_path(path));
+        }
+        if self.next_opening().is_some_and(|opening| opening >= until) {
+            return Err(SourceFailure::NoPath("no first stage takes requests at present".into()));
+        }
+        let guard = (!is_limited).then(|| ObjectiveGuard::new(self, stream, now));
+        // A stream that leaves a free start to others will find one, however many are said to wait.
+        if let Some(guard) = guard.as_ref().filter(|_| !leaves_start) {
+            let wait = self.expected_wait(&stream, guard.ahead, now);
+            if !wait.is_zero() && stream.is_refused(wait, now) {
+                let wait_ms = wait.as_millis();
+                return Err(SourceFailure::NoPath(format!("the line is {wait_ms} ms long").into()));
+            }
+        }
+        loop {
+            let path_changed = self.state.path_changed.notified();
+            let now = Instant::now();
+            if guard.as_ref().is_none_or(|guard| guard.is_first(now))
+                && !self.leaves_start(&stream, now)
+                && let Some(path) = self.find_path()
+            {
+                return Ok(self.accept_path(path));
+            }
+            // The order changes without a notification when the objective of a stream passes.
+            let wake_at = stream.order_change(now).map_or(until, |at| at.min(until));
+            if timeout_at(wake_at, path_changed).await.is_err() && wake_at == until {
+                return Err(SourceFailure::NoPath(
+                    self.with_query(|state, query| state.explain_no_path(query)),
+                ));
+            }
+        }
+    }
+
+    fn waiting_stream(&self) -> WaitingStream {
+        let call = &self.call;
+        let first_arrived = self.retry_age().and_then(|age| call.arrived.checked_sub(age));
+        WaitingStream {
+            is_interrupted: self.last_event_id.get().is_some(),
+            priority: call.priority,
+            objective: call.route.objective,
+            first_arrived: first_arrived.unwrap_or(call.arrived),
+            silent_since: self.last_event_at.get(),
+            deadline: call.deadline,
+        }
+    }
+
+    fn would_be_first(&self, stream: &WaitingStream, now: Instant) -> bool {
+        self.update_queue(now);
+        let queues = self.state.objective_queues.borrow();
+        let queue = queues.get(&self.call.service);
+        queue.is_none_or(|queue| queue.would_be_first(stream, now))
+    }
+
+    fn expected_wait(&self, stream: &WaitingStream, ahead: u32, now: Instant) -> Duration {
+        let interval = self.state.path_queue.borrow().interval();
+        stream.expected_wait(ahead, self.site_queue(now).as_ref(), interval, now)
+    }
+
+    fn leaves_start(&self, stream: &WaitingStream, now: Instant) -> bool {
+        stream.leaves_start(|| self.free_starts(now), self.site_queue(now).as_ref(), now)
+    }
+
+    /// Streams of the service over all hosts; `None` while no recent total is known.
+    fn site_queue(&self, now: Instant) -> Option<SiteQueue> {
+        let (loads, service) = (self.state.peer_loads.borrow(), &self.call.service);
+        let (total, _age) = loads.demands(service, now)?;
+        Some(SiteQueue::new(&total, &loads.other_demands(service, now)?))
+    }
+
+    /// Number of streams of the service that may still start, over all endpoints.
+    fn free_starts(&self, now: Instant) -> u64 {
+        let endpoints = self.state.endpoints.borrow();
+        let first_stages = endpoints.entries().filter(|entry| {
+            entry.service == self.call.service
+                && entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
+                && self.state.accepts_work(entry, now)
+        });
+        let free = first_stages.map(|entry| {
+            let starts = self.state.total_load(&entry.name).starts;
+            u64::from(free_starts(entry.slots, starts, MAX_OCCUPANCY))
+        });
+        free.sum()
+    }
+
+    /// Moves streams of the queue whose objective has passed, and wakes the one that is first then.
+    fn update_queue(&self, now: Instant) {
+        let mut queues = self.state.objective_queues.borrow_mut();
+        let queue = queues.get_mut(&self.call.service);
+        if queue.is_some_and(|queue| queue.update(now)) {
+            self.state.path_changed.notify_waiters();
+        }
+    }
+}
+
+/// Keeps a stream in the queue of its service until dropped.
+struct ObjectiveGuard<'a> {
+    context: &'a StreamContext,
+    number: QueueNumber,
+    /// Streams of this host that are served before it.
+    ahead: u32,
+}
+
+impl<'a> ObjectiveGuard<'a> {
+    fn new(context: &'a StreamContext, stream: WaitingStream, now: Instant) -> Self {
+        let mut queues = context.state.objective_queues.borrow_mut();
+        let queue = queues.entry(context.call.service.clone()).or_default();
+        let (number, ahead) = queue.join(stream, now);
+        context.count_demand(DemandMeter::join_queue);
+        count_stream(context, "waited");
+        Self { context, number, ahead }
+    }
+
+    fn is_first(&self, now: Instant) -> bool {
+        self.context.update_queue(now);
+        let queues = self.context.state.objective_queues.borrow();
+        let queue = queues.get(&self.context.call.service);
+        queue.is_some_and(|queue| queue.first() == Some(self.number))
+    }
+}
+
+impl Drop for ObjectiveGuard<'_> {
+    fn drop(&mut self) {
+        let StreamContext { state, call, .. } = self.context;
+        self.context.count_demand(DemandMeter::leave_queue);
+        let mut queues = state.objective_queues.borrow_mut();
+        let Some(queue) = queues.get_mut(&call.service) else { return };
+        // Those behind another stream can't go on when this one leaves.
+        if queue.leave(self.number) {
+            state.path_changed.notify_waiters();
+        }
+        if queue.is_empty() {
+            queues.remove(&call.service);
+        }
+    }
+}
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -37,7 +37,7 @@
 /// domain had lost endpoints.
 const QUOTA_OVERCOMMIT_RATIO: f64 = 2.0;
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
-const MAX_OCCUPANCY: f64 = 0.95;
+pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
 
 /// Requirements for a path.
 #[derive(Clone, Copy, Debug)]
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -8,11 +8,14 @@
 
 use jacinthrock::{
     BudgetOptions, DomainName, EndpointName, HostName, MetricName, MetricRegistry, RetryBudget,
+    ServiceName,
 };
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::adapter::{CallCodec, RegistryClient};
+use crate::admission::AdmissionTable;
+use crate::demand::DemandMeter;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
 use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
@@ -27,7 +30,7 @@
 use crate::permits::PermitPools;
 use crate::poison::PoisonTable;
 use crate::pool::ConnectionPool;
-use crate::queue::WaitQueue;
+use crate::queue::{ObjectiveQueue, WaitQueue};
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
 use crate::relay::{RelayCandidate, RelayPicker};
@@ -170,6 +173,12 @@
     pub waiting_calls: Cell<u32>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
+    /// Queues of streams that wait for a path, by service with several priorities.
+    pub objective_queues: RefCell<BTreeMap<ServiceName, ObjectiveQueue>>,
+    /// Streams that callers ask for at this host, of services with several priorities.
+    pub demand: RefCell<DemandMeter>,
+    /// Shares of new streams that are admitted.
+    pub admission: RefCell<AdmissionTable>,
     /// Outcomes of streams, for the delay after which refused callers come back.
     pub return_schedule: RefCell<ReturnSchedule>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
@@ -242,6 +251,9 @@
             peer_loads: RefCell::default(),
             waiting_calls: Cell::new(0),
             path_queue: RefCell::default(),
+            objective_queues: RefCell::default(),
+            demand: RefCell::default(),
+            admission: RefCell::default(),
             return_schedule: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
@@ -365,6 +377,7 @@
         LoadSum {
             loads: inflight.loads().clone(),
             crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
+            demands: self.demand.borrow_mut().counts(Instant::now()),
         }
     }
 
@@ -477,7 +490,7 @@
 
     /// Wakes waiting streams to search for a path again.
     pub fn wake_queue(&self) {
-        if !self.path_queue.borrow().is_empty() {
+        if !self.path_queue.borrow().is_empty() || !self.objective_queues.borrow().is_empty() {
             self.path_changed.notify_waiters();
         }
     }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -18,11 +18,14 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
-use crate::context::{CALLER_TIMEOUT, RetryReason, StreamContext};
+use crate::context::{RetryReason, StreamContext};
+use crate::demand::DemandMeter;
 use crate::failure::SourceFailure;
+use crate::levels::{admit, count_stream};
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
 use crate::source::{SourceHead, SourceStep, StreamSource};
 use crate::state::EntryState;
+use crate::waiting::CALLER_TIMEOUT;
 
 /// Silence after which a stream is not sent to another endpoint beside the silent one: the other
 /// would have to read the whole prompt before the caller gives up.
@@ -55,6 +58,7 @@
 ) -> Result<Response<ResponseBody>, CallRefusal> {
     let mut relay = StreamRelay::new(StreamContext::new(state, call), request);
     let call = relay.context.call.clone();
+    admit(&relay.context)?;
     relay.add_source(call.head.resume_after, None);
     loop {
         match relay.next_events().await {
@@ -89,6 +93,8 @@
     }
     count_outcome(state, &call.service, "not_run");
     let now = Instant::now();
+    relay.context.count_demand(DemandMeter::record_refused);
+    count_stream(&relay.context, "refused");
     state.return_schedule.borrow_mut().record_refused(now);
     let delay = state.return_schedule.borrow_mut().delay(now, call.remaining());
     let retry_after = delay + state.path_queue.borrow().drain_time();
