Count starters that are loading; bound loads that other hosts report

A starter that had been ordered to load the first layer counted as present, but its starts did not count until it served them, so that one further starter was wanted for each. An absurd load of one host saturated the total of an endpoint; subtracting it left the total too low for as long as streams ran there.

--- a/crates/entry/src/inflight.rs
+++ b/crates/entry/src/inflight.rs
@@ -92,6 +92,13 @@
     }
 }
 
+/// Upper bound on a number of streams on one endpoint that another host reports. A sum of a few
+/// reports at the bounds is not saturated, so that they can be subtracted again.
+const MAX_REPORTED_STREAMS: u32 = 1_000_000;
+/// Upper bound on the KV cache use of one endpoint that another host reports, in tokens times
+/// layers, far above what an endpoint holds.
+const MAX_REPORTED_TOKEN_LAYERS: u64 = 1_000_000_000_000;
+
 /// Load that streams put on an endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(from = "(u32, u32, u64)", into = "(u32, u32, u64)")]
@@ -138,7 +145,11 @@
 
 impl From<(u32, u32, u64)> for StageLoad {
     fn from((streams, starts, token_layers): (u32, u32, u64)) -> Self {
-        Self { streams, starts, token_layers }
+        Self {
+            streams: streams.min(MAX_REPORTED_STREAMS),
+            starts: starts.min(MAX_REPORTED_STREAMS),
+            token_layers: token_layers.min(MAX_REPORTED_TOKEN_LAYERS),
+        }
     }
 }
 
--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -260,15 +260,18 @@
         let model_mb = f64::from(shape.layers) * shape.layer_mb;
         let memory_mb: f64 = members.iter().map(|card| card.memory_mb).sum();
         let capacity_of = |card: &CardView| f64::from(card.slots) * SLOT_SHARE;
-        let serves_first = |card: &&&CardView| {
-            [card.held, card.loaded].iter().all(|span| span.is_some_and(|span| span.holds(0)))
-        };
-        let first_stages = members.iter().filter(serves_first).map(|card| capacity_of(card));
         let others = members.iter().filter(|card| card.slots > 0).map(|card| capacity_of(card));
         let others: Vec<f64> = others.collect();
         let is_whole = (0..shape.layers)
             .all(|layer| members.iter().any(|card| card.loaded.is_some_and(|s| s.holds(layer))));
         let is_starter = |card: &CardView| starters.iter().any(|other| other.name == card.name);
+        // A starter that still loads the first layer counts, as it does in `present`: each would be
+        // followed by a further one otherwise.
+        let serves_first = |card: &&&CardView| {
+            let spans = [card.held, card.loaded];
+            is_starter(card) || spans.iter().all(|span| span.is_some_and(|span| span.holds(0)))
+        };
+        let first_stages = members.iter().filter(serves_first).map(|card| capacity_of(card));
         let carriers = members.iter().filter(|card| card.loaded.is_some() && !is_starter(card));
         let carriers_mb: f64 = carriers.map(|card| card.memory_mb).sum();
         let copies = (carriers_mb * WEIGHT_SHARE / model_mb).floor().max(1.0);
--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -248,3 +248,23 @@
         .sum();
     assert!((sum - 30.0).abs() < 1.0, "{sum} per second over all hosts");
 }
+
+/// Guards against a total that stays too low after a host has reported an absurd load: the sum is
+/// saturated then, and the removal of that report takes the loads of all others with it.
+#[tokio::test(start_paused = true)]
+async fn absurd_load_does_not_distort_later_totals() {
+    let (mut aggregator, now) = (LoadAggregator::default(), Instant::now());
+    let forged: StageLoad =
+        serde_json::from_value(serde_json::json!([u32::MAX, u32::MAX, u64::MAX])).expect("a load");
+    let forged = LoadSum { loads: [("a".into(), forged)].into(), ..LoadSum::default() };
+    aggregator.exchange("h1".into(), sum(10), now);
+    aggregator.exchange("h2".into(), sum(20), now);
+    aggregator.exchange("h3".into(), forged, now);
+    aggregator.exchange("h3".into(), sum(5), now);
+    for _ in 0..3 {
+        aggregator.exchange("h1".into(), sum(10), now);
+        aggregator.exchange("h2".into(), sum(20), now);
+    }
+    let total = aggregator.total(now).loads["a"];
+    assert_eq!((total.streams, total.starts, total.token_layers), (35, 35, 35_000));
+}
--- a/crates/entry/tests/start_capacity.rs
+++ b/crates/entry/tests/start_capacity.rs
@@ -492,3 +492,30 @@
         }
     }
 }
+
+/// Guards against a further starter for each one that is still loading: it already counts as one of
+/// the domain, and must count with its starts.
+#[test]
+fn starter_that_loads_the_first_layer_counts() {
+    let mut service = Service::large();
+    let load = service.load(0.6);
+    service.run(SETTLE_ROUNDS, load);
+    let domain = DOMAINS[0];
+    let wanted = service.wanted();
+    let starter = service.starters(domain).pop().expect("the domain has a starter");
+    let card = service.cards.iter_mut().find(|card| card.name == starter.name);
+    let card = card.expect("the starter is a card of the service");
+    card.loaded = Some(LayerSpan { from: 1, to: 2 });
+    card.is_free = false;
+    let load = service.load(0.6);
+    service.place_streams(domain, load(domain));
+    let inputs = StartInputs {
+        shape: SHAPE,
+        stream_mb: TOKENS * TOKEN_LAYER_MB,
+        cards: &service.cards,
+        has_loads: true,
+        is_first_start: false,
+    };
+    let changes = service.starts.update(inputs, service.now);
+    assert_eq!((service.wanted(), changes), (wanted, Vec::new()));
+}
