A domain gets at most one starter for six of its cards

With three engines, the only second holder of a layer became a starter as soon as a quarter of the slots of the one first stage was in use, and the loss of the first holder broke two to nine of some 450 streams.

--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -26,9 +26,12 @@
 /// Time for which the usage must stay low before a starter is removed, longer than the load waves of
 /// 5 to 20 s.
 const REMOVE_AFTER: Duration = Duration::from_secs(30);
-/// Copies of the model from which a domain gets starters before its first stream. A smaller domain
-/// needs all of its cards for its only copy.
-const MIN_FIRST_COPIES: f64 = 2.0;
+/// Cards of a domain for each of its starters. With few cards, the second holder of a layer is one
+/// card: with a starter made of it, the loss of the first holder broke streams.
+const CARDS_PER_STARTER: usize = 6;
+/// Copies of the model from which a domain gets starters. A smaller domain needs all of its cards
+/// for its only copy.
+const MIN_COPIES: f64 = 2.0;
 
 /// What the number of starters of one service depends on.
 #[derive(Clone, Copy, Debug)]
@@ -159,10 +162,12 @@
                 // The memory is measured anew after each starter, as nothing is urgent yet.
                 let is_first = self.is_first_placement
                     && !self.has_seen_streams
-                    && usage.has_copies
                     && starts.wanted <= usage.present;
                 let lacks = is_exposed || is_first || usage.usage(starts.wanted) > MAX_USAGE;
-                starts.is_placed && lacks && usage.has_memory_for_more(starts.wanted)
+                starts.is_placed
+                    && lacks
+                    && usage.has_copies
+                    && usage.has_memory_for_more(starts.wanted)
             });
             let usage_of = |(domain, starts): &(&DomainName, &DomainStarts)| {
                 usages[*domain].usage(starts.wanted)
@@ -250,7 +255,7 @@
     cards: usize,
     /// Starters among the cards.
     present: usize,
-    /// Whether the domain can hold `MIN_FIRST_COPIES` of the model.
+    /// Whether the domain can hold `MIN_COPIES` of the model.
     has_copies: bool,
 }
 
@@ -289,7 +294,7 @@
             card_memory: streams_in(memory_mb / members.len().max(1) as f64),
             cards: members.len(),
             present: starters.len(),
-            has_copies: memory_mb * WEIGHT_SHARE >= model_mb * MIN_FIRST_COPIES,
+            has_copies: memory_mb * WEIGHT_SHARE >= model_mb * MIN_COPIES,
         }
     }
 
@@ -321,7 +326,7 @@
     /// Whether starts, and not memory, limit the streams of the domain, so that one more starter
     /// lets it take more of them.
     fn has_memory_for_more(&self, starters: usize) -> bool {
-        starters + 1 < self.cards
+        (starters + 1) * CARDS_PER_STARTER <= self.cards
             && self.starter_capacity > 0.0
             && self.memory_capacity(starters) > self.start_capacity(starters)
     }
