--- a/crates/entry/tests/waiting_streams.rs
+++ b/crates/entry/tests/waiting_streams.rs
@@ -211,6 +211,18 @@
     }
 }
 
+/// Guards against late streams that take starts from streams of other hosts that can still be on time,
+/// the more hosts the more.
+#[tokio::test(start_paused = true)]
+async fn urgent_streams_are_on_time_at_any_number_of_hosts() {
+    let outcomes = [6, 63, 195, 300].map(|hosts| (hosts, replay_shortage(hosts)));
+    for (hosts, outcome) in &outcomes {
+        let six = &outcomes[0].1;
+        let difference = (outcome.on_time[0] / six.on_time[0] - 1.0).abs();
+        assert!(difference < 0.1, "{hosts} hosts: {outcomes:?}");
+    }
+}
+
 /// A host is cut off from the exchange in a burst: it falls back on what it has measured itself.
 #[tokio::test(start_paused = true)]
 async fn without_a_recent_total_the_wait_is_that_of_the_own_host() {
