--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -42,6 +42,9 @@
 const MIN_COPY_ROOM_SHARE: f64 = 0.5;
 /// Most layers that one order adds to a card while rebalancing; more take too long to load.
 const MAX_HANDOVER_LAYERS: u16 = 6;
+/// Most cards that are compared for one starter, those with the least memory. Each comparison plans
+/// the whole domain; with all of a thousand cards, a round took seconds and held up the host.
+const MAX_STARTER_CANDIDATES: usize = 8;
 /// Layers that a starter holds.
 const STARTER_SPAN: LayerSpan = LayerSpan { from: 0, to: 1 };
 /// Weight of a copy in another domain, relative to a copy in the card's own domain.
@@ -334,7 +337,11 @@
             && card.held == card.loaded
             && fits
     };
-    let rooms = cards.iter().filter(is_candidate).filter_map(|card| {
+    let mut candidates: Vec<_> = cards.iter().filter(is_candidate).collect();
+    candidates
+        .sort_by(|a, b| a.memory_mb.total_cmp(&b.memory_mb).then_with(|| a.name.cmp(&b.name)));
+    candidates.truncate(MAX_STARTER_CANDIDATES);
+    let rooms = candidates.into_iter().filter_map(|card| {
         let mut reserved = excluded.clone();
         reserved.insert(card.name.clone());
         let mut draft = LayoutDraft::new(shape, cards, reserved);
