One occupancy limit and one mean size of a stream

The share of slots that streams may take stood in starts.rs, admission.rs and routing.rs, and could drift apart from the limit of the path search. No behaviour changes; the tests of starts and admission pass.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -16,6 +16,7 @@
 use crate::endpoints::LayerSpan;
 use crate::loads::MAX_SNAPSHOT_AGE;
 use crate::returns::{MAX_JITTER_FACTOR, MAX_SHARE_OF_REMAINING, shortage_delay};
+use crate::routing::MAX_OCCUPANCY;
 
 /// Usage below which all streams are admitted if none waits.
 const ADMIT_ALL_USAGE: f64 = 0.75;
@@ -27,8 +28,6 @@
 /// Bounds of the factor by which the size of a request changes its chance to be refused. A kind may
 /// consist of large requests, so that `MIN_SHARE` holds for each size.
 const SIZE_FACTORS: (f64, f64) = (0.75, 1.25);
-/// Share of an endpoint's slots that streams may take.
-const MAX_SLOT_USAGE: f64 = 0.95;
 /// Time over which shares are averaged. Unaveraged, the share of the last priority deviated from its
 /// mean by 0.2 under steady load, from the chance of single arrivals and refusals.
 const SMOOTHING_TIME: Duration = Duration::from_secs(2);
@@ -69,7 +68,7 @@
 pub fn service_usage(layers: u16, stages: &[StageCapacity]) -> f64 {
     let first = stages.iter().filter(|stage| stage.span.holds(0));
     let (starts, slots) = first.fold((0.0, 0.0), |(starts, slots), stage| {
-        (starts + f64::from(stage.starts), slots + f64::from(stage.slots) * MAX_SLOT_USAGE)
+        (starts + f64::from(stage.starts), slots + f64::from(stage.slots) * MAX_OCCUPANCY)
     });
     let layer_usage = (0..layers).map(|layer| {
         let holders = stages.iter().filter(|stage| stage.span.holds(layer));
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -43,7 +43,7 @@
 /// Most layers that one order adds to a card while rebalancing; more take too long to load.
 const MAX_HANDOVER_LAYERS: u16 = 6;
 /// Most cards that are compared for one starter, those with the least memory. Each comparison plans
-/// the whole domain; with all of a thousand cards, a round took seconds and held up the host.
+/// the whole domain, in each round in which a starter is wanted.
 const MAX_STARTER_CANDIDATES: usize = 8;
 /// Layers that a starter holds.
 const STARTER_SPAN: LayerSpan = LayerSpan { from: 0, to: 1 };
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -110,8 +110,7 @@
 }
 
 fn mean_tokens(rules: &RuleIndex, service: &str) -> u32 {
-    let engine = rules.engine(service);
-    engine.map_or(0, |e| e.mean_prompt_tokens.saturating_add(e.mean_output_tokens))
+    rules.engine(service).map_or(0, EngineProfile::mean_tokens)
 }
 
 fn set_share(state: &EntryState, service: &str, priority: u8, share: f64) {
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -486,10 +486,9 @@
             }
             let shape = ModelShape { layers: engine.layers, layer_mb: engine.layer_mb };
             let (starts, planner) = planners.entry(service.clone()).or_default();
-            let tokens = engine.mean_prompt_tokens.saturating_add(engine.mean_output_tokens);
             let inputs = StartInputs {
                 shape,
-                stream_mb: f64::from(tokens) * engine.token_layer_mb,
+                stream_mb: f64::from(engine.mean_tokens()) * engine.token_layer_mb,
                 cards: &cards,
                 has_loads: loads.is_some(),
                 is_first_start: state.options.is_first_start,
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -122,6 +122,11 @@
 }
 
 impl EngineProfile {
+    /// Mean number of tokens of a stream, with its prompt.
+    pub(crate) fn mean_tokens(&self) -> u32 {
+        self.mean_prompt_tokens.saturating_add(self.mean_output_tokens)
+    }
+
     /// KV cache capacity of a card that holds `layers` layers, in tokens times layers; at least 1.
     pub fn kv_capacity(&self, card: &CardProfile, layers: u16) -> f64 {
         let weights = f64::from(layers) * self.layer_mb;
--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -15,9 +15,8 @@
 use tokio::time::Instant;
 
 use crate::layout::{CardView, ModelShape, WEIGHT_SHARE, starters_in};
+use crate::routing::MAX_OCCUPANCY;
 
-/// Share of its slots that a first stage fills; paths avoid it above.
-const SLOT_SHARE: f64 = 0.95;
 /// Usage of the start capacity above which a domain lacks starts: below it, a burst of twice the
 /// load still finds starts.
 const MAX_USAGE: f64 = 0.5;
@@ -264,7 +263,7 @@
         let shape = inputs.shape;
         let model_mb = f64::from(shape.layers) * shape.layer_mb;
         let memory_mb: f64 = members.iter().map(|card| card.memory_mb).sum();
-        let capacity_of = |card: &CardView| f64::from(card.slots) * SLOT_SHARE;
+        let capacity_of = |card: &CardView| f64::from(card.slots) * MAX_OCCUPANCY;
         let others = members.iter().filter(|card| card.slots > 0).map(|card| capacity_of(card));
         let others: Vec<f64> = others.collect();
         let is_whole = (0..shape.layers)
