Do not add a removed endpoint again from a table that only keeps it

A host that has read the removal of an endpoint could get it back from another host's table: after an outage of the registry, hosts keep entries that are no longer listed for two seconds (a relay for two more), and sent them with a table whose version is no older than the removal. The receiving host marked the entry as draining for three seconds from the removal and used it after that. The same table also ended the pending removal of an entry that the host itself kept.

An entry that is not named is listed at a version no older than the removal, and is used at once. Entries that are listed again after they were kept are recorded as changes, so that followers learn of it. Tables of hosts of the previous release, without the field, are treated as before.

--- a/crates/entry/src/endpoints.rs
+++ b/crates/entry/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! Endpoints as the registry lists them, with the orders under way that this host knows of.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -108,8 +108,8 @@
 /// the entry of a dead endpoint within this time.
 const LEAVER_MEMORY: Duration = Duration::from_secs(10);
 
-/// Time for which an endpoint that was removed is not taken from another host's table, which may
-/// keep it for `RETURN_GRACE`.
+/// Time for which an endpoint that was removed is not taken from the table of a host that does not
+/// say which entries it keeps for `RETURN_GRACE`.
 const REMOVAL_MEMORY: Duration = Duration::from_secs(3);
 
 /// Number of changes kept for other hosts; a host that needs older ones gets the whole table.
@@ -127,6 +127,43 @@
     Changes(Vec<EndpointChange>),
 }
 
+/// Entries of another host's table that the registry no longer lists; the host keeps them for
+/// `RETURN_GRACE`. None if the host is of a release that does not report them.
+pub type UnlistedNames = Option<BTreeSet<EndpointName>>;
+
+/// An update with the entries of the sender's table that the registry no longer lists.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PeerUpdate {
+    /// The update.
+    pub update: EndpointUpdate,
+    /// All entries of the sender that the registry no longer lists.
+    pub unlisted: UnlistedNames,
+}
+
+/// An update of a host that does not report which of its entries are no longer listed.
+impl From<EndpointUpdate> for PeerUpdate {
+    fn from(update: EndpointUpdate) -> Self {
+        Self { update, unlisted: None }
+    }
+}
+
+/// Where entries come from, which decides whether they are evidence that the registry lists them.
+#[derive(Clone, Debug)]
+enum EntrySource {
+    Registry,
+    Peer(UnlistedNames),
+}
+
+impl EntrySource {
+    /// Whether the registry lists the entry; none if the source does not tell.
+    fn is_listed(&self, name: &EndpointName) -> Option<bool> {
+        match self {
+            Self::Registry => Some(true),
+            Self::Peer(unlisted) => unlisted.as_ref().map(|names| !names.contains(name)),
+        }
+    }
+}
+
 /// The endpoints that are listed, and those that may be listed again after a registry outage.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
@@ -139,6 +176,10 @@
     /// Endpoints of which a later start was listed, until they are taken by `take_ended`.
     ended: Vec<EndpointName>,
     vanished: BTreeMap<EndpointName, Instant>,
+    /// Entries that the host whose table was applied last keeps although they are not listed.
+    unlisted: BTreeSet<EndpointName>,
+    /// Endpoints that were not added from another host's table, until `take_unrestored`.
+    unrestored: Vec<EndpointName>,
     grace_until: Option<Instant>,
     /// Endpoints that were removed, with their start time and the time of their removal.
     removed: BTreeMap<EndpointName, (u64, Instant)>,
@@ -164,6 +205,21 @@
         std::mem::take(&mut self.ended)
     }
 
+    /// Endpoints that were in another host's table since the last call and were not added, because
+    /// this host has read their removal and that table only keeps them.
+    pub fn take_unrestored(&mut self) -> Vec<EndpointName> {
+        std::mem::take(&mut self.unrestored)
+    }
+
+    /// Entries that the registry no longer lists, for hosts that get this table.
+    pub fn unlisted(&self) -> BTreeSet<EndpointName> {
+        let names = self.vanished.keys().chain(&self.unlisted);
+        let known = |name: &&EndpointName| {
+            self.entries.contains_key(*name) || self.replaced.contains_key(*name)
+        };
+        names.filter(known).cloned().collect()
+    }
+
     /// Entry of one endpoint.
     pub fn get(&self, name: &str) -> Option<&EndpointEntry> {
         self.entries.get(name)
@@ -186,12 +242,7 @@
         if version < self.version {
             return;
         }
-        let entries: Vec<_> = entries.into_iter().collect();
-        self.enter_era(version, now);
-        for entry in &entries {
-            self.removed.remove(&entry.name);
-        }
-        self.replace_from_peer(version, entries, now);
+        self.replace_from(EntrySource::Registry, version, entries, now);
     }
 
     /// Replaces the table with that of another host, unless this one is newer. The other host may
@@ -201,14 +252,35 @@
         version: impl Into<RegistryVersion>,
         entries: impl IntoIterator<Item = EndpointEntry>,
         now: Instant,
+    ) {
+        self.replace_from_snapshot(version, entries, None, now);
+    }
+
+    /// Replaces the table with that of another host, which reports the entries that it only keeps,
+    /// unless this one is newer.
+    pub fn replace_from_snapshot(
+        &mut self,
+        version: impl Into<RegistryVersion>,
+        entries: impl IntoIterator<Item = EndpointEntry>,
+        unlisted: UnlistedNames,
+        now: Instant,
     ) {
         let version = version.into();
-        if version < self.version {
-            return;
+        if version >= self.version {
+            self.replace_from(EntrySource::Peer(unlisted), version, entries, now);
         }
+    }
+
+    fn replace_from(
+        &mut self,
+        source: EntrySource,
+        version: RegistryVersion,
+        entries: impl IntoIterator<Item = EndpointEntry>,
+        now: Instant,
+    ) {
         let entries: Vec<_> =
             entries.into_iter().map(|entry| self.with_known_order(entry)).collect();
-        self.replace_all(version, entries, now);
+        self.replace_all(source, version, entries, now);
     }
 
     /// Prepares for the first content of a restored registry. Endpoints whose entries the copy
@@ -229,37 +301,73 @@
         self.leavers.extend(leavers);
     }
 
-    /// Marks an endpoint as draining that had left before the registry was restored, or that was
-    /// removed a moment ago and is still in another host's table.
-    fn with_known_leave(&self, entry: EndpointEntry, now: Instant) -> EndpointEntry {
+    /// Entry of the registry's or another host's table as this table takes it; none if the other
+    /// table only keeps it and this host has read its removal. An endpoint that had left before
+    /// the registry was restored, or was removed a moment ago and may only be kept, is marked as
+    /// draining.
+    fn admit(
+        &mut self,
+        source: &EntrySource,
+        entry: EndpointEntry,
+        now: Instant,
+    ) -> Option<EndpointEntry> {
         let is_leaver = self
             .leavers
             .get(&entry.name)
             .is_some_and(|(start, until)| *start == entry.start_unix_ms && now < *until);
-        let is_removed = self
-            .removed
-            .get(&entry.name)
-            .is_some_and(|(start, at)| *start == entry.start_unix_ms && now - *at < REMOVAL_MEMORY);
-        EndpointEntry { is_draining: entry.is_draining || is_leaver || is_removed, ..entry }
+        let removed = self.removed.get(&entry.name).copied();
+        let is_removed = match source.is_listed(&entry.name) {
+            // The table is no older than the removal: the entry was written again since.
+            Some(true) => {
+                self.removed.remove(&entry.name);
+                false
+            }
+            Some(false) => {
+                if removed.is_some_and(|(start, _)| entry.start_unix_ms <= start) {
+                    self.unrestored.push(entry.name);
+                    return None;
+                }
+                false
+            }
+            None => removed.is_some_and(|(start, at)| {
+                start == entry.start_unix_ms && now - at < REMOVAL_MEMORY
+            }),
+        };
+        Some(EndpointEntry { is_draining: entry.is_draining || is_leaver || is_removed, ..entry })
+    }
+
+    /// Records whether the registry lists an entry that is taken; returns whether it had not.
+    fn record_listing(&mut self, source: &EntrySource, name: &EndpointName) -> bool {
+        if source.is_listed(name) == Some(false) {
+            self.unlisted.insert(name.clone());
+            return false;
+        }
+        let was_kept = self.unlisted.remove(name);
+        self.vanished.remove(name).is_some() || was_kept
     }
 
-    fn replace_all(&mut self, version: RegistryVersion, entries: Vec<EndpointEntry>, now: Instant) {
+    fn replace_all(
+        &mut self,
+        source: EntrySource,
+        version: RegistryVersion,
+        entries: Vec<EndpointEntry>,
+        now: Instant,
+    ) {
         self.enter_era(version, now);
-        let entries = entries.into_iter().map(|entry| self.with_known_leave(entry, now));
-        let entries: Vec<_> = entries.collect();
-        let fresh: BTreeMap<_, _> =
-            entries.into_iter().map(|entry| (entry.name.clone(), entry)).collect();
+        let admitted = entries.into_iter().filter_map(|entry| self.admit(&source, entry, now));
+        let fresh: BTreeMap<_, _> = admitted.map(|entry| (entry.name.clone(), entry)).collect();
         let known = self.entries.keys().chain(self.replaced.keys());
         let missing: Vec<_> = known.filter(|name| !fresh.contains_key(*name)).cloned().collect();
         for name in missing {
             self.remove(name, now);
         }
         for (name, entry) in fresh {
+            // Hosts that were told that the entry is only kept must learn that it is listed again.
+            let is_listed_again = self.record_listing(&source, &name);
             let known = self.entries.get(&name).or_else(|| self.replaced.get(&name));
-            if known != Some(&entry) {
+            if is_listed_again || known != Some(&entry) {
                 self.put(entry);
             }
-            self.vanished.remove(&name);
         }
         self.version = version;
     }
@@ -287,16 +395,24 @@
                 self.removed.remove(&entry.name);
             }
         }
-        self.apply_all(version, changes, now);
+        self.apply_all(EntrySource::Registry, version, changes, now);
     }
 
-    fn apply_all(&mut self, version: RegistryVersion, changes: Vec<EndpointChange>, now: Instant) {
+    fn apply_all(
+        &mut self,
+        source: EntrySource,
+        version: RegistryVersion,
+        changes: Vec<EndpointChange>,
+        now: Instant,
+    ) {
         self.enter_era(version, now);
         for change in changes {
             match change {
                 EndpointChange::Put(entry) => {
-                    self.vanished.remove(&entry.name);
-                    self.put(self.with_known_leave(entry, now));
+                    if let Some(entry) = self.admit(&source, entry, now) {
+                        self.record_listing(&source, &entry.name);
+                        self.put(entry);
+                    }
                 }
                 EndpointChange::Gone(name) => self.remove(name, now),
             }
@@ -374,10 +490,13 @@
     /// Applies an update from another host's table, unless the registry has not confirmed that
     /// table recently or this table is newer; returns whether it was applied. The table of a host
     /// that has just started is empty and must not replace this one.
+    ///
+    /// An endpoint whose removal this host has read is not added again while the other table only
+    /// keeps it.
     pub fn apply_update(
         &mut self,
         version: impl Into<RegistryVersion>,
-        update: EndpointUpdate,
+        update: impl Into<PeerUpdate>,
         is_confirmed: bool,
         now: Instant,
     ) -> bool {
@@ -385,10 +504,14 @@
         if !is_confirmed || version < self.version {
             return false;
         }
+        let PeerUpdate { update, unlisted } = update.into();
+        let names = unlisted.clone().unwrap_or_default();
+        let source = EntrySource::Peer(unlisted);
         match update {
-            EndpointUpdate::Whole(entries) => self.replace_all(version, entries, now),
-            EndpointUpdate::Changes(changes) => self.apply_all(version, changes, now),
+            EndpointUpdate::Whole(entries) => self.replace_all(source, version, entries, now),
+            EndpointUpdate::Changes(changes) => self.apply_all(source, version, changes, now),
         }
+        self.unlisted = names;
         true
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -77,6 +77,7 @@
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
+    PeerUpdate, UnlistedNames,
 };
 pub use ends::EndClaims;
 pub use events::EventFramer;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,7 +18,9 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
-use crate::endpoints::{ChangeNumber, EndpointEntry, EndpointUpdate};
+use crate::endpoints::{
+    ChangeNumber, EndpointEntry, EndpointTable, EndpointUpdate, PeerUpdate, UnlistedNames,
+};
 use crate::exclusions::SharedExclusion;
 use crate::follow::endpoints_changed;
 use crate::front::serve_internal;
@@ -103,6 +105,9 @@
     /// Update of the endpoint table; none if the host is up to date.
     #[serde(rename = "news")]
     update: Option<EndpointUpdate>,
+    /// With an update: entries of the table that the registry no longer lists.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    unlisted: UnlistedNames,
     /// The placement holder, and the time since its last exchange with the replying host, in ms;
     /// none if there was no recent one.
     #[serde(default)]
@@ -166,6 +171,9 @@
     #[serde(default)]
     endpoints_era: RegistryEra,
     endpoints: Vec<EndpointEntry>,
+    /// Endpoints among them that the registry no longer lists.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    unlisted: UnlistedNames,
 }
 
 /// Fetches the registry snapshot of one other host, chosen at random, and applies what is newer.
@@ -388,8 +396,11 @@
     let is_confirmed = age < MAX_CONFIRMED_AGE;
     let has_update = reply.update.is_some();
     let is_current = reply.update.is_none_or(|update| {
+        let update = PeerUpdate { update, unlisted: reply.unlisted };
         let mut endpoints = state.endpoints.borrow_mut();
-        endpoints.apply_update(version, update, is_confirmed, now)
+        let is_applied = endpoints.apply_update(version, update, is_confirmed, now);
+        log_unrestored(&mut endpoints, version);
+        is_applied
     });
     state.holder_confirmed.set(now.checked_sub(age).filter(|_| is_current));
     if has_update && is_current {
@@ -411,6 +422,16 @@
     is_current
 }
 
+fn log_unrestored(endpoints: &mut EndpointTable, version: RegistryVersion) {
+    let names = endpoints.take_unrestored();
+    if !names.is_empty() {
+        log::info!(
+            event = "endpoints_not_restored", registry:% = version, names:?;
+            "did not take endpoints of a peer's table whose removal this host has read"
+        );
+    }
+}
+
 fn apply_exclusions(state: &EntryState, exclusions: Vec<SharedExclusion>) {
     let mut table = state.exclusions.borrow_mut();
     table.apply(exclusions, |name| state.endpoint(name), Instant::now());
@@ -541,7 +562,9 @@
             event = "endpoints", registry:% = version, source = "peer";
             "applied the endpoints of a peer"
         );
-        endpoints.replace_from_peer(version, snapshot.endpoints, Instant::now());
+        let (entries, unlisted) = (snapshot.endpoints, snapshot.unlisted);
+        endpoints.replace_from_snapshot(version, entries, unlisted, Instant::now());
+        log_unrestored(&mut endpoints, version);
         drop(endpoints);
         endpoints_changed(state);
     }
@@ -608,6 +631,7 @@
         revision: version.revision,
         era: version.era,
         confirmed_ms: whole_ms(age),
+        unlisted: update.is_some().then(|| endpoints.unlisted()),
         update,
         holder: holder.map(|holder| {
             let age = now.saturating_duration_since(heard);
@@ -646,5 +670,6 @@
         endpoints_revision: endpoints_version.revision,
         endpoints_era: endpoints_version.era,
         endpoints: endpoints.entries().cloned().collect(),
+        unlisted: Some(endpoints.unlisted()),
     })
 }
