--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -78,6 +78,7 @@
 pub use detour::detour;
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
+    PeerUpdate, UnlistedNames,
 };
 pub use ends::EndClaims;
 pub use events::EventFramer;
