Gauge of starters returns to zero with the placement lease

jacinthrock_starters_wanted kept its last value on a host that no longer held the placement lease, so that the sum over all hosts counted starters twice. The planner now sets it to zero for each domain when it ends.

--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -5,12 +5,12 @@
 //! orders the endpoint must have accepted before, so that one of two concurrent orders fails.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use hyper::StatusCode;
-use jacinthrock::{EndpointName, MetricName, ServiceName};
+use jacinthrock::{DomainName, EndpointName, MetricName, ServiceName};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use tokio::task::JoinHandle;
@@ -466,6 +466,7 @@
 /// Plans the layout of every service in rounds and sends the resulting orders.
 async fn run_planner(state: Rc<EntryState>) {
     let tracker = Rc::new(RefCell::new(OrderTracker::default()));
+    let mut gauge = StarterGauge { state: state.clone(), domains: BTreeSet::new() };
     let mut planners: BTreeMap<ServiceName, (StartPlanner, LayoutPlanner)> = BTreeMap::new();
     let (mut count, mut since) = (0, Instant::now());
     loop {
@@ -493,7 +494,7 @@
                 has_loads: loads.is_some(),
                 is_first_start: state.options.is_first_start,
             };
-            update_starts(&state, service, starts, inputs);
+            update_starts(&mut gauge, service, starts, inputs);
             planner.set_wanted(starts.wanted());
             for order in planner.orders(shape, &cards) {
                 let card = cards.iter().find(|card| card.name == order.name);
@@ -518,18 +519,39 @@
     (is_alone || has_heard).then(|| loads.group_total(&state.own_load(), now).loads)
 }
 
+/// Metric of the starters that domains should have. It returns to zero when this host stops
+/// planning, so that the metrics of all hosts do not add up to more than the holder wants.
+struct StarterGauge {
+    state: Rc<EntryState>,
+    domains: BTreeSet<(ServiceName, DomainName)>,
+}
+
+impl StarterGauge {
+    fn set(&mut self, service: &ServiceName, domain: &DomainName, wanted: usize) {
+        self.domains.insert((service.clone(), domain.clone()));
+        self.state.metrics.set(MetricName::StartersWanted, &[service, domain], wanted as i64);
+    }
+}
+
+impl Drop for StarterGauge {
+    fn drop(&mut self) {
+        for (service, domain) in &self.domains {
+            self.state.metrics.set(MetricName::StartersWanted, &[service, domain], 0);
+        }
+    }
+}
+
 /// Updates the number of starters that each domain of a service should have, and logs its changes.
 fn update_starts(
-    state: &EntryState,
-    service: &str,
+    gauge: &mut StarterGauge,
+    service: &ServiceName,
     starts: &mut StartPlanner,
     inputs: StartInputs<'_>,
 ) {
     for change in starts.update(inputs, Instant::now()) {
-        let labels = [service, &*change.domain];
-        state.metrics.set(MetricName::StartersWanted, &labels, change.wanted as i64);
+        gauge.set(service, &change.domain, change.wanted);
         log::info!(
-            event = "starters_wanted", service, domain = &*change.domain, wanted = change.wanted,
+            event = "starters_wanted", service = &**service, domain = &*change.domain, wanted = change.wanted,
             starts_in_use = change.in_use, start_capacity = change.start_capacity,
             memory_capacity = change.memory_capacity; "number of starters of a domain changes"
         );
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -75,7 +75,7 @@
     LeaseHeld = "jacinthrock_lease_held", Gauge, [], "1 while this controller holds the lease.";
     LeaseChanges = "jacinthrock_lease_changes_total", Counter, ["change"], "Changes of the controller's lease on this host.";
     Orders = "jacinthrock_orders_total", Counter, ["result"], "Orders to endpoints, by result.";
-    StartersWanted = "jacinthrock_starters_wanted", Gauge, ["service", "domain"], "Starters that a failure domain of a service should have, as this host last decided as placement holder.";
+    StartersWanted = "jacinthrock_starters_wanted", Gauge, ["service", "domain"], "Starters that a failure domain of a service should have, as this host last decided as placement holder; 0 on other hosts.";
     LoopStalls = "jacinthrock_loop_stalls_total", Counter, [], "Times that the event loop stood still, seen from another thread.";
     AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
     AdmissionShare = "jacinthrock_admission_share_thousandths", Gauge, ["service", "priority"], "Share of new streams that is admitted, in thousandths, by service and priority.";
