A planning round counts the copies of a layer once

For each layer that a card might release, the planner went through all cards of the service, with a look-up of each name among the starters. Each extension of a span did the same. Under a load that calls for starters, a round took 120 ms, and up to 300 ms, at 3,000 endpoints, while rounds start every 100 ms on a host that serves callers in between.

The draft of a round keeps the cards of each domain, a flag for starters and the number of cards that serve each layer. Starters are found by name in a map, as are the cards of the orders in placement.rs.

--- a/crates/entry/examples/scale.rs
+++ b/crates/entry/examples/scale.rs
@@ -1,5 +1,7 @@
 //! Times of the computations that grow with the number of endpoints; run it with `--release`.
 
+#[path = "../tests/support/planned.rs"]
+mod planned;
 #[path = "../tests/support/mod.rs"]
 mod support;
 
@@ -8,12 +10,11 @@
 
 use jacinthrock_entry::{
     CardProfile, CardView, EndpointEntry, EndpointNotices, EndpointTable, EngineProfile,
-    ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LayoutPlanner, LoadMap, LoadSum,
-    PathQuery, PeerLoads, RateTable, RelayLoads, RoutingView, StageLoad, StartInputs, StartPlanner,
-    search_path,
+    ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LoadMap, LoadSum, PathQuery, PeerLoads,
+    RateTable, RelayLoads, RoutingView, StageLoad, search_path,
 };
-use sha2::{Digest, Sha256};
-use support::{SHAPE, TOKEN_LAYER_MB, apply_orders, converge, empty_fleet};
+use planned::{PHASES, PlannedFleet};
+use support::{SHAPE, TOKEN_LAYER_MB, converge, empty_fleet};
 
 fn main() {
     let only = std::env::args().nth(1);
@@ -45,16 +46,6 @@
     println!("  {name}: median {:.2?}, longest {:.2?}", times[rounds / 2], times[rounds - 1]);
 }
 
-/// Cards of the sample deployment, repeated.
-fn fleet(count: usize) -> Vec<CardView> {
-    let cards = empty_fleet();
-    let repeated = (0..count).map(|number| {
-        let card = &cards[number % cards.len()];
-        CardView { name: format!("{}-{number}", card.name).into(), ..card.clone() }
-    });
-    repeated.collect()
-}
-
 fn time_search(count: usize) {
     let mut cards = empty_fleet();
     converge(&mut cards);
@@ -157,65 +148,23 @@
     println!("  comparisons: {}, cost {:.3} ms", outcome.comparisons, outcome.cost_ms);
 }
 
-/// Rounds in which the layout of a fleet is planned at most.
-const MAX_ROUNDS: u32 = 120;
-
 /// Plans a fleet from empty to a complete layout, under load, and after a loss of cards.
 fn time_plan(count: usize) {
-    let mut cards = fleet(count);
-    let mut planners = (StartPlanner::default(), LayoutPlanner::default());
-    let mut now = tokio::time::Instant::now();
-    let mut digest = Sha256::new();
-    for (phase, load) in [("empty", 0.0), ("load", 0.8), ("loss", 0.8)] {
-        if phase == "loss" {
-            let mut number = 0;
-            cards.retain(|_| {
-                number += 1;
-                !usize::is_multiple_of(number, 10)
-            });
-        }
-        let (mut times, mut order_count, mut idle) = (Vec::new(), 0, 0);
-        for _ in 0..MAX_ROUNDS {
-            for card in &mut cards {
-                let is_first = card.loaded.is_some_and(|span| span.holds(0));
-                card.starts = if is_first { (f64::from(card.slots) * load) as u32 } else { 0 };
-                card.used_mb = if card.loaded.is_some() { load * 500.0 } else { 0.0 };
-            }
-            now += Duration::from_millis(500);
-            let began = Instant::now();
-            let inputs = StartInputs {
-                shape: SHAPE,
-                stream_mb: 400.0 * TOKEN_LAYER_MB,
-                cards: &cards,
-                has_loads: true,
-                is_first_start: false,
-            };
-            planners.0.update(inputs, now);
-            let update = began.elapsed();
-            planners.1.set_wanted(planners.0.wanted());
-            let orders = planners.1.orders(SHAPE, &cards);
-            times.push((began.elapsed(), update));
-            digest.update(format!("{orders:?}"));
-            order_count += orders.len();
-            apply_orders(&mut cards, &orders);
-            idle = if orders.is_empty() { idle + 1 } else { 0 };
-            if idle > 3 {
-                break;
-            }
-        }
-        let total: Duration = times.iter().map(|(time, _)| *time).sum();
+    let mut fleet = PlannedFleet::new(count);
+    for phase in PHASES {
+        let mut times = Vec::new();
+        let order_count = fleet.run(phase, |time| times.push(time));
+        let total: Duration = times.iter().sum();
         times.sort_unstable();
         let rounds = times.len();
         println!(
-            "  plan {phase}: {rounds} rounds, {order_count} orders; median {:.2?}, longest {:.2?} \
-             (of it starts {:.2?}), total {total:.2?}",
-            times[rounds / 2].0,
-            times[rounds - 1].0,
-            times[rounds - 1].1,
+            "  plan {phase:?}: {rounds} rounds, {order_count} orders; median {:.2?}, longest {:.2?}, \
+             total {total:.2?}",
+            times[rounds / 2],
+            times[rounds - 1],
         );
     }
-    let digest: String = digest.finalize().iter().take(8).map(|b| format!("{b:02x}")).collect();
-    println!("  orders {digest}");
+    println!("  orders {}", fleet.digest());
 }
 
 /// Loads of one host of 300, whose streams use a part of the endpoints.
--- a/crates/entry/src/layout.rs
+++ b/crates/entry/src/layout.rs
@@ -160,7 +160,7 @@
     /// it. A starter is moved as a whole, once other cards serve all of its layers.
     pub fn orders(&mut self, shape: ModelShape, cards: &[CardView]) -> Vec<LayoutOrder> {
         self.update_starters(shape, cards);
-        let mut draft = LayoutDraft::new(shape, cards, self.reserved());
+        let mut draft = LayoutDraft::new(shape, cards, &self.reserved());
         draft.place_empty_cards();
         draft.close_gaps();
         draft.move_starters(&self.released);
@@ -184,19 +184,18 @@
 
     /// Keeps, releases and chooses starters so that each domain gets as many as it should have.
     fn update_starters(&mut self, shape: ModelShape, cards: &[CardView]) {
+        let by_name: BTreeMap<_, _> = cards.iter().map(|card| (&card.name, card)).collect();
         for (domain, names) in &mut self.starters {
             names.retain(|name| {
-                cards.iter().any(|card| {
-                    card.name == *name
-                        && card.domain == *domain
+                by_name.get(name).is_some_and(|card| {
+                    card.domain == *domain
                         && card.held.is_some()
                         && card.start_rate != StartRate::Exceeded
                 })
             });
         }
-        self.released.retain(|name| {
-            cards.iter().any(|card| card.name == *name && card.held == Some(STARTER_SPAN))
-        });
+        self.released
+            .retain(|name| by_name.get(name).is_some_and(|card| card.held == Some(STARTER_SPAN)));
         let domains: BTreeSet<&DomainName> = cards.iter().map(|card| &card.domain).collect();
         for domain in domains {
             let members: Vec<_> = cards.iter().filter(|card| card.domain == *domain).collect();
@@ -344,7 +343,7 @@
     let rooms = candidates.into_iter().filter_map(|card| {
         let mut reserved = excluded.clone();
         reserved.insert(card.name.clone());
-        let mut draft = LayoutDraft::new(shape, cards, reserved);
+        let mut draft = LayoutDraft::new(shape, cards, &reserved);
         while let Some((index, span)) = draft.best_extension(domain, 1, 0.0) {
             draft.extend(index, span);
         }
@@ -360,10 +359,15 @@
 struct LayoutDraft<'a> {
     shape: ModelShape,
     cards: &'a [CardView],
-    /// Starters and former starters, whose layers count as if they were gone.
-    reserved: BTreeSet<EndpointName>,
+    /// Whether each card is a starter or former starter, whose layers count as if they were gone.
+    reserved: Vec<bool>,
+    /// Indexes of the cards of each domain.
+    indexes: BTreeMap<&'a str, Vec<usize>>,
     /// Planned span of each card.
     spans: Vec<Option<LayerSpan>>,
+    /// Number of cards that serve each layer and keep it, without starters, by domain. Counting
+    /// them for each layer of each card takes time with the square of the number of cards.
+    serving: BTreeMap<&'a str, Vec<u32>>,
     /// Number of copies of each layer, by domain.
     copies: BTreeMap<&'a str, Vec<u32>>,
     /// The same without cards in their first load, which takes longer than an extension.
@@ -371,31 +375,64 @@
 }
 
 impl<'a> LayoutDraft<'a> {
-    fn new(shape: ModelShape, cards: &'a [CardView], reserved: BTreeSet<EndpointName>) -> Self {
-        let spans: Vec<_> = cards.iter().map(|card| card.held.filter(|s| s.count() > 0)).collect();
-        let (copies, serving_copies) = (BTreeMap::new(), BTreeMap::new());
-        let mut draft = Self { shape, cards, reserved, spans, copies, serving_copies };
-        for card in cards {
-            let none = vec![0; usize::from(shape.layers)];
-            draft.serving_copies.entry(&card.domain).or_insert_with(|| none.clone());
-            draft.copies.entry(&card.domain).or_insert(none);
+    fn new(shape: ModelShape, cards: &'a [CardView], reserved: &BTreeSet<EndpointName>) -> Self {
+        let mut indexes: BTreeMap<&str, Vec<usize>> = BTreeMap::new();
+        for (index, card) in cards.iter().enumerate() {
+            indexes.entry(&card.domain).or_default().push(index);
         }
+        let none = || indexes.keys().map(|domain| (*domain, vec![0; usize::from(shape.layers)]));
+        let mut draft = Self {
+            shape,
+            cards,
+            reserved: cards.iter().map(|card| reserved.contains(&card.name)).collect(),
+            spans: cards.iter().map(|card| card.held.filter(|s| s.count() > 0)).collect(),
+            serving: none().collect(),
+            copies: none().collect(),
+            serving_copies: none().collect(),
+            indexes,
+        };
         for index in 0..cards.len() {
             if let Some(span) = draft.spans[index].filter(|_| !draft.is_reserved(index)) {
                 draft.add_copies(index, span);
             }
+            draft.count_serving(index, |count| count + 1);
         }
         draft
     }
 
     fn is_reserved(&self, index: usize) -> bool {
-        self.reserved.contains(&self.cards[index].name)
+        self.reserved[index]
     }
 
     /// Whether a domain has starters or former starters.
     fn has_reserved(&self, domain: &str) -> bool {
-        let mut cards = self.cards.iter().filter(|card| &*card.domain == domain);
-        cards.any(|card| self.reserved.contains(&card.name))
+        self.indexes[domain].iter().any(|index| self.reserved[*index])
+    }
+
+    /// Changes the planned span of a card.
+    fn set_span(&mut self, index: usize, span: LayerSpan) {
+        self.count_serving(index, |count| count - 1);
+        self.spans[index] = Some(span);
+        self.count_serving(index, |count| count + 1);
+    }
+
+    fn count_serving(&mut self, index: usize, change: impl Fn(u32) -> u32) {
+        let Some(served) = self.served_span(index) else { return };
+        let domain = &*self.cards[index].domain;
+        let counts = self.serving.get_mut(domain).expect("every domain of a card has a row");
+        counts.resize(counts.len().max(served.to.into()), 0);
+        for count in &mut counts[served.from.into()..served.to.into()] {
+            *count = change(*count);
+        }
+    }
+
+    /// Layers that a card serves and keeps. A card that has only just been ordered to load a layer
+    /// does not serve it yet.
+    fn served_span(&self, index: usize) -> Option<LayerSpan> {
+        let loaded = self.cards[index].loaded.filter(|_| !self.is_reserved(index))?;
+        let held = self.spans[index]?;
+        let served = LayerSpan { from: loaded.from.max(held.from), to: loaded.to.min(held.to) };
+        (served.count() > 0).then_some(served)
     }
 
     /// Moves starters and former starters whose layers other cards of their domain serve.
@@ -410,7 +447,7 @@
                 continue;
             }
             if !released.contains(&card.name) {
-                self.spans[index] = Some(STARTER_SPAN);
+                self.set_span(index, STARTER_SPAN);
                 continue;
             }
             // The layers are loaded while streams still run through the first layer.
@@ -419,7 +456,7 @@
             let count = left.clamp(0.0, f64::from(self.max_layers(card, WEIGHT_SHARE))) as u16;
             if count > 0 {
                 let span = self.least_covered_span(index, count);
-                self.spans[index] = Some(span);
+                self.set_span(index, span);
                 self.add_copies(index, span);
             }
         }
@@ -427,17 +464,10 @@
 
     /// Number of other cards of a card's domain that serve a layer and keep it.
     fn serving(&self, index: usize, layer: u16) -> usize {
-        let others = self.cards.iter().zip(&self.spans).enumerate();
-        let serving = others.filter(|(other, (card, held))| {
-            // A card that has only just been ordered to load the layer does not serve it yet.
-            let serves = card.loaded.is_some_and(|loaded| loaded.holds(layer));
-            *other != index
-                && !self.is_reserved(*other)
-                && card.domain == self.cards[index].domain
-                && serves
-                && held.is_some_and(|held| held.holds(layer))
-        });
-        serving.count()
+        let counts = &self.serving[&*self.cards[index].domain];
+        let count = counts.get(usize::from(layer)).copied().unwrap_or_default();
+        let own = self.served_span(index).is_some_and(|span| span.holds(layer));
+        count as usize - usize::from(own)
     }
 
     fn add_copies(&mut self, index: usize, span: LayerSpan) {
@@ -475,7 +505,7 @@
                 continue;
             }
             let span = self.least_covered_span(index, count);
-            self.spans[index] = Some(span);
+            self.set_span(index, span);
             self.add_copies(index, span);
         }
     }
@@ -525,7 +555,7 @@
                 self.add_copies(index, LayerSpan { from: layer, to: layer + 1 });
             }
         }
-        self.spans[index] = Some(span);
+        self.set_span(index, span);
     }
 
     /// Among the cards next to a layer with fewer than `wanted` copies, finds the one with the most
@@ -542,10 +572,11 @@
         let is_gap =
             |layer: u16| counts.get(usize::from(layer)).is_some_and(|count| *count < wanted);
         let mut best: Option<(f64, usize, LayerSpan)> = None;
-        for (index, card) in self.cards.iter().enumerate() {
+        for &index in &self.indexes[domain] {
+            let card = &self.cards[index];
             let is_extensible = card.is_free && !self.is_reserved(index);
             let Some(span) = self.spans[index].filter(|_| is_extensible) else { continue };
-            if &*card.domain != domain || !(is_first || card.loaded.is_some()) {
+            if !(is_first || card.loaded.is_some()) {
                 continue;
             }
             let longer = if is_gap(span.to) {
@@ -615,11 +646,8 @@
 
     /// Indexes of the domain's cards that hold layers, without starters.
     fn members(&self, domain: &str) -> Vec<usize> {
-        let cards = self.cards.iter().zip(&self.spans).enumerate();
-        let held = cards.filter(|(index, (card, span))| {
-            &*card.domain == domain && span.is_some() && !self.is_reserved(*index)
-        });
-        held.map(|(index, _)| index).collect()
+        let indexes = self.indexes[domain].iter().copied();
+        indexes.filter(|index| self.spans[*index].is_some() && !self.is_reserved(*index)).collect()
     }
 
     /// Room of the domain's tightest layer, in MB over all its copies.
@@ -709,7 +737,7 @@
             let next = self.without_redundant(index, span, *target, copies);
             let next =
                 if next == span { self.extended_towards(index, span, *target) } else { next };
-            self.spans[index] = Some(next);
+            self.set_span(index, next);
         }
     }
 
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -495,9 +495,10 @@
             };
             update_starts(&state, service, starts, inputs);
             planner.set_wanted(starts.wanted());
-            for order in planner.orders(shape, &cards) {
-                let card = cards.iter().find(|card| card.name == order.name);
-                let held = card.and_then(|card| card.held);
+            let orders = planner.orders(shape, &cards);
+            let by_name: BTreeMap<_, _> = cards.iter().map(|card| (&card.name, card)).collect();
+            for order in orders {
+                let held = by_name.get(&order.name).and_then(|card| card.held);
                 let kept = held.filter(|held| held.overlaps(order.span));
                 let new = order.span.count().saturating_sub(kept.map_or(0, LayerSpan::count));
                 let load =
--- a/crates/entry/src/starts.rs
+++ b/crates/entry/src/starts.rs
@@ -268,7 +268,8 @@
         let others: Vec<f64> = others.collect();
         let is_whole = (0..shape.layers)
             .all(|layer| members.iter().any(|card| card.loaded.is_some_and(|s| s.holds(layer))));
-        let is_starter = |card: &CardView| starters.iter().any(|other| other.name == card.name);
+        let starter_names: BTreeSet<_> = starters.iter().map(|card| &card.name).collect();
+        let is_starter = |card: &CardView| starter_names.contains(&card.name);
         // A starter that still loads the first layer counts, as it does in `present`: each would be
         // followed by a further one otherwise.
         let serves_first = |card: &&&CardView| {
