Findings on valid declarations: entries without effect, contradicting limits

A tree that passes its checks may hold entries that never take effect, and limits that contradict each other; both went unnoticed until callers were refused. The new module findings reports them without I/O, with the result codes 6201 to 6210, the file, node and field, the problem and what to change. It uses the router's own matching of prefixes and operations, the resolved settings and the options of the retry budget. The schema states on which kinds of nodes a setting has an effect and which settings are limits.

--- a/src/budget.rs
+++ b/src/budget.rs
@@ -28,6 +28,18 @@
     }
 }
 
+impl BudgetOptions {
+    /// Largest number of retries in a window at a steady rate of first attempts.
+    pub(crate) fn max_retries(self, attempts_per_second: u32) -> u64 {
+        let attempts = f64::from(attempts_per_second) * f64::from(self.window_buckets);
+        self.allowed_retries(attempts) as u64
+    }
+
+    fn allowed_retries(self, first_attempts: f64) -> f64 {
+        f64::from(self.slack) + self.ratio * first_attempts
+    }
+}
+
 /// Number of refused retries, by the budget that was exhausted.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BudgetRefusals {
@@ -174,7 +186,7 @@
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let recent = self.buckets.iter().filter(|bucket| bucket.index + width > index);
         let first_attempts: u64 = recent.map(|bucket| bucket.first_attempts).sum();
-        (retries, f64::from(options.slack) + options.ratio * first_attempts as f64)
+        (retries, options.allowed_retries(first_attempts as f64))
     }
 
     fn is_newer_than(&self, oldest: u64) -> bool {
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -111,6 +111,17 @@
     ConfigMissing = 6105, "config_missing", 0, false, "No configuration has been accepted yet.";
     HostUnreachable = 6106, "host_unreachable", 0, true, "The host's operator port did not answer.";
     NameUnknown = 6107, "name_unknown", 0, false, "No node, host or endpoint has the name.";
+    // 62xx: findings on declarations that pass their checks.
+    OperationShadowed = 6201, "operation_shadowed", 0, false, "An earlier operation or a longer prefix takes every call of the operation.";
+    ServiceUncalled = 6202, "service_uncalled", 0, false, "No customer may call the service.";
+    CustomerWithoutKey = 6203, "customer_without_key", 0, false, "The customer has no key.";
+    CustomerWithoutService = 6204, "customer_without_service", 0, false, "The customer may call no service.";
+    GroupEmpty = 6205, "group_empty", 0, false, "No service or customer is below the group.";
+    SettingUnused = 6206, "setting_unused", 0, false, "The setting has no effect on the node or any node below it.";
+    LinkUnused = 6207, "link_unused", 0, false, "No chain of a model service can use the link.";
+    DeadlineBelowGap = 6208, "deadline_below_gap", 0, false, "The deadline of the whole answer is below the wait for one token.";
+    LimitAboveParent = 6209, "limit_above_parent", 0, false, "The limit is above the one of the node's parent.";
+    RetriesAboveBudget = 6210, "retries_above_budget", 0, false, "One call may need more retries than the retry budget can allow.";
     // 7xxx: process start.
     SettingInvalid = 7001, "setting_invalid", 0, false, "A flag or environment variable has an invalid value.";
     SettingMissing = 7002, "setting_missing", 0, false, "A required flag or environment variable is not set.";
--- a/src/inherit.rs
+++ b/src/inherit.rs
@@ -10,7 +10,7 @@
 use crate::tree::{DeclarationTree, SourcedValue};
 
 /// Source reported for a setting that no node sets.
-const DEFAULT_SOURCE: &str = "default";
+pub(crate) const DEFAULT_SOURCE: &str = "default";
 
 /// Resolves a tree that has passed the consistency checks.
 pub(crate) fn resolve_tree(tree: &DeclarationTree, revision: ConfigRevision) -> EffectiveConfig {
@@ -112,7 +112,10 @@
 
 /// Returns the node and its ancestors, nearest first. A cycle ends the list once it has more
 /// entries than the tree has nodes.
-fn ancestry<'a>(tree: &'a DeclarationTree, node: &'a NodeDeclaration) -> Vec<&'a NodeDeclaration> {
+pub(crate) fn ancestry<'a>(
+    tree: &'a DeclarationTree,
+    node: &'a NodeDeclaration,
+) -> Vec<&'a NodeDeclaration> {
     let mut ancestors = vec![node];
     let mut parent = node.parent.as_deref();
     while let Some(node) = parent.and_then(|name| tree.node(name)) {
@@ -125,7 +128,7 @@
     ancestors
 }
 
-fn settings_map(settings: &NodeSettings) -> Map<String, Value> {
+pub(crate) fn settings_map(settings: &NodeSettings) -> Map<String, Value> {
     match serde_json::to_value(settings) {
         Ok(Value::Object(map)) => map,
         _ => Map::new(),
--- a/src/intake.rs
+++ b/src/intake.rs
@@ -75,7 +75,8 @@
     candidates.max_by_key(|target| target.plain.prefix.len())
 }
 
-fn path_below_prefix(path: &str, prefix: &str) -> Option<Box<str>> {
+/// Path without the prefix; `None` if it is not below the prefix.
+pub(crate) fn path_below_prefix(path: &str, prefix: &str) -> Option<Box<str>> {
     let rest = path.strip_prefix(prefix.trim_end_matches('/'))?;
     match rest.chars().next() {
         None => Some("/".into()),
@@ -93,7 +94,8 @@
     plain.operations.iter().find(matching).is_some_and(|operation| operation.idempotent)
 }
 
-fn path_matches(pattern: &str, path: &str) -> bool {
+/// Whether the pattern of an operation matches a path.
+pub(crate) fn path_matches(pattern: &str, path: &str) -> bool {
     match pattern.strip_suffix('*') {
         Some(start) => path.starts_with(start),
         None => pattern == path,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 mod ejection;
 mod endpoint;
 mod engine_http;
+mod findings;
 mod flags;
 mod fleet;
 mod follower;
@@ -112,6 +113,7 @@
     GenerateEvent, PlainCall, PlainReply, PriorityClass, RouteStage, StageReport,
 };
 pub use engine_http::HttpEndpointClient;
+pub use findings::ConfigFinding;
 pub use fleet::{
     ChainRequest, EndpointFleet, FleetOptions, InFlightGuard, LeavingSource, ModelLoad,
 };
--- a/src/retries.rs
+++ b/src/retries.rs
@@ -13,6 +13,11 @@
 /// Answer retries allowed in a window in addition to the ratio.
 const ANSWER_RETRY_SLACK: u32 = 32;
 
+/// Options of the budget of plain calls.
+pub(crate) fn plain_budget() -> BudgetOptions {
+    BudgetOptions::default()
+}
+
 /// Retry budgets of a host. Clones share the budgets.
 #[derive(Clone)]
 pub(crate) struct RetryBudgets {
@@ -28,7 +33,7 @@
             ..BudgetOptions::default()
         };
         let shared_budget = |options| Rc::new(RefCell::new(RetryBudget::new(options)));
-        Self { answers: shared_budget(answers), plain: shared_budget(BudgetOptions::default()) }
+        Self { answers: shared_budget(answers), plain: shared_budget(plain_budget()) }
     }
 }
 
--- a/src/schema.rs
+++ b/src/schema.rs
@@ -33,6 +33,18 @@
     TableList(&'static [FieldRow]),
 }
 
+/// Kind of service or customer to which a setting applies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum SettingUser {
+    Model,
+    Plain,
+    Customer,
+}
+
+const SERVICES: &[SettingUser] = &[SettingUser::Model, SettingUser::Plain];
+const MODELS: &[SettingUser] = &[SettingUser::Model];
+const CUSTOMERS: &[SettingUser] = &[SettingUser::Customer];
+
 /// One field of a declaration.
 #[derive(Clone, Copy)]
 pub(crate) struct FieldRow {
@@ -41,15 +53,29 @@
     pub(crate) value_type: ValueType,
     /// Default, used if neither the node nor an ancestor sets the field.
     pub(crate) default: Option<&'static str>,
+    /// Services and customers that a setting has an effect on; empty for other fields.
+    pub(crate) users: &'static [SettingUser],
+    /// Whether a setting is an upper limit.
+    pub(crate) is_limit: bool,
     pub(crate) help: &'static str,
 }
 
+impl FieldRow {
+    const fn used_by(self, users: &'static [SettingUser]) -> Self {
+        Self { users, ..self }
+    }
+
+    const fn limiting(self) -> Self {
+        Self { is_limit: true, ..self }
+    }
+}
+
 const fn required(name: &'static str, value_type: ValueType, help: &'static str) -> FieldRow {
-    FieldRow { name, is_required: true, value_type, default: None, help }
+    field(name, value_type, help, true)
 }
 
 const fn optional(name: &'static str, value_type: ValueType, help: &'static str) -> FieldRow {
-    FieldRow { name, is_required: false, value_type, default: None, help }
+    field(name, value_type, help, false)
 }
 
 const fn inherited(
@@ -58,7 +84,16 @@
     default: &'static str,
     help: &'static str,
 ) -> FieldRow {
-    FieldRow { name, is_required: false, value_type, default: Some(default), help }
+    FieldRow { default: Some(default), ..field(name, value_type, help, false) }
+}
+
+const fn field(
+    name: &'static str,
+    value_type: ValueType,
+    help: &'static str,
+    is_required: bool,
+) -> FieldRow {
+    FieldRow { name, is_required, value_type, default: None, users: &[], is_limit: false, help }
 }
 
 pub(crate) const SETTING_FIELDS: &[FieldRow] = &[
@@ -67,44 +102,58 @@
         ValueType::Choice(&["guidance", "interactive", "batch"]),
         "interactive",
         "Priority class of a service's requests.",
-    ),
+    )
+    .used_by(SERVICES),
     inherited(
         "deadline_ms",
         ValueType::Number(1, 86_400_000),
         "30000",
         "Time for a whole answer, in milliseconds.",
-    ),
+    )
+    .used_by(SERVICES)
+    .limiting(),
     inherited(
         "token_gap_ms",
         ValueType::Number(1, 600_000),
         "2000",
         "Longest wait for the next token before the attempt is given up, in milliseconds.",
-    ),
-    inherited("max_tokens", ValueType::Number(1, 1_000_000), "4096", "Longest answer, in tokens."),
+    )
+    .used_by(MODELS)
+    .limiting(),
+    inherited("max_tokens", ValueType::Number(1, 1_000_000), "4096", "Longest answer, in tokens.")
+        .used_by(MODELS)
+        .limiting(),
     inherited(
         "concurrent_requests",
         ValueType::Number(1, 1_000_000),
         "64",
         "Requests of a customer in flight, over all hosts.",
-    ),
+    )
+    .used_by(CUSTOMERS)
+    .limiting(),
     inherited(
         "requests_per_second",
         ValueType::Number(1, 1_000_000),
         "100",
         "Requests of a customer in a second, over all hosts.",
-    ),
+    )
+    .used_by(CUSTOMERS)
+    .limiting(),
     inherited(
         "share",
         ValueType::Number(1, 10_000),
         "1",
         "Weight of a customer when capacity is short.",
-    ),
+    )
+    .used_by(CUSTOMERS),
     inherited(
         "queue_length",
         ValueType::Number(0, 1_000_000),
         "64",
         "Requests that may wait for a service on each host.",
-    ),
+    )
+    .used_by(SERVICES)
+    .limiting(),
 ];
 
 const ENDPOINT_FIELDS: &[FieldRow] = &[
--- a/src/tree.rs
+++ b/src/tree.rs
@@ -43,7 +43,7 @@
     pub problem: Box<str>,
 }
 
-fn serialize_code<S: serde::Serializer>(
+pub(crate) fn serialize_code<S: serde::Serializer>(
     code: &ResultCode,
     serializer: S,
 ) -> Result<S::Ok, S::Error> {
