check reports findings and the differences from the configuration in force

check printed only errors. The platform is needed for --in-force alone; if it is unavailable, the findings are printed and the exit code is 4. Errors end with 2 as before, and plan and apply are unchanged.

--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -3,6 +3,7 @@
 use serde_json::{Value, json};
 
 use crate::codes::ResultCode;
+use crate::findings::ConfigFinding;
 use crate::ids::ConfigRevision;
 use crate::platform::StoreError;
 use crate::publish::{ConflictingChange, PublishError};
@@ -20,7 +21,7 @@
 /// Every exit code. `docs/operating/settings.md` holds the same table; a test compares the two.
 pub(crate) const EXIT_ROWS: &[ExitRow] = &[
     ExitRow { code: 0, meaning: "Done." },
-    ExitRow { code: 1, meaning: "The command line is wrong." },
+    ExitRow { code: 1, meaning: "The command line is wrong, or `check --strict` has findings." },
     ExitRow { code: 2, meaning: "The declarations fail their checks; nothing was changed." },
     ExitRow { code: 3, meaning: "Another change came first; nothing was changed." },
     ExitRow { code: 4, meaning: "The platform is unavailable; nothing was changed." },
@@ -40,6 +41,8 @@
     Usage(Box<str>),
     #[error("{}", describe_faults(.0))]
     InvalidDeclarations(Vec<DeclarationError>),
+    #[error("{} findings in strict mode", .0.len())]
+    Findings(Vec<ConfigFinding>),
     #[error(transparent)]
     Publish(#[from] PublishError),
     #[error("platform not available: {0}")]
@@ -65,6 +68,9 @@
             Self::InvalidDeclarations(errors) => {
                 errors.first().map_or(ResultCode::DeclarationSyntax, |error| error.code)
             }
+            Self::Findings(findings) => {
+                findings.first().map_or(ResultCode::DeclarationRange, |finding| finding.code)
+            }
             Self::Publish(error) => error.code(),
             Self::Store(StoreError::Conflict { .. }) => ResultCode::StoreConflict,
             Self::Store(StoreError::Ambiguous(_)) => ResultCode::StoreAmbiguous,
@@ -83,7 +89,7 @@
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
             Self::OutputClosed => 0,
-            Self::Usage(_) => 1,
+            Self::Usage(_) | Self::Findings(_) => 1,
             Self::InvalidDeclarations(_) | Self::Publish(PublishError::Faulty(_)) => 2,
             Self::Publish(PublishError::Corrupt { .. }) => 2,
             Self::Publish(PublishError::Conflict { .. })
--- a/src/cmd/flags.rs
+++ b/src/cmd/flags.rs
@@ -5,7 +5,7 @@
 xflags::xflags! {
     /// Checks, applies and inspects the configuration of a jacinthrock deployment.
     ///
-    /// Exit codes: 0 done, 1 wrong usage, 2 checks failed, 3 another change came first,
+    /// Exit codes: 0 done, 1 wrong usage or findings, 2 checks failed, 3 another change came first,
     /// 4 platform unavailable, 5 not yet in force everywhere, 6 outcome unknown,
     /// 7 nothing of that name, 8 host unreachable.
     cmd jacinthrock {
@@ -14,10 +14,15 @@
         /// Form of the output: human or json (JACINTHROCK_OUTPUT).
         optional --output format: String
 
-        /// Checks a directory of declarations without the platform.
+        /// Checks a directory of declarations and reports entries without effect and limits that
+        /// contradict each other; needs no platform.
         cmd check {
             /// Directory of the declaration tree.
             required directory: PathBuf
+            /// Ends with exit code 1 if there are findings.
+            optional --strict
+            /// Also shows the differences from the configuration in force, read from the platform.
+            optional --in-force
         }
 
         /// Shows what an apply would change, and what its deletions would strand.
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -14,15 +14,7 @@
 impl Subcommand for Plan {
     async fn run(&self, context: &CommandContext) -> Result<(), CommandError> {
         let tree = load_checked_tree(&self.directory)?;
-        let (base, plan) = match context.publisher()?.read().await {
-            Ok(accepted) => (
-                accepted.as_ref().map_or(0, |accepted| accepted.revision),
-                plan_changes(accepted.as_ref(), &tree),
-            ),
-            // The root object is corrupt, so that every field of the tree counts as new.
-            Err(PublishError::Corrupt { revision, .. }) => (revision, plan_changes(None, &tree)),
-            Err(error) => return Err(error.into()),
-        };
+        let (base, plan) = read_plan(context, &tree).await?;
         let mut human = describe_plan(base, &plan);
         if !plan.is_empty() {
             let directory = self.directory.display();
@@ -32,6 +24,22 @@
     }
 }
 
+/// Reads the configuration in force; returns its revision and its difference from the wanted tree.
+pub(crate) async fn read_plan(
+    context: &CommandContext,
+    wanted: &DeclarationTree,
+) -> Result<(ConfigRevision, ConfigPlan), CommandError> {
+    match context.publisher()?.read().await {
+        Ok(accepted) => Ok((
+            accepted.as_ref().map_or(0, |accepted| accepted.revision),
+            plan_changes(accepted.as_ref(), wanted),
+        )),
+        // The root object is corrupt, so that every field of the tree counts as new.
+        Err(PublishError::Corrupt { revision, .. }) => Ok((revision, plan_changes(None, wanted))),
+        Err(error) => Err(error.into()),
+    }
+}
+
 /// Compares the tree in force with the wanted tree. A tree in force that is missing or can't be
 /// parsed counts as empty.
 pub(crate) fn plan_changes(
--- a/tests/cli_commands.rs
+++ b/tests/cli_commands.rs
@@ -154,6 +154,77 @@
     }
 }
 
+/// Guards against findings that are lost or end an ordinary check, and against a strict check that
+/// passes over them.
+#[test]
+fn check_reports_findings_and_fails_for_them_in_strict_mode_only() {
+    let fixture = CliFixture::new("findings");
+    let directory = fixture.directory.to_str().unwrap().to_owned();
+    let (code, result, _) = fixture.run(&["check", &directory, "--strict"]);
+    assert_eq!((code, &result["findings"]), (0, &json!([])));
+    fixture.edit("lasitaide/front-desk.toml", "[\"guide\", \"bookings\"]", "[\"guide\"]");
+    let (code, result, _) = fixture.run(&["check", &directory]);
+    assert_eq!((code, result["findings"].as_array().unwrap().len()), (0, 1));
+    let finding = &result["findings"][0];
+    assert_eq!(finding["code"], 6202);
+    assert_eq!(
+        (&finding["file"], &finding["node"]),
+        (&json!("lasitaide/bookings.toml"), &json!("bookings"))
+    );
+    let (code, strict, error) = fixture.run(&["check", &directory, "--strict"]);
+    assert_eq!((code, &strict), (1, &result));
+    assert_eq!((&error["error"]["exit"], &error["error"]["code"]), (&json!(1), &json!(6202)));
+    let output = fixture.command(&["check", &directory, "--output", "human"]).output().unwrap();
+    let text = String::from_utf8(output.stdout).unwrap();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 2, "{text}");
+    assert!(lines[0].starts_with("6202 service_uncalled: lasitaide/bookings.toml: node"), "{text}");
+    assert!(lines[1].ends_with("no faults, 1 findings"), "{text}");
+    // Errors have precedence over findings.
+    fixture.edit("lasitaide/guide.toml", "layers = 24", "layers = 0");
+    assert_eq!(fixture.run(&["check", &directory, "--strict"]).0, 2);
+}
+
+/// Guards against a check that compares with something other than what `plan` compares with.
+#[test]
+fn check_compares_with_the_configuration_in_force() {
+    let fixture = CliFixture::new("in-force");
+    let directory = fixture.directory.to_str().unwrap().to_owned();
+    let (code, result, _) = fixture.run(&["check", &directory, "--in-force"]);
+    assert_eq!((code, &result["in_force"]["base"]), (0, &json!(0)));
+    assert_eq!(fixture.apply(&["--wait-ms", "0"]).0, 0);
+    let (code, result, _) = fixture.run(&["check", &directory, "--in-force", "--strict"]);
+    assert_eq!(
+        (code, &result["in_force"]),
+        (0, &json!({ "base": 1, "changes": [], "stranded": [] }))
+    );
+    fixture.edit("lasitaide/guide.toml", "token_gap_ms = 500", "token_gap_ms = 400");
+    // A difference is no finding.
+    let (code, result, _) = fixture.run(&["check", &directory, "--in-force", "--strict"]);
+    assert_eq!((code, result["in_force"]["changes"].as_array().unwrap().len()), (0, 1));
+    assert_eq!(result["in_force"], fixture.run(&["plan", &directory]).1);
+    let output =
+        fixture.command(&["check", &directory, "--in-force", "--output", "human"]).output();
+    let text = String::from_utf8(output.unwrap().stdout).unwrap();
+    assert!(text.contains("~ guide: settings.token_gap_ms: 500 -> 400\n"), "{text}");
+}
+
+/// Guards against a check that needs the platform without being asked to compare, and against
+/// findings that are lost when the platform is unavailable.
+#[test]
+fn check_needs_the_platform_only_to_compare() {
+    let fixture = CliFixture::new("offline");
+    let directory = fixture.directory.to_str().unwrap().to_owned();
+    fixture.edit("lasitaide/front-desk.toml", "[\"guide\", \"bookings\"]", "[\"guide\"]");
+    let offline = ["--platform", "http://127.0.0.1:1"];
+    let run = |arguments: &[&str]| fixture.run(&[&offline, arguments].concat());
+    let (code, expected, _) = run(&["check", &directory]);
+    assert_eq!((code, expected["findings"].as_array().unwrap().len()), (0, 1));
+    let (code, result, error) = run(&["check", &directory, "--in-force", "--strict"]);
+    assert_eq!((code, result), (4, expected));
+    assert_eq!(error["error"]["exit"], 4);
+}
+
 #[test]
 fn usage_errors_have_their_own_exit_code() {
     let fixture = CliFixture::new("usage");
--- a/tests/tree_docs.rs
+++ b/tests/tree_docs.rs
@@ -1,6 +1,6 @@
-//! Checks that the documented declaration fields and exit codes match the tables in the code.
+//! Checks that the documented declaration fields, exit codes and findings match the tables in the code.
 
-use jacinthrock::{declaration_fields, exit_codes};
+use jacinthrock::{ResultCode, declaration_fields, exit_codes};
 use std::fs;
 use std::path::Path;
 
@@ -27,3 +27,15 @@
         exit_codes().iter().map(|row| format!("| {} | {} |", row.code, row.meaning)).collect();
     assert_eq!(table_rows("operating/settings.md", "| Exit code |"), expected);
 }
+
+/// Guards against a finding that operators can't look up.
+#[test]
+fn findings_are_listed_for_operators() {
+    let rows = table_rows("operating/settings.md", "| Code | Name |");
+    let found: Vec<String> =
+        rows.iter().map(|row| row.split(" | ").take(2).collect::<Vec<_>>().join(" | ")).collect();
+    let findings = ResultCode::ALL.iter().filter(|code| (6200..6300).contains(&code.number()));
+    let expected: Vec<String> =
+        findings.map(|code| format!("| {} | `{}`", code.number(), code.name())).collect();
+    assert_eq!(found, expected);
+}
