Loads of endpoints are read in order of their names

A search for a path and the admission levels go through all endpoints in order of their names, and looked up each one in three maps of loads with thousands of names. Now they walk through these maps side by side.

The numbers are the same; routing_views.rs compares each stage with the look-up of its loads.

--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -54,11 +54,13 @@
     let entries = endpoints
         .entries()
         .filter(|entry| &*entry.service == service && state.accepts_work(entry, now));
+    let mut totals = loads.in_order(now);
     entries
         .filter_map(|entry| {
             let span = entry.layers.filter(|span| span.count() > 0)?;
             let card = engine.cards.get(entry.card.as_deref()?)?;
-            let load = loads.total_load(&entry.name, now).unwrap_or_default();
+            let load = totals.as_mut().map(|totals| totals.total_load(&entry.name));
+            let load = load.unwrap_or_default();
             Some(StageCapacity {
                 span,
                 slots: entry.slots,
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -4,7 +4,8 @@
 //! only its own streams would send more to a stage that other hosts have already filled. Each host
 //! therefore reports its load to the holder of the placement lease, and gets the total back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map};
+use std::iter::Peekable;
 use std::time::Duration;
 
 use jacinthrock::{EndpointName, HostName};
@@ -186,6 +187,60 @@
     total_age: Duration,
 }
 
+impl LoadSnapshot {
+    /// Estimated load of the other hosts on an endpoint: `others` and `before` were theirs and that
+    /// of this host at the exchange, `own` is that of this host now.
+    fn estimate(&self, others: StageLoad, before: StageLoad, own: StageLoad) -> StageLoad {
+        let (mut load, mut added) = (others, own);
+        added.remove(before);
+        added.scale(self.hosts.saturating_sub(1));
+        load.add(added);
+        load
+    }
+}
+
+/// Reads the loads of endpoints in order of their names. Searches and admission go through all
+/// endpoints in this order; a look-up in thousands of names for each would take most of their time.
+#[derive(Debug)]
+pub(crate) struct LoadCursor<'a> {
+    rest: Peekable<btree_map::Iter<'a, EndpointName, StageLoad>>,
+}
+
+impl<'a> LoadCursor<'a> {
+    pub(crate) fn new(loads: &'a LoadMap) -> Self {
+        Self { rest: loads.iter().peekable() }
+    }
+
+    /// Load of an endpoint that is not before the one asked for last.
+    pub(crate) fn load(&mut self, name: &str) -> StageLoad {
+        while self.rest.next_if(|(next, _)| ***next < *name).is_some() {}
+        let found = self.rest.peek().filter(|(next, _)| ***next == *name);
+        found.map(|(_, load)| **load).unwrap_or_default()
+    }
+}
+
+/// Loads of the last total, read in order of the endpoints' names.
+#[derive(Debug)]
+pub(crate) struct OrderedLoads<'a> {
+    snapshot: &'a LoadSnapshot,
+    others: LoadCursor<'a>,
+    own: LoadCursor<'a>,
+}
+
+impl OrderedLoads<'_> {
+    /// The same as [`PeerLoads::load`].
+    pub(crate) fn load(&mut self, name: &str, own: StageLoad) -> StageLoad {
+        self.snapshot.estimate(self.others.load(name), self.own.load(name), own)
+    }
+
+    /// The same as [`PeerLoads::total_load`].
+    pub(crate) fn total_load(&mut self, name: &str) -> StageLoad {
+        let mut load = self.others.load(name);
+        load.add(self.own.load(name));
+        load
+    }
+}
+
 impl PeerLoads {
     /// Replaces the last total with a new one over `hosts` hosts; `own` is this host's part of it.
     pub fn update(&mut self, mut total: LoadSum, own: LoadSum, hosts: usize, now: Instant) {
@@ -228,12 +283,17 @@
     /// since the last total as this one, because all know the same totals and choose alike.
     pub fn load(&self, name: &str, own: StageLoad, now: Instant) -> Option<StageLoad> {
         let snapshot = self.fresh_snapshot(now)?;
-        let mut load = snapshot.others.loads.get(name).copied().unwrap_or_default();
-        let mut added = own;
-        added.remove(snapshot.own.get(name).copied().unwrap_or_default());
-        added.scale(snapshot.hosts.saturating_sub(1));
-        load.add(added);
-        Some(load)
+        let others = snapshot.others.loads.get(name).copied().unwrap_or_default();
+        let before = snapshot.own.get(name).copied().unwrap_or_default();
+        Some(snapshot.estimate(others, before, own))
+    }
+
+    /// Loads of the last total, to be read in order of the endpoints' names; none if it is too old.
+    pub(crate) fn in_order(&self, now: Instant) -> Option<OrderedLoads<'_>> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let (others, own) =
+            (LoadCursor::new(&snapshot.others.loads), LoadCursor::new(&snapshot.own));
+        Some(OrderedLoads { snapshot, others, own })
     }
 
     /// Number of streams of the other hosts; none if the last total is too old.
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -16,7 +16,7 @@
 use crate::expiry::ExpiringFlags;
 use crate::health::HealthTable;
 use crate::inflight::StageLoad;
-use crate::loads::{LoadMap, PeerLoads};
+use crate::loads::{LoadCursor, LoadMap, PeerLoads};
 use crate::notices::EndpointNotices;
 use crate::path::{PathStage, StageView, first_gap};
 use crate::rates::RateTable;
@@ -151,12 +151,14 @@
                 && accepts_work(entry, self.notices, self.health, self.exclusions, now)
                 && !query.avoid.contains(&entry.name)
         });
+        let mut own_loads = LoadCursor::new(self.own_loads);
+        let mut peer_loads = self.peer_loads.in_order(now);
         usable
             .filter_map(|entry| {
                 let span = entry.layers.filter(|span| span.count() > 0)?;
                 let card = engine.cards.get(entry.card.as_deref()?)?;
-                let mut load = self.own_loads.get(&entry.name).copied().unwrap_or_default();
-                match self.peer_loads.load(&entry.name, load, now) {
+                let mut load = own_loads.load(&entry.name);
+                match peer_loads.as_mut().map(|loads| loads.load(&entry.name, load)) {
                     Some(others) => load.add(others),
                     // Without recent loads of the other hosts, those in the same domain are
                     // assumed to load the stage as much as this host does.
--- a/crates/entry/tests/routing_views.rs
+++ b/crates/entry/tests/routing_views.rs
@@ -303,3 +303,40 @@
         assert!(stages.iter().all(|stage| stage.layer_ms <= 0.25 * most));
     }
 }
+
+/// Guards against loads that are taken for those of another endpoint, as they are read in order of
+/// the names: endpoints without loads, loads of endpoints that are not listed, and names of which
+/// one is the beginning of another.
+#[test]
+fn each_stage_has_its_own_loads() {
+    let mut tables = HostTables::new();
+    let names: Vec<String> = (0..200).map(|number| format!("{number:b}")).collect();
+    let listed = names.iter().enumerate().filter(|(number, _)| number % 7 != 0);
+    let entries = listed.map(|(number, name)| EndpointEntry {
+        name: name.as_str().into(),
+        is_draining: number % 11 == 0,
+        ..entry("a", 0, 4)
+    });
+    tables.endpoints.replace(6, entries.collect::<Vec<_>>(), tables.now);
+    let loads = |step: usize, factor: usize| -> LoadMap {
+        let used = names.iter().enumerate().skip(1).step_by(step);
+        let loads = used.map(|(number, name)| {
+            let streams = (number * factor) as u32;
+            let token_layers = u64::from(streams) * 7;
+            (name.as_str().into(), StageLoad { streams, starts: streams / 2, token_layers })
+        });
+        loads.collect()
+    };
+    tables.own_loads = loads(3, 5);
+    let sum = |loads| LoadSum { loads, ..LoadSum::default() };
+    tables.peer_loads.update(sum(loads(2, 100)), sum(loads(5, 3)), 4, tables.now);
+    let stages = tables.stages_at(tables.now);
+    assert!(stages.len() > 150);
+    for stage in stages {
+        let own = tables.own_loads.get(&stage.name).copied().unwrap_or_default();
+        let others = tables.peer_loads.load(&stage.name, own, tables.now).expect("a recent total");
+        assert_eq!(stage.streams, f64::from(own.streams + others.streams), "{}", stage.name);
+        let tokens = (own.token_layers + others.token_layers) as f64 + f64::from(TOKENS) * 4.0;
+        assert_eq!(stage.kv_usage, tokens / 968_000.0, "{}", stage.name);
+    }
+}
