Totals of the load exchange drop endpoints without a load

When the last stream had left an endpoint, its entry stayed in the sums with three zeros, and was sent to every host in each exchange, five times a second, until the aggregating process ended. Of 3,000 entries, the text of a total takes 96 KB with names of 13 bytes. An entry that becomes zero is now removed; a missing one reads as zero, so that the numbers stay the same.

--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -55,12 +55,16 @@
         add_demands(&mut self.demands, &other.demands);
     }
 
+    /// Subtracts another load. Endpoints without a load are dropped, as each total would contain
+    /// every endpoint that was ever in use otherwise.
     fn remove(&mut self, other: &Self) {
         self.crossing_tokens_per_s =
             (self.crossing_tokens_per_s - other.crossing_tokens_per_s).max(0.0);
         for (name, load) in &other.loads {
-            if let Some(sum) = self.loads.get_mut(name) {
-                sum.remove(*load);
+            let Some(sum) = self.loads.get_mut(name) else { continue };
+            sum.remove(*load);
+            if *sum == StageLoad::default() {
+                self.loads.remove(name);
             }
         }
         remove_demands(&mut self.demands, &other.demands);
--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -268,3 +268,23 @@
     let total = aggregator.total(now).loads["a"];
     assert_eq!((total.streams, total.starts, total.token_layers), (35, 35, 35_000));
 }
+
+/// Guards against totals that grow with every endpoint that was ever in use.
+#[tokio::test(start_paused = true)]
+async fn total_contains_only_endpoints_in_use() {
+    let (mut aggregator, now) = (LoadAggregator::default(), Instant::now());
+    let on = |name: &str, streams| {
+        let loads = [(name.into(), sum(streams).loads["a"])].into();
+        LoadSum { loads, ..LoadSum::default() }
+    };
+    aggregator.exchange("h1".into(), on("a", 3), now);
+    aggregator.exchange("h2".into(), on("a", 2), now);
+    let total = aggregator.exchange("h1".into(), on("b", 4), now);
+    assert_eq!(total.loads.keys().map(|name| &**name).collect::<Vec<_>>(), ["a", "b"]);
+    let total = aggregator.exchange("h2".into(), on("b", 1), now).clone();
+    assert_eq!(total.loads, on("b", 5).loads);
+    let mut others = PeerLoads::default();
+    others.update(total, on("b", 5), 2, now);
+    assert_eq!(others.total_load("b", now), Some(on("b", 5).loads["b"]));
+    assert_eq!(others.total_load("a", now), Some(StageLoad::default()));
+}
