Explanations of a missing path name at most 16 holders

The refusal of a stream and its log line named every endpoint that holds the layer without room. At 3,000 endpoints of a model with 80 layers that is several hundred endpoints, about 40 bytes each, for each refusal. They name the first 16 and count the others. The log event `no_detour` has the number of holders and the first 16 of them.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -39,6 +39,10 @@
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
 pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
 
+/// Most holders of a layer that an explanation names. With thousands of endpoints, a layer has
+/// hundreds, and the explanation is part of each refusal and of its log line.
+pub(crate) const MAX_NAMED_HOLDERS: usize = 16;
+
 /// Requirements for a path.
 #[derive(Clone, Copy, Debug)]
 pub struct PathQuery<'a> {
@@ -263,9 +267,13 @@
         let count = stages.len();
         return format!("no path joins {count} stages; pipe share {link_share:.2}").into();
     };
-    let holders = stages.iter().filter(|stage| stage.span.holds(gap)).map(|stage| {
+    let holders = stages.iter().filter(|stage| stage.span.holds(gap));
+    let count = holders.clone().count();
+    let named = holders.take(MAX_NAMED_HOLDERS).map(|stage| {
         format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.kv_usage)
     });
-    let holders: Vec<_> = holders.collect();
-    format!("layer {gap} has no room; holders: {holders:?}").into()
+    let named: Vec<_> = named.collect();
+    let others = count - named.len();
+    let text = format!("layer {gap} has no room; holders: {named:?}");
+    if others > 0 { format!("{text} and {others} others").into() } else { text.into() }
 }
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -11,7 +11,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::inflight::StageLoad;
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path};
-use crate::routing::{self, PathQuery, RoutingView};
+use crate::routing::{self, MAX_NAMED_HOLDERS, PathQuery, RoutingView};
 use crate::rules::EngineProfile;
 use crate::state::EntryState;
 
@@ -147,7 +147,8 @@
     }
 }
 
-/// Logs the layers that could not be replaced, with the endpoints nearby that hold some of them.
+/// Logs the layers that could not be replaced, with the number of endpoints nearby that hold some of
+/// them, and a few of these.
 fn log_no_detour(path: &[PathStage], lost: &BTreeSet<EndpointName>, stages: &[StageView]) {
     let missing = path.iter().filter(|stage| lost.contains(&stage.name)).map(|stage| {
         let is_nearby = |view: &&StageView| {
@@ -155,9 +156,11 @@
             view.domain == stage.domain && overlaps
         };
         let holders = stages.iter().filter(is_nearby);
-        let holders: Vec<_> =
-            holders.map(|view| (&*view.name, view.span, view.kv_usage, view.has_room)).collect();
-        (&*stage.name, stage.span, holders)
+        let count = holders.clone().count();
+        let named = holders.take(MAX_NAMED_HOLDERS);
+        let named: Vec<_> =
+            named.map(|view| (&*view.name, view.span, view.kv_usage, view.has_room)).collect();
+        (&*stage.name, stage.span, count, named)
     });
     let missing: Vec<_> = missing.collect();
     log::info!(event = "no_detour", missing:? = missing; "no endpoints can replace lost stages");
