Search for a later start compares start times first

For each stage of an interrupted path, a host compares the names and addresses of all endpoints. Nearly all of them started no later than the stage, which one comparison of numbers shows.

--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -693,8 +693,8 @@
     /// Whether a later start is known under an endpoint's name or at its address.
     pub fn is_replaced(&self, entry: &EndpointEntry) -> bool {
         let is_listed = self.endpoints.borrow().entries().any(|other| {
-            (other.name == entry.name || other.address == entry.address)
-                && other.start_unix_ms > entry.start_unix_ms
+            other.start_unix_ms > entry.start_unix_ms
+                && (other.address == entry.address || other.name == entry.name)
         });
         is_listed || self.health.borrow().is_replaced(&entry.name)
     }
