--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -16,7 +16,7 @@
 use crate::expiry::ExpiringFlags;
 use crate::health::HealthTable;
 use crate::inflight::StageLoad;
-use crate::loads::{LoadMap, PeerLoads};
+use crate::loads::{LoadCursor, LoadMap, PeerLoads};
 use crate::notices::EndpointNotices;
 use crate::path::{PathStage, StageView, first_gap};
 use crate::rates::RateTable;
@@ -39,6 +39,10 @@
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
 pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
 
+/// Most holders of a layer that an explanation names. With thousands of endpoints, a layer has
+/// hundreds, and the explanation is part of each refusal and of its log line.
+pub(crate) const MAX_NAMED_HOLDERS: usize = 16;
+
 /// Requirements for a path.
 #[derive(Clone, Copy, Debug)]
 pub struct PathQuery<'a> {
@@ -151,12 +155,14 @@
                 && accepts_work(entry, self.notices, self.health, self.exclusions, now)
                 && !query.avoid.contains(&entry.name)
         });
+        let mut own_loads = LoadCursor::new(self.own_loads);
+        let mut peer_loads = self.peer_loads.in_order(now);
         usable
             .filter_map(|entry| {
                 let span = entry.layers.filter(|span| span.count() > 0)?;
                 let card = engine.cards.get(entry.card.as_deref()?)?;
-                let mut load = self.own_loads.get(&entry.name).copied().unwrap_or_default();
-                match self.peer_loads.load(&entry.name, load, now) {
+                let mut load = own_loads.load(&entry.name);
+                match peer_loads.as_mut().map(|loads| loads.load(&entry.name, load)) {
                     Some(others) => load.add(others),
                     // Without recent loads of the other hosts, those in the same domain are
                     // assumed to load the stage as much as this host does.
@@ -261,9 +267,13 @@
         let count = stages.len();
         return format!("no path joins {count} stages; pipe share {link_share:.2}").into();
     };
-    let holders = stages.iter().filter(|stage| stage.span.holds(gap)).map(|stage| {
+    let holders = stages.iter().filter(|stage| stage.span.holds(gap));
+    let count = holders.clone().count();
+    let named = holders.take(MAX_NAMED_HOLDERS).map(|stage| {
         format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.kv_usage)
     });
-    let holders: Vec<_> = holders.collect();
-    format!("layer {gap} has no room; holders: {holders:?}").into()
+    let named: Vec<_> = named.collect();
+    let others = count - named.len();
+    let text = format!("layer {gap} has no room; holders: {named:?}");
+    if others > 0 { format!("{text} and {others} others").into() } else { text.into() }
 }
