Retry-After of a refused stream follows from its own queue

A stream refused from the queue by objective got the time to drain the queue that all other services share. It now gets the expected wait of a late stream in its own queue, bounded so that the caller can still wait for it (a forged total may claim any wait).

Refusals by admission also lengthened the Retry-After of other services, since all shared one record of outcomes. Services with several priorities now have one each; all others share one as before.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -16,6 +16,7 @@
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
 use crate::queue::{QueuePosition, WaitClass};
+use crate::returns::ReturnSchedule;
 use crate::routing::PathQuery;
 use crate::sending::probe_entry;
 use crate::state::EntryState;
@@ -103,6 +104,24 @@
         }
     }
 
+    /// Changes or reads the outcomes of the service's streams.
+    pub(crate) fn change_returns<T>(&self, change: impl FnOnce(&mut ReturnSchedule) -> T) -> T {
+        let mut schedules = self.state.return_schedules.borrow_mut();
+        change(schedules.get_mut(&self.call.service, self.has_priorities))
+    }
+
+    /// Shortest delay after which the caller is to come back, with the wait in the queue of its
+    /// service.
+    pub(crate) fn return_delay(&self, now: Instant) -> Duration {
+        let remaining = self.call.remaining();
+        let delay = self.change_returns(|schedule| schedule.delay(now, remaining));
+        if !self.has_priorities {
+            return delay + self.state.path_queue.borrow().drain_time();
+        }
+        let wait = self.wait_after_return(now + delay, now);
+        self.change_returns(|schedule| schedule.delay_with_wait(now, remaining, wait))
+    }
+
     /// Number of times that the request was sent or tried to be sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -20,6 +20,7 @@
     let now = Instant::now();
     let removed =
         state.admission.borrow_mut().remove_others(|service| rules.has_priorities(service));
+    state.return_schedules.borrow_mut().retain(|service| rules.has_priorities(service));
     for (service, priority) in removed {
         set_share(state, &service, priority, 1.0);
     }
@@ -95,7 +96,7 @@
     };
     count_stream(context, "refused");
     count_outcome(state, &call.service, "not_run");
-    state.return_schedule.borrow_mut().record_refused(now);
+    context.change_returns(|schedule| schedule.record_refused(now));
     Err(not_run_refusal(ResultCode::NoChain, refusal.to_string(), refusal.min_delay))
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -106,7 +106,7 @@
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
-pub use returns::ReturnSchedule;
+pub use returns::{ReturnSchedule, ReturnSchedules};
 pub use routing::{PathQuery, RoutingView};
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
--- a/crates/entry/src/objective_wait.rs
+++ b/crates/entry/src/objective_wait.rs
@@ -92,6 +92,16 @@
         stream.expected_wait(ahead, self.site_queue(now).as_ref(), interval, now)
     }
 
+    /// Expected wait of the stream in its queue, as that is now, when its caller returns at a time.
+    pub(crate) fn wait_after_return(&self, at: Instant, now: Instant) -> Duration {
+        let interval = self.state.path_queue.borrow().interval();
+        let stream = WaitingStream { silent_since: at, ..self.waiting_stream() };
+        let queues = self.state.objective_queues.borrow();
+        let queue = queues.get(&self.call.service);
+        let ahead = queue.map_or(0, |queue| queue.ahead(stream.order(at)));
+        stream.expected_wait(ahead, self.site_queue(now).as_ref(), interval, at)
+    }
+
     fn leaves_start(&self, stream: &WaitingStream, now: Instant) -> bool {
         stream.leaves_start(|| self.record_free(now), self.site_queue(now).as_ref(), now)
     }
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -164,6 +164,13 @@
         self.order.first().map(|(_, number)| *number)
     }
 
+    /// Number of streams that are served before one that joins with the given order, as of the last
+    /// update.
+    pub fn ahead(&self, order: WaitOrder) -> u32 {
+        let ahead = self.order.range(..=(order, QueueNumber::MAX)).count();
+        u32::try_from(ahead).unwrap_or(u32::MAX)
+    }
+
     /// Whether a stream takes any start, and all before it leave theirs to others, as given by
     /// `leaves_start`.
     pub fn goes_past(
--- a/crates/entry/src/returns.rs
+++ b/crates/entry/src/returns.rs
@@ -5,8 +5,10 @@
 //! sent back into the same shortage is lost. While most streams are refused, callers are told to come
 //! back later, and over a longer time; a single refusal is followed by an early return.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use jacinthrock::ServiceName;
 use tokio::time::Instant;
 
 /// Shortest delay; loading a range of layers takes one to two seconds.
@@ -25,6 +27,11 @@
     MIN_DELAY + (MAX_DELAY - MIN_DELAY).mul_f64(refused_share)
 }
 
+/// Longest delay that fits into a caller's remaining time after it was randomly prolonged.
+fn longest_delay(remaining: Duration) -> Duration {
+    remaining.mul_f64(MAX_SHARE_OF_REMAINING / MAX_JITTER_FACTOR).max(MIN_DELAY)
+}
+
 /// Recent outcomes of streams, and the delay that follows from them.
 ///
 /// ```
@@ -66,9 +73,31 @@
         self.decay(now);
         let total = self.served + self.refused;
         let refused_share = if total > 0.0 { self.refused / total } else { 0.0 };
-        let delay = shortage_delay(refused_share);
-        let longest = remaining.mul_f64(MAX_SHARE_OF_REMAINING / MAX_JITTER_FACTOR);
-        delay.min(longest.max(MIN_DELAY))
+        shortage_delay(refused_share).min(longest_delay(remaining))
+    }
+
+    /// Shortest delay after which a caller with `remaining` time is to come back to a queue in which
+    /// it is then expected to wait for `wait`. A forged total may claim any wait; a caller that is told
+    /// to come back later than it may wait gives up.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    ///
+    /// use jacinthrock_entry::ReturnSchedule;
+    /// use tokio::time::Instant;
+    ///
+    /// let (mut schedule, now) = (ReturnSchedule::default(), Instant::now());
+    /// let (remaining, wait) = (Duration::from_secs(20), Duration::from_millis(400));
+    /// let delay = schedule.delay_with_wait(now, remaining, wait);
+    /// assert_eq!(delay, schedule.delay(now, remaining) + wait);
+    /// ```
+    pub fn delay_with_wait(
+        &mut self,
+        now: Instant,
+        remaining: Duration,
+        wait: Duration,
+    ) -> Duration {
+        self.delay(now, remaining).saturating_add(wait).min(longest_delay(remaining))
     }
 
     fn decay(&mut self, now: Instant) {
@@ -79,3 +108,27 @@
         self.updated = Some(now);
     }
 }
+
+/// Schedules of a host: one for each service whose streams have different priorities, and one for all
+/// others. Admission refuses many streams of a service while other services have capacity.
+#[derive(Debug, Default)]
+pub struct ReturnSchedules {
+    shared: ReturnSchedule,
+    by_service: BTreeMap<ServiceName, ReturnSchedule>,
+}
+
+impl ReturnSchedules {
+    /// Schedule of a service.
+    pub fn get_mut(&mut self, service: &ServiceName, has_priorities: bool) -> &mut ReturnSchedule {
+        if has_priorities {
+            self.by_service.entry(service.clone()).or_default()
+        } else {
+            &mut self.shared
+        }
+    }
+
+    /// Forgets services whose streams no longer have different priorities.
+    pub(crate) fn retain(&mut self, has_priorities: impl Fn(&str) -> bool) {
+        self.by_service.retain(|service, _| has_priorities(service));
+    }
+}
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,7 +34,7 @@
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
 use crate::relay::{RelayCandidate, RelayPicker};
-use crate::returns::ReturnSchedule;
+use crate::returns::ReturnSchedules;
 use crate::routing::{accepts_work, is_leaving};
 use crate::rules::{RuleIndex, RulesVersion, ServingRules};
 use crate::shutdown::{StopPlan, StreamTimes};
@@ -180,7 +180,7 @@
     /// Shares of new streams that are admitted.
     pub admission: RefCell<AdmissionTable>,
     /// Outcomes of streams, for the delay after which refused callers come back.
-    pub return_schedule: RefCell<ReturnSchedule>,
+    pub return_schedules: RefCell<ReturnSchedules>,
     /// Load that the streams of the other hosts put on endpoints, from the last exchange.
     pub peer_loads: RefCell<PeerLoads>,
     /// Whether this host holds the placement lease, or acts as its holder.
@@ -254,7 +254,7 @@
             objective_queues: RefCell::default(),
             demand: RefCell::default(),
             admission: RefCell::default(),
-            return_schedule: RefCell::default(),
+            return_schedules: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
             heartbeat: LoopHeartbeat::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -62,7 +62,8 @@
     loop {
         match relay.next_events().await {
             Ok(first) => {
-                state.return_schedule.borrow_mut().record_served(Instant::now());
+                let now = Instant::now();
+                relay.context.change_returns(|schedule| schedule.record_served(now));
                 return Ok(relay.into_response(first));
             }
             Err(SourceFailure::Response(response)) => {
@@ -93,9 +94,8 @@
     count_outcome(state, &call.service, "not_run");
     let now = Instant::now();
     count_stream(&relay.context, "refused");
-    state.return_schedule.borrow_mut().record_refused(now);
-    let delay = state.return_schedule.borrow_mut().delay(now, call.remaining());
-    let retry_after = delay + state.path_queue.borrow().drain_time();
+    relay.context.change_returns(|schedule| schedule.record_refused(now));
+    let retry_after = relay.context.return_delay(now);
     let opening = relay.context.next_opening().map(|at| at.saturating_duration_since(now));
     let retry_after = retry_after.max(opening.unwrap_or_default());
     Err(not_run_refusal(ResultCode::NoChain, fault, retry_after))
--- a/crates/entry/tests/returns_delay.rs
+++ b/crates/entry/tests/returns_delay.rs
@@ -1,6 +1,6 @@
 //! Delays after which refused callers come back.
 
-use jacinthrock_entry::ReturnSchedule;
+use jacinthrock_entry::{ReturnSchedule, ReturnSchedules};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -61,3 +61,36 @@
     let remaining = Duration::from_secs(9);
     assert!(schedule.delay(now, remaining) * 2 <= remaining / 3);
 }
+
+/// Guards against callers of other services that are told to come back later because admission
+/// refuses streams of one service.
+#[tokio::test(start_paused = true)]
+async fn refusals_by_admission_lengthen_no_delay_of_other_services() {
+    let (mut schedules, now) = (ReturnSchedules::default(), Instant::now());
+    let services = [("a", true), ("b", true), ("c", false), ("d", false)];
+    for (service, has_priorities) in services {
+        schedules.get_mut(&service.into(), has_priorities).record_served(now);
+    }
+    let mut delays = |refused: u32| {
+        for _ in 0..refused {
+            schedules.get_mut(&"a".into(), true).record_refused(now);
+        }
+        services.map(|(service, has_priorities)| {
+            schedules.get_mut(&service.into(), has_priorities).delay(now, REMAINING)
+        })
+    };
+    let (before, after) = (delays(0), delays(20));
+    assert!(after[0] > before[0]);
+    assert_eq!(after[1..], before[1..]);
+}
+
+/// A forged total may claim any wait: callers must come back all the same.
+#[tokio::test(start_paused = true)]
+async fn delay_with_any_wait_fits_into_the_time_that_callers_have_left() {
+    let (mut schedule, now) = (ReturnSchedule::default(), Instant::now());
+    let short = Duration::from_millis(300);
+    assert_eq!(schedule.delay_with_wait(now, REMAINING, short), Duration::from_millis(1_200));
+    for wait in [Duration::from_secs(10), Duration::MAX] {
+        assert!(schedule.delay_with_wait(now, REMAINING, wait) * 2 <= REMAINING / 3);
+    }
+}
--- a/crates/entry/tests/shortage_value.rs
+++ b/crates/entry/tests/shortage_value.rs
@@ -208,7 +208,18 @@
     fn refuse(&mut self, stream: CallerStream, step: u32, now: Instant) {
         let host = &mut self.hosts[stream.host];
         host.returns.record_refused(now);
-        let delay = host.returns.delay(now, stream.waiting.deadline - now);
+        let remaining = stream.waiting.deadline - now;
+        let delay = host.returns.delay(now, remaining);
+        let delay = match self.order {
+            Order::Product => {
+                let (at, site) = (now + delay, host.site.as_ref());
+                let returned = WaitingStream { silent_since: at, ..stream.waiting };
+                let ahead = host.queue.ahead(returned.order(at));
+                let wait = returned.expected_wait(ahead, site, HOST_INTERVAL, at);
+                host.returns.delay_with_wait(now, remaining, wait)
+            }
+            Order::Arrival => delay,
+        };
         self.send_back(stream, delay, step);
     }
 
--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -13,10 +13,11 @@
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
+use hyper::http::response::Parts;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use jacinthrock_entry::{
-    DemandCount, EntryState, LoadSum, PathQuery, RetryPolicy, RouteRule, StreamGuard,
+    DemandCount, EntryState, LoadSum, PathQuery, RetryPolicy, RouteRule, StreamGuard, WaitClass,
 };
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, LocalSet, yield_now};
@@ -68,6 +69,15 @@
 
 /// Sends a stream to a host; the task ends with the status and body of its reply.
 fn send(state: &Rc<EntryState>, priority: u8) -> JoinHandle<(StatusCode, String)> {
+    send_then(state, priority, |parts, body| (parts.status, body))
+}
+
+/// Sends a stream to a host; the task ends with what is read from its reply.
+fn send_then<T: 'static>(
+    state: &Rc<EntryState>,
+    priority: u8,
+    read: impl FnOnce(Parts, String) -> T + 'static,
+) -> JoinHandle<T> {
     let address = state.options.front;
     tokio::task::spawn_local(async move {
         let socket = TcpStream::connect(address).await.expect("the host listens");
@@ -79,9 +89,9 @@
                 let request = Request::get(format!("/{priority}/")).header("host", "guide.example");
                 let request = request.body(Empty::<Bytes>::new()).expect("a request");
                 let reply = sender.send_request(request).await.expect("a reply");
-                let status = reply.status();
-                let body = reply.into_body().collect().await.expect("a body").to_bytes();
-                (status, String::from_utf8_lossy(&body).into_owned())
+                let (parts, body) = reply.into_parts();
+                let body = body.collect().await.expect("a body").to_bytes();
+                read(parts, String::from_utf8_lossy(&body).into_owned())
             } => reply,
         }
     })
@@ -258,3 +268,51 @@
         })
         .await;
 }
+
+/// Guards against a Retry-After that follows from the wrong queue: streams of a service with one
+/// priority wait in the shared queue, which says nothing about the wait of a service with several.
+/// The time of the latter must fit into a third of the caller's time with the random factor of 2.
+#[tokio::test(start_paused = true)]
+async fn refusal_by_objective_names_the_wait_of_its_own_queue() {
+    let delay = async |site: Option<DemandCount>, shared: usize| {
+        let (cluster, _guards) = full_host(&[0, 1]).await;
+        let state = &cluster.hosts[0].state;
+        for _ in 0..shared {
+            state.path_queue.borrow_mut().join(WaitClass::New, 1);
+        }
+        // A tenth of the streams is refused.
+        let served = |_| {
+            let mut schedules = state.return_schedules.borrow_mut();
+            schedules.get_mut(&"guide".into(), true).record_served(Instant::now());
+        };
+        let reply = send_then(state, 1, |parts, body| {
+            assert_eq!(parts.status, StatusCode::SERVICE_UNAVAILABLE, "{body}");
+            let value = parts.headers["retry-after"].to_str().expect("text").to_owned();
+            value.parse::<f64>().expect("seconds")
+        });
+        sleep(Duration::from_millis(1_000)).await;
+        (0..9).for_each(served);
+        if let Some(count) = site {
+            let demands = [("guide".into(), [(0, count)].into())].into();
+            let report = LoadSum { demands, ..LoadSum::default() };
+            let (own, now) = (state.own_load(), Instant::now());
+            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+        }
+        reply.await.expect("a reply")
+    };
+    LocalSet::new()
+        .run_until(async {
+            // A tenth is refused: 1.11 s, prolonged by a factor of up to 2.
+            let alone = delay(None, 0).await;
+            assert!((1.1..2.25).contains(&alone), "{alone} s");
+            let shared = delay(None, 50).await;
+            assert!((1.1..2.25).contains(&shared), "{shared} s although no stream waits");
+            let waiting = DemandCount { waiting: 300, started_per_s: 200.0, ..Default::default() };
+            let busy = delay(Some(waiting), 0).await;
+            assert!((2.6..5.25).contains(&busy), "{busy} s with 1.5 s of waiting");
+            let forged = DemandCount { waiting: 1_000_000, started_per_s: 1.0, ..waiting };
+            let forged = delay(Some(forged), 0).await;
+            assert!((3.1..6.7).contains(&forged), "{forged} s of 20");
+        })
+        .await;
+}
