A late stream counts free starts before it reads its queue

A late stream that waits behind others asks whether these leave their starts. The answer counted the free starts and recorded them in the queue, which was borrowed already: the task panicked and the connection closed. The count is now taken first, and only by streams that take any start.

late_streams_behind_others_are_served_past_claims_of_other_hosts panics without the change and passes with it.

--- a/crates/entry/src/objective_wait.rs
+++ b/crates/entry/src/objective_wait.rs
@@ -3,7 +3,6 @@
 //! Each host holds the queue of its own streams, and knows those of the other hosts as counts from the
 //! last exchange of loads. The module `waiting` decides.
 
-use std::cell::LazyCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +13,7 @@
 use crate::failure::SourceFailure;
 use crate::levels::count_stream;
 use crate::path::PathStage;
-use crate::queue::QueueNumber;
+use crate::queue::{ObjectiveQueue, QueueNumber};
 use crate::routing::MAX_OCCUPANCY;
 use crate::waiting::{FreeStarts, SiteQueue, WaitingStream, free_starts};
 
@@ -150,6 +149,7 @@
 /// Keeps a stream in the queue of its service until dropped.
 struct ObjectiveGuard<'a> {
     context: &'a StreamContext,
+    stream: WaitingStream,
     number: QueueNumber,
     /// Streams of this host that are served before it.
     ahead: u32,
@@ -162,20 +162,31 @@
         let (number, ahead) = queue.join(stream, now);
         context.count_demand(DemandMeter::join_queue);
         count_stream(context, "waited");
-        Self { context, number, ahead }
+        Self { context, stream, number, ahead }
     }
 
     /// Whether the stream is the next to search for a path. One that takes any start does not wait
     /// behind streams that leave theirs to others, or it would be refused while starts are free.
     fn is_first(&self, now: Instant) -> bool {
         self.context.update_queue(now);
-        let site = LazyCell::new(|| self.context.site_queue(now));
-        let free_starts = LazyCell::new(|| self.context.record_free(now));
-        let leaves =
-            |other: &WaitingStream| other.leaves_start(|| *free_starts, (*site).as_ref(), now);
+        let service = &self.context.call.service;
+        let first = {
+            let queues = self.context.state.objective_queues.borrow();
+            queues.get(service).and_then(ObjectiveQueue::first)
+        };
+        if first == Some(self.number) {
+            return true;
+        }
+        // Spares the count of free starts, which goes through all endpoints.
+        if !self.stream.takes_any_start(now) {
+            return false;
+        }
+        // The queue remembers since when starts are free, so that they are counted before it is
+        // borrowed.
+        let (site, free) = (self.context.site_queue(now), self.context.record_free(now));
+        let leaves = |other: &WaitingStream| other.leaves_start(|| free, site.as_ref(), now);
         let queues = self.context.state.objective_queues.borrow();
-        let Some(queue) = queues.get(&self.context.call.service) else { return false };
-        queue.first() == Some(self.number) || queue.goes_past(self.number, leaves, now)
+        queues.get(service).is_some_and(|queue| queue.goes_past(self.number, leaves, now))
     }
 }
 
--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -269,6 +269,45 @@
         .await;
 }
 
+/// Several late streams wait while another host claims urgent ones: each looks at whether those before
+/// it leave their starts. The look-up of free starts once borrowed the queue a second time, which
+/// ended the tasks of the streams without a reply to their callers.
+#[tokio::test(start_paused = true)]
+async fn late_streams_behind_others_are_served_past_claims_of_other_hosts() {
+    LocalSet::new()
+        .run_until(async {
+            let (cluster, guards) = full_host(&[0, 1]).await;
+            let state = &cluster.hosts[0].state;
+            drop(guards);
+            let waiting = DemandCount { waiting: 1_000, ..DemandCount::default() };
+            let demands = [("guide".into(), [(0, waiting)].into())].into();
+            let report = LoadSum { demands, ..LoadSum::default() };
+            let (own, now) = (state.own_load(), Instant::now());
+            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+            sleep(Duration::from_millis(400)).await;
+            let replies: Vec<_> = (0..3).map(|_| send(state, 1)).collect();
+            let joined = until_waiting(state, (0, 3)).await;
+            let started = || {
+                let counts = state.demand.borrow_mut().counts(Instant::now());
+                counts["guide"][&1].started_per_s
+            };
+            // Each stream counts as 0.5 a second at first.
+            while started() < 1.4 {
+                let waited = joined.elapsed();
+                assert!(
+                    waited < Duration::from_millis(900),
+                    "{} a second after {waited:?}",
+                    started()
+                );
+                sleep(MS).await;
+            }
+            for reply in replies {
+                reply.await.expect("a reply to each caller");
+            }
+        })
+        .await;
+}
+
 /// Guards against a Retry-After that follows from the wrong queue: streams of a service with one
 /// priority wait in the shared queue, which says nothing about the wait of a service with several.
 /// The time of the latter must fit into a third of the caller's time with the random factor of 2.
