Log line and counter of streams that are complete but late

A caller's late answer left no trace: the log told of refusals and faults only. The event stream_late names where the time went: the caller had returned, the wait for a path, the first event, or a pause between events. jacinthrock_late_streams_total counts them by service and cause.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -62,6 +62,8 @@
     pub(crate) last_event_at: Cell<Instant>,
     /// Whether the streams of the service have different priorities.
     pub(crate) has_priorities: bool,
+    /// Total time for which the stream waited for paths.
+    pub(crate) waited: Cell<Duration>,
     sends: Cell<u32>,
     attempts: RefCell<AttemptLog>,
     /// Endpoints that failed or refused the stream.
@@ -85,6 +87,7 @@
             last_event_id: Cell::new(None),
             last_event_at: Cell::new(call.arrived),
             has_priorities: rules.is_some_and(|rules| rules.has_priorities(&call.service)),
+            waited: Cell::new(Duration::ZERO),
             sends: Cell::new(0),
             attempts: RefCell::default(),
             avoid: RefCell::default(),
@@ -320,11 +323,13 @@
 
     /// Waits for a path with room, for as long as the caller benefits from it.
     pub(crate) async fn wait_for_path(&self) -> Result<Rc<[PathStage]>, SourceFailure> {
+        let began = Instant::now();
         let found = if self.has_priorities {
             self.search_by_objective().await
         } else {
             self.search_path().await
         };
+        self.waited.set(self.waited.get() + began.elapsed());
         let first = found.as_ref().ok().and_then(|path| path.first());
         self.state.record_held_back(&self.call.service, first);
         found
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -14,7 +14,7 @@
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
-use jacinthrock::{CallRefusal, ResultCode};
+use jacinthrock::{CallRefusal, MetricName, ResultCode};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
@@ -45,6 +45,7 @@
     is_started: bool,
     is_silence_logged: bool,
     is_finished: bool,
+    lateness: LatenessRecord,
     deadline: Pin<Box<Sleep>>,
     _request: OpenRequest,
 }
@@ -101,6 +102,20 @@
     Err(not_run_refusal(ResultCode::NoChain, fault, retry_after))
 }
 
+/// Times of a stream that its caller compares with the objectives of the route.
+#[derive(Default)]
+struct LatenessRecord {
+    /// Time from the request's arrival to the first event.
+    first_event: Duration,
+    longest_pause: Duration,
+}
+
+impl LatenessRecord {
+    fn record_pause(&mut self, pause: Duration) {
+        self.longest_pause = self.longest_pause.max(pause);
+    }
+}
+
 /// Polls sources for the next step of any of them.
 fn poll_sources(
     sources: &mut [StreamSource],
@@ -126,6 +141,7 @@
             is_started: false,
             is_silence_logged: false,
             is_finished: false,
+            lateness: LatenessRecord::default(),
             _request: request,
         }
     }
@@ -197,9 +213,15 @@
     }
 
     fn record_events(&mut self, last: Option<u64>) {
+        let now = Instant::now();
+        if self.is_started {
+            self.lateness.record_pause(now - self.context.last_event_at.get());
+        } else {
+            self.lateness.first_event = now - self.context.call.arrived;
+        }
         self.is_started = true;
         self.is_silence_logged = false;
-        self.context.last_event_at.set(Instant::now());
+        self.context.last_event_at.set(now);
         if last.is_some() {
             self.context.last_event_id.set(last);
         }
@@ -219,6 +241,33 @@
         }
     }
 
+    /// Logs a complete stream that its caller takes for late, with the times that tell where.
+    fn log_lateness(&self) {
+        let LatenessRecord { first_event, longest_pause } = self.lateness;
+        let StreamContext { state, call, .. } = &*self.context;
+        let returned_after = self.context.retry_age().unwrap_or_default();
+        let is_first_late = returned_after + first_event > call.route.objective;
+        if !is_first_late && longest_pause <= call.route.event_gap {
+            return;
+        }
+        let cause = match (is_first_late, self.context.waited.get() > first_event / 2) {
+            (true, _) if !returned_after.is_zero() => "returned",
+            (true, true) => "waited",
+            (true, false) => "first_event",
+            (false, _) => "pause",
+        };
+        state.metrics.count(MetricName::LateStreams, &[&call.service, cause]);
+        log::info!(
+            event = "stream_late", attempt = &*call.head.attempt, priority = call.priority, cause,
+            returned_after_ms = returned_after.as_millis() as u64,
+            waited_ms = self.context.waited.get().as_millis() as u64,
+            first_event_ms = first_event.as_millis() as u64,
+            longest_pause_ms = longest_pause.as_millis() as u64,
+            sends = self.context.sends();
+            "stream is complete but late"
+        );
+    }
+
     /// Opens another source beside a silent one, if that is allowed.
     fn hedge(&mut self) {
         let is_worthwhile = self.sources.len() < MAX_SOURCES
@@ -269,6 +318,7 @@
                     let time = now - call.arrived;
                     state.stream_times.borrow_mut().record(&call.service, time, now);
                     count_outcome(state, &call.service, "answered");
+                    self.log_lateness();
                     return None;
                 }
                 Err(SourceFailure::NotRun(_) | SourceFailure::Unknown(_)) => {
