Hosts tell one another which endpoints they have found down

At a site of 63 hosts, the end of 13 of 98 engines had 322 callers refused in two seconds: each host found each of them by a stream that failed, and had few retries. Findings are now part of the exchange of loads; a host that hears of one avoids the endpoint as one that it suspects, until a reply of the endpoint or 3 s after the finding. A host reports a finding only if another endpoint of the service has replied since, so that one without links reports nothing. In effect with 16 hosts or more.

--- a/crates/entry/examples/scale.rs
+++ b/crates/entry/examples/scale.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use jacinthrock_entry::{
-    CardProfile, CardView, EndpointEntry, EndpointNotices, EndpointTable, EngineProfile,
+    CardProfile, CardView, DownTable, EndpointEntry, EndpointNotices, EndpointTable, EngineProfile,
     ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LoadMap, LoadSum, PathQuery, PeerLoads,
     RateTable, RelayLoads, RoutingView, StageLoad, search_path,
 };
@@ -124,6 +124,7 @@
         endpoints: &endpoints,
         health: &HealthTable::default(),
         exclusions: &ExclusionTable::default(),
+        down_table: &DownTable::default(),
         notices: &EndpointNotices::default(),
         rates: &RateTable::new(1),
         own_loads: &own_loads,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,7 @@
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
-//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`.
+//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -14,6 +14,7 @@
 mod demand;
 mod detour;
 mod dispatch;
+mod down_reports;
 mod endpoints;
 mod ends;
 mod events;
@@ -76,6 +77,7 @@
 pub use attempts::AttemptLog;
 pub use demand::{DemandCount, DemandMap, DemandMeter, OnTimeMap, PriorityDemand, level_of};
 pub use detour::detour;
+pub use down_reports::{DownReport, DownTable};
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
     PeerUpdate, UnlistedNames,
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
+use crate::down_reports::DownReport;
 use crate::endpoints::{
     ChangeNumber, EndpointEntry, EndpointTable, EndpointUpdate, PeerUpdate, UnlistedNames,
 };
@@ -70,6 +71,9 @@
     /// Endpoints that accept no work, as the host knows.
     #[serde(default)]
     excluded: Vec<SharedExclusion>,
+    /// Endpoints that the host, or one that exchanges through it, has found down.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    down: Vec<DownReport>,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
@@ -115,6 +119,9 @@
     /// Endpoints that accept no work, as the replying host knows.
     #[serde(default)]
     excluded: Vec<SharedExclusion>,
+    /// Endpoints that the replying host, or one that has told it, has found down.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    down: Vec<DownReport>,
     /// The newest rules that the replying host knows of.
     #[serde(default)]
     rules: Option<RulesReport>,
@@ -326,6 +333,7 @@
         sum: group,
         seen: known.map(|position| (position.boot, position.number)),
         excluded: state.exclusions.borrow().shared(Instant::now()),
+        down: down_reports(state, has_members),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
         draws,
@@ -416,6 +424,7 @@
         freshness.record_peer(state.rules_number(), report.version, confirmed, now);
     }
     apply_exclusions(state, reply.excluded);
+    apply_down_reports(state, reply.down);
     apply_poison(state, reply.poison);
     state.update_retry_share();
     state.wake_queue();
@@ -437,6 +446,26 @@
     table.apply(exclusions, |name| state.endpoint(name), Instant::now());
 }
 
+/// Endpoints that this host has found down; with what it has heard, if others learn of it through
+/// this host.
+fn down_reports(state: &EntryState, passes_on: bool) -> Vec<DownReport> {
+    state.down_table.borrow().reports(passes_on, state.host_count(), Instant::now())
+}
+
+fn apply_down_reports(state: &EntryState, reports: Vec<DownReport>) {
+    let mut table = state.down_table.borrow_mut();
+    let taken =
+        table.apply(reports, |name| state.endpoint(name), state.host_count(), Instant::now());
+    if taken.is_empty() {
+        return;
+    }
+    state.metrics.add(MetricName::Ejections, &["reported_down"], taken.len() as i64);
+    log::info!(
+        event = "endpoints_reported_down", endpoints:? = taken;
+        "other hosts have found endpoints down; avoiding them"
+    );
+}
+
 fn apply_poison(state: &EntryState, report: PoisonReport) {
     if !report.is_empty() {
         state.change_poison(|table, now| table.apply(report, now));
@@ -601,6 +630,7 @@
     let now = Instant::now();
     let is_holder = state.is_holder();
     apply_exclusions(state, report.excluded);
+    apply_down_reports(state, report.down);
     apply_poison(state, report.poison);
     apply_rates(state, &report.rates);
     let grants = draw_permits(state, &report.host, &report.draws);
@@ -638,6 +668,7 @@
             (holder.host, holder.address, whole_ms(age))
         }),
         excluded: state.exclusions.borrow().shared(Instant::now()),
+        down: down_reports(state, true),
         rules: rules_report(state, now),
         poison: state.poison.borrow_mut().report(now),
         rates: state.rates.borrow().shared(now),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -115,6 +115,7 @@
             tried.insert(entry.name.clone());
         } else {
             state.health.borrow_mut().mark_down(&entry.name);
+            state.down_table.borrow_mut().record_down(&entry, Instant::now());
         }
         if has_run && !call.route.retry_policy.is_idempotent() {
             break;
@@ -246,6 +247,7 @@
     let now = Instant::now();
     let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
     let (notices, rates) = (state.notices.borrow(), state.rates.borrow());
+    let down_table = state.down_table.borrow();
     let candidates = endpoints.entries().filter(|entry| {
         &*entry.service == service
             && !state.is_leaving_endpoint(entry)
@@ -255,7 +257,9 @@
     });
     let (mut healthy, mut suspect) = (Vec::new(), Vec::new());
     for entry in candidates {
-        let is_healthy = !health.is_down(&entry.name) && !health.is_ejected(&entry.name, now);
+        let is_healthy = !health.is_down(&entry.name)
+            && !health.is_ejected(&entry.name, now)
+            && !down_table.is_reported(entry, now);
         if is_healthy { healthy.push(entry) } else { suspect.push(entry) }
     }
     if healthy.is_empty() {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -11,6 +11,7 @@
 use jacinthrock::EndpointName;
 use tokio::time::Instant;
 
+use crate::down_reports::DownTable;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::exclusions::ExclusionTable;
 use crate::expiry::ExpiringFlags;
@@ -73,6 +74,8 @@
     pub health: &'a HealthTable,
     /// Endpoints that accept no work although the registry lists them.
     pub exclusions: &'a ExclusionTable,
+    /// Endpoints that another host has found down.
+    pub down_table: &'a DownTable,
     /// What endpoints have said of themselves.
     pub notices: &'a EndpointNotices,
     /// Rate limits of endpoints, with the host's permits.
@@ -95,7 +98,7 @@
     /// use std::collections::BTreeSet;
     ///
     /// use jacinthrock_entry::{
-    ///     EndpointNotices, EndpointTable, EngineProfile, ExclusionTable, ExpiringFlags, HealthTable,
+    ///     DownTable, EndpointNotices, EndpointTable, EngineProfile, ExclusionTable, ExpiringFlags, HealthTable,
     ///     LoadMap, PathQuery, PeerLoads, RateTable, RoutingView,
     /// };
     /// use tokio::time::Instant;
@@ -124,6 +127,7 @@
     ///     endpoints: &EndpointTable::default(),
     ///     health: &HealthTable::default(),
     ///     exclusions: &ExclusionTable::default(),
+    ///     down_table: &DownTable::default(),
     ///     notices: &EndpointNotices::default(),
     ///     rates: &RateTable::new(1),
     ///     own_loads: &LoadMap::new(),
@@ -174,8 +178,9 @@
                     / engine.kv_capacity(card, entry.weight_layers());
                 let slot_usage = f64::from(load.starts + 1) / f64::from(entry.slots.max(1));
                 let has_slots = span.from > 0 || slot_usage < MAX_OCCUPANCY;
-                let suspect_ms =
-                    if self.suspected.is_set(&entry.name, now) { SUSPECT_COST_MS } else { 0.0 };
+                let is_suspected = self.suspected.is_set(&entry.name, now)
+                    || self.down_table.is_reported(entry, now);
+                let suspect_ms = if is_suspected { SUSPECT_COST_MS } else { 0.0 };
                 let is_overloaded = self.overloaded.is_set(&entry.name, now);
                 Some(StageView {
                     name: entry.name.clone(),
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -112,6 +112,7 @@
             endpoints: &self.endpoints.borrow(),
             health: &self.health.borrow(),
             exclusions: &self.exclusions.borrow(),
+            down_table: &self.down_table.borrow(),
             notices: &self.notices.borrow(),
             rates: &self.rates.borrow(),
             own_loads: inflight.loads(),
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -158,6 +158,9 @@
     head: &ReplyHead,
 ) {
     let now = Instant::now();
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        state.down_table.borrow_mut().record_reply(entry, now);
+    }
     state.end_claims.borrow_mut().record_reply(entry.start());
     if head.is_leaving && state.notices.borrow_mut().mark_leaving(entry.start(), now) {
         log::info!(
@@ -282,7 +285,7 @@
                 state.record_crash(&entry);
                 endpoint_ended(&state, &entry, error);
             }
-            mark_down(&state, &name, error);
+            mark_down(&state, &entry, error);
         }
         Ok(report) => {
             state.clear_suspicion(&name);
@@ -297,15 +300,17 @@
                 }
             }
         }
-        Err(error) => mark_down(&state, &name, &error.to_string()),
+        Err(error) => mark_down(&state, &entry, &error.to_string()),
     }
 }
 
 /// Marks an endpoint as down, and has streams look for detours around it.
-fn mark_down(state: &EntryState, name: &EndpointName, error: &str) {
+fn mark_down(state: &EntryState, entry: &EndpointEntry, error: &str) {
+    let name = &entry.name;
     if !state.health.borrow_mut().mark_down(name) {
         return;
     }
+    state.down_table.borrow_mut().record_down(entry, Instant::now());
     let rerouted = state.inflight.borrow().request_reroute_through(name);
     log::warn!(
         event = "endpoint_down", endpoint = &**name, streams = rerouted, error;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -16,6 +16,7 @@
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::admission::AdmissionTable;
 use crate::demand::DemandMeter;
+use crate::down_reports::DownTable;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
 use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
@@ -142,6 +143,8 @@
     pub poison: RefCell<PoisonTable>,
     /// Endpoints of which it is open whether they have ended.
     pub end_claims: RefCell<EndClaims>,
+    /// Endpoints that this or another host has found down.
+    pub down_table: RefCell<DownTable>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
     /// Rate limits that endpoints have named, with this host's permits.
@@ -233,6 +236,7 @@
             has_asked_hosts: Cell::new(false),
             poison: RefCell::new(PoisonTable::new(Instant::now())),
             end_claims: RefCell::default(),
+            down_table: RefCell::default(),
             notices: RefCell::default(),
             rates: RefCell::new(RateTable::new(boot_id)),
             permits: RefCell::default(),
@@ -559,6 +563,7 @@
             flags.borrow_mut().retain(|name| endpoints.get(name).is_some());
         }
         self.exclusions.borrow_mut().retain(|name| endpoints.get(name).is_some());
+        self.down_table.borrow_mut().retain(|name| endpoints.get(name).is_some());
         let now = Instant::now();
         self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), now);
         let mut rates = self.rates.borrow_mut();
--- a/crates/entry/tests/routing_views.rs
+++ b/crates/entry/tests/routing_views.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use jacinthrock_entry::{
-    CardProfile, EndpointEntry, EndpointName, EndpointNotices, EndpointTable, EngineProfile,
-    ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LoadMap, LoadSum, PathQuery, PeerLoads,
-    RateTable, RoutingView, StageLoad, StageView, cheapest_path, first_gap,
+    CardProfile, DownTable, EndpointEntry, EndpointName, EndpointNotices, EndpointTable,
+    EngineProfile, ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LoadMap, LoadSum,
+    PathQuery, PeerLoads, RateTable, RoutingView, StageLoad, StageView, cheapest_path, first_gap,
 };
 use tokio::time::Instant;
 
@@ -21,6 +21,7 @@
     endpoints: EndpointTable,
     health: HealthTable,
     exclusions: ExclusionTable,
+    down_table: DownTable,
     notices: EndpointNotices,
     rates: RateTable,
     own_loads: LoadMap,
@@ -40,6 +41,7 @@
             endpoints,
             health: HealthTable::default(),
             exclusions: ExclusionTable::default(),
+            down_table: DownTable::default(),
             notices: EndpointNotices::default(),
             rates: RateTable::new(1),
             own_loads: LoadMap::new(),
@@ -58,6 +60,7 @@
             endpoints: &self.endpoints,
             health: &self.health,
             exclusions: &self.exclusions,
+            down_table: &self.down_table,
             notices: &self.notices,
             rates: &self.rates,
             own_loads: &self.own_loads,
@@ -284,6 +287,7 @@
             endpoints: &tables.endpoints,
             health: &tables.health,
             exclusions: &tables.exclusions,
+            down_table: &tables.down_table,
             notices: &tables.notices,
             rates: &tables.rates,
             own_loads: &tables.own_loads,
