Admission counts waits as usage; levels by customer and route

The expected wait of the streams that wait, against the longest one for an on-time answer, is now a usage as well.

Customers' priorities go before those of routes. Most customers have the same one, so that all kinds of streams had the same level. A level now has the priority of the route as its second digit.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -12,7 +12,7 @@
 use jacinthrock::ServiceName;
 use tokio::time::Instant;
 
-use crate::demand::{DemandCount, MAX_LEVELS, PriorityDemand, level_of};
+use crate::demand::{DemandCount, MAX_LEVELS, PriorityDemand, known_level};
 use crate::endpoints::LayerSpan;
 use crate::loads::MAX_SNAPSHOT_AGE;
 use crate::returns::{MAX_JITTER_FACTOR, MAX_SHARE_OF_REMAINING, shortage_delay};
@@ -81,6 +81,25 @@
     layer_usage.fold(ratio(starts, slots), f64::max)
 }
 
+/// Usage of a service as its queues show it: 1 where streams wait for as long as an on-time answer
+/// allows, whatever its endpoints lack. A service whose starts and KV cache are half free may still
+/// be unable to start more streams, as when no failure domain has a whole path left and the link
+/// between them is full.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use jacinthrock_entry::{DemandCount, queue_usage};
+///
+/// let count = DemandCount { started_per_s: 100.0, waiting: 20, ..DemandCount::default() };
+/// assert_eq!(queue_usage(&[(0, count)].into(), Duration::from_millis(400)), 0.5);
+/// ```
+pub fn queue_usage(demand: &PriorityDemand, on_time_wait: Duration) -> f64 {
+    let DemandCount { started_per_s, waiting, .. } = total_demand(demand);
+    let wait_s = ratio(f64::from(waiting), started_per_s);
+    ratio(wait_s, on_time_wait.as_secs_f64()).min(1.0)
+}
+
 fn ratio(used: f64, capacity: f64) -> f64 {
     if capacity > 0.0 { used / capacity } else { 0.0 }
 }
@@ -135,7 +154,7 @@
 
 /// Streams that arrive per second, of the priorities that belong to a level.
 fn arrived(demand: &PriorityDemand, level: u8) -> f64 {
-    let counts = demand.iter().filter(|(priority, _)| level_of(**priority) == level);
+    let counts = demand.iter().filter(|(priority, _)| known_level(**priority) == level);
     counts.map(|(_, count)| count.sanitized().arrived_per_s).sum()
 }
 
@@ -283,7 +302,7 @@
     fn take_changes(&mut self, inputs: Option<LevelInputs<'_>>, now: Instant) -> Vec<LevelChange> {
         let demand = inputs.map(|inputs| inputs.demand);
         for priority in demand.into_iter().flat_map(PriorityDemand::keys) {
-            self.reported.entry(level_of(*priority)).or_insert(1.0);
+            self.reported.entry(known_level(*priority)).or_insert(1.0);
         }
         let last = self.reported_at;
         if last.is_some_and(|at| now.saturating_duration_since(at) < REPORT_INTERVAL) {
@@ -376,7 +395,7 @@
             return Ok(());
         };
         let Some(age) = level.age(now) else { return Ok(()) };
-        let priority = level_of(stream.priority);
+        let priority = known_level(stream.priority);
         let share = level.shares[usize::from(priority)];
         let refused_share = ((1.0 - share) * stream.size_factor()).min(1.0 - MIN_SHARE);
         if draw >= refused_share {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::adapter::CallHead;
+use crate::demand::level_of;
 use crate::endpoints::EndpointEntry;
 use crate::fingerprint::RequestFingerprint;
 use crate::poison::{BlamedPart, PromptPart, is_request, request_suspect};
@@ -38,6 +39,8 @@
     pub(crate) customer: Option<CustomerName>,
     /// Priority; 0 is the highest.
     pub(crate) priority: u8,
+    /// Level of the priority among the streams of a service whose routes have different ones.
+    pub(crate) level: u8,
     /// Time at which the head was received.
     pub(crate) arrived: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
@@ -157,12 +160,14 @@
         let detail = format!("route {} names no service", route.name);
         return Err((head.attempt, CallRefusal::not_run(ResultCode::NoEndpoint, detail)));
     };
+    let priority = customer_priority.unwrap_or(route.priority);
     let time_limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     Ok(AllowedCall {
         service: service.clone(),
         route: route.clone(),
         customer,
-        priority: customer_priority.unwrap_or(route.priority),
+        priority,
+        level: level_of(priority, route.priority),
         deadline: arrived + time_limit,
         parts,
         body,
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -103,7 +103,7 @@
     ) {
         if self.has_priorities {
             let mut meter = self.state.demand.borrow_mut();
-            record(&mut meter, &self.call.service, self.call.priority, Instant::now());
+            record(&mut meter, &self.call.service, self.call.level, Instant::now());
         }
     }
 
@@ -300,6 +300,9 @@
 
     /// Time between the first attempt of the caller and this one, if it returns after a refusal.
     pub(crate) fn retry_age(&self) -> Option<Duration> {
+        if self.has_priorities {
+            return None;
+        }
         let deadline = self.call.head.deadline?;
         let is_retried = deadline.saturating_add(RETRY_DEADLINE_MARGIN) < self.call.route.timeout;
         is_retried.then(|| self.call.route.timeout - deadline)
--- a/crates/entry/src/demand.rs
+++ b/crates/entry/src/demand.rs
@@ -14,8 +14,10 @@
 
 /// Time over which rates are averaged.
 const AVERAGING_TIME: Duration = Duration::from_secs(2);
-/// Number of priority levels; larger priority numbers count as the last level.
-pub(crate) const MAX_LEVELS: u8 = 10;
+/// Number of priorities that levels distinguish; larger priority numbers count as the last.
+const MAX_PRIORITIES: u8 = 10;
+/// Number of priority levels: one for each pair of a priority and a route's own priority.
+pub(crate) const MAX_LEVELS: u8 = MAX_PRIORITIES * MAX_PRIORITIES;
 /// Upper bound on a rate from another host, far above what all engines of a deployment accept.
 const MAX_RATE: f64 = 1e6;
 /// Upper bound on a number of waiting streams from another host.
@@ -155,7 +157,7 @@
         let sums = demands.entry(service.as_str().into()).or_default();
         for (priority, count) in priorities.as_object().into_iter().flatten() {
             let Ok(priority) = priority.parse() else { continue };
-            sums.entry(level_of(priority)).or_default().add(DemandCount::from_json(count));
+            sums.entry(known_level(priority)).or_default().add(DemandCount::from_json(count));
         }
     }
     demands.retain(|_, priorities| !priorities.is_empty());
@@ -173,7 +175,7 @@
                 continue;
             };
             let sum = on_time.entry(service.as_str().into()).or_default();
-            let sum: &mut u32 = sum.entry(level_of(priority)).or_default();
+            let sum: &mut u32 = sum.entry(known_level(priority)).or_default();
             *sum = sum.saturating_add(u32::try_from(streams).unwrap_or(u32::MAX));
         }
     }
@@ -194,15 +196,24 @@
     known.map_or(waiting, |streams| waiting.min(*streams))
 }
 
-/// Level of a priority.
+/// Level of streams with a priority on a route with a priority of its own. The priority of a customer
+/// goes before that of the route; among the streams of customers with the same one, the route's tells
+/// which are more urgent.
 ///
 /// ```
 /// use jacinthrock_entry::level_of;
 ///
-/// assert_eq!((level_of(2), level_of(200)), (2, 9));
+/// assert_eq!((level_of(1, 0), level_of(1, 2), level_of(200, 3)), (10, 12, 93));
 /// ```
-pub fn level_of(priority: u8) -> u8 {
-    priority.min(MAX_LEVELS - 1)
+pub fn level_of(priority: u8, route_priority: u8) -> u8 {
+    let [priority, route_priority] =
+        [priority, route_priority].map(|number| number.min(MAX_PRIORITIES - 1));
+    priority * MAX_PRIORITIES + route_priority
+}
+
+/// A level, or the last one for numbers that name none, as other hosts may send.
+pub(crate) fn known_level(level: u8) -> u8 {
+    level.min(MAX_LEVELS - 1)
 }
 
 /// Counts the streams of this host, and averages their rates.
@@ -297,7 +308,7 @@
     fn count(&mut self, service: &ServiceName, priority: u8, now: Instant) -> &mut DemandCount {
         let averages = self.averages.entry(service.clone()).or_default();
         let new = || DemandAverage { count: DemandCount::default(), updated: now };
-        averages.entry(level_of(priority)).or_insert_with(new).decay(now)
+        averages.entry(known_level(priority)).or_insert_with(new).decay(now)
     }
 }
 
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -5,14 +5,17 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::admission::{LevelChange, LevelInputs, NewStream, StageCapacity, service_usage};
+use crate::admission::{
+    LevelChange, LevelInputs, NewStream, StageCapacity, queue_usage, service_usage,
+};
 use crate::call::count_outcome;
 use crate::context::StreamContext;
-use crate::demand::{DemandMeter, level_of};
+use crate::demand::DemandMeter;
 use crate::queue::WaitClass;
 use crate::response::not_run_refusal;
 use crate::rules::{EngineProfile, RuleIndex};
 use crate::state::EntryState;
+use crate::waiting::WaitingStream;
 
 /// Computes the levels again from the latest totals of all hosts.
 pub(crate) fn update_levels(state: &EntryState) {
@@ -27,10 +30,11 @@
     for service in rules.prioritized_services() {
         let demand = state.peer_loads.borrow().demands(service, now);
         let engine = rules.engine(service);
-        let inputs = demand.as_ref().zip(engine).map(|((demand, age), engine)| LevelInputs {
-            usage: service_usage(engine.layers, &stage_capacities(state, service, engine, now)),
-            demand,
-            age: *age,
+        let on_time_wait = WaitingStream::on_time_wait(rules.shortest_objective(service));
+        let inputs = demand.as_ref().zip(engine).map(|((demand, age), engine)| {
+            let capacities = stage_capacities(state, service, engine, now);
+            let usage = service_usage(engine.layers, &capacities);
+            LevelInputs { usage: usage.max(queue_usage(demand, on_time_wait)), demand, age: *age }
         });
         let changes = state.admission.borrow_mut().update(service, inputs, now);
         for change in changes {
@@ -81,7 +85,7 @@
         return Ok(());
     }
     let stream = NewStream {
-        priority: call.priority,
+        priority: call.level,
         tokens: context.expected_tokens(),
         mean_tokens: state.rules().map_or(0, |rules| mean_tokens(&rules, &call.service)),
         is_retried: context.wait_class() == WaitClass::Retried,
@@ -105,7 +109,7 @@
 /// Counts a stream of a service with priorities in the metrics.
 pub(crate) fn count_stream(context: &StreamContext, outcome: &str) {
     if context.has_priorities {
-        let priority = level_of(context.call.priority).to_string();
+        let priority = context.call.level.to_string();
         let labels = [&*context.call.service, &priority, outcome];
         context.state.metrics.count(MetricName::AdmissionStreams, &labels);
     }
--- a/crates/entry/src/objective_wait.rs
+++ b/crates/entry/src/objective_wait.rs
@@ -71,7 +71,7 @@
         let first_arrived = self.retry_age().and_then(|age| call.arrived.checked_sub(age));
         WaitingStream {
             is_interrupted: self.last_event_id.get().is_some(),
-            priority: call.priority,
+            priority: call.level,
             objective: call.route.objective,
             first_arrived: first_arrived.unwrap_or(call.arrived),
             silent_since: self.last_event_at.get(),
--- a/crates/entry/src/queue.rs
+++ b/crates/entry/src/queue.rs
@@ -14,7 +14,7 @@
 
 use tokio::time::Instant;
 
-use crate::demand::level_of;
+use crate::demand::known_level;
 use crate::waiting::{FreeStarts, WaitOrder, WaitingStream};
 
 /// Weight of the newest interval in the moving average.
@@ -196,7 +196,7 @@
         let mut on_time = BTreeMap::new();
         for (stream, _) in self.streams.values() {
             let is_late = matches!(stream.order(now), WaitOrder::Late { .. });
-            *on_time.entry(level_of(stream.priority)).or_default() += u32::from(!is_late);
+            *on_time.entry(known_level(stream.priority)).or_default() += u32::from(!is_late);
         }
         on_time
     }
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -199,7 +199,9 @@
     rules: ServingRules,
     by_host: BTreeMap<Box<str>, Vec<usize>>,
     by_key: BTreeMap<Box<str>, usize>,
-    prioritized: BTreeSet<ServiceName>,
+    /// Services whose stream routes have different priorities, with the shortest objective of these
+    /// routes.
+    prioritized: BTreeMap<ServiceName, Duration>,
 }
 
 impl RuleIndex {
@@ -271,12 +273,18 @@
     /// Whether the stream routes of a service have different priorities, so that urgent streams go
     /// first in a shortage.
     pub fn has_priorities(&self, service: &str) -> bool {
-        self.prioritized.contains(service)
+        self.prioritized.contains_key(service)
     }
 
     /// Services whose stream routes have different priorities.
     pub fn prioritized_services(&self) -> impl Iterator<Item = &ServiceName> {
-        self.prioritized.iter()
+        self.prioritized.keys()
+    }
+
+    /// Shortest objective of the stream routes of a service whose routes have different priorities;
+    /// zero for others.
+    pub fn shortest_objective(&self, service: &str) -> Duration {
+        self.prioritized.get(service).copied().unwrap_or_default()
     }
 
     /// The engine profile of a service, if it has one.
@@ -285,15 +293,17 @@
     }
 }
 
-/// Services whose stream routes have two or more different priorities. A target of weight 0 gets no
-/// requests and does not count.
-fn prioritized_services(rules: &ServingRules) -> BTreeSet<ServiceName> {
-    let mut priorities: BTreeMap<&ServiceName, BTreeSet<u8>> = BTreeMap::new();
+/// Services whose stream routes have two or more different priorities, with the shortest objective
+/// of these routes. A target of weight 0 gets no requests and does not count.
+fn prioritized_services(rules: &ServingRules) -> BTreeMap<ServiceName, Duration> {
+    let mut routes: BTreeMap<&ServiceName, (BTreeSet<u8>, Duration)> = BTreeMap::new();
     for route in rules.routes.iter().filter(|route| route.is_stream) {
         for (service, _) in route.targets.iter().filter(|(_, weight)| *weight > 0) {
-            priorities.entry(service).or_default().insert(route.priority);
+            let known = routes.entry(service).or_insert((BTreeSet::new(), Duration::MAX));
+            known.0.insert(route.priority);
+            known.1 = known.1.min(route.objective);
         }
     }
-    let several = priorities.into_iter().filter(|(_, priorities)| priorities.len() > 1);
-    several.map(|(service, _)| service.clone()).collect()
+    let several = routes.into_iter().filter(|(_, (priorities, _))| priorities.len() > 1);
+    several.map(|(service, (_, objective))| (service.clone(), objective)).collect()
 }
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -258,7 +258,7 @@
         };
         state.metrics.count(MetricName::LateStreams, &[&call.service, cause]);
         log::info!(
-            event = "stream_late", attempt = &*call.head.attempt, priority = call.priority, cause,
+            event = "stream_late", attempt = &*call.head.attempt, level = call.level, cause,
             returned_after_ms = returned_after.as_millis() as u64,
             waited_ms = self.context.waited.get().as_millis() as u64,
             first_event_ms = first_event.as_millis() as u64,
--- a/crates/entry/src/waiting.rs
+++ b/crates/entry/src/waiting.rs
@@ -15,7 +15,7 @@
 
 use tokio::time::Instant;
 
-use crate::demand::{PriorityDemand, level_of};
+use crate::demand::{PriorityDemand, known_level};
 
 /// Time since the last event after which callers have given up, so that an interrupted stream is
 /// not resumed.
@@ -151,9 +151,14 @@
 }
 
 impl WaitingStream {
+    /// Longest wait for a path after which an answer can meet an objective.
+    pub(crate) fn on_time_wait(objective: Duration) -> Duration {
+        objective.mul_f64(WAIT_SHARE)
+    }
+
     /// Until when the stream can get a path for an on-time answer.
     pub fn on_time_until(&self) -> Instant {
-        self.moment(self.first_arrived, self.objective.mul_f64(WAIT_SHARE))
+        self.moment(self.first_arrived, Self::on_time_wait(self.objective))
     }
 
     /// Until when the stream waits at most: its caller would give up before the first event of a
@@ -221,7 +226,7 @@
         let Some(site) = site.filter(is_usable) else { return interval.saturating_mul(ahead) };
         let elsewhere = match self.order(now) {
             WaitOrder::Interrupted { .. } => 0,
-            WaitOrder::OnTime { priority } => site.waiting(..=level_of(priority)),
+            WaitOrder::OnTime { priority } => site.waiting(..=known_level(priority)),
             WaitOrder::Late { .. } => site.waiting(..),
         };
         let seconds = (elsewhere + u64::from(ahead)) as f64 / site.started_per_s;
@@ -247,7 +252,7 @@
         let Some(site) = site else { return false };
         let urgent = match self.order(now) {
             WaitOrder::Interrupted { .. } => 0,
-            WaitOrder::OnTime { priority } => site.on_time(..level_of(priority)),
+            WaitOrder::OnTime { priority } => site.on_time(..known_level(priority)),
             WaitOrder::Late { .. } => site.on_time(..),
         };
         if urgent == 0 {
