Hosts recognise callers that return after a refusal

A returned stream is late, and its caller does not return a second time; taken for a new one, it competes with streams that can be on time and may be refused again. Callers return at any host with another attempt identifier.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -17,6 +17,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::fingerprint::RequestFingerprint;
 use crate::poison::{BlamedPart, PromptPart, is_request, request_suspect};
+use crate::refusals::RequestKey;
 use crate::response::unknown_refusal;
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
 use crate::state::EntryState;
@@ -111,6 +112,15 @@
         table.record_break(endpoint.start(), &self.suspects(parts), tag, Instant::now());
     }
 
+    /// Hash of what the request keeps when its caller sends it again: its fingerprint and the part of
+    /// its prompt that it shares with no other.
+    pub(crate) fn return_key(&self) -> RequestKey {
+        let mut hasher = Sha256::new();
+        hasher.update(self.fingerprint().to_string());
+        hasher.update(self.head.own_part.as_deref().unwrap_or_default());
+        hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes))
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,6 @@
 //! What the sources of one stream share: where its request was sent, and where it may be sent next.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
 use crate::queue::{QueuePosition, WaitClass};
-use crate::returns::ReturnSchedule;
+use crate::returns::{MIN_RETURN_DELAY, ReturnSchedule};
 use crate::routing::PathQuery;
 use crate::sending::probe_entry;
 use crate::state::EntryState;
@@ -62,6 +62,8 @@
     pub(crate) last_event_at: Cell<Instant>,
     /// Whether the streams of the service have different priorities.
     pub(crate) has_priorities: bool,
+    /// Whether the caller has returned after a refusal; `None` before that was looked up.
+    is_returned: OnceCell<bool>,
     /// Total time for which the stream waited for paths.
     pub(crate) waited: Cell<Duration>,
     sends: Cell<u32>,
@@ -87,6 +89,7 @@
             last_event_id: Cell::new(None),
             last_event_at: Cell::new(call.arrived),
             has_priorities: rules.is_some_and(|rules| rules.has_priorities(&call.service)),
+            is_returned: OnceCell::new(),
             waited: Cell::new(Duration::ZERO),
             sends: Cell::new(0),
             attempts: RefCell::default(),
@@ -298,10 +301,34 @@
         path
     }
 
-    /// Time between the first attempt of the caller and this one, if it returns after a refusal.
+    /// Records that the stream is refused for lack of capacity, so that its caller is known when it
+    /// returns.
+    pub(crate) fn record_refusal(&self, now: Instant) {
+        self.change_returns(|schedule| schedule.record_refused(now));
+        if self.has_priorities {
+            self.state.refusals.borrow_mut().record(self.call.return_key(), now);
+        }
+    }
+
+    fn is_returned(&self) -> bool {
+        *self.is_returned.get_or_init(|| {
+            let now = Instant::now();
+            let (loads, mut own) =
+                (self.state.peer_loads.borrow(), self.state.refusals.borrow_mut());
+            let others = loads.refused(now).filter(|filter| !filter.is_empty());
+            if others.is_none() && own.is_empty(now) {
+                return false;
+            }
+            let key = self.call.return_key();
+            own.contains(key, now) || others.is_some_and(|filter| filter.contains(key))
+        })
+    }
+
+    /// Time between the first attempt of the caller and this one, if it returns after a refusal; the
+    /// shortest possible one where it is not known.
     pub(crate) fn retry_age(&self) -> Option<Duration> {
         if self.has_priorities {
-            return None;
+            return self.is_returned().then_some(MIN_RETURN_DELAY);
         }
         let deadline = self.call.head.deadline?;
         let is_retried = deadline.saturating_add(RETRY_DEADLINE_MARGIN) < self.call.route.timeout;
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -102,7 +102,7 @@
     };
     count_stream(context, "refused");
     count_outcome(state, &call.service, "not_run");
-    context.change_returns(|schedule| schedule.record_refused(now));
+    context.record_refusal(now);
     Err(not_run_refusal(ResultCode::NoChain, refusal.to_string(), refusal.min_delay))
 }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,7 @@
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
-//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`.
+//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`, `refusals`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -46,6 +46,7 @@
 mod queue;
 mod quota;
 mod rates;
+mod refusals;
 mod relay;
 mod reply;
 mod reroute;
@@ -110,6 +111,7 @@
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
+pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -17,6 +17,7 @@
     remove_demands,
 };
 use crate::inflight::StageLoad;
+use crate::refusals::RefusedFilter;
 
 /// Age at which a host's report no longer counts; several exchanges take place in that time.
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_500);
@@ -54,6 +55,9 @@
         deserialize_with = "read_on_time"
     )]
     pub on_time: OnTimeMap,
+    /// Requests that were refused recently, of services with several priorities.
+    #[serde(default, skip_serializing_if = "RefusedFilter::is_empty")]
+    pub refused: RefusedFilter,
 }
 
 impl LoadSum {
@@ -65,9 +69,11 @@
             self.loads.entry(name.clone()).or_default().add(*load);
         }
         add_demands(&mut self.demands, &other.demands);
+        self.refused.merge(&other.refused);
     }
 
-    /// Subtracts another load. Endpoints without a load are dropped, as each total would contain
+    /// Subtracts another load, except for its refused requests, which the rest may contain as well.
+    /// Endpoints without a load are dropped, as each total would contain
     /// every endpoint that was ever in use otherwise.
     fn remove(&mut self, other: &Self) {
         self.combine_on_time(other, u32::saturating_sub);
@@ -120,6 +126,7 @@
         }
         self.total.add(&report);
         self.reports.insert(host, (now, report));
+        self.collect_refused();
         &self.total
     }
 
@@ -144,6 +151,15 @@
                 self.total.remove(&previous);
             }
         }
+        self.collect_refused();
+    }
+
+    /// Takes the refused requests of all reports anew, without those of former reports.
+    fn collect_refused(&mut self) {
+        self.total.refused = RefusedFilter::default();
+        for (_, report) in self.reports.values() {
+            self.total.refused.merge(&report.refused);
+        }
     }
 }
 
@@ -370,6 +386,11 @@
         Some(levels.map(|level| (*level, streams(*level))).collect())
     }
 
+    /// Requests that hosts have refused recently, by the last total; none if that is too old.
+    pub fn refused(&self, now: Instant) -> Option<&RefusedFilter> {
+        self.fresh_snapshot(now).map(|snapshot| &snapshot.others.refused)
+    }
+
     fn fresh_snapshot(&self, now: Instant) -> Option<&LoadSnapshot> {
         let snapshot = self.latest.as_ref()?;
         (now.saturating_duration_since(snapshot.at) < MAX_SNAPSHOT_AGE).then_some(snapshot)
--- a/crates/entry/src/returns.rs
+++ b/crates/entry/src/returns.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 /// Shortest delay; loading a range of layers takes one to two seconds.
-const MIN_DELAY: Duration = Duration::from_millis(900);
+pub(crate) const MIN_RETURN_DELAY: Duration = Duration::from_millis(900);
 /// Delay while all streams are refused.
 const MAX_DELAY: Duration = Duration::from_millis(3_000);
 /// Time after which an outcome counts for a third.
@@ -24,12 +24,12 @@
 
 /// Delay while the given share of streams is refused.
 pub(crate) fn shortage_delay(refused_share: f64) -> Duration {
-    MIN_DELAY + (MAX_DELAY - MIN_DELAY).mul_f64(refused_share)
+    MIN_RETURN_DELAY + (MAX_DELAY - MIN_RETURN_DELAY).mul_f64(refused_share)
 }
 
 /// Longest delay that fits into a caller's remaining time after it was randomly prolonged.
 fn longest_delay(remaining: Duration) -> Duration {
-    remaining.mul_f64(MAX_SHARE_OF_REMAINING / MAX_JITTER_FACTOR).max(MIN_DELAY)
+    remaining.mul_f64(MAX_SHARE_OF_REMAINING / MAX_JITTER_FACTOR).max(MIN_RETURN_DELAY)
 }
 
 /// Recent outcomes of streams, and the delay that follows from them.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -34,6 +34,7 @@
 use crate::queue::{ObjectiveQueue, WaitQueue};
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
+use crate::refusals::RefusalMemory;
 use crate::relay::{RelayCandidate, RelayPicker};
 use crate::returns::ReturnSchedules;
 use crate::routing::{accepts_work, is_leaving};
@@ -180,6 +181,8 @@
     pub objective_queues: RefCell<BTreeMap<ServiceName, ObjectiveQueue>>,
     /// Streams that callers ask for at this host, of services with several priorities.
     pub demand: RefCell<DemandMeter>,
+    /// Streams that this host has refused, of services with several priorities.
+    pub refusals: RefCell<RefusalMemory>,
     /// Shares of new streams that are admitted.
     pub admission: RefCell<AdmissionTable>,
     /// Outcomes of streams, for the delay after which refused callers come back.
@@ -257,6 +260,7 @@
             path_queue: RefCell::default(),
             objective_queues: RefCell::default(),
             demand: RefCell::default(),
+            refusals: RefCell::default(),
             admission: RefCell::default(),
             return_schedules: RefCell::default(),
             stop_plan: Cell::new(None),
@@ -385,6 +389,7 @@
             crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
             demands: self.demand.borrow_mut().counts(now),
             on_time: on_time.collect(),
+            refused: self.refusals.borrow_mut().filter(now),
         }
     }
 
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -95,7 +95,7 @@
     count_outcome(state, &call.service, "not_run");
     let now = Instant::now();
     count_stream(&relay.context, "refused");
-    relay.context.change_returns(|schedule| schedule.record_refused(now));
+    relay.context.record_refusal(now);
     let retry_after = relay.context.return_delay(now);
     let opening = relay.context.next_opening().map(|at| at.saturating_duration_since(now));
     let retry_after = retry_after.max(opening.unwrap_or_default());
