--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -194,7 +194,7 @@
 /// Refusal of a new stream, with the level that it rests on.
 #[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 #[error(
-    "capacity is short: share {share:.3} of priority {priority} is admitted, usage {usage:.3}, \
+    "capacity is short: share {share:.3} of level {priority} is admitted, usage {usage:.3}, \
      age {} ms",
     age.as_millis()
 )]
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -127,7 +127,7 @@
 fn log_change(service: &str, change: &LevelChange) {
     let round = |value: f64| (value * 1_000.0).round() / 1_000.0;
     log::info!(
-        event = "admission_level", service, priority = change.priority,
+        event = "admission_level", service, level = change.priority,
         share = round(change.share), usage = round(change.usage),
         arrived_per_s = round(change.arrived_per_s), started_per_s = round(change.started_per_s),
         returned_per_s = round(change.returned_per_s), waiting = change.waiting, age_ms = change.age.as_millis() as u64;
--- a/crates/entry/tests/admission_level.rs
+++ b/crates/entry/tests/admission_level.rs
@@ -399,7 +399,7 @@
     assert_eq!(refusal.min_delay, Duration::from_millis(2_160));
     assert_eq!(
         refusal.to_string(),
-        "capacity is short: share 0.400 of priority 0 is admitted, usage 0.950, age 300 ms"
+        "capacity is short: share 0.400 of level 0 is admitted, usage 0.950, age 300 ms"
     );
     let hurried = NewStream { remaining: Duration::from_secs(3), ..new_stream(0) };
     let refusal = table.admit(&service(), &hurried, 0.0, now).expect_err("a refusal");
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -79,8 +79,8 @@
     StartersWanted = "jacinthrock_starters_wanted", Gauge, ["service", "domain"], "Starters that a failure domain of a service should have, as this host last decided as placement holder; 0 on other hosts.";
     LoopStalls = "jacinthrock_loop_stalls_total", Counter, [], "Times that the event loop stood still, seen from another thread.";
     AdmissionWaiting = "jacinthrock_admission_waiting", Gauge, ["priority"], "Requests that wait for admission, by priority class.";
-    AdmissionShare = "jacinthrock_admission_share_thousandths", Gauge, ["service", "priority"], "Share of new streams that is admitted, in thousandths, by service and priority.";
-    AdmissionStreams = "jacinthrock_admission_streams_total", Counter, ["service", "priority", "outcome"], "Streams of services with several priorities: admitted, waited for a path, or refused for lack of capacity.";
+    AdmissionShare = "jacinthrock_admission_share_thousandths", Gauge, ["service", "level"], "Share of new streams that is admitted, in thousandths, by service and priority level: ten times the priority of the customer or route, plus that of the route.";
+    AdmissionStreams = "jacinthrock_admission_streams_total", Counter, ["service", "level", "outcome"], "Streams of services with several priorities, by priority level: admitted, waited for a path, or refused for lack of capacity.";
 }
 
 #[derive(Clone)]
