--- a/crates/entry/src/down_reports.rs
+++ b/crates/entry/src/down_reports.rs
@@ -103,8 +103,8 @@
     /// Records that an endpoint has replied to this host.
     pub fn record_reply(&mut self, entry: &EndpointEntry, now: Instant) {
         self.findings.remove(&entry.name);
-        self.replies.insert(entry.name.clone(), now);
-        self.service_replies.insert(entry.service.clone(), now);
+        set_time(&mut self.replies, &entry.name, now);
+        set_time(&mut self.service_replies, &entry.service, now);
     }
 
     /// Whether another host has found an endpoint down that has not replied to this one since.
@@ -199,3 +199,13 @@
         self.replies.get(&report.endpoint).is_some_and(|at| *at >= found_at)
     }
 }
+
+/// Sets the time of a name; events of streams do so too often to copy the name each time.
+fn set_time<T: Clone + Ord>(times: &mut BTreeMap<T, Instant>, name: &T, now: Instant) {
+    match times.get_mut(name) {
+        Some(at) => *at = now,
+        None => {
+            times.insert(name.clone(), now);
+        }
+    }
+}
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -354,7 +354,9 @@
                 Err(_trailers) => continue,
             },
         };
-        guard.record_event(Instant::now());
+        let now = Instant::now();
+        guard.record_event(now);
+        context.state.down_table.borrow_mut().record_reply(first, now);
         if let Some(complete) = framer.push(bytes) {
             return Ok(Some(complete));
         }
