--- a/crates/entry/tests/loads_sum.rs
+++ b/crates/entry/tests/loads_sum.rs
@@ -163,8 +163,8 @@
     for count in ["null", "[]", "{}", "[null,\"x\",-3,-1]", "[-1e300,[],{},1.5]"] {
         assert_eq!(read(&format!(r#"{{"s":{{"1":{count}}}}}"#))["s"][&1], nothing, "{count}");
     }
-    let huge = read(r#"{"s":{"255":[1e300,1,1,18446744073709551615],"9":[1,1,1,1]}}"#);
-    let count = huge["s"][&9];
+    let huge = read(r#"{"s":{"255":[1e300,1,1,18446744073709551615],"99":[1,1,1,1]}}"#);
+    let count = huge["s"][&99];
     assert_eq!((huge["s"].len(), count.started_per_s), (1, 2.0));
     assert!(count.arrived_per_s <= 1e6 + 1.0 && count.waiting <= 1_000_001, "{count:?}");
 }
--- a/crates/entry/tests/queue_waiting.rs
+++ b/crates/entry/tests/queue_waiting.rs
@@ -155,6 +155,6 @@
     queue.join(new_stream(1, 500, now - ms(350)), now);
     let interrupted = WaitingStream { is_interrupted: true, ..new_stream(0, 500, now - ms(900)) };
     queue.join(interrupted, now);
-    assert_eq!(queue.on_time(now), [(0, 2), (1, 0), (9, 1)].into());
-    assert_eq!(queue.on_time(now + ms(350)), [(0, 1), (1, 0), (9, 0)].into());
+    assert_eq!(queue.on_time(now), [(0, 2), (1, 0), (99, 1)].into());
+    assert_eq!(queue.on_time(now + ms(350)), [(0, 1), (1, 0), (99, 0)].into());
 }
--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -18,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use jacinthrock_entry::{
     DemandCount, EntryState, LoadSum, PathQuery, RetryPolicy, RouteRule, StreamGuard, WaitClass,
+    level_of,
 };
 use tokio::net::TcpStream;
 use tokio::task::{JoinHandle, LocalSet, yield_now};
@@ -169,7 +170,7 @@
             let reply = send(state, 1);
             let joined = until_waiting(state, (0, 1)).await;
             let counted = state.demand.borrow_mut().counts(Instant::now());
-            assert_eq!(counted["guide"][&1].waiting, 1);
+            assert_eq!(counted["guide"][&level_of(1, 1)].waiting, 1);
             let wait = until_waiting(state, (0, 0)).await - joined;
             assert!(wait.abs_diff(Duration::from_millis(1_400)) <= 2 * MS, "waited {wait:?}");
             let (status, body) = reply.await.expect("a reply");
@@ -220,7 +221,9 @@
             state.wake_queue();
             let started = |priority: u8| {
                 let counts = state.demand.borrow_mut().counts(Instant::now());
-                counts["guide"].get(&priority).is_some_and(|count| count.started_per_s > 0.0)
+                counts["guide"]
+                    .get(&level_of(priority, priority))
+                    .is_some_and(|count| count.started_per_s > 0.0)
             };
             while !started(0) && !started(1) {
                 yield_now().await;
@@ -252,7 +255,9 @@
             let _urgent = send(state, 0);
             let has_started = |priority| {
                 let counts = state.demand.borrow_mut().counts(Instant::now());
-                let demand = counts.get("guide").and_then(|levels| levels.get(&priority).copied());
+                let levels = counts.get("guide");
+                let level = level_of(priority, priority);
+                let demand = levels.and_then(|levels| levels.get(&level).copied());
                 demand.is_some_and(|count| count.started_per_s > 0.0)
             };
             while !has_started(0) {
@@ -289,7 +294,7 @@
             let joined = until_waiting(state, (0, 3)).await;
             let started = || {
                 let counts = state.demand.borrow_mut().counts(Instant::now());
-                counts["guide"][&1].started_per_s
+                counts["guide"][&level_of(1, 1)].started_per_s
             };
             // Each stream counts as 0.5 a second at first.
             while started() < 1.4 {
