Requests at few crashes wait for other hosts' reports, and explained crashes count

Change, in poison/requests.rs: - Three crashes count only from 0.4 s after the first, the time of two exchanges; four count at once. Until then the request is sent, but not again by hosts themselves. - A request at three crashes is sent by the placement holder alone if a blamed request explains some of them, or all and they came within 0.4 s, in which no host could hold one of the two back. Before, explained crashes did not count. - Whether a request is blamed is read from the findings. By the records of blame, one whose blame had ended after ten minutes was held back again. - The log line of a new blame no longer depends on a change of evidence, since blame may now begin with time (take_new_blames).

Each part of the change fails a new test when it is taken out.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -18,7 +18,7 @@
 use crate::poison::{BlamedSuspect, CrashSuspect, SendVerdict, is_request, request_suspect};
 use crate::response::unknown_refusal;
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
-use crate::state::EntryState;
+use crate::state::{EntryState, log_blames};
 
 /// Retry-After of requests that crash endpoints, which they do for minutes.
 const POISON_RETRY_AFTER: Duration = Duration::from_secs(60);
@@ -78,7 +78,10 @@
         match table.verdict(&suspects, state.is_holder(), now) {
             SendVerdict::Allowed => Ok(false),
             SendVerdict::Trial => Ok(true),
-            SendVerdict::Refused(blamed) => Err(blamed),
+            SendVerdict::Refused(blamed) => {
+                log_blames(&mut table, now);
+                Err(blamed)
+            }
         }
     }
 
--- a/crates/entry/src/poison.rs
+++ b/crates/entry/src/poison.rs
@@ -27,7 +27,7 @@
 
 use crate::notices::EndpointStart;
 use crate::poison::parts::MAX_BLAMED;
-use crate::poison::requests::{MAX_BLAMED_REQUESTS, SOUND_TIME};
+use crate::poison::requests::{MAX_BLAMED_REQUESTS, SOUND_TIME, is_early};
 
 pub(crate) use crate::poison::requests::{is_request, request_suspect};
 
@@ -63,7 +63,7 @@
 const MAX_SUSPECTS: usize = 256;
 /// Maximum number of answered suspects.
 const MAX_ANSWERED: usize = 4_096;
-/// Age up to which a crash that no blamed suspect explains is reported; by then all hosts know of it.
+/// Age up to which a crash that no blamed suspect explains is reported; by then all hosts know it.
 const REPORT_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of crashes in a report.
 const MAX_REPORT_CRASHES: usize = 128;
@@ -285,6 +285,11 @@
             last: times().max().unwrap_or_default(),
         }
     }
+
+    /// Whether the blame holds; that of a request for few crashes waits for other hosts' reports.
+    fn is_due(&self, at: TableTime) -> bool {
+        !is_request(&self.suspect) || !is_early(self.crashes.len(), self.first, at)
+    }
 }
 
 /// The evidence on suspects that one host knows, its own and that of others.
@@ -327,6 +332,8 @@
     /// Derived from the crashes and answers; out of date if `is_changed`.
     findings: Vec<BlameFinding>,
     is_changed: bool,
+    /// Suspects that were blamed at the last call of `take_new_blames`.
+    known_blames: BTreeSet<CrashSuspect>,
 }
 
 impl PoisonTable {
@@ -342,6 +349,7 @@
             tried_unsettled: None,
             findings: Vec::new(),
             is_changed: false,
+            known_blames: BTreeSet::new(),
         }
     }
 
@@ -351,7 +359,7 @@
     }
 
     /// Records that the connection of a stream broke before its answer went on past the first
-    /// event. `suspects` are the shared parts of its prompt, all but the last, and the request itself.
+    /// event. `suspects` are the request itself and the shared parts of its prompt, all but the last.
     pub fn record_break(
         &mut self,
         endpoint: EndpointStart<'_>,
@@ -426,34 +434,41 @@
             let is_sent = may_try && self.start_unsettled(at);
             return if is_sent { SendVerdict::Trial } else { SendVerdict::Refused(unsettled) };
         }
-        let mut blamed = self.findings.iter().filter(|finding| {
-            let record = self.blames.get(&finding.suspect);
-            record.is_some_and(|record| record.is_active(at))
-                && valid_suspects(suspects).any(|suspect| *suspect == finding.suspect)
+        let mut blamed = self.active_findings(at).filter(|(finding, _)| {
+            valid_suspects(suspects).any(|suspect| *suspect == finding.suspect)
         });
-        let Some(finding) = blamed.next() else {
+        let Some((finding, _)) = blamed.next() else {
             return SendVerdict::Allowed;
         };
         let is_only = blamed.next().is_none();
-        let Some(record) = self.blames.get_mut(&finding.suspect) else {
+        let (suspect, last) = (finding.suspect.clone(), finding.last);
+        drop(blamed);
+        let Some(record) = self.blames.get_mut(&suspect) else {
             return SendVerdict::Allowed;
         };
         record.seen = record.seen.max(at);
-        if may_try && is_only && record.start_trial(finding.last, at) {
+        if may_try && is_only && record.start_trial(last, at) {
             return SendVerdict::Trial;
         }
-        SendVerdict::Refused(blamed_suspect(&finding.suspect, record, at))
+        SendVerdict::Refused(blamed_suspect(&suspect, record, at))
     }
 
     /// The suspects that are blamed.
     pub fn blamed(&mut self, now: Instant) -> Vec<BlamedSuspect> {
         self.derive_findings();
         let at = self.at(now);
-        let records = self.findings.iter().filter_map(|finding| {
-            let record = self.blames.get(&finding.suspect)?;
-            record.is_active(at).then(|| blamed_suspect(&finding.suspect, record, at))
-        });
-        records.collect()
+        let active = self.active_findings(at);
+        active.map(|(finding, record)| blamed_suspect(&finding.suspect, record, at)).collect()
+    }
+
+    /// The suspects that are blamed and were not at the last call. Blame may begin with time alone,
+    /// so that a comparison with the state before a change would miss it.
+    pub fn take_new_blames(&mut self, now: Instant) -> Vec<BlamedSuspect> {
+        let mut blamed = self.blamed(now);
+        let suspects = blamed.iter().map(|blamed| blamed.suspect.clone()).collect();
+        let known = std::mem::replace(&mut self.known_blames, suspects);
+        blamed.retain(|blamed| !known.contains(&blamed.suspect));
+        blamed
     }
 
     /// The evidence for other hosts. Drops what is too old.
@@ -581,18 +596,15 @@
     }
 
     fn blame_reports(&self, at: TableTime) -> Vec<BlameReport> {
-        let records = self.findings.iter().filter_map(|finding| {
-            let record = self.blames.get(&finding.suspect).filter(|record| record.is_active(at))?;
-            Some(BlameReport {
-                suspect: finding.suspect.clone(),
-                crashes: record.crashes,
-                first_ms: age_of(record.first, at),
-                seen_ms: age_of(record.seen, at),
-                trials: record.trials,
-                tried_ms: record.tried.map(|tried| age_of(tried, at)),
-            })
+        let reports = self.active_findings(at).map(|(finding, record)| BlameReport {
+            suspect: finding.suspect.clone(),
+            crashes: record.crashes,
+            first_ms: age_of(record.first, at),
+            seen_ms: age_of(record.seen, at),
+            trials: record.trials,
+            tried_ms: record.tried.map(|tried| age_of(tried, at)),
         });
-        records.collect()
+        reports.collect()
     }
 
     fn merge_crash(&mut self, key: CrashKey, record: CrashRecord) {
@@ -672,16 +684,25 @@
         self.answered.get(suspect).is_some_and(|answered_at| *answered_at > since)
     }
 
+    /// Findings that hold at present, with what is kept of the blame.
+    fn active_findings(
+        &self,
+        at: TableTime,
+    ) -> impl Iterator<Item = (&BlameFinding, &BlameRecord)> {
+        let findings = self.findings.iter().filter(move |finding| finding.is_due(at));
+        findings.filter_map(move |finding| {
+            let record = self.blames.get(&finding.suspect)?;
+            record.is_active(at).then_some((finding, record))
+        })
+    }
+
     /// Crashes that the suspects blamed at present explain.
     fn explained_crashes(&self, at: TableTime) -> BTreeSet<&CrashKey> {
-        let is_active =
-            |suspect| self.blames.get(suspect).is_some_and(|record| record.is_active(at));
-        let active = self.findings.iter().filter(|finding| is_active(&finding.suspect));
-        active.flat_map(|finding| &finding.crashes).collect()
+        self.active_findings(at).flat_map(|(finding, _)| &finding.crashes).collect()
     }
 
-    /// Finds the suspects to blame: parts first, since a request that is cut often for its part is not
-    /// the cause itself.
+    /// Finds the suspects to blame: parts first, since a request that is cut often for its part is
+    /// not the cause itself.
     fn derive_findings(&mut self) {
         if !std::mem::take(&mut self.is_changed) {
             return;
--- a/crates/entry/src/poison/requests.rs
+++ b/crates/entry/src/poison/requests.rs
@@ -2,9 +2,11 @@
 //!
 //! A request is a suspect by its fingerprint, whichever service it is for. It is blamed once it was
 //! under way at three crashes, or at four if another request was under way at all of them too; an
-//! answer clears it of the crashes before, and of those in the ten seconds after. Answers to the
-//! load pattern of one request that comes again and again, at whatever host, and ends one endpoint
-//! after the other.
+//! answer clears it of the crashes before, and of those in the ten seconds after. Three crashes
+//! count from the time at which hosts have told one another who else was under way at them. While it
+//! is open which of several requests is the cause, only the holder of the placement lease sends
+//! them, one after the other. Answers to the load pattern of one request that comes again and again,
+//! at whatever host, and ends one endpoint after the other.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -34,6 +36,9 @@
 /// Time between two requests that may each have crashed the same endpoints, in all hosts together:
 /// most requests crash an endpoint, or are answered, within it.
 const UNSETTLED_WAIT: Duration = Duration::from_millis(500);
+/// Time in which a host learns what the others have seen of a crash: their reports reach the holder
+/// of the placement lease within one exchange, 0.2 s, and the replies this host within another.
+const EXCHANGE_TIME: Duration = Duration::from_millis(400);
 /// Time before a crash in which an answer shows that a request is not its cause.
 pub(super) const SOUND_TIME: Duration = Duration::from_secs(10);
 /// Maximum number of requests of which the last answer is kept.
@@ -89,6 +94,12 @@
                 && !others.iter().any(|other| is_rival(&other)))
 }
 
+/// Whether other hosts may know of another cause of a request's crashes, which are few and of which
+/// the first was at `first`.
+pub(super) fn is_early(crash_count: usize, first: TableTime, at: TableTime) -> bool {
+    crash_count < MIN_MANY_REQUEST_CRASHES && at - first < millis(EXCHANGE_TIME)
+}
+
 impl PoisonTable {
     /// Whether a request was under way at so many crashes that hosts do not send it again by
     /// themselves.
@@ -124,21 +135,28 @@
     /// The request, if it was under way at enough crashes to be blamed, but not alone. The holder of
     /// the placement lease sends such requests one after the other, until one of them is the cause
     /// of a crash or is answered.
+    ///
+    /// Crashes that another request explains count too, since two requests may each crash endpoints
+    /// while the other is under way there. They do not count alone, unless they came so fast that no
+    /// host could hold one of the requests back between them.
     pub(super) fn unsettled_request(
         &self,
         suspects: &[CrashSuspect],
         at: TableTime,
     ) -> Option<BlamedSuspect> {
         let request = suspects.first().filter(|suspect| is_request(suspect))?;
-        if self.blames.contains_key(request) {
+        if self.findings.iter().any(|finding| finding.suspect == *request) {
             return None;
         }
         let explained = self.explained_crashes(at);
-        let crashes = self.open_crashes(request).filter(|(key, _)| !explained.contains(key));
-        let times: Vec<_> = crashes.map(|(_, crashed_at)| crashed_at).collect();
-        let first = times.iter().min().copied()?;
+        let crashes: Vec<_> = self.open_crashes(request).collect();
+        let times: Vec<_> = crashes.iter().map(|(_, crashed_at)| *crashed_at).collect();
+        let (first, last) = (times.iter().min().copied()?, times.iter().max().copied()?);
         let is_enough = times.len() >= MIN_REQUEST_CRASHES
-            && moments(times.iter().copied(), REQUEST_MOMENT) >= MIN_REQUEST_MOMENTS;
+            && moments(times.iter().copied(), REQUEST_MOMENT) >= MIN_REQUEST_MOMENTS
+            && !is_early(times.len(), first, at)
+            && (last - first < millis(EXCHANGE_TIME)
+                || crashes.iter().any(|(key, _)| !explained.contains(key)));
         is_enough.then(|| BlamedSuspect {
             suspect: request.clone(),
             crashes: u32::try_from(times.len()).unwrap_or(u32::MAX),
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -683,19 +683,8 @@
     pub fn change_poison(&self, change: impl FnOnce(&mut PoisonTable, Instant)) {
         let now = Instant::now();
         let mut table = self.poison.borrow_mut();
-        let before = table.blamed(now);
         change(&mut table, now);
-        for blamed in table.blamed(now) {
-            if before.iter().any(|known| known.suspect == blamed.suspect) {
-                continue;
-            }
-            let event = if blamed.is_request() { "request_blamed" } else { "part_blamed" };
-            log::warn!(
-                event, part = &*blamed.suspect, crashes = blamed.crashes,
-                since_ms = blamed.since.as_millis() as u64;
-                "what crashes endpoints is refused from now on"
-            );
-        }
+        log_blames(&mut table, now);
     }
 
     /// Whether a later start is known under an endpoint's name or at its address.
@@ -713,6 +702,18 @@
     }
 }
 
+/// Logs the suspects that are blamed since the last call.
+pub(crate) fn log_blames(table: &mut PoisonTable, now: Instant) {
+    for blamed in table.take_new_blames(now) {
+        let event = if blamed.is_request() { "request_blamed" } else { "part_blamed" };
+        log::warn!(
+            event, part = &*blamed.suspect, crashes = blamed.crashes,
+            since_ms = blamed.since.as_millis() as u64;
+            "what crashes endpoints is refused from now on"
+        );
+    }
+}
+
 /// Limits of a host with the given share of the budget. Only the slack is divided between hosts:
 /// each host already counts its own first attempts for the ratio.
 fn budget_options(options: &EntryOptions, share: f64) -> BudgetOptions {
--- a/crates/entry/tests/poison_requests.rs
+++ b/crates/entry/tests/poison_requests.rs
@@ -6,7 +6,7 @@
 
 use std::ops::Range;
 
-use jacinthrock_entry::{CrashSuspect, EndpointStart, PoisonTable};
+use jacinthrock_entry::{CrashSuspect, EndpointStart, PoisonTable, SendVerdict};
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -86,6 +86,95 @@
     assert!(is_refused(&mut table, POISON, now) && !is_refused(&mut table, "#sound", now));
 }
 
+/// Three crashes within the time of two exchanges: another host may know the cause of some of them.
+#[test]
+fn request_in_fast_crashes_is_blamed_once_other_hosts_have_reported() {
+    let start = Instant::now();
+    let (mut table, mut other) = (PoisonTable::new(start), PoisonTable::new(start));
+    for number in 1..=3_u32 {
+        let now = start + secs(1.0 + 0.1 * f64::from(number));
+        crash(&mut table, number.into(), &["#hot", "#cut"], now);
+        crash(&mut other, number.into(), &[POISON], now);
+    }
+    assert!(!is_refused(&mut table, "#hot", start + secs(1.49)), "the first was 0.39 s ago");
+    assert!(table.take_new_blames(start + secs(1.49)).is_empty());
+    assert!(is_refused(&mut table, "#hot", start + secs(1.51)));
+    assert!(is_refused(&mut other, POISON, start + secs(1.51)));
+    let blamed = other.take_new_blames(start + secs(1.51));
+    assert_eq!(blamed.len(), 1, "{blamed:?}");
+    assert!(other.take_new_blames(start + secs(1.6)).is_empty());
+    other.record_answer(&suspects(&["#hot"]), start + secs(1.0));
+    other.apply(table.report(start + secs(1.6)), start + secs(1.6));
+    table.apply(other.report(start + secs(1.7)), start + secs(1.7));
+    assert!(!is_refused(&mut table, "#hot", start + secs(1.8)));
+}
+
+/// The fourth crash proves enough without the reports of others.
+#[test]
+fn request_in_four_fast_crashes_is_refused_at_once() {
+    let start = Instant::now();
+    let mut table = PoisonTable::new(start);
+    for number in 1..=4_u32 {
+        crash(&mut table, number.into(), &[POISON], start + secs(0.05 * f64::from(number)));
+    }
+    assert!(is_refused(&mut table, POISON, start + secs(0.21)));
+}
+
+/// Two requests crash endpoints, and the one that is blamed was under way at most crashes of the
+/// other: hosts hold the other back but for one trial of the holder at a time.
+#[test]
+fn second_poison_request_at_the_crashes_of_the_first_is_tried_by_the_holder_alone() {
+    let start = Instant::now();
+    let mut table = PoisonTable::new(start);
+    let crashes: [&[&str]; 5] =
+        [&[POISON], &[POISON], &["#bad1"], &[POISON, "#bad1"], &[POISON, "#bad1"]];
+    for (number, ids) in (1..).zip(crashes) {
+        crash(&mut table, number, ids, start + secs(number as f64));
+    }
+    let now = start + secs(5.5);
+    assert_eq!(table.blamed(now).len(), 1);
+    assert!(is_refused(&mut table, "#bad1", now));
+    let try_at = |table: &mut PoisonTable, seconds| {
+        table.verdict(&suspects(&["#bad1"]), true, start + secs(seconds))
+    };
+    assert_eq!(try_at(&mut table, 5.6), SendVerdict::Trial);
+    assert!(try_at(&mut table, 5.8).refusal().is_some());
+    table.record_answer(&suspects(&["#bad1"]), start + secs(5.9));
+    assert_eq!(try_at(&mut table, 6.0), SendVerdict::Allowed);
+}
+
+/// Crashes so fast that no host could hold one of the two requests back between them tell nothing
+/// of which was the cause.
+#[test]
+fn request_in_fast_crashes_with_a_blamed_one_is_tried_by_the_holder_alone() {
+    let start = Instant::now();
+    let mut table = PoisonTable::new(start);
+    let crashes: [&[&str]; 5] =
+        [&[POISON], &[POISON, "#bad1"], &[POISON, "#bad1"], &[POISON], &[POISON, "#bad1"]];
+    for (number, ids) in (1..).zip(crashes) {
+        crash(&mut table, number, ids, start + secs(1.0 + 0.1 * number as f64));
+    }
+    let now = start + secs(4.0);
+    assert_eq!(table.blamed(now).len(), 1);
+    assert!(is_refused(&mut table, "#bad1", now));
+    assert_eq!(table.verdict(&suspects(&["#bad1"]), true, now), SendVerdict::Trial);
+    table.report(start + secs(32.0));
+    assert!(!is_refused(&mut table, "#bad1", start + secs(32.0)), "explained crashes are settled");
+}
+
+/// The blame of a request that nobody sends ends after ten minutes, at all hosts.
+#[test]
+fn blame_without_requests_ends() {
+    let start = Instant::now();
+    let mut table = PoisonTable::new(start);
+    for number in 1..=3_u32 {
+        crash(&mut table, number.into(), &[POISON], start + secs(number.into()));
+    }
+    let now = start + secs(604.0);
+    table.report(now);
+    assert!(!is_refused(&mut table, POISON, now));
+}
+
 /// Endpoints that are lost at the same moment have one cause, and no request is it.
 #[test]
 fn endpoints_lost_together_blame_no_request() {
