--- a/crates/entry/src/adapter.rs
+++ b/crates/entry/src/adapter.rs
@@ -92,6 +92,16 @@
     fn read_call(&self, headers: &HeaderMap) -> CallHead;
     /// Headers for an endpoint: the caller's without its key, plus the fields that this host adds.
     fn endpoint_headers(&self, caller: &HeaderMap, send: &SendHead<'_>) -> HeaderMap;
+    /// Headers for another host that serves the call: the caller's with its key, the remaining time
+    /// and the event after which a stream resumes.
+    fn forward_headers(
+        &self,
+        caller: &HeaderMap,
+        deadline: Duration,
+        resume_after: Option<u64>,
+    ) -> HeaderMap;
+    /// Adds to a reply that its request has not run.
+    fn mark_not_run(&self, headers: &mut HeaderMap);
     /// Decodes the head of an endpoint's reply.
     fn read_reply(&self, attempt: &str, headers: &HeaderMap) -> ReplyHead;
     /// Request path of an endpoint's state report.
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests that the rules allow.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use crate::adapter::CallHead;
 use crate::endpoints::EndpointEntry;
 use crate::fingerprint::RequestFingerprint;
+use crate::forward::ForwardedCall;
 use crate::poison::{BlamedPart, PromptPart, is_request, request_suspect};
 use crate::response::unknown_refusal;
 use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
@@ -42,6 +43,8 @@
     pub(crate) arrived: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// Whether the retry budget has counted the first attempt, of this host or of another one.
+    pub(crate) is_counted: Cell<bool>,
     fingerprint: OnceCell<RequestFingerprint>,
 }
 
@@ -108,27 +111,47 @@
         table.record_break(endpoint.start(), &self.suspects(parts), tag, Instant::now());
     }
 
+    /// Set if another host has passed the request on to this one.
+    pub(crate) fn forwarded(&self) -> Option<&ForwardedCall> {
+        self.parts.extensions.get()
+    }
+
+    /// Counts the first attempt in the retry budget, unless it is counted already.
+    pub(crate) fn count_first(&self, state: &EntryState) {
+        if !self.is_counted.replace(true) {
+            state.record_first(&self.service);
+        }
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
 
-/// Counts a request as open until this guard is dropped.
+/// Counts a request as open until this guard is dropped; one that another host has passed on, also
+/// as such.
 pub(crate) struct OpenRequest {
     state: Rc<EntryState>,
+    is_forwarded: bool,
 }
 
 impl OpenRequest {
-    pub(crate) fn new(state: &Rc<EntryState>) -> Self {
+    pub(crate) fn new(state: &Rc<EntryState>, is_forwarded: bool) -> Self {
         state.open_requests.set(state.open_requests.get() + 1);
-        Self { state: state.clone() }
+        if is_forwarded {
+            state.forwarded_calls.set(state.forwarded_calls.get() + 1);
+        }
+        Self { state: state.clone(), is_forwarded }
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.state.open_requests.set(self.state.open_requests.get() - 1);
+        if self.is_forwarded {
+            self.state.forwarded_calls.set(self.state.forwarded_calls.get() - 1);
+        }
     }
 }
 
@@ -168,6 +191,7 @@
         body,
         head,
         arrived,
+        is_counted: Cell::new(false),
         fingerprint: OnceCell::new(),
     })
 }
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthrock::{EndpointName, ServiceName};
+use jacinthrock::{EndpointName, HostName, ServiceName};
 use tokio::time::{Instant, timeout_at};
 
 use crate::attempts::AttemptLog;
@@ -13,6 +13,7 @@
 use crate::demand::DemandMeter;
 use crate::endpoints::EndpointEntry;
 use crate::failure::SourceFailure;
+use crate::forward::{self, ForwardHost};
 use crate::path::{PathStage, crossings};
 use crate::poison::PromptPart;
 use crate::queue::{QueuePosition, WaitClass};
@@ -70,6 +71,10 @@
     avoid: RefCell<BTreeSet<EndpointName>>,
     /// First stages on which sources wait.
     held: RefCell<BTreeSet<EndpointName>>,
+    /// Other hosts that the stream was passed on to.
+    tried_hosts: RefCell<BTreeSet<HostName>>,
+    /// Whether the source that was opened last is at another host.
+    pub(crate) is_forwarded: Cell<bool>,
 }
 
 /// Endpoints at which the next path of a stream may start.
@@ -92,6 +97,8 @@
             attempts: RefCell::default(),
             avoid: RefCell::default(),
             held: RefCell::default(),
+            tried_hosts: RefCell::default(),
+            is_forwarded: Cell::new(false),
             call,
         }
     }
@@ -125,6 +132,42 @@
         self.change_returns(|schedule| schedule.delay_with_wait(now, remaining, wait))
     }
 
+    /// The next host that the stream is passed on to; none while this host reaches the service, or
+    /// if no other host may be asked.
+    pub(crate) fn next_host(&self) -> Option<ForwardHost> {
+        forward::next_host(&self.state, &self.call, &self.tried_hosts.borrow())
+    }
+
+    /// Records that the stream is passed on to a host.
+    pub(crate) fn record_host(&self, host: &ForwardHost) {
+        self.tried_hosts.borrow_mut().insert(host.name.clone());
+        self.is_forwarded.set(true);
+    }
+
+    /// Records that another host may have run the request.
+    pub(crate) fn record_forwarded_send(&self) {
+        self.sends.set(self.sends() + 1);
+    }
+
+    /// Waits until this host has lost connectivity to the service and another one may be asked.
+    pub(crate) async fn host_due(&self) -> ForwardHost {
+        loop {
+            forward::lost(&self.state, &self.call.service).await;
+            match self.next_host() {
+                Some(host) => return host,
+                None => self.state.reach_changed.notified().await,
+            }
+        }
+    }
+
+    /// Whether the stream can go on at another host, once it is known whether this one has lost
+    /// connectivity; waits only if connections to the service have just failed.
+    pub(crate) async fn may_go_on_elsewhere(&self) -> bool {
+        forward::resolve_doubt(&self.state, &self.call.service).await
+            && self.may_resend(RetryReason::Fault)
+            && self.next_host().is_some()
+    }
+
     /// Number of times that the request was sent or tried to be sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
@@ -149,6 +192,12 @@
     /// Whether the request may be sent again, as far as the route, the retry budget and the time
     /// allow it.
     pub(crate) fn may_resend(&self, reason: RetryReason) -> bool {
+        if self.next_host().is_some() {
+            return !self.call.is_doubtful(&self.state)
+                && !self.call.remaining().is_zero()
+                && (self.sends() == 0
+                    || self.state.has_retry(&self.call.service, self.reserved_share(reason)));
+        }
         self.sends() < MAX_SENDS
             && !self.call.is_doubtful(&self.state)
             && !self.call.remaining().is_zero()
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Receives a caller's request, checks it against the rules and dispatches it to a service.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::call::{AllowedCall, OpenRequest, allow};
+use crate::forward::{self, ForwardedCall};
 use crate::response::{ResponseBody, not_run_refusal, refuse};
 use crate::state::EntryState;
 use crate::{plain, stream};
@@ -26,7 +28,8 @@
     request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
-    let open = OpenRequest::new(&state);
+    let forwarded = request.extensions().get::<ForwardedCall>().cloned();
+    let open = OpenRequest::new(&state, forwarded.is_some());
     let (parts, body) = request.into_parts();
     let head = state.codec.read_call(&parts.headers);
     let Some(rules) = state.rules() else {
@@ -54,10 +57,26 @@
         Ok(call) => call,
         Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
     };
+    if let Some(ForwardedCall { service, is_retry }) = &forwarded {
+        let targets = call.route.targets.iter().map(|(target, _)| target);
+        if let Some(service) = targets.into_iter().find(|target| Some(*target) == service.as_ref())
+        {
+            call.service = service.clone();
+        }
+        call.is_counted.set(*is_retry);
+    }
     if let Some(refusal) = limit_to_stop(&state, &mut call) {
         return refuse(&state, &call.head.attempt, refusal);
     }
-    state.record_first(&call.service);
+    let service = call.service.clone();
+    if let Some(refusal) = forward::unreachable_refusal(&state, &call) {
+        let mut response = refuse(&state, &call.head.attempt, refusal);
+        forward::mark_refusal(&state, &service, &mut response);
+        return response;
+    }
+    if forward::next_host(&state, &call, &BTreeSet::new()).is_none() {
+        call.count_first(&state);
+    }
     let attempt = call.head.attempt.clone();
     let outcome = if call.route.is_stream {
         stream::serve(&state, Rc::new(call), open).await
@@ -66,7 +85,13 @@
     };
     match outcome {
         Ok(response) => response,
-        Err(refusal) => refuse(&state, &attempt, refusal),
+        Err(refusal) => {
+            let mut response = refuse(&state, &attempt, refusal);
+            if forwarded.is_some() {
+                forward::mark_refusal(&state, &service, &mut response);
+            }
+            response
+        }
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/forward.rs
@@ -0,0 +1,463 @@
+//! Passes calls of a service that this host cannot reach on to another host, and serves the calls
+//! that other hosts pass on to this one.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
+use hyper::{Request, Response, StatusCode, Uri, Version};
+use jacinthrock::{CallRefusal, HostName, MetricName, ResultCode, ServiceName};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use tokio::time::{Instant, sleep_until};
+
+use crate::call::AllowedCall;
+use crate::dispatch;
+use crate::endpoints::EndpointEntry;
+use crate::pool::{PooledReply, SendError, SendOptions};
+use crate::reach::HostQuery;
+use crate::response::{ResponseBody, end_to_end_headers, full_body};
+use crate::sending::{
+    AT_MOST_ONCE_MAX_IDLE, CONNECT_TIMEOUT, count_over_limit, probe, probe_links,
+};
+use crate::state::EntryState;
+
+/// Prefix of the paths of forwarded calls.
+const FORWARD_PATH: &str = "/forward";
+/// Name of the host that forwards a call.
+const FORWARDED_BY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-by");
+/// Service that the forwarding host has picked from the targets of the route.
+const FORWARDED_SERVICE: HeaderName = HeaderName::from_static("jacinthrock-forwarded-service");
+/// Present if the first attempt of the call is counted already.
+const FORWARDED_RETRY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-retry");
+/// In each reply to a forwarded call: `served`, or why it was refused. Hosts of earlier releases do
+/// not send it.
+const FORWARDED: HeaderName = HeaderName::from_static("jacinthrock-forwarded");
+/// Value of [`FORWARDED`] for calls that the host has served.
+const SERVED: &str = "served";
+/// Idle time after which a connection to another host is not reused.
+const MAX_IDLE: Duration = Duration::from_secs(1);
+/// Time for which a host of an earlier release, or one that stops, gets no forwarded calls.
+const LONG_AVOID_TIME: Duration = Duration::from_secs(10);
+/// Time for which a host without connection gets none.
+const CONNECT_AVOID_TIME: Duration = Duration::from_secs(1);
+/// Endpoints that are probed at a time for a service that may be lost.
+const PROBED_ENDPOINTS: usize = 3;
+/// Part of the sockets for forwarded calls: each takes two, and callers of this host come first.
+const SOCKET_SHARE: usize = 4;
+/// Fewest forwarded calls in progress that a host allows.
+const MIN_FORWARDED_CALLS: usize = 16;
+
+/// A host that a call is passed on to.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardHost {
+    pub(crate) name: HostName,
+    address: SocketAddr,
+}
+
+/// Marks a request that another host has passed on to this one.
+#[derive(Clone, Debug)]
+pub(crate) struct ForwardedCall {
+    /// Service that the other host has picked.
+    pub(crate) service: Option<ServiceName>,
+    /// Whether the first attempt of the call is counted already.
+    pub(crate) is_retry: bool,
+}
+
+/// Why a host refuses a forwarded call, which has not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ForwardRefusal {
+    Stopping,
+    Unreachable,
+    Busy,
+}
+
+impl ForwardRefusal {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Stopping => "stopping",
+            Self::Unreachable => "unreachable",
+            Self::Busy => "busy",
+        }
+    }
+}
+
+/// Error of a call that was passed on.
+#[derive(Debug)]
+pub(crate) enum ForwardError {
+    /// The host has not run the call.
+    NotRun(Box<str>),
+    /// The call may have run.
+    Unknown(Box<str>),
+}
+
+impl ForwardError {
+    pub(crate) fn into_fault(self) -> Box<str> {
+        match self {
+            Self::NotRun(fault) | Self::Unknown(fault) => fault,
+        }
+    }
+}
+
+/// The next host that a call is passed on to; none while this host reaches the service, or if no
+/// other host may be asked.
+pub(crate) fn next_host(
+    state: &EntryState,
+    call: &AllowedCall,
+    tried: &BTreeSet<HostName>,
+) -> Option<ForwardHost> {
+    let (reach, now) = (state.reach.borrow(), Instant::now());
+    if call.forwarded().is_some() || !reach.is_lost(&call.service, now) {
+        return None;
+    }
+    let peers = state.peers.borrow();
+    let options = &state.options;
+    let query = HostQuery {
+        service: &call.service,
+        domain: &options.domain,
+        capacity: options.capacity,
+        tried,
+    };
+    let draw = rand::rng().random_range(0.0..1.0);
+    let name = reach.choose_host(query, peers.iter(), draw, now)?;
+    Some(ForwardHost { name: name.clone(), address: peers.get(name)?.address })
+}
+
+/// Passes a call on to another host, and waits for the head of its answer.
+pub(crate) async fn send_to(
+    state: &EntryState,
+    call: &AllowedCall,
+    host: &ForwardHost,
+    resume_after: Option<u64>,
+) -> Result<PooledReply, ForwardError> {
+    let remaining = call.remaining();
+    let is_idempotent = call.route.retry_policy.is_idempotent();
+    let options = SendOptions {
+        max_idle: if is_idempotent { MAX_IDLE } else { AT_MOST_ONCE_MAX_IDLE },
+        connect_timeout: CONNECT_TIMEOUT.min(remaining),
+        ..SendOptions::within(remaining, MAX_IDLE)
+    };
+    let sent = match forward_request(state, call, resume_after) {
+        Ok(request) => state.pool.send(host.address, request, options).await,
+        Err(error) => return Err(record_error(state, call, host, ForwardError::NotRun(error))),
+    };
+    count_over_limit(state, "peer", sent.as_ref().is_err_and(SendError::is_over_limit));
+    let result = match sent {
+        Ok(reply) => check_reply(state, call, host, reply),
+        Err(error @ SendError::NotSent { .. }) => {
+            avoid(state, host, CONNECT_AVOID_TIME);
+            Err(ForwardError::NotRun(error.to_string().into()))
+        }
+        Err(error) => Err(ForwardError::Unknown(error.to_string().into())),
+    };
+    // Whatever may have run the call has counted its first attempt.
+    if !matches!(result, Err(ForwardError::NotRun(_))) {
+        call.is_counted.set(true);
+    }
+    result.map_err(|error| record_error(state, call, host, error))
+}
+
+/// Records that a forwarded call was answered by the other host.
+pub(crate) fn record_answer(state: &EntryState, call: &AllowedCall) {
+    count(state, &call.service, "sent", "answered");
+}
+
+/// Records that a forwarded call has failed.
+pub(crate) fn record_error(
+    state: &EntryState,
+    call: &AllowedCall,
+    host: &ForwardHost,
+    error: ForwardError,
+) -> ForwardError {
+    let (outcome, fault) = match &error {
+        ForwardError::NotRun(fault) => ("not_run", fault),
+        ForwardError::Unknown(fault) => ("unknown", fault),
+    };
+    count(state, &call.service, "sent", outcome);
+    log::info!(
+        event = "forward_failed", attempt = &*call.head.attempt, peer = &*host.name,
+        service = &*call.service, outcome, fault = &**fault,
+        age_ms = call.arrived.elapsed().as_millis() as u64; "forwarded call failed"
+    );
+    error
+}
+
+fn forward_request(
+    state: &EntryState,
+    call: &AllowedCall,
+    resume_after: Option<u64>,
+) -> Result<Request<Full<Bytes>>, Box<str>> {
+    let target = call.parts.uri.path_and_query().map_or("/", |target| target.as_str());
+    let uri = format!("{FORWARD_PATH}{target}").parse::<Uri>();
+    let uri = uri.map_err(|error| Box::<str>::from(error.to_string()))?;
+    let caller_headers = end_to_end_headers(&call.parts.headers);
+    let mut headers = state.codec.forward_headers(&caller_headers, call.remaining(), resume_after);
+    headers.remove(CONTENT_LENGTH);
+    if !call.body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
+    }
+    let text = |value: &str| {
+        HeaderValue::from_str(value).map_err(|error| Box::<str>::from(error.to_string()))
+    };
+    headers.insert(FORWARDED_BY, text(&state.options.host)?);
+    headers.insert(FORWARDED_SERVICE, text(&call.service)?);
+    headers.remove(FORWARDED_RETRY);
+    if call.is_counted.get() {
+        headers.insert(FORWARDED_RETRY, HeaderValue::from_static("1"));
+    }
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    *request.uri_mut() = uri;
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// Tells an answer from a refusal by which the call has not run.
+fn check_reply(
+    state: &EntryState,
+    call: &AllowedCall,
+    host: &ForwardHost,
+    mut reply: PooledReply,
+) -> Result<PooledReply, ForwardError> {
+    let status = reply.parts.status;
+    let Some(verdict) = reply.parts.headers.remove(FORWARDED) else {
+        avoid(state, host, LONG_AVOID_TIME);
+        return Err(ForwardError::NotRun(format!("host takes no calls: {status}").into()));
+    };
+    if verdict == SERVED {
+        return Ok(reply);
+    }
+    if verdict == ForwardRefusal::Stopping.name() {
+        avoid(state, host, LONG_AVOID_TIME);
+    } else if verdict == ForwardRefusal::Unreachable.name() {
+        let mut reach = state.reach.borrow_mut();
+        reach.record_unreachable(&host.name, &call.service, Instant::now());
+    }
+    let fault = format!("host refused with {status}: {}", verdict.to_str().unwrap_or_default());
+    if state.codec.read_reply(&call.head.attempt, &reply.parts.headers).is_not_run {
+        return Err(ForwardError::NotRun(fault.into()));
+    }
+    Err(ForwardError::Unknown(fault.into()))
+}
+
+fn avoid(state: &EntryState, host: &ForwardHost, time: Duration) {
+    state.reach.borrow_mut().avoid_host(&host.name, Instant::now() + time);
+}
+
+/// Whether a request from another host is a forwarded call.
+pub(crate) fn is_forwarded(request: &Request<Incoming>) -> bool {
+    request.uri().path().strip_prefix(FORWARD_PATH).is_some_and(|path| path.starts_with('/'))
+}
+
+/// Serves a call that another host has passed on.
+pub(crate) async fn receive(
+    state: Rc<EntryState>,
+    mut request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let by = request.headers_mut().remove(FORWARDED_BY);
+    let service = request.headers_mut().remove(FORWARDED_SERVICE);
+    let service = service.as_ref().and_then(|value| value.to_str().ok()).map(ServiceName::from);
+    let is_retry = request.headers_mut().remove(FORWARDED_RETRY).is_some();
+    // Labels of metrics are limited to services that the rules name.
+    let label = service.clone().filter(|service| {
+        state.rules().is_some_and(|rules| rules.rules().services.contains_key(service))
+    });
+    let label = label.unwrap_or_else(|| "unknown".into());
+    let refusal = if state.is_leaving() {
+        Some(ForwardRefusal::Stopping)
+    } else if state.rules().is_none() || state.forwarded_calls.get() >= max_forwarded_calls(&state)
+    {
+        Some(ForwardRefusal::Busy)
+    } else {
+        None
+    };
+    let mut response = match (refusal, strip_prefix(request.uri())) {
+        (Some(refusal), _) => refuse_call(refusal),
+        (None, Ok(uri)) => {
+            *request.uri_mut() = uri;
+            request.extensions_mut().insert(ForwardedCall { service, is_retry });
+            dispatch::serve(state.clone(), request).await
+        }
+        (None, Err(error)) => {
+            log::info!(event = "forward_unreadable", by:?, error; "forwarded call has no valid path");
+            let mut response = Response::new(full_body(""));
+            *response.status_mut() = StatusCode::BAD_REQUEST;
+            response
+        }
+    };
+    let refusal = response.extensions().get::<ForwardRefusal>().copied();
+    let verdict = refusal.map_or(SERVED, ForwardRefusal::name);
+    if refusal.is_some() {
+        log::info!(
+            event = "forward_refused", by:?, service = &*label, reason = verdict;
+            "forwarded call refused"
+        );
+        state.codec.mark_not_run(response.headers_mut());
+    }
+    response.headers_mut().insert(FORWARDED, HeaderValue::from_static(verdict));
+    count(&state, &label, "received", verdict);
+    response
+}
+
+/// The caller's path and query.
+fn strip_prefix(uri: &Uri) -> Result<Uri, String> {
+    let target = uri.path_and_query().map_or("", |target| target.as_str());
+    target
+        .strip_prefix(FORWARD_PATH)
+        .unwrap_or(target)
+        .parse()
+        .map_err(|error: hyper::http::uri::InvalidUri| error.to_string())
+}
+
+fn refuse_call(refusal: ForwardRefusal) -> Response<ResponseBody> {
+    let mut response = Response::new(full_body(""));
+    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    response.extensions_mut().insert(refusal);
+    response
+}
+
+/// Refuses a forwarded call whose service this host cannot reach either; it is not passed on again.
+pub(crate) fn unreachable_refusal(state: &EntryState, call: &AllowedCall) -> Option<CallRefusal> {
+    let is_lost = state.reach.borrow().is_lost(&call.service, Instant::now());
+    (call.forwarded().is_some() && is_lost).then(|| {
+        CallRefusal::not_run(ResultCode::NoEndpoint, "this host cannot reach the service either")
+    })
+}
+
+/// Marks the refusal of a forwarded call if this host may have lost its connectivity too, so that
+/// the call is passed on to another host.
+pub(crate) fn mark_refusal(
+    state: &EntryState,
+    service: &str,
+    response: &mut Response<ResponseBody>,
+) {
+    let is_doubtful = state.reach.borrow().is_doubtful(service);
+    if is_doubtful && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        response.extensions_mut().insert(ForwardRefusal::Unreachable);
+    }
+}
+
+/// Most forwarded calls in progress: as many as the host has thousandths of a core, within its part
+/// of the sockets. With streams of 4 s, that is a quarter of a stream a second for each.
+fn max_forwarded_calls(state: &EntryState) -> usize {
+    let options = &state.options;
+    let limit = (options.capacity as usize).min(options.max_sockets / SOCKET_SHARE);
+    limit.max(MIN_FORWARDED_CALLS)
+}
+
+fn count(state: &EntryState, service: &str, end: &str, outcome: &str) {
+    state.metrics.count(MetricName::ForwardedCalls, &[service, end, outcome]);
+}
+
+/// Records that a connection to an endpoint was refused, reset or not established in time.
+pub(crate) fn record_failure(state: &EntryState, entry: &EndpointEntry) {
+    if state.reach.borrow_mut().record_failure(&entry.service, Instant::now()) {
+        state.reach_changed.notify_waiters();
+    }
+}
+
+/// Records that an endpoint has replied.
+pub(crate) fn record_reply(state: &EntryState, entry: &EndpointEntry) {
+    let mut reach = state.reach.borrow_mut();
+    if !reach.is_doubtful(&entry.service) {
+        return;
+    }
+    let lost_for = reach.record_reply(&entry.service, Instant::now());
+    drop(reach);
+    state.reach_changed.notify_waiters();
+    if let Some(lost_for) = lost_for {
+        log::info!(
+            event = "links_regained", service = &*entry.service, endpoint = &*entry.name,
+            after_ms = lost_for.as_millis() as u64; "an endpoint of the service replies again"
+        );
+        state.path_changed.notify_waiters();
+    }
+}
+
+/// Waits until a service counts as lost; does not end if it replies.
+pub(crate) async fn lost(state: &EntryState, service: &str) {
+    loop {
+        let changed = state.reach_changed.notified();
+        if state.reach.borrow().is_lost(service, Instant::now()) {
+            return;
+        }
+        changed.await;
+    }
+}
+
+/// Waits until it is known whether a service with failed connections is lost; returns whether it is.
+pub(crate) async fn resolve_doubt(state: &EntryState, service: &str) -> bool {
+    loop {
+        let changed = state.reach_changed.notified();
+        let reach = state.reach.borrow();
+        if reach.is_lost(service, Instant::now()) || !reach.is_doubtful(service) {
+            return reach.is_lost(service, Instant::now());
+        }
+        drop(reach);
+        changed.await;
+    }
+}
+
+/// Announces services that this host loses, and probes some of their endpoints until one replies.
+/// Does nothing while no connection fails.
+pub(crate) async fn watch_links(state: Rc<EntryState>) {
+    loop {
+        let changed = state.reach_changed.notified();
+        let next = state.reach.borrow().next_check();
+        match next {
+            Some(at) if at > Instant::now() => {
+                tokio::select! {
+                    () = changed => {}
+                    () = sleep_until(at) => {}
+                }
+                continue;
+            }
+            Some(_) => {}
+            None => {
+                changed.await;
+                continue;
+            }
+        }
+        let now = Instant::now();
+        let lost = state.reach.borrow_mut().take_lost(now);
+        for service in &lost {
+            log::warn!(
+                event = "links_lost", service = &**service;
+                "connections to the service fail and no endpoint of it replies"
+            );
+        }
+        if !lost.is_empty() {
+            state.reach_changed.notify_waiters();
+        }
+        let due = state.reach.borrow_mut().take_probes(now);
+        for service in due {
+            probe_service(&state, &service);
+        }
+    }
+}
+
+/// Probes some endpoints of a service, chosen at random: those first that are not known to be down,
+/// since one of them may reply.
+fn probe_service(state: &Rc<EntryState>, service: &str) {
+    let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
+    let listed = endpoints.entries().filter(|entry| &*entry.service == service);
+    let (up, down): (Vec<_>, Vec<_>) = listed.partition(|entry| !health.is_down(&entry.name));
+    let mut draw = rand::rng();
+    let chosen = up.choose_multiple(&mut draw, PROBED_ENDPOINTS);
+    let down = down.choose_multiple(&mut rand::rng(), PROBED_ENDPOINTS);
+    for entry in chosen.chain(down).take(PROBED_ENDPOINTS) {
+        let (state, entry) = (state.clone(), (*entry).clone());
+        tokio::task::spawn_local(async move {
+            let replies = probe_links(&state, &entry).await;
+            if replies && state.health.borrow().is_down(&entry.name) {
+                probe(state, entry.name).await;
+            }
+        });
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -3,7 +3,8 @@
 //! It accepts callers' requests and sends them to endpoints; one of the hosts also places models on
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
-//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`.
+//! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`,
+//! `reach`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -23,6 +24,7 @@
 mod failure;
 mod fingerprint;
 mod follow;
+mod forward;
 mod freshness;
 mod front;
 mod health;
@@ -46,6 +48,7 @@
 mod queue;
 mod quota;
 mod rates;
+mod reach;
 mod relay;
 mod reply;
 mod reroute;
@@ -110,6 +113,7 @@
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
+pub use reach::{HostQuery, ReachReport, ReachTable};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -24,12 +24,14 @@
 };
 use crate::exclusions::SharedExclusion;
 use crate::follow::endpoints_changed;
+use crate::forward;
 use crate::front::serve_internal;
 use crate::levels::update_levels;
 use crate::loads::LoadSum;
 use crate::poison::PoisonReport;
 use crate::pool::{SendOptions, build_request};
 use crate::rates::{PermitDraw, PermitGrant, SharedRate};
+use crate::reach::ReachReport;
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
@@ -74,6 +76,9 @@
     /// Endpoints that the host, or one that exchanges through it, has found down.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     down: Vec<DownReport>,
+    /// Services that the host, or one that exchanges through it, cannot reach.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    unreachable: Vec<ReachReport>,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
@@ -122,6 +127,9 @@
     /// Endpoints that the replying host, or one that has told it, has found down.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     down: Vec<DownReport>,
+    /// Services that the replying host, or one that has told it, cannot reach.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    unreachable: Vec<ReachReport>,
     /// The newest rules that the replying host knows of.
     #[serde(default)]
     rules: Option<RulesReport>,
@@ -334,6 +342,7 @@
         seen: known.map(|position| (position.boot, position.number)),
         excluded: state.exclusions.borrow().shared(Instant::now()),
         down: down_reports(state, has_members),
+        unreachable: reach_reports(state, has_members),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
         draws,
@@ -343,9 +352,10 @@
         Err(error) => Err(error.to_string()),
     };
     match reply {
-        Ok(reply) => {
+        Ok(mut reply) => {
             let is_useful = reply.is_useful();
             apply_rates(state, &reply.rates);
+            apply_reach(state, host, std::mem::take(&mut reply.unreachable));
             take_grants(state, &reply.grants, has_members);
             let position =
                 TablePosition { host: host.clone(), boot: reply.boot, number: reply.number };
@@ -466,6 +476,16 @@
     );
 }
 
+/// Services that this host cannot reach; with what it has heard, if others learn of it through this
+/// host.
+fn reach_reports(state: &EntryState, passes_on: bool) -> Vec<ReachReport> {
+    state.reach.borrow().reports(&state.options.host, passes_on, Instant::now())
+}
+
+fn apply_reach(state: &EntryState, from: &HostName, reports: Vec<ReachReport>) {
+    state.reach.borrow_mut().apply(&state.options.host, from, reports, Instant::now());
+}
+
 fn apply_poison(state: &EntryState, report: PoisonReport) {
     if !report.is_empty() {
         state.change_poison(|table, now| table.apply(report, now));
@@ -608,6 +628,9 @@
     state: Rc<EntryState>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, serde_json::Error> {
+    if forward::is_forwarded(&request) {
+        return Ok(forward::receive(state, request).await);
+    }
     if request.uri().path() == SNAPSHOT_PATH {
         return snapshot(&state).map(|text| Response::new(full_body(text)));
     }
@@ -631,6 +654,7 @@
     let is_holder = state.is_holder();
     apply_exclusions(state, report.excluded);
     apply_down_reports(state, report.down);
+    apply_reach(state, &report.host, report.unreachable);
     apply_poison(state, report.poison);
     apply_rates(state, &report.rates);
     let grants = draw_permits(state, &report.host, &report.draws);
@@ -669,6 +693,7 @@
         }),
         excluded: state.exclusions.borrow().shared(Instant::now()),
         down: down_reports(state, true),
+        unreachable: reach_reports(state, true),
         rules: rules_report(state, now),
         poison: state.poison.borrow_mut().report(now),
         rates: state.rates.borrow().shared(now),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -11,6 +11,7 @@
 
 use crate::call::{AllowedCall, count_outcome, poison_refusal, unknown_outcome};
 use crate::endpoints::EndpointEntry;
+use crate::forward::{self, ForwardError, ForwardHost};
 use crate::health::CallEnd;
 use crate::pool::SendError;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
@@ -50,6 +51,9 @@
     call: &AllowedCall,
 ) -> Result<Response<ResponseBody>, CallRefusal> {
     let mut tried = BTreeSet::new();
+    let mut tried_hosts = BTreeSet::new();
+    // Attempts at other hosts that may have run the request.
+    let mut forwarded = 0;
     let mut connect_failures = 0;
     let mut has_run = false;
     let mut last_response: Option<Response<ResponseBody>> = None;
@@ -57,9 +61,39 @@
     let mut retry_after = BUSY_RETRY_AFTER;
     let wait_end = Instant::now() + MAX_WAIT.min(call.remaining());
     state.record_held_back(&call.service, None);
-    while tried.len() < call.route.max_attempts.max(1) as usize
+    while tried.len() + forwarded < call.route.max_attempts.max(1) as usize
         && connect_failures < MAX_CONNECT_FAILURES
     {
+        if let Some(host) = forward::next_host(state, call, &tried_hosts) {
+            let is_retry = !tried.is_empty() || forwarded > 0;
+            if is_retry && !state.allow_retry(&call.service, "forward", 0.0) {
+                break;
+            }
+            tried_hosts.insert(host.name.clone());
+            match attempt_at_host(state, call, &host).await {
+                AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
+                    count_outcome(state, &call.service, "forwarded");
+                    return Ok(response);
+                }
+                AttemptOutcome::NotRun(fault) | AttemptOutcome::NotSent(fault) => {
+                    last_fault = fault;
+                }
+                AttemptOutcome::Unknown(fault) => {
+                    (has_run, last_fault) = (true, fault);
+                    forwarded += 1;
+                }
+            }
+            let may_repeat = !has_run || call.route.retry_policy.is_idempotent();
+            if !may_repeat || call.remaining().is_zero() || call.is_doubtful(state) {
+                break;
+            }
+            continue;
+        }
+        // No further host takes the call, and this one cannot reach the service.
+        if !tried_hosts.is_empty() && state.reach.borrow().is_lost(&call.service, Instant::now()) {
+            break;
+        }
+        call.count_first(state);
         let Some(entry) = pick_endpoint(state, &call.service, &tried) else {
             let ahead = state.waiting_calls.get();
             let opening = |is_wanted: &dyn Fn(&EndpointEntry) -> bool| {
@@ -184,6 +218,38 @@
     outcome
 }
 
+/// Passes a call on to another host.
+async fn attempt_at_host(
+    state: &EntryState,
+    call: &AllowedCall,
+    host: &ForwardHost,
+) -> AttemptOutcome {
+    let reply = match timeout_at(call.deadline, forward::send_to(state, call, host, None)).await {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(ForwardError::NotRun(fault))) => return AttemptOutcome::NotRun(fault),
+        Ok(Err(ForwardError::Unknown(fault))) => return AttemptOutcome::Unknown(fault),
+        Err(_) => {
+            let error = ForwardError::Unknown("the request's time is over".into());
+            return AttemptOutcome::Unknown(
+                forward::record_error(state, call, host, error).into_fault(),
+            );
+        }
+    };
+    let status = reply.parts.status;
+    let read = timeout_at(call.deadline, read_answer(state, reply)).await;
+    let fault = match read {
+        Ok(Ok((parts, body))) => {
+            forward::record_answer(state, call);
+            let response = endpoint_response(status, &parts.headers, full_body(body));
+            return AttemptOutcome::Response(response);
+        }
+        Ok(Err(error)) => error.to_string().into(),
+        Err(_) => "the request's time is over".into(),
+    };
+    let error = forward::record_error(state, call, host, ForwardError::Unknown(fault));
+    AttemptOutcome::Unknown(error.into_fault())
+}
+
 async fn classify_reply(
     state: &Rc<EntryState>,
     call: &AllowedCall,
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -15,6 +15,7 @@
 use crate::adapter::{EndpointReport, RateNotice, ReplyHead, SendHead};
 use crate::call::AllowedCall;
 use crate::endpoints::EndpointEntry;
+use crate::forward;
 use crate::path::PathStage;
 use crate::pool::{PooledReply, SendError, SendOptions, build_request, host_header};
 use crate::reply::{ReplyError, collect_body};
@@ -22,7 +23,7 @@
 use crate::state::EntryState;
 
 /// Timeout for a new connection to an endpoint; the network takes under 1 ms, the endpoint 1 ms.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Timeout for the connection of a probe, and for its reply: endpoints report their state within a
 /// few ms, even at full load.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
@@ -33,7 +34,7 @@
 const MIN_FULL_KV_USAGE: f64 = 0.6;
 /// Idle time after which a connection is not reused for requests that must run at most once: a
 /// reset of a reused connection would leave the request's outcome unknown.
-const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::ZERO;
+pub(crate) const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::ZERO;
 /// Idle time after which a connection is not reused for other requests; endpoints announce a longer
 /// idle timeout in their replies.
 const MAX_IDLE: Duration = Duration::from_secs(2);
@@ -115,6 +116,7 @@
     }
     count_over_limit(state, "answer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let reply = sent.inspect_err(|error| note_error(state, target.endpoint, error))?;
+    forward::record_reply(state, target.endpoint);
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
     let sent = SentReply { reply, head };
     // What belongs to another request, or comes from another endpoint at the address, says nothing.
@@ -184,6 +186,7 @@
 
 /// Records what a failed send says of the endpoint.
 fn note_error(state: &EntryState, entry: &EndpointEntry, error: &SendError) {
+    note_link(state, entry, error);
     if !matches!(error, SendError::NotSent { is_refused: true, .. }) {
         return;
     }
@@ -196,6 +199,13 @@
     }
 }
 
+/// Records what a failed send says of the connections to the endpoint's service.
+fn note_link(state: &EntryState, entry: &EndpointEntry, error: &SendError) {
+    if matches!(error, SendError::NotSent { .. }) || error.is_broken() {
+        forward::record_failure(state, entry);
+    }
+}
+
 /// Lets streams that wait go on without an endpoint that has ended.
 fn endpoint_ended(state: &EntryState, entry: &EndpointEntry, reason: &str) {
     let rerouted = state.inflight.borrow().request_reroute_through(&entry.name);
@@ -233,7 +243,7 @@
 }
 
 /// Counts a reply that was given up because it was over a limit.
-fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
+pub(crate) fn count_over_limit(state: &EntryState, what: &'static str, is_over_limit: bool) {
     if is_over_limit {
         state.metrics.count(MetricName::OversizedReplies, &[what]);
     }
@@ -245,12 +255,10 @@
     entry: &EndpointEntry,
     limit: Duration,
 ) -> Result<Option<EndpointReport>, SendError> {
-    let uri = Uri::from_static(state.codec.report_path());
-    let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
-    let options = SendOptions::within(limit, Duration::ZERO);
     let sent_at = Instant::now();
-    let fetched = fetch(state, "report", entry.address, request, options).await;
+    let fetched = request_report(state, entry, limit).await;
     let (parts, body) = fetched.inspect_err(|error| note_error(state, entry, error))?;
+    forward::record_reply(state, entry);
     let report = parts.status.is_success().then(|| state.codec.read_report(&body)).flatten();
     if report.as_ref().is_some_and(|report| report.start_unix_ms == entry.start_unix_ms) {
         let head = state.codec.read_reply("", &parts.headers);
@@ -267,6 +275,33 @@
     Ok(report)
 }
 
+async fn request_report(
+    state: &EntryState,
+    entry: &EndpointEntry,
+    limit: Duration,
+) -> Result<(response::Parts, Bytes), SendError> {
+    let uri = Uri::from_static(state.codec.report_path());
+    let request = build_request(Method::GET, uri, host_header(entry.address), Bytes::new());
+    let options = SendOptions::within(limit, Duration::ZERO);
+    fetch(state, "report", entry.address, request, options).await
+}
+
+/// Finds out whether an endpoint replies to this host. Without a reply, the connections to its
+/// service are at fault as well as the endpoint, of which nothing is assumed.
+pub(crate) async fn probe_links(state: &EntryState, entry: &EndpointEntry) -> bool {
+    match request_report(state, entry, PROBE_TIMEOUT).await {
+        Ok(_) => {
+            forward::record_reply(state, entry);
+            true
+        }
+        Err(error) => {
+            note_link(state, entry, &error);
+            log::debug!(event = "probe_failed", endpoint = &*entry.name, error:% = error; "no reply");
+            false
+        }
+    }
+}
+
 /// Probes an endpoint by fetching its state, unless it is no longer listed; without a reply it is
 /// marked as down.
 pub(crate) async fn probe(state: Rc<EntryState>, name: EndpointName) {
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -13,12 +13,13 @@
 use futures::stream::{self, LocalBoxStream};
 use http_body_util::BodyExt;
 use hyper::{HeaderMap, StatusCode};
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::context::{RetryReason, StageHold, StreamContext};
 use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
 use crate::failure::SourceFailure;
+use crate::forward::{self, ForwardError, ForwardHost};
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
 use crate::pool::{ConnectionLease, SendError};
@@ -41,6 +42,9 @@
 /// Time after the first failed search for a detour before the next, while a source stays silent; it
 /// doubles with each further one, since each may try orders that endpoints refuse.
 const REROUTE_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// Silence of a stream at another host after which it counts as silent. The other host looks for a
+/// detour and a second path of its own within this time.
+const FORWARDED_SILENCE: Duration = Duration::from_millis(600);
 
 /// Head of the reply with which a source opened.
 #[derive(Default)]
@@ -87,6 +91,7 @@
             retry,
             framer: EventFramer::new(context.state.pool.budget()),
             open: None,
+            forwarded: None,
         };
         let steps = stream::unfold(Some(reader), |reader| async move {
             let mut reader = reader?;
@@ -127,19 +132,123 @@
     retry: Option<RetryReason>,
     framer: EventFramer,
     open: Option<OpenStream>,
+    /// Set instead of `open` if another host serves the stream.
+    forwarded: Option<ForwardedStream>,
+}
+
+/// A stream that another host serves, which has sent the head of its answer.
+struct ForwardedStream {
+    host: ForwardHost,
+    body: ReplyBody,
+    lease: ConnectionLease,
 }
 
 impl SourceReader {
     async fn next_step(&mut self) -> Result<SourceStep, SourceFailure> {
+        if let Some(forwarded) = self.forwarded.take() {
+            return self.read_forwarded(forwarded).await;
+        }
         if self.open.is_none() { self.open().await } else { self.read().await }
     }
 
+    /// Passes the stream on to another host and waits for the head of its answer.
+    async fn open_at_host(&mut self, host: ForwardHost) -> Result<SourceStep, SourceFailure> {
+        let context = self.context.clone();
+        let (state, call) = (&context.state, &context.call);
+        let is_retry = context.sends() > 0;
+        if self.retry.is_some_and(|reason| is_retry && !context.take_retry(reason)) {
+            return Err(SourceFailure::NoPath("the retry budget is spent".into()));
+        }
+        context.record_host(&host);
+        log::info!(
+            event = "stream_forwarded", attempt = &*call.head.attempt, peer = &*host.name,
+            sends = context.sends(), resume_after = self.resume_after.unwrap_or(0);
+            "stream is passed on to another host"
+        );
+        let reply = match forward::send_to(state, call, &host, self.resume_after).await {
+            Ok(reply) => reply,
+            Err(ForwardError::NotRun(fault)) => return Err(SourceFailure::NotRun(fault)),
+            Err(ForwardError::Unknown(fault)) => {
+                context.record_forwarded_send();
+                return Err(SourceFailure::Unknown(fault));
+            }
+        };
+        context.record_forwarded_send();
+        let status = reply.parts.status;
+        if status == StatusCode::OK {
+            let (parts, lease) = (reply.parts, reply.lease);
+            let body = lease.meter(reply.body);
+            self.forwarded = Some(ForwardedStream { host, body, lease });
+            return Ok(SourceStep::Opened(SourceHead { status, headers: parts.headers }));
+        }
+        let answer = timeout_at(call.deadline, read_answer(state, reply)).await;
+        if let Ok(Ok((parts, body))) = answer
+            && context.last_event_id.get().is_none()
+        {
+            forward::record_answer(state, call);
+            let response = endpoint_response(status, &parts.headers, full_body(body));
+            return Err(SourceFailure::Response(Box::new(response)));
+        }
+        let fault = format!("host answered {status}").into();
+        let error = forward::record_error(state, call, &host, ForwardError::Unknown(fault));
+        Err(SourceFailure::Unknown(error.into_fault()))
+    }
+
+    /// Waits for the next complete events of another host, or the end of the stream.
+    async fn read_forwarded(
+        &mut self,
+        mut forwarded: ForwardedStream,
+    ) -> Result<SourceStep, SourceFailure> {
+        let context = self.context.clone();
+        let fault: Box<str> = loop {
+            let frame = tokio::select! {
+                biased;
+                frame = forwarded.body.frame() => frame,
+                () = sleep(FORWARDED_SILENCE) => {
+                    self.is_silent.set(true);
+                    forwarded.body.frame().await
+                }
+            };
+            let bytes = match frame {
+                None if self.framer.has_partial() => break "ended within an event".into(),
+                None => {
+                    forwarded.lease.return_to_pool();
+                    forward::record_answer(&context.state, &context.call);
+                    return Ok(SourceStep::Ended);
+                }
+                Some(Err(error)) => break format!("broke off: {error}").into(),
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    Err(_trailers) => continue,
+                },
+            };
+            if let Some(complete) = self.framer.push(bytes) {
+                self.forwarded = Some(forwarded);
+                return Ok(SourceStep::Events(complete, self.framer.last_event_id()));
+            }
+            if self.framer.is_over_limit() {
+                break "an event is too large".into();
+            }
+        };
+        let (state, call) = (&context.state, &context.call);
+        let error = ForwardError::Unknown(fault);
+        let error = forward::record_error(state, call, &forwarded.host, error);
+        Err(SourceFailure::Unknown(error.into_fault()))
+    }
+
     /// Waits for a path, sends the request on it and waits for the head of the reply.
     async fn open(&mut self) -> Result<SourceStep, SourceFailure> {
         let context = self.context.clone();
         let state = &context.state;
+        if let Some(host) = context.next_host() {
+            return self.open_at_host(host).await;
+        }
         let is_trial = context.check_poison()?;
-        let path = context.wait_for_path().await?;
+        let path = tokio::select! {
+            biased;
+            path = context.wait_for_path() => path?,
+            host = context.host_due() => return self.open_at_host(host).await,
+        };
         if !is_trial {
             context.check_poison()?;
         }
@@ -156,6 +265,8 @@
         if context.sends() > 0 {
             context.log_resend(&first, self.resume_after);
         }
+        context.call.count_first(state);
+        context.is_forwarded.set(false);
         context.record_send(&first);
         let hold = StageHold::new(&context, &first.name);
         let inflight = state.inflight.clone();
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -1,7 +1,7 @@
 //! Shared state of an entry process.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +34,7 @@
 use crate::queue::{ObjectiveQueue, WaitQueue};
 use crate::quota::CrossingQuota;
 use crate::rates::{RateChange, RateTable};
+use crate::reach::ReachTable;
 use crate::relay::{RelayCandidate, RelayPicker};
 use crate::returns::ReturnSchedules;
 use crate::routing::{accepts_work, is_leaving};
@@ -145,6 +146,13 @@
     pub end_claims: RefCell<EndClaims>,
     /// Endpoints that this or another host has found down.
     pub down_table: RefCell<DownTable>,
+    /// Services that this host or another one cannot reach.
+    pub reach: RefCell<ReachTable>,
+    /// Notified when connections to a service begin to fail, and when one counts as lost or replies
+    /// again.
+    pub reach_changed: Notify,
+    /// Calls in progress that other hosts have passed on to this one.
+    pub forwarded_calls: Cell<usize>,
     /// What endpoints have said of themselves.
     pub notices: RefCell<EndpointNotices>,
     /// Rate limits that endpoints have named, with this host's permits.
@@ -237,6 +245,9 @@
             poison: RefCell::new(PoisonTable::new(Instant::now())),
             end_claims: RefCell::default(),
             down_table: RefCell::default(),
+            reach: RefCell::default(),
+            reach_changed: Notify::new(),
+            forwarded_calls: Cell::new(0),
             notices: RefCell::default(),
             rates: RefCell::new(RateTable::new(boot_id)),
             permits: RefCell::default(),
@@ -565,6 +576,13 @@
         self.exclusions.borrow_mut().retain(|name| endpoints.get(name).is_some());
         self.down_table.borrow_mut().retain(|name| endpoints.get(name).is_some());
         let now = Instant::now();
+        let served: BTreeSet<&str> = endpoints.entries().map(|entry| &*entry.service).collect();
+        let peers = self.peers.borrow();
+        self.reach.borrow_mut().retain(
+            |service| served.contains(service),
+            |host| peers.contains_key(host),
+            now,
+        );
         self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), now);
         let mut rates = self.rates.borrow_mut();
         rates.prune(|name| endpoints.get(name).is_some(), now);
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -4,7 +4,7 @@
 //! the route and the retry budget allow it, and the first to go on is kept.
 
 use std::future::poll_fn;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -20,9 +20,11 @@
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
 use crate::context::{RetryReason, StreamContext};
 use crate::failure::SourceFailure;
+use crate::forward;
 use crate::levels::{admit, count_stream};
 use crate::response::{AbortedResponse, ResponseBody, endpoint_response, not_run_refusal};
 use crate::source::{SourceHead, SourceStep, StreamSource};
+use crate::stall::MIN_SILENCE;
 use crate::state::EntryState;
 use crate::waiting::CALLER_TIMEOUT;
 
@@ -45,6 +47,8 @@
     is_started: bool,
     is_silence_logged: bool,
     is_finished: bool,
+    /// Whether the loss of connectivity to the service was taken into account.
+    has_seen_loss: bool,
     lateness: LatenessRecord,
     deadline: Pin<Box<Sleep>>,
     _request: OpenRequest,
@@ -58,7 +62,10 @@
 ) -> Result<Response<ResponseBody>, CallRefusal> {
     let mut relay = StreamRelay::new(StreamContext::new(state, call), request);
     let call = relay.context.call.clone();
-    admit(&relay.context)?;
+    // The host that serves the stream admits it.
+    if relay.context.next_host().is_none() {
+        admit(&relay.context)?;
+    }
     relay.add_source(call.head.resume_after, None);
     loop {
         match relay.next_events().await {
@@ -68,7 +75,7 @@
                 return Ok(relay.into_response(first));
             }
             Err(SourceFailure::Response(response)) => {
-                count_outcome(state, &call.service, "endpoint_failed");
+                count_outcome(state, &call.service, relay.outcome("endpoint_failed"));
                 return Ok(*response);
             }
             Err(SourceFailure::NotRun(_) | SourceFailure::Unknown(_)) => {}
@@ -141,6 +148,7 @@
             is_started: false,
             is_silence_logged: false,
             is_finished: false,
+            has_seen_loss: false,
             lateness: LatenessRecord::default(),
             _request: request,
         }
@@ -150,6 +158,11 @@
         self.sources.push(StreamSource::new(&self.context, resume_after, retry));
     }
 
+    /// Outcome of the request in metrics: that of the other host if it has served the stream.
+    fn outcome(&self, own: &'static str) -> &'static str {
+        if self.context.is_forwarded.get() { "forwarded" } else { own }
+    }
+
     /// Event after which another source would go on; `None` if the stream cannot be resumed.
     fn resume_position(&self) -> Option<Option<u64>> {
         let call = &self.context.call;
@@ -167,6 +180,8 @@
     /// Waits for the next complete events of any source; `None` at the end of the stream. Fails when
     /// no source is left.
     async fn next_events(&mut self) -> Result<Option<Bytes>, SourceFailure> {
+        let context = self.context.clone();
+        let mut loss = pin!(forward::lost(&context.state, &context.call.service));
         loop {
             let (index, step) = tokio::select! {
                 biased;
@@ -176,6 +191,11 @@
                     self.context.log_fault(&[], "the request's time is over");
                     return Err(SourceFailure::DeadlinePassed);
                 }
+                () = &mut loss, if !self.has_seen_loss => {
+                    self.has_seen_loss = true;
+                    self.move_silent();
+                    continue;
+                }
             };
             match step {
                 SourceStep::Opened(head) => self.sources[index].head = Some(head),
@@ -268,6 +288,19 @@
         );
     }
 
+    /// Opens a source at another host beside one that is silent since this host lost connectivity.
+    fn move_silent(&mut self) {
+        if self.context.is_forwarded.get()
+            || self.context.next_host().is_none()
+            || self.context.last_event_at.get().elapsed() < MIN_SILENCE
+        {
+            return;
+        }
+        // A second source at an endpoint of the service is as silent as the first.
+        self.sources.truncate(1);
+        self.hedge();
+    }
+
     /// Opens another source beside a silent one, if that is allowed.
     fn hedge(&mut self) {
         let is_worthwhile = self.sources.len() < MAX_SOURCES
@@ -317,21 +350,31 @@
                     let now = Instant::now();
                     let time = now - call.arrived;
                     state.stream_times.borrow_mut().record(&call.service, time, now);
-                    count_outcome(state, &call.service, "answered");
+                    count_outcome(state, &call.service, self.outcome("answered"));
                     self.log_lateness();
                     return None;
                 }
-                Err(SourceFailure::NotRun(_) | SourceFailure::Unknown(_)) => {
+                Err(
+                    failure @ (SourceFailure::NotRun(_)
+                    | SourceFailure::Unknown(_)
+                    | SourceFailure::NoPath(_)),
+                ) => {
                     let position = self.resume_position();
-                    let may_resend = self.context.may_resend(RetryReason::Fault);
+                    let may_resend = !matches!(failure, SourceFailure::NoPath(_))
+                        && self.context.may_resend(RetryReason::Fault);
                     if let Some(resume_after) = position.filter(|_| may_resend) {
                         self.add_source(resume_after, Some(RetryReason::Fault));
                         continue;
                     }
+                    if let Some(resume_after) = position
+                        && self.context.may_go_on_elsewhere().await
+                    {
+                        self.add_source(resume_after, Some(RetryReason::Fault));
+                        continue;
+                    }
                 }
                 Err(
                     SourceFailure::Response(_)
-                    | SourceFailure::NoPath(_)
                     | SourceFailure::Poison(_)
                     | SourceFailure::DeadlinePassed,
                 ) => {}
--- /dev/null
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -0,0 +1,412 @@
+//! Calls of a service that a host cannot reach, against running hosts and endpoints on loopback.
+
+#[path = "support/forwarding.rs"]
+mod forwarding;
+#[path = "support/registry.rs"]
+mod registry;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use forwarding::{CutForm, EVENT_PAUSE, TestSite, all_events, request, serve};
+use futures::future::join_all;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Response, StatusCode};
+use jacinthrock_entry::StopPlan;
+use tokio::task::LocalSet;
+use tokio::time::{Instant, sleep, timeout};
+
+/// Events of a stream that is in progress when a test cuts links.
+const LONG_STREAM: u64 = 60;
+const FORMS: [CutForm; 3] = [CutForm::Hang, CutForm::Refuse, CutForm::Reset];
+
+async fn run(test: impl Future<Output = ()>) {
+    LocalSet::new().run_until(test).await;
+}
+
+/// Waits until a condition holds.
+async fn wait_until(limit: Duration, what: &str, is_met: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !is_met() {
+        assert!(started.elapsed() < limit, "not within {limit:?}: {what}");
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Hosts without connectivity refused nearly all of their callers while other hosts served.
+async fn check_plain_calls(form: CutForm) {
+    let site = TestSite::start(2).await;
+    site.lose(1, "desk", form).await;
+    for (number, path) in ["/lookup/x", "/desk/x"].repeat(10).into_iter().enumerate() {
+        let attempt = format!("a{number}");
+        let answer = site.hosts[1].call(path, &attempt).await;
+        let (status, headers, body) = answer.expect("an answer");
+        assert_eq!((status, &*body), (201, &b"booked"[..]), "{form:?}: {path}, call {number}");
+        assert!(headers.contains_key("served-by"), "headers are passed to the caller");
+        assert!(!headers.contains_key("jacinthrock-forwarded"));
+        assert_eq!(site.arrivals(&attempt), 1, "{form:?}: {path}");
+    }
+    for headers in site.received_headers() {
+        assert!(!headers.contains_key("key"), "the caller's key is not sent to endpoints");
+        let is_internal = |name: &&str| name.starts_with("jacinthrock-forwarded");
+        assert_eq!(headers.keys().map(|name| name.as_str()).find(is_internal), None);
+    }
+    // The call that detects the loss may be passed on as well.
+    let sent = site.hosts[1].forwarded("sent", "answered");
+    assert!((20..=21).contains(&sent), "{sent} of 20 calls");
+    assert_eq!(site.hosts[0].forwarded("received", "served"), sent);
+    site.hosts[1].mend();
+    let is_regained = || !site.hosts[1].is_lost("desk");
+    wait_until(Duration::from_millis(600), "connectivity is back", is_regained).await;
+    assert_eq!(site.hosts[1].status("/lookup/x", "later").await, 201);
+    assert_eq!(site.hosts[1].forwarded("sent", "answered"), sent, "nothing is passed on any more");
+}
+
+#[tokio::test]
+async fn plain_calls_are_served_while_connections_hang() {
+    run(check_plain_calls(CutForm::Hang)).await;
+}
+
+#[tokio::test]
+async fn plain_calls_are_served_while_connections_are_refused() {
+    run(check_plain_calls(CutForm::Refuse)).await;
+}
+
+#[tokio::test]
+async fn plain_calls_are_served_while_connections_are_reset() {
+    run(check_plain_calls(CutForm::Reset)).await;
+}
+
+/// Streams that begin while the host reaches no endpoint of their service.
+#[tokio::test]
+async fn streams_are_served_by_another_host() {
+    run(async {
+        for form in FORMS {
+            let site = TestSite::start(2).await;
+            site.lose(1, "guide", form).await;
+            for number in 0..10 {
+                let attempt = format!("s{number}");
+                let answer = site.hosts[1].call("/guide/x", &attempt).await;
+                let (status, _, body) = answer.expect("a complete stream");
+                assert_eq!((status, &*body), (200, all_events(20).as_bytes()), "{form:?}");
+                assert_eq!(site.arrivals(&attempt), 1, "{form:?}");
+            }
+            assert!(!site.hosts[1].is_lost("desk"), "the other service is not concerned");
+            assert_eq!(site.hosts[1].status("/desk/x", "other").await, 201);
+            assert_eq!(site.arrivals("other"), 1);
+        }
+    })
+    .await;
+}
+
+/// Streams in progress when connectivity is lost are resumed after their last complete event.
+#[tokio::test]
+async fn streams_in_progress_are_resumed_through_another_host() {
+    run(async {
+        for form in FORMS {
+            let site = TestSite::start(2).await;
+            for endpoint in &site.endpoints {
+                endpoint.events.set(LONG_STREAM);
+            }
+            let calls = (0..6).map(|number| {
+                let (host, attempt) = (&site.hosts[1], format!("s{number}"));
+                async move { host.call("/guide/x", &attempt).await }
+            });
+            let cut = async {
+                sleep(EVENT_PAUSE * 10).await;
+                site.hosts[1].cut("guide", form).await;
+            };
+            let (answers, ()) = tokio::join!(join_all(calls), cut);
+            for (number, answer) in answers.into_iter().enumerate() {
+                let (status, _, body) = answer.unwrap_or_else(|error| {
+                    panic!("{form:?}: stream {number} is not complete: {error}")
+                });
+                let expected = all_events(LONG_STREAM);
+                assert_eq!((status, &*body), (200, expected.as_bytes()), "{form:?}");
+            }
+        }
+    })
+    .await;
+}
+
+/// The other host is killed while it serves: a call that must run at most once ends with 502, the
+/// others go on at the third host.
+#[tokio::test]
+async fn calls_survive_the_end_of_the_host_that_serves_them() {
+    run(async {
+        let site = TestSite::start(3).await;
+        for endpoint in &site.endpoints {
+            endpoint.call_time.set(Duration::from_millis(600));
+            endpoint.events.set(LONG_STREAM);
+        }
+        site.lose(2, "desk", CutForm::Refuse).await;
+        site.lose(2, "guide", CutForm::Refuse).await;
+        let host = &site.hosts[2];
+        // Only the host that is killed takes calls at first.
+        let avoided = site.hosts[0].state.options.host.clone();
+        host.state
+            .reach
+            .borrow_mut()
+            .avoid_host(&avoided, Instant::now() + Duration::from_secs(60));
+        let kill = async {
+            sleep(Duration::from_millis(300)).await;
+            assert_eq!(site.open_calls(), 9, "all calls are in progress");
+            let now = Instant::now();
+            host.state.reach.borrow_mut().avoid_host(&avoided, now);
+            site.hosts[1].kill();
+        };
+        let calls = |path: &'static str, name: &'static str| {
+            join_all((0..3).map(move |number| async move {
+                host.call(path, &format!("{name}{number}")).await
+            }))
+        };
+        let (once, safe, streams, ()) = tokio::join!(
+            calls("/desk/x", "once"),
+            calls("/lookup/x", "safe"),
+            calls("/guide/x", "stream"),
+            kill
+        );
+        for (number, answer) in once.into_iter().enumerate() {
+            assert_eq!(answer.expect("an answer").0, 502);
+            assert_eq!(site.arrivals(&format!("once{number}")), 1, "must not run twice");
+        }
+        for answer in safe {
+            assert_eq!(answer.expect("an answer").0, 201);
+        }
+        for answer in streams {
+            let (status, _, body) = answer.expect("a complete stream");
+            assert_eq!((status, &*body), (200, all_events(LONG_STREAM).as_bytes()));
+        }
+        assert_eq!(host.forwarded("sent", "unknown"), 9);
+    })
+    .await;
+}
+
+/// Endpoints must not go on working for callers that have disconnected.
+#[tokio::test]
+async fn forwarded_calls_end_when_the_caller_disconnects() {
+    run(async {
+        let site = TestSite::start(2).await;
+        for endpoint in &site.endpoints {
+            endpoint.call_time.set(Duration::from_secs(3));
+            endpoint.events.set(150);
+        }
+        for service in ["desk", "guide"] {
+            site.hosts[1].cut(service, CutForm::Refuse).await;
+            let path = if service == "desk" { "/lookup/x" } else { "/guide/x" };
+            for _ in 0..20 {
+                let _ = timeout(Duration::from_millis(40), site.hosts[1].call(path, "warm")).await;
+            }
+            assert!(site.hosts[1].is_lost(service));
+        }
+        wait_until(Duration::from_secs(1), "warm-up calls end", || site.open_calls() == 0).await;
+        for path in ["/lookup/x", "/desk/x", "/guide/x"] {
+            let (mut sender, connection) = site.hosts[1].connect().await;
+            let answering = tokio::task::spawn_local(async move {
+                let response = sender.send_request(request(path, "gone")).await;
+                if let Ok(response) = response {
+                    let _ = response.into_body().collect().await;
+                }
+            });
+            let is_open = || site.open_calls() == 1;
+            wait_until(Duration::from_secs(1), "the call reaches an endpoint", is_open).await;
+            sleep(Duration::from_millis(100)).await;
+            assert_eq!(site.open_calls(), 1, "{path}");
+            drop(connection);
+            let is_over = || site.open_calls() == 0;
+            wait_until(Duration::from_millis(500), path, is_over).await;
+            answering.abort();
+        }
+        let in_progress = || site.hosts[0].state.forwarded_calls.get() == 0;
+        wait_until(Duration::from_millis(500), "no call counts as open", in_progress).await;
+    })
+    .await;
+}
+
+/// If no host reaches the service, nothing is passed on twice, and nothing at all once the hosts
+/// have told one another; the calls are refused as not run.
+#[tokio::test]
+async fn nothing_is_passed_on_if_no_host_reaches_the_service() {
+    run(async {
+        let site = TestSite::start(4).await;
+        for host in 1..4 {
+            site.lose(host, "desk", CutForm::Refuse).await;
+        }
+        let is_told = || {
+            site.hosts[1..].iter().all(|host| {
+                let own = &host.state.options.host;
+                host.state.reach.borrow().reports(own, true, Instant::now()).len() == 3
+            })
+        };
+        wait_until(Duration::from_millis(1_000), "the hosts tell one another", is_told).await;
+        // The only host that reaches the service is gone for the others.
+        for host in &site.hosts[1..] {
+            let name = &site.hosts[0].state.options.host;
+            let until = Instant::now() + Duration::from_secs(60);
+            host.state.reach.borrow_mut().avoid_host(name, until);
+        }
+        let before: Vec<_> = site.hosts.iter().map(|host| forwarded_in_total(host)).collect();
+        for path in ["/lookup/x", "/desk/x"] {
+            let started = Instant::now();
+            assert_eq!(site.hosts[1].status(path, "none").await, 503);
+            assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
+        }
+        let after: Vec<_> = site.hosts.iter().map(|host| forwarded_in_total(host)).collect();
+        assert_eq!(before, after);
+        assert_eq!(site.arrivals("none"), 0);
+    })
+    .await;
+}
+
+/// Calls that a host has sent to others or received from them.
+fn forwarded_in_total(host: &forwarding::TestHost) -> i64 {
+    let sent = ["answered", "not_run", "unknown"].map(|outcome| host.forwarded("sent", outcome));
+    let received = ["served", "stopping", "unreachable", "busy"]
+        .map(|outcome| host.forwarded("received", outcome));
+    sent.iter().chain(&received).sum()
+}
+
+/// A host that has lost connectivity too, that stops or that has too many forwarded calls answers
+/// not-run at once, and the call goes on to the next host.
+#[tokio::test]
+async fn call_that_a_host_refuses_goes_to_the_next_host() {
+    run(async {
+        let site = TestSite::start(3).await;
+        site.lose(2, "desk", CutForm::Refuse).await;
+        let sender = &site.hosts[2];
+        let refusing = [("unreachable", 1), ("stopping", 1), ("busy", 0)];
+        for (reason, refusing) in refusing {
+            let (host, other) = (&site.hosts[refusing], &site.hosts[1 - refusing]);
+            match reason {
+                "unreachable" => site.lose(refusing, "desk", CutForm::Refuse).await,
+                "stopping" => {
+                    let plan = StopPlan::new(Instant::now(), Duration::from_secs(8));
+                    host.state.stop_plan.set(Some(plan));
+                }
+                _ => {
+                    host.state.stop_plan.set(None);
+                    host.state.forwarded_calls.set(1_000);
+                }
+            }
+            // What the hosts tell one another must not keep the call from the host.
+            let before = host.forwarded("received", reason);
+            for number in 0..40 {
+                let own = sender.state.options.host.clone();
+                let name = host.state.options.host.clone();
+                let (mut reach, now) = (sender.state.reach.borrow_mut(), Instant::now());
+                reach.apply(&own, &name, Vec::new(), now);
+                reach.avoid_host(&name, now);
+                reach.avoid_host(&other.state.options.host, now);
+                drop(reach);
+                let attempt = format!("{reason}{number}");
+                assert_eq!(sender.status("/desk/x", &attempt).await, 201, "{reason}");
+                assert_eq!(site.arrivals(&attempt), 1, "{reason}");
+            }
+            assert!(host.forwarded("received", reason) > before, "{reason}: host was not asked");
+            if reason == "busy" {
+                host.state.forwarded_calls.set(0);
+            }
+            if reason == "unreachable" {
+                let sent = host.forwarded("sent", "answered") + host.forwarded("sent", "unknown");
+                assert!(sent <= 1, "a forwarded call was forwarded again");
+                host.mend();
+                let is_regained = || !host.is_lost("desk");
+                wait_until(Duration::from_secs(1), "links are back", is_regained).await;
+            }
+            host.state.stop_plan.set(None);
+        }
+    })
+    .await;
+}
+
+/// A host of the previous release answers 404, or 400 as it takes the call for a load report, without
+/// the header of forwarded calls: it has not run the call, and gets no other for 10 s.
+#[tokio::test]
+async fn host_of_the_previous_release_is_asked_once() {
+    run(async {
+        for status in [404, 400] {
+            let site = TestSite::start(2).await;
+            let asked: Rc<Cell<u32>> = Rc::default();
+            let address = site.register_host("previous").await;
+            let count = asked.clone();
+            serve(address, move |request| {
+                if request.uri().path().starts_with("/forward/") {
+                    count.set(count.get() + 1);
+                }
+                let body = Full::<Bytes>::default().map_err(|error| match error {}).boxed();
+                let mut response = Response::new(body);
+                *response.status_mut() = StatusCode::from_u16(status).expect("a status");
+                async move { response }
+            })
+            .await;
+            site.wait_for_hosts(3).await;
+            site.lose(1, "desk", CutForm::Refuse).await;
+            for number in 0..30 {
+                let attempt = format!("a{number}");
+                assert_eq!(site.hosts[1].status("/desk/x", &attempt).await, 201);
+                assert_eq!(site.arrivals(&attempt), 1);
+            }
+            assert_eq!(asked.get(), 1);
+        }
+    })
+    .await;
+}
+
+/// A deployment in which no host loses connectivity must be served as before: nothing is passed on,
+/// and no endpoint is probed for its links.
+#[tokio::test]
+async fn nothing_is_passed_on_while_endpoints_reply() {
+    run(async {
+        let site = TestSite::start(2).await;
+        let probes = |site: &TestSite| -> u32 {
+            site.endpoints
+                .iter()
+                .filter(|it| &*it.entry.service == "desk")
+                .map(|it| it.probes.get())
+                .sum()
+        };
+        let before = probes(&site);
+        for number in 0..40 {
+            let host = &site.hosts[number % 2];
+            let path = ["/desk/x", "/lookup/x", "/guide/x"][number % 3];
+            let status = host.status(path, &format!("a{number}")).await;
+            assert_eq!(status, if path == "/guide/x" { 200 } else { 201 });
+            assert_eq!(site.arrivals(&format!("a{number}")), 1);
+        }
+        assert_eq!(probes(&site), before);
+        assert!(site.hosts.iter().all(|host| forwarded_in_total(host) == 0));
+    })
+    .await;
+}
+
+/// Only the peer listener takes forwarded calls, and only with a customer's key.
+#[tokio::test]
+async fn key_of_a_forwarded_call_is_checked() {
+    run(async {
+        let site = TestSite::start(1).await;
+        let peer = site.hosts[0].state.options.peer;
+        let stream = tokio::net::TcpStream::connect(peer).await.expect("a connection");
+        let io = hyper_util::rt::TokioIo::new(stream);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(io).await.expect("a connection");
+        let connection = tokio::task::spawn_local(connection);
+        let forwarded = |key: &str| {
+            let mut request = request("/forward/desk/x", "keyed");
+            let headers: &mut HeaderMap = request.headers_mut();
+            headers.insert("key", key.parse().expect("a header value"));
+            headers.insert("jacinthrock-forwarded-by", "h9".parse().expect("a header value"));
+            request
+        };
+        for (key, status) in [("wrong", 401), (forwarding::KEY, 201)] {
+            let response = sender.send_request(forwarded(key)).await.expect("an answer");
+            assert_eq!(response.status().as_u16(), status);
+            assert_eq!(response.headers()["jacinthrock-forwarded"], "served");
+            response.into_body().collect().await.expect("a complete answer");
+        }
+        assert_eq!(site.arrivals("keyed"), 1);
+        connection.abort();
+    })
+    .await;
+}
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -313,6 +313,12 @@
         caller.clone()
     }
 
+    fn forward_headers(&self, caller: &HeaderMap, _: Duration, _: Option<u64>) -> HeaderMap {
+        caller.clone()
+    }
+
+    fn mark_not_run(&self, _: &mut HeaderMap) {}
+
     fn read_reply(&self, _: &str, _: &HeaderMap) -> ReplyHead {
         ReplyHead {
             is_not_run: false,
