--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -395,11 +395,12 @@
 pub(crate) async fn resolve_doubt(state: &EntryState, service: &str) -> bool {
     loop {
         let changed = state.reach_changed.notified();
-        let reach = state.reach.borrow();
-        if reach.is_lost(service, Instant::now()) || !reach.is_doubtful(service) {
-            return reach.is_lost(service, Instant::now());
+        if state.reach.borrow().is_lost(service, Instant::now()) {
+            return true;
+        }
+        if !state.reach.borrow().is_doubtful(service) {
+            return false;
         }
-        drop(reach);
         changed.await;
     }
 }
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -10,13 +10,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::{CutForm, EVENT_PAUSE, TestSite, all_events, request, serve};
+use forwarding::{CutForm, EVENT_PAUSE, TestHost, TestSite, all_events, request, serve};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Response, StatusCode};
 use jacinthrock_entry::StopPlan;
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep};
 
 /// Events of a stream that is in progress when a test cuts links.
 const LONG_STREAM: u64 = 60;
@@ -247,21 +247,31 @@
             let until = Instant::now() + Duration::from_secs(60);
             host.state.reach.borrow_mut().avoid_host(name, until);
         }
-        let before: Vec<_> = site.hosts.iter().map(|host| forwarded_in_total(host)).collect();
+        let before: Vec<_> = site.hosts.iter().map(forwarded_in_total).collect();
         for path in ["/lookup/x", "/desk/x"] {
             let started = Instant::now();
             assert_eq!(site.hosts[1].status(path, "none").await, 503);
             assert!(started.elapsed() < Duration::from_millis(200), "{:?}", started.elapsed());
         }
-        let after: Vec<_> = site.hosts.iter().map(|host| forwarded_in_total(host)).collect();
+        let after: Vec<_> = site.hosts.iter().map(forwarded_in_total).collect();
         assert_eq!(before, after);
         assert_eq!(site.arrivals("none"), 0);
     })
     .await;
 }
 
+/// Makes a host forget that others refuse its calls, so that it asks them again.
+fn forget_refusals(sender: &TestHost, others: [&TestHost; 2]) {
+    let (mut reach, now) = (sender.state.reach.borrow_mut(), Instant::now());
+    for other in others {
+        let name = &other.state.options.host;
+        reach.apply(&sender.state.options.host, name, Vec::new(), now);
+        reach.avoid_host(name, now);
+    }
+}
+
 /// Calls that a host has sent to others or received from them.
-fn forwarded_in_total(host: &forwarding::TestHost) -> i64 {
+fn forwarded_in_total(host: &TestHost) -> i64 {
     let sent = ["answered", "not_run", "unknown"].map(|outcome| host.forwarded("sent", outcome));
     let received = ["served", "stopping", "unreachable", "busy"]
         .map(|outcome| host.forwarded("received", outcome));
@@ -293,13 +303,7 @@
             // What the hosts tell one another must not keep the call from the host.
             let before = host.forwarded("received", reason);
             for number in 0..40 {
-                let own = sender.state.options.host.clone();
-                let name = host.state.options.host.clone();
-                let (mut reach, now) = (sender.state.reach.borrow_mut(), Instant::now());
-                reach.apply(&own, &name, Vec::new(), now);
-                reach.avoid_host(&name, now);
-                reach.avoid_host(&other.state.options.host, now);
-                drop(reach);
+                forget_refusals(sender, [host, other]);
                 let attempt = format!("{reason}{number}");
                 assert_eq!(sender.status("/desk/x", &attempt).await, 201, "{reason}");
                 assert_eq!(site.arrivals(&attempt), 1, "{reason}");
