An interrupted stream asks for another host once before it breaks off

A stream that cannot be resent waits until it is known whether connectivity is lost. If the budget then grants no retry, it would have asked again without a pause. It now asks once. A stream or an answer that is reset midway counts as a failed connection at once, not only through the probe that follows. Streams in progress are woken when a service is lost, and no longer at each first failure.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -383,7 +383,7 @@
 /// Waits until a service counts as lost; does not end if it replies.
 pub(crate) async fn lost(state: &EntryState, service: &str) {
     loop {
-        let changed = state.reach_changed.notified();
+        let changed = state.links_lost.notified();
         if state.reach.borrow().is_lost(service, Instant::now()) {
             return;
         }
@@ -435,6 +435,7 @@
         }
         if !lost.is_empty() {
             state.reach_changed.notify_waiters();
+            state.links_lost.notify_waiters();
         }
         let due = state.reach.borrow_mut().take_probes(now);
         for service in due {
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -270,6 +270,7 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(error)) => {
             if !error.is_over_limit() {
+                forward::record_failure(state, entry);
                 record_broken(state, call, entry);
             }
             return (AttemptOutcome::Unknown(error.to_string().into()), CallEnd::Broken);
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -23,7 +23,7 @@
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
 use crate::pool::{ConnectionLease, SendError};
-use crate::reply::ReplyBody;
+use crate::reply::{ReplyBody, is_endless};
 use crate::reroute::reroute;
 use crate::response::{endpoint_response, full_body};
 use crate::sending::{
@@ -457,6 +457,9 @@
             }
             None => return Ok(None),
             Some(Err(error)) => {
+                if !is_endless(&error) {
+                    forward::record_failure(&context.state, first);
+                }
                 record_broken();
                 return Err(SourceFailure::Unknown(format!("broke off: {error}").into()));
             }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -151,6 +151,8 @@
     /// Notified when connections to a service begin to fail, and when one counts as lost or replies
     /// again.
     pub reach_changed: Notify,
+    /// Notified when a service counts as lost.
+    pub links_lost: Notify,
     /// Calls in progress that other hosts have passed on to this one.
     pub forwarded_calls: Cell<usize>,
     /// What endpoints have said of themselves.
@@ -247,6 +249,7 @@
             down_table: RefCell::default(),
             reach: RefCell::default(),
             reach_changed: Notify::new(),
+            links_lost: Notify::new(),
             forwarded_calls: Cell::new(0),
             notices: RefCell::default(),
             rates: RefCell::new(RateTable::new(boot_id)),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -49,6 +49,8 @@
     is_finished: bool,
     /// Whether the loss of connectivity to the service was taken into account.
     has_seen_loss: bool,
+    /// Whether the stream has waited to learn whether connectivity is lost, before it broke off.
+    has_asked_elsewhere: bool,
     lateness: LatenessRecord,
     deadline: Pin<Box<Sleep>>,
     _request: OpenRequest,
@@ -149,6 +151,7 @@
             is_silence_logged: false,
             is_finished: false,
             has_seen_loss: false,
+            has_asked_elsewhere: false,
             lateness: LatenessRecord::default(),
             _request: request,
         }
@@ -366,7 +369,9 @@
                         self.add_source(resume_after, Some(RetryReason::Fault));
                         continue;
                     }
-                    if let Some(resume_after) = position
+                    // Once only: a retry that the budget grants no more fails the same way again.
+                    let is_repeated = std::mem::replace(&mut self.has_asked_elsewhere, true);
+                    if let Some(resume_after) = position.filter(|_| !is_repeated)
                         && self.context.may_go_on_elsewhere().await
                     {
                         self.add_source(resume_after, Some(RetryReason::Fault));
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -438,3 +438,31 @@
     })
     .await;
 }
+
+/// Without a retry left, an interrupted stream must break off, instead of trying again and again.
+#[tokio::test]
+async fn interrupted_stream_breaks_off_if_the_retry_budget_is_spent() {
+    run(async {
+        let site = TestSite::start(2).await;
+        for endpoint in &site.endpoints {
+            endpoint.events.set(LONG_STREAM);
+        }
+        site.lose(1, "guide", CutForm::Reset).await;
+        site.hosts[1].mend();
+        let is_regained = || !site.hosts[1].is_lost("guide");
+        wait_until(Duration::from_secs(1), "connectivity is back", is_regained).await;
+        let state = &site.hosts[1].state;
+        let cut = async {
+            sleep(EVENT_PAUSE * 10).await;
+            while state.allow_retry("guide", "test", 0.0) {}
+            site.hosts[1].cut("guide", CutForm::Reset).await;
+            Instant::now()
+        };
+        let (answer, cut_at) = tokio::join!(site.hosts[1].call("/guide/x", "spent"), cut);
+        assert!(answer.is_err(), "the stream is not complete");
+        assert!(cut_at.elapsed() < Duration::from_secs(1), "{:?}", cut_at.elapsed());
+        assert_eq!(site.arrivals("spent"), 1);
+        assert_eq!(site.hosts[1].status("/guide/x", "next").await, 200, "others are passed on");
+    })
+    .await;
+}
