--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests that the rules allow.
 
-use std::cell::OnceCell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use crate::demand::level_of;
 use crate::endpoints::EndpointEntry;
 use crate::fingerprint::RequestFingerprint;
+use crate::forward::ForwardedCall;
 use crate::poison::{BlamedSuspect, CrashSuspect, SendVerdict, is_request, request_suspect};
 use crate::refusals::RequestKey;
 use crate::response::unknown_refusal;
@@ -46,6 +47,8 @@
     pub(crate) arrived: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
+    /// Whether the retry budget has counted the first attempt, of this host or of another one.
+    pub(crate) is_counted: Cell<bool>,
     fingerprint: OnceCell<RequestFingerprint>,
 }
 
@@ -127,27 +130,47 @@
         hasher.finalize().first_chunk().map_or(0, |bytes| u64::from_be_bytes(*bytes))
     }
 
+    /// Set if another host has passed the request on to this one.
+    pub(crate) fn forwarded(&self) -> Option<&ForwardedCall> {
+        self.parts.extensions.get()
+    }
+
+    /// Counts the first attempt in the retry budget, unless it is counted already.
+    pub(crate) fn count_first(&self, state: &EntryState) {
+        if !self.is_counted.replace(true) {
+            state.record_first(&self.service);
+        }
+    }
+
     /// Time until the deadline.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
 }
 
-/// Counts a request as open until this guard is dropped.
+/// Counts a request as open until this guard is dropped; one that another host has passed on, also
+/// as such.
 pub(crate) struct OpenRequest {
     state: Rc<EntryState>,
+    is_forwarded: bool,
 }
 
 impl OpenRequest {
-    pub(crate) fn new(state: &Rc<EntryState>) -> Self {
+    pub(crate) fn new(state: &Rc<EntryState>, is_forwarded: bool) -> Self {
         state.open_requests.set(state.open_requests.get() + 1);
-        Self { state: state.clone() }
+        if is_forwarded {
+            state.forwarded_calls.set(state.forwarded_calls.get() + 1);
+        }
+        Self { state: state.clone(), is_forwarded }
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.state.open_requests.set(self.state.open_requests.get() - 1);
+        if self.is_forwarded {
+            self.state.forwarded_calls.set(self.state.forwarded_calls.get() - 1);
+        }
     }
 }
 
@@ -189,6 +212,7 @@
         body,
         head,
         arrived,
+        is_counted: Cell::new(false),
         fingerprint: OnceCell::new(),
     })
 }
