Test of Retry-After counts the age of the outcomes that it follows from

refusal_by_objective_names_the_wait_of_its_own_queue failed in 10 of 60 runs (2.26 to 2.30 s against a bound of 2.25): its bounds took nine served streams for a share of a tenth refused. They are served 0.4 s before the refusal and count for exp(-0.2) each, which makes 0.1195 and a delay of 1.151 to 2.302 s.

--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -324,7 +324,7 @@
         for _ in 0..shared {
             state.path_queue.borrow_mut().join(WaitClass::New, 1);
         }
-        // A tenth of the streams is refused.
+        // Nine streams are served for one that is refused.
         let served = |_| {
             let mut schedules = state.return_schedules.borrow_mut();
             schedules.get_mut(&"guide".into(), true).record_served(Instant::now());
@@ -346,14 +346,15 @@
     };
     LocalSet::new()
         .run_until(async {
-            // A tenth is refused: 1.11 s, prolonged by a factor of up to 2.
+            // Nine were served 0.4 s before the refusal and count for exp(-0.2) each, so that 0.1195 is
+            // refused: 1.151 s, prolonged by a factor of up to 2.
             let alone = delay(None, 0).await;
-            assert!((1.1..2.25).contains(&alone), "{alone} s");
+            assert!((1.15..2.31).contains(&alone), "{alone} s");
             let shared = delay(None, 50).await;
-            assert!((1.1..2.25).contains(&shared), "{shared} s although no stream waits");
+            assert!((1.15..2.31).contains(&shared), "{shared} s although no stream waits");
             let waiting = DemandCount { waiting: 300, started_per_s: 200.0, ..Default::default() };
             let busy = delay(Some(waiting), 0).await;
-            assert!((2.6..5.25).contains(&busy), "{busy} s with 1.5 s of waiting");
+            assert!((2.65..5.31).contains(&busy), "{busy} s with 1.5 s of waiting");
             let forged = DemandCount { waiting: 1_000_000, started_per_s: 1.0, ..waiting };
             let forged = delay(Some(forged), 0).await;
             assert!((3.1..6.7).contains(&forged), "{forged} s of 20");
