--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -586,6 +586,7 @@
             |host| peers.contains_key(host),
             now,
         );
+        self.reach_changed.notify_waiters();
         self.notices.borrow_mut().prune(|name| endpoints.get(name).is_some(), now);
         let mut rates = self.rates.borrow_mut();
         rates.prune(|name| endpoints.get(name).is_some(), now);
