A first stage without free slots is not excluded for refusing streams

In a surge, hosts that learn each other's loads every 0.2 s send a first stage more streams than it has slots, and it refuses some. The usage of an endpoint at which paths start is now the larger of its KV cache and its slots.

first_stage_without_free_slots_counts_as_full guards the usage.

--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -72,8 +72,18 @@
         routing::total_load(own, &self.peer_loads.borrow(), name, Instant::now())
     }
 
+    /// Share of what an endpoint has that the known streams take: of its KV cache or, if paths start
+    /// there, of its slots, whichever is larger.
+    pub fn known_usage(&self, entry: &EndpointEntry) -> Option<f64> {
+        let starts = self.total_load(&entry.name).starts;
+        let starts_paths = entry.layers.is_some_and(|span| span.holds(0));
+        let slot_usage = f64::from(starts) / f64::from(entry.slots.max(1));
+        let kv_usage = self.known_kv_usage(entry)?;
+        Some(if starts_paths { kv_usage.max(slot_usage) } else { kv_usage })
+    }
+
     /// Share of an endpoint's KV cache that the known streams take.
-    pub fn known_kv_usage(&self, entry: &EndpointEntry) -> Option<f64> {
+    pub(crate) fn known_kv_usage(&self, entry: &EndpointEntry) -> Option<f64> {
         let rules = self.rules()?;
         let engine = rules.engine(&entry.service)?;
         let card = engine.cards.get(entry.card.as_deref()?)?;
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -29,9 +29,9 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(70);
 /// Maximum size of an endpoint's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
-/// KV cache usage of an endpoint below which a refusal cannot be due to a full cache: a single
-/// stream takes only a small part of it.
-const MIN_FULL_KV_USAGE: f64 = 0.6;
+/// Share of an endpoint's KV cache or slots in use below which a refusal cannot be due to a lack of
+/// them: a single stream takes only a small part.
+const MIN_FULL_USAGE: f64 = 0.6;
 /// Idle time after which a connection is not reused for requests that must run at most once: a
 /// reset of a reused connection would leave the request's outcome unknown.
 pub(crate) const AT_MOST_ONCE_MAX_IDLE: Duration = Duration::ZERO;
@@ -358,8 +358,8 @@
 pub(crate) async fn check_refusal(state: Rc<EntryState>, name: EndpointName) {
     let Some(entry) = state.endpoint(&name) else { return };
     // The report is about 200 ms old; this host's own estimate includes later streams.
-    let known = state.known_kv_usage(&entry).unwrap_or(1.0);
-    if known >= MIN_FULL_KV_USAGE {
+    let known = state.known_usage(&entry).unwrap_or(1.0);
+    if known >= MIN_FULL_USAGE {
         return;
     }
     match fetch_report(&state, &entry, PROBE_TIMEOUT).await {
@@ -368,7 +368,7 @@
                 event = "refusal_checked", endpoint = &*name, fill = report.kv_usage,
                 busy = report.is_busy, layers:? = report.layers; "endpoint refuses streams"
             );
-            if report.kv_usage < MIN_FULL_KV_USAGE && !report.is_busy {
+            if report.kv_usage < MIN_FULL_USAGE && !report.is_busy {
                 exclude_endpoint(&state, &name, "refuses streams although memory is free");
             }
         }
--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -313,6 +313,29 @@
         .await;
 }
 
+/// In a surge, hosts that do not know each other's latest streams send a first stage more than it has
+/// slots, and it refuses them. Its KV cache is nearly free then: judged by that alone, it was taken
+/// for one that accepts no work and excluded at all hosts for 3 s, with its streams still running.
+#[tokio::test(start_paused = true)]
+async fn first_stage_without_free_slots_counts_as_full() {
+    LocalSet::new()
+        .run_until(async {
+            let (cluster, mut guards) = full_host(&[0, 1]).await;
+            let state = &cluster.hosts[0].state;
+            let usages = || -> Vec<f64> {
+                let endpoints = state.endpoints.borrow();
+                let first = endpoints.entries().filter(|entry| {
+                    entry.layers.is_some_and(|span| span.from == 0 && span.count() > 0)
+                });
+                first.filter_map(|entry| state.known_usage(entry)).collect()
+            };
+            assert!(usages().iter().all(|usage| *usage >= 0.6), "{:?}", usages());
+            guards.clear();
+            assert!(usages().iter().all(|usage| *usage < 0.6), "{:?}", usages());
+        })
+        .await;
+}
+
 /// Guards against a Retry-After that follows from the wrong queue: streams of a service with one
 /// priority wait in the shared queue, which says nothing about the wait of a service with several.
 /// The time of the latter must fit into a third of the caller's time with the random factor of 2.
