--- a/crates/entry/tests/waiting_hosts.rs
+++ b/crates/entry/tests/waiting_hosts.rs
@@ -98,6 +98,14 @@
     })
 }
 
+/// Has another host report its demand for the most urgent streams.
+fn report_demand(state: &EntryState, count: DemandCount) {
+    let demands = [("guide".into(), [(0, count)].into())].into();
+    let report = LoadSum { demands, ..LoadSum::default() };
+    let (own, now) = (state.own_load(), Instant::now());
+    state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+}
+
 /// Number of streams that wait: in the queue of services without priorities, and by objective.
 fn waiting(state: &EntryState) -> (usize, usize) {
     let queues = state.objective_queues.borrow();
@@ -244,11 +252,7 @@
             let (cluster, guards) = full_host(&[0, 1]).await;
             let state = &cluster.hosts[0].state;
             drop(guards);
-            let waiting = DemandCount { waiting: 1_000, ..DemandCount::default() };
-            let demands = [("guide".into(), [(0, waiting)].into())].into();
-            let report = LoadSum { demands, ..LoadSum::default() };
-            let (own, now) = (state.own_load(), Instant::now());
-            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+            report_demand(state, DemandCount { waiting: 1_000, ..DemandCount::default() });
             sleep(Duration::from_millis(400)).await;
             let _low = send(state, 1);
             let joined = until_waiting(state, (0, 1)).await;
@@ -284,11 +288,7 @@
             let (cluster, guards) = full_host(&[0, 1]).await;
             let state = &cluster.hosts[0].state;
             drop(guards);
-            let waiting = DemandCount { waiting: 1_000, ..DemandCount::default() };
-            let demands = [("guide".into(), [(0, waiting)].into())].into();
-            let report = LoadSum { demands, ..LoadSum::default() };
-            let (own, now) = (state.own_load(), Instant::now());
-            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+            report_demand(state, DemandCount { waiting: 1_000, ..DemandCount::default() });
             sleep(Duration::from_millis(400)).await;
             let replies: Vec<_> = (0..3).map(|_| send(state, 1)).collect();
             let joined = until_waiting(state, (0, 3)).await;
@@ -360,10 +360,7 @@
         sleep(Duration::from_millis(1_000)).await;
         (0..9).for_each(served);
         if let Some(count) = site {
-            let demands = [("guide".into(), [(0, count)].into())].into();
-            let report = LoadSum { demands, ..LoadSum::default() };
-            let (own, now) = (state.own_load(), Instant::now());
-            state.relay_loads.borrow_mut().exchange("other".into(), report, &own, true, now);
+            report_demand(state, count);
         }
         reply.await.expect("a reply")
     };
