Test of the retry budget of forwarded calls counts no calls from before the loss

The calls with which the test waits for the loss to be noticed count at the sender, rightly, for the window of 10 s; the test passed only where its 200 calls took longer than that. It now waits for the window to end, and sends 60 calls: 6 of 8 more retries are wanted instead of 20 of 28.

--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -422,7 +422,10 @@
     run(async {
         let site = TestSite::start(2).await;
         site.lose(1, "desk", CutForm::Refuse).await;
-        for number in 0..200 {
+        // The calls before the host noticed the loss count at the sender until the window of 10 s is
+        // over. The further ones are few enough to fit into it on a busy machine.
+        sleep(Duration::from_secs(11)).await;
+        for number in 0..60 {
             assert_eq!(site.hosts[1].status("/lookup/x", &format!("a{number}")).await, 201);
         }
         let allowed = site.hosts.iter().map(|host| {
@@ -430,9 +433,9 @@
             retries.count()
         });
         let allowed: Vec<_> = allowed.collect();
-        // 0.7 of 0.2 retries for each of 200 first attempts are 28.
+        // 0.7 of 0.2 retries for each of 60 first attempts are 8.
         assert!(
-            allowed[0] >= allowed[1] + 20,
+            allowed[0] >= allowed[1] + 6,
             "retries at the receiver and the sender: {allowed:?}"
         );
     })
