Debit all crossings of a path from the host's share of the link

Services with several priorities started up to twice what the link between domains carries: the crossing quotas together were twice its capacity, a path with several crossings took a single one that was left, and nothing of the overdraft was carried over. 3.8 times the capacity was in use after the loss of four endpoints of a domain.

Such services now have a quota in bytes (LinkQuota). The quotas of all hosts together equal the capacity of the link, each path debits all its crossings, and an overdraft is paid off by the following periods. A detour debits the crossings that its path did not have, before the order is sent, and gets them back if the order is refused. Other services keep their quota and its draws.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -346,7 +346,9 @@
                 false => DemandMeter::record_returned,
             });
         }
-        self.state.consume_crossings(crossings(&path));
+        let crossings = crossings(&path);
+        self.state.consume_crossings(crossings);
+        self.state.debit_crossings(&self.call.service, self.expected_tokens(), crossings);
         path
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -103,7 +103,8 @@
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{
-    PathStage, SearchOutcome, StageView, cheapest_path, crossings, first_gap, search_path, stage_at,
+    PathStage, SearchOutcome, StageView, added_crossings, cheapest_path, crossings, first_gap,
+    search_path, stage_at,
 };
 pub use permits::PermitPools;
 pub use poison::{BlamedSuspect, CrashSuspect, PoisonReport, PoisonTable, RequestTag, SendVerdict};
@@ -112,7 +113,7 @@
     host_header,
 };
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
-pub use quota::CrossingQuota;
+pub use quota::{CrossingQuota, LinkQuota};
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use reach::{HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -108,6 +108,31 @@
     path.windows(2).filter(|pair| pair[0].domain != pair[1].domain).count()
 }
 
+/// Number of crossings between failure domains along a path that are not part of the path that it
+/// replaces. Both stages of the others keep the stream's KV cache and send each other new tokens
+/// only.
+///
+/// ```
+/// use jacinthrock_entry::{LayerSpan, PathStage, added_crossings};
+///
+/// let stage = |name: &str, domain: &str, from| PathStage {
+///     name: name.into(),
+///     start_unix_ms: 1,
+///     address: ([10, 0, 0, 1], 80).into(),
+///     span: LayerSpan { from, to: from + 4 },
+///     domain: domain.into(),
+/// };
+/// let old = [stage("a", "north", 0), stage("b", "south", 4), stage("c", "south", 8)];
+/// let new = [stage("a", "north", 0), stage("b", "south", 4), stage("d", "north", 8)];
+/// assert_eq!(added_crossings(&new, &old), 1);
+/// ```
+pub fn added_crossings(new: &[PathStage], old: &[PathStage]) -> usize {
+    let is_kept = |pair: &[PathStage]| {
+        old.windows(2).any(|kept| kept[0].name == pair[0].name && kept[1].name == pair[1].name)
+    };
+    new.windows(2).filter(|pair| pair[0].domain != pair[1].domain && !is_kept(pair)).count()
+}
+
 /// Result of a search for the cheapest path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SearchOutcome {
--- a/crates/entry/src/reroute.rs
+++ b/crates/entry/src/reroute.rs
@@ -11,7 +11,7 @@
 use crate::call::AllowedCall;
 use crate::inflight::StreamGuard;
 use crate::orders::{OrderReply, post_order};
-use crate::path::{PathStage, crossings, stage_at};
+use crate::path::{PathStage, added_crossings, crossings, stage_at};
 use crate::pool::SendError;
 use crate::routing::PathQuery;
 use crate::state::EntryState;
@@ -74,6 +74,10 @@
         };
         let Some(path) = state.find_detour(&old, &query) else { return false };
         let Some(first) = state.endpoint(&path[0].name) else { return false };
+        // Debited before the reply, since the streams of a lost endpoint are moved at the same time.
+        // Without a reply, the order may have taken effect and stays debited.
+        let added = added_crossings(&path, &old);
+        state.debit_crossings(&call.service, tokens, added);
         let order = state.codec.repath_order(&call.head.attempt, &path);
         let reply = post_order(state, &first, order, REPATH_TIMEOUT).await;
         let fault_at = reply.as_ref().ok().and_then(|reply| reply.fault_at);
@@ -81,6 +85,9 @@
         let culprit = culprit.map(|stage| stage.name.clone());
         let sent = RepathOrder { call, old: &old, new: &path, culprit: culprit.as_ref() };
         sent.record(state, &reply);
+        if reply.as_ref().is_ok_and(|reply| !reply.status.is_success()) {
+            state.credit_crossings(&call.service, tokens, added);
+        }
         match reply {
             Ok(reply) if reply.status.is_success() => {
                 state.consume_crossings(crossings(&path).saturating_sub(crossings(&old)));
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -35,7 +35,8 @@
 const MAX_COST_JITTER: f64 = 0.5;
 /// Ratio of the crossing quotas of all hosts together to the capacity of the inter-domain link;
 /// above 1, since few hosts use theirs at the same time. 0.75 kept streams from free paths when one
-/// domain had lost endpoints.
+/// domain had lost endpoints. Link quotas have no such factor: when all domains were short of room,
+/// all hosts used theirs at the same time, and 3.8 times the capacity was in use.
 const QUOTA_OVERCOMMIT_RATIO: f64 = 2.0;
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
 pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
@@ -251,6 +252,19 @@
     engine.link_mbps * QUOTA_OVERCOMMIT_RATIO / stream_mbit / hosts as f64
 }
 
+/// Bytes that a stream with a number of tokens sends at each crossing between failure domains.
+pub(crate) fn crossing_bytes(engine: &EngineProfile, tokens: u32) -> u64 {
+    (f64::from(tokens) * engine.activation_bytes) as u64
+}
+
+/// Share of the inter-domain link of one of `hosts` hosts, in bytes per second.
+pub(crate) fn link_bytes_per_s(engine: &EngineProfile, hosts: usize) -> f64 {
+    if engine.link_mbps <= 0.0 {
+        return f64::INFINITY;
+    }
+    engine.link_mbps * 1e6 / 8.0 / hosts as f64
+}
+
 /// Endpoints on a path that have left, have started again or are down.
 pub(crate) fn lost_stages(
     path: &[PathStage],
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -18,8 +18,7 @@
 impl EntryState {
     /// Finds the cheapest path for a stream, or `None` if none has room.
     pub fn find_path(&self, query: &PathQuery<'_>) -> Option<Rc<[PathStage]>> {
-        self.path_with(query, |engine| self.admitted_link_share(engine, query.tokens))
-            .map(Into::into)
+        self.path_with(query, |engine| self.admitted_link_share(engine, query)).map(Into::into)
     }
 
     /// Finds the cheapest path, given the share of the inter-domain link in use.
@@ -39,6 +38,29 @@
         self.crossing_quota.borrow_mut().consume(crossings);
     }
 
+    /// Debits the crossings of a path from this host's share of the link, for services with several
+    /// priorities.
+    pub fn debit_crossings(&self, service: &str, tokens: u32, crossings: usize) {
+        if let Some(bytes) = self.path_bytes(service, tokens, crossings) {
+            self.link_quota.borrow_mut().debit(bytes);
+        }
+    }
+
+    /// Takes back a debit for a path that was not taken.
+    pub(crate) fn credit_crossings(&self, service: &str, tokens: u32, crossings: usize) {
+        if let Some(bytes) = self.path_bytes(service, tokens, crossings) {
+            self.link_quota.borrow_mut().credit(bytes);
+        }
+    }
+
+    /// Bytes that a stream sends over a path's crossings, or `None` if the streams of its
+    /// service all have the same priority.
+    fn path_bytes(&self, service: &str, tokens: u32, crossings: usize) -> Option<u64> {
+        let rules = self.rules().filter(|rules| rules.has_priorities(service))?;
+        let bytes = routing::crossing_bytes(rules.engine(service)?, tokens);
+        Some(bytes.saturating_mul(crossings as u64))
+    }
+
     /// Finds replacements for the lost stages of a running stream's path.
     pub fn find_detour(&self, path: &[PathStage], query: &PathQuery<'_>) -> Option<Vec<PathStage>> {
         let rules = self.rules()?;
@@ -48,7 +70,7 @@
             return None;
         }
         let stages = self.stage_views(engine, query);
-        let link_share = self.admitted_link_share(engine, query.tokens);
+        let link_share = self.admitted_link_share(engine, query);
         let new_path = detour(path, &lost, link_share, &stages);
         if new_path.is_none() {
             log_no_detour(path, &lost, &stages);
@@ -134,14 +156,24 @@
         view.stage_views(engine, query, Instant::now(), |range| rng.random_range(range))
     }
 
-    /// Share of the inter-domain link in use, or `CLOSED_LINK` if this host has no crossing
-    /// quota left.
-    fn admitted_link_share(&self, engine: &EngineProfile, tokens: u32) -> f64 {
-        let per_s = routing::crossings_per_s(engine, tokens, self.host_count());
+    /// Share of the inter-domain link in use, or `CLOSED_LINK` if this host has no quota left.
+    fn admitted_link_share(&self, engine: &EngineProfile, query: &PathQuery<'_>) -> f64 {
+        if self.may_cross(engine, query) { self.link_share(engine) } else { CLOSED_LINK }
+    }
+
+    /// Whether this host's quota lets a stream cross. Services with several priorities have a quota
+    /// of their own; that of the others is renewed all the same, as they share it.
+    fn may_cross(&self, engine: &EngineProfile, query: &PathQuery<'_>) -> bool {
+        let (hosts, now) = (self.host_count(), Instant::now());
+        let per_s = routing::crossings_per_s(engine, query.tokens, hosts);
         let draw = rand::rng().random_range(0.0..1.0);
-        let may_cross =
-            self.crossing_quota.borrow_mut().allows_crossing(Instant::now(), per_s, draw);
-        if may_cross { self.link_share(engine) } else { CLOSED_LINK }
+        let may_cross = self.crossing_quota.borrow_mut().allows_crossing(now, per_s, draw);
+        if !self.rules().is_some_and(|rules| rules.has_priorities(query.service)) {
+            return may_cross;
+        }
+        let bytes_per_s = routing::link_bytes_per_s(engine, hosts);
+        let bytes = routing::crossing_bytes(engine, query.tokens);
+        self.link_quota.borrow_mut().allows_crossing(now, bytes_per_s, bytes, draw)
     }
 
     /// Share of the inter-domain link that the streams of all hosts use.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -32,7 +32,7 @@
 use crate::poison::PoisonTable;
 use crate::pool::ConnectionPool;
 use crate::queue::{ObjectiveQueue, WaitQueue};
-use crate::quota::CrossingQuota;
+use crate::quota::{CrossingQuota, LinkQuota};
 use crate::rates::{RateChange, RateTable};
 use crate::reach::ReachTable;
 use crate::refusals::RefusalMemory;
@@ -217,6 +217,8 @@
     pub(crate) overloaded: RefCell<ExpiringFlags>,
     /// Paths between failure domains that this host may still start.
     pub(crate) crossing_quota: RefCell<CrossingQuota>,
+    /// Bytes that streams of services with several priorities may send between failure domains.
+    pub(crate) link_quota: RefCell<LinkQuota>,
     rules: RefCell<Rc<RuleIndex>>,
     rules_version: Cell<Option<RegistryVersion>>,
     registry_era: Cell<Option<RegistryEra>>,
@@ -284,6 +286,7 @@
             suspected: RefCell::default(),
             overloaded: RefCell::default(),
             crossing_quota: RefCell::default(),
+            link_quota: RefCell::default(),
             rules: RefCell::default(),
             rules_version: Cell::new(None),
             registry_era: Cell::new(None),
