Name the layer without room of each domain in refusals without a path

Refusals that said "no path joins N stages" named no layer, so that nothing showed which domain lacked which endpoints. They now name, for each domain, the first layer without room and the streams and fill of up to 16 holders over all domains, and the host's link quota where there is one.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -120,7 +120,7 @@
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
-pub use routing::{PathQuery, RoutingView};
+pub use routing::{LinkUse, PathQuery, RoutingView, explain_gap};
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
--- a/crates/entry/src/path.rs
+++ b/crates/entry/src/path.rs
@@ -177,10 +177,17 @@
 }
 
 /// Returns the first layer that no stage with room holds, to explain why there is no path.
-pub fn first_gap(layers: u16, stages: &[StageView]) -> Option<u16> {
+///
+/// ```
+/// use jacinthrock_entry::first_gap;
+///
+/// assert_eq!(first_gap(8, &[]), Some(0));
+/// ```
+pub fn first_gap<'a>(layers: u16, stages: impl IntoIterator<Item = &'a StageView>) -> Option<u16> {
+    let stages: Vec<_> = stages.into_iter().filter(|stage| stage.has_room).collect();
     (0..layers).find(|layer| {
-        !stages.iter().any(|stage| {
-            stage.span.holds(*layer) && stage.has_room && (*layer > 0 || stage.may_start)
-        })
+        let may_run =
+            |stage: &&StageView| stage.span.holds(*layer) && (*layer > 0 || stage.may_start);
+        !stages.iter().any(may_run)
     })
 }
--- a/crates/entry/src/quota.rs
+++ b/crates/entry/src/quota.rs
@@ -123,6 +123,11 @@
         self.balance = self.granted;
     }
 
+    /// Bytes left of the present period; negative if overdrawn.
+    pub fn balance(&self) -> i64 {
+        self.balance
+    }
+
     /// Deducts what a path sends between failure domains.
     pub fn debit(&mut self, bytes: u64) {
         let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -5,7 +5,7 @@
 //! the last exchange, and its cost varies a little from stream to stream. Endpoints that are full,
 //! that have just refused a stream or take no request at present get no stream to start.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::ops::RangeInclusive;
 
 use jacinthrock::EndpointName;
@@ -279,20 +279,76 @@
     path.iter().filter(is_lost).map(|stage| stage.name.clone()).collect()
 }
 
-/// Explains why the stages form no path over all layers. `link_share` is the share of the
-/// inter-domain link in use.
-pub(crate) fn explain_gap(layers: u16, link_share: f64, stages: &[StageView]) -> Box<str> {
-    let Some(gap) = first_gap(layers, stages) else {
-        let count = stages.len();
-        return format!("no path joins {count} stages; pipe share {link_share:.2}").into();
-    };
-    let holders = stages.iter().filter(|stage| stage.span.holds(gap));
-    let count = holders.clone().count();
-    let named = holders.take(MAX_NAMED_HOLDERS).map(|stage| {
+/// What a host knows of the link between failure domains when it finds no path.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkUse {
+    /// Share of the link that the streams of all hosts use.
+    pub share: f64,
+    /// Bytes that this host may still send in this period, negative if overdrawn; none for services
+    /// without several priorities.
+    pub quota_bytes: Option<i64>,
+}
+
+/// Explains why the stages form no path over all layers: the first layer without room or, if each
+/// layer has room in some failure domain, the first one in each domain.
+///
+/// ```
+/// use jacinthrock_entry::{LinkUse, explain_gap};
+///
+/// let link = LinkUse { share: 0.0, quota_bytes: None };
+/// assert_eq!(&*explain_gap(8, &link, &[]), "layer 0 has no room; holders: []");
+/// ```
+pub fn explain_gap(layers: u16, link: &LinkUse, stages: &[StageView]) -> Box<str> {
+    if let Some(gap) = first_gap(layers, stages) {
+        let holders: Vec<_> = holders_of(gap, stages);
+        return explain_layer(gap, &holders, MAX_NAMED_HOLDERS).into();
+    }
+    let quota = link.quota_bytes.map(|bytes| format!("; link quota {bytes} bytes"));
+    let (count, share) = (stages.len(), link.share);
+    let domains = explain_domains(layers, stages);
+    format!(
+        "no path joins {count} stages; pipe share {share:.2}{}{domains}",
+        quota.unwrap_or_default()
+    )
+    .into()
+}
+
+/// Names the first layer without room in each failure domain. All domains together name no more
+/// holders than one layer does elsewhere.
+fn explain_domains(layers: u16, stages: &[StageView]) -> String {
+    let mut by_domain: BTreeMap<&str, Vec<&StageView>> = BTreeMap::new();
+    for stage in stages {
+        by_domain.entry(&stage.domain).or_default().push(stage);
+    }
+    let (mut text, mut left) = (String::new(), MAX_NAMED_HOLDERS);
+    let domain_count = by_domain.len();
+    for (number, (domain, stages)) in by_domain.into_iter().enumerate() {
+        let Some(gap) = first_gap(layers, stages.iter().copied()) else {
+            text += &format!("; {domain}: every layer has room");
+            continue;
+        };
+        let holders = holders_of(gap, stages);
+        let most = left.div_ceil(domain_count - number);
+        left -= holders.len().min(most);
+        text += &format!("; {domain}: {}", explain_layer(gap, &holders, most));
+    }
+    text
+}
+
+fn holders_of<'a>(
+    layer: u16,
+    stages: impl IntoIterator<Item = &'a StageView>,
+) -> Vec<&'a StageView> {
+    stages.into_iter().filter(|stage| stage.span.holds(layer)).collect()
+}
+
+/// Names up to `most` holders of a layer without room, with their usage.
+fn explain_layer(layer: u16, holders: &[&StageView], most: usize) -> String {
+    let named = holders.iter().take(most).map(|stage| {
         format!("{} streams {} fill {:.2}", stage.name, stage.streams, stage.kv_usage)
     });
     let named: Vec<_> = named.collect();
-    let others = count - named.len();
-    let text = format!("layer {gap} has no room; holders: {named:?}");
-    if others > 0 { format!("{text} and {others} others").into() } else { text.into() }
+    let others = holders.len() - named.len();
+    let text = format!("layer {layer} has no room; holders: {named:?}");
+    if others > 0 { format!("{text} and {others} others") } else { text }
 }
--- a/crates/entry/src/search.rs
+++ b/crates/entry/src/search.rs
@@ -11,7 +11,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::inflight::StageLoad;
 use crate::path::{CLOSED_LINK, PathStage, StageView, cheapest_path};
-use crate::routing::{self, MAX_NAMED_HOLDERS, PathQuery, RoutingView};
+use crate::routing::{self, LinkUse, MAX_NAMED_HOLDERS, PathQuery, RoutingView};
 use crate::rules::EngineProfile;
 use crate::state::EntryState;
 
@@ -85,7 +85,11 @@
             return "the service has no engine".into();
         };
         let stages = self.stage_views(engine, query);
-        routing::explain_gap(engine.layers, self.link_share(engine), &stages)
+        let has_quota = engine.link_mbps > 0.0
+            && rules.as_ref().is_some_and(|rules| rules.has_priorities(query.service));
+        let quota_bytes = has_quota.then(|| self.link_quota.borrow().balance());
+        let link = LinkUse { share: self.link_share(engine), quota_bytes };
+        routing::explain_gap(engine.layers, &link, &stages)
     }
 
     /// Load of all hosts' streams on an endpoint, as far as this host knows.
--- a/crates/entry/tests/routing_views.rs
+++ b/crates/entry/tests/routing_views.rs
@@ -5,8 +5,9 @@
 
 use jacinthrock_entry::{
     CardProfile, DownTable, EndpointEntry, EndpointName, EndpointNotices, EndpointTable,
-    EngineProfile, ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LoadMap, LoadSum,
-    PathQuery, PeerLoads, RateTable, RoutingView, StageLoad, StageView, cheapest_path, first_gap,
+    EngineProfile, ExclusionTable, ExpiringFlags, HealthTable, LayerSpan, LinkUse, LoadMap,
+    LoadSum, PathQuery, PeerLoads, RateTable, RoutingView, StageLoad, StageView, cheapest_path,
+    explain_gap, first_gap,
 };
 use tokio::time::Instant;
 
@@ -344,3 +345,57 @@
         assert_eq!(stage.kv_usage, tokens / 968_000.0, "{}", stage.name);
     }
 }
+
+/// Stage views of two domains, of which `north` has no room at layer 5 and `south` at layer 1.
+fn views_with_gaps(holders: u16) -> Vec<StageView> {
+    let mut tables = HostTables::new();
+    let in_domain = |number: u16, domain: &str, from, to| EndpointEntry {
+        domain: domain.into(),
+        ..entry(&format!("{domain}-{number:02}"), from, to)
+    };
+    let north = (0..holders).map(|number| in_domain(number, "north", 5, LAYERS));
+    let south = (0..holders).map(|number| in_domain(number, "south", 1, 5));
+    let free = [in_domain(90, "north", 0, 5), in_domain(90, "south", 5, LAYERS)];
+    let first = in_domain(91, "south", 0, 1);
+    tables.endpoints.replace(6, north.chain(south).chain(free).chain([first]), tables.now);
+    let now = tables.now;
+    for number in 0..holders {
+        for domain in ["north", "south"] {
+            let name: EndpointName = format!("{domain}-{number:02}").into();
+            tables.overloaded.set(&name, now, now + millis(250));
+        }
+    }
+    tables.stages_at(now)
+}
+
+/// A refusal that named no layer left operators to find out which domain lacks which endpoints.
+#[test]
+fn explanation_names_the_layer_without_room_of_each_domain() {
+    let link = LinkUse { share: 3.5, quota_bytes: Some(-1_200) };
+    let text = explain_gap(LAYERS, &link, &views_with_gaps(1));
+    let expected = "no path joins 5 stages; pipe share 3.50; link quota -1200 bytes; \
+        north: layer 5 has no room; holders: [\"north-00 streams 0 fill 0.00\"]; \
+        south: layer 1 has no room; holders: [\"south-00 streams 0 fill 0.00\"]";
+    assert_eq!(&*text, expected);
+}
+
+/// With thousands of endpoints, a refusal and its log line must stay short.
+#[test]
+fn explanation_of_all_domains_names_sixteen_holders() {
+    let link = LinkUse { share: 0.2, quota_bytes: None };
+    let text = explain_gap(LAYERS, &link, &views_with_gaps(40));
+    assert_eq!(text.matches(" fill ").count(), 16, "{text}");
+    assert_eq!(text.matches("and 32 others").count(), 2, "{text}");
+    assert!(text.starts_with("no path joins 83 stages; pipe share 0.20; north: "), "{text}");
+}
+
+/// Each domain may have room for every layer and still no path, if stages are full for other reasons
+/// than memory; the text must not blame a layer then.
+#[test]
+fn explanation_blames_no_layer_that_has_room() {
+    let tables = HostTables::new();
+    let link = LinkUse { share: 0.0, quota_bytes: None };
+    let text = explain_gap(LAYERS, &link, &tables.stages_at(tables.now));
+    let expected = "no path joins 2 stages; pipe share 0.00; north: every layer has room";
+    assert_eq!(&*text, expected);
+}
