Compute the usage of a service by failure domain

When a layer is full in each domain, another one in each, no domain has a whole path, while over all domains each layer has room. Usage over all endpoints stayed low, so that admission found the shortage only by its queues.

The usage is now the lowest one among the domains that hold every layer, and never below that over all endpoints. Shares, floor, smoothing and age are as before.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use jacinthrock::ServiceName;
+use jacinthrock::{DomainName, ServiceName};
 use tokio::time::Instant;
 
 use crate::demand::{DemandCount, MAX_LEVELS, PriorityDemand, known_level};
@@ -39,8 +39,10 @@
 const MIN_REPORTED_CHANGE: f64 = 0.01;
 
 /// What is in use of an endpoint that holds layers, and what it has.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct StageCapacity {
+    /// Failure domain.
+    pub domain: DomainName,
     /// Layers that it holds.
     pub span: LayerSpan,
     /// Requests that it runs concurrently as a first stage.
@@ -61,11 +63,18 @@
 /// use jacinthrock_entry::{LayerSpan, StageCapacity, service_usage};
 ///
 /// let span = LayerSpan { from: 0, to: 8 };
-/// let stage =
-///     StageCapacity { span, slots: 100, starts: 19, token_layers: 60, kv_capacity: 100.0 };
+/// let stage = StageCapacity {
+///     domain: "north".into(),
+///     span,
+///     slots: 100,
+///     starts: 19,
+///     token_layers: 60,
+///     kv_capacity: 100.0,
+/// };
 /// assert_eq!(service_usage(8, &[stage]), 0.6);
 /// ```
-pub fn service_usage(layers: u16, stages: &[StageCapacity]) -> f64 {
+pub fn service_usage<'a>(layers: u16, stages: impl IntoIterator<Item = &'a StageCapacity>) -> f64 {
+    let stages: Vec<_> = stages.into_iter().collect();
     let first = stages.iter().filter(|stage| stage.span.holds(0));
     let (starts, slots) = first.fold((0.0, 0.0), |(starts, slots), stage| {
         (starts + f64::from(stage.starts), slots + f64::from(stage.slots) * MAX_OCCUPANCY)
@@ -81,6 +90,45 @@
     layer_usage.fold(ratio(starts, slots), f64::max)
 }
 
+/// Usage of a service whose streams stay within one failure domain: the lowest [`service_usage`] of
+/// the domains that hold every layer, since a stream may start in any of them, and never less than
+/// that over all endpoints. If no domain holds every layer, it is the latter.
+///
+/// Layers that are full in one domain each leave no domain with a whole path, while each layer has
+/// room over all domains: the usage over all endpoints alone showed a shortage only once the queues
+/// were long.
+///
+/// ```
+/// use jacinthrock_entry::{LayerSpan, StageCapacity, domain_usage, service_usage};
+///
+/// let stage = |domain: &str, from, token_layers| StageCapacity {
+///     domain: domain.into(),
+///     span: LayerSpan { from, to: from + 4 },
+///     slots: 100,
+///     starts: 0,
+///     token_layers,
+///     kv_capacity: 100.0,
+/// };
+/// let stages =
+///     [stage("north", 0, 100), stage("north", 4, 0), stage("south", 0, 0), stage("south", 4, 90)];
+/// assert_eq!(service_usage(8, &stages), 0.5);
+/// assert_eq!(domain_usage(8, &stages), 0.9);
+/// ```
+pub fn domain_usage(layers: u16, stages: &[StageCapacity]) -> f64 {
+    let mut by_domain: BTreeMap<&str, Vec<&StageCapacity>> = BTreeMap::new();
+    for stage in stages {
+        by_domain.entry(&stage.domain).or_default().push(stage);
+    }
+    let complete = by_domain.into_values().filter(|stages| holds_every_layer(layers, stages));
+    let usages = complete.map(|stages| service_usage(layers, stages));
+    let all = service_usage(layers, stages);
+    usages.reduce(f64::min).map_or(all, |lowest| lowest.max(all))
+}
+
+fn holds_every_layer(layers: u16, stages: &[&StageCapacity]) -> bool {
+    (0..layers).all(|layer| stages.iter().any(|stage| stage.span.holds(layer)))
+}
+
 /// Usage of a service as its queues show it: 1 where streams wait for as long as an on-time answer
 /// allows, whatever its endpoints lack. A service whose starts and KV cache are half free may still
 /// be unable to start more streams, as when no failure domain has a whole path left and the link
@@ -214,7 +262,7 @@
 /// Inputs of a service's level.
 #[derive(Clone, Copy, Debug)]
 pub struct LevelInputs<'a> {
-    /// Usage of the service; see [`service_usage`].
+    /// Usage of the service; see [`domain_usage`].
     pub usage: f64,
     /// Streams that callers ask for at all hosts.
     pub demand: &'a PriorityDemand,
--- a/crates/entry/src/levels.rs
+++ b/crates/entry/src/levels.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use crate::admission::{
-    LevelChange, LevelInputs, NewStream, StageCapacity, queue_usage, service_usage,
+    LevelChange, LevelInputs, NewStream, StageCapacity, domain_usage, queue_usage,
 };
 use crate::call::count_outcome;
 use crate::context::StreamContext;
@@ -33,7 +33,7 @@
         let on_time_wait = WaitingStream::on_time_wait(rules.shortest_objective(service));
         let inputs = demand.as_ref().zip(engine).map(|((demand, age), engine)| {
             let capacities = stage_capacities(state, service, engine, now);
-            let usage = service_usage(engine.layers, &capacities);
+            let usage = domain_usage(engine.layers, &capacities);
             LevelInputs { usage: usage.max(queue_usage(demand, on_time_wait)), demand, age: *age }
         });
         let changes = state.admission.borrow_mut().update(service, inputs, now);
@@ -67,6 +67,7 @@
             let load = totals.as_mut().map(|totals| totals.total_load(&entry.name));
             let load = load.unwrap_or_default();
             Some(StageCapacity {
+                domain: entry.domain.clone(),
                 span,
                 slots: entry.slots,
                 starts: load.starts,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -76,7 +76,7 @@
 };
 pub use admission::{
     AdmissionRefusal, AdmissionTable, LevelChange, LevelInputs, NewStream, StageCapacity,
-    admitted_shares, queue_usage, service_usage,
+    admitted_shares, domain_usage, queue_usage, service_usage,
 };
 pub use attempts::AttemptLog;
 pub use demand::{DemandCount, DemandMap, DemandMeter, OnTimeMap, PriorityDemand, level_of};
