--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -76,7 +76,7 @@
 };
 pub use admission::{
     AdmissionRefusal, AdmissionTable, LevelChange, LevelInputs, NewStream, StageCapacity,
-    admitted_shares, queue_usage, service_usage,
+    admitted_shares, domain_usage, queue_usage, service_usage,
 };
 pub use attempts::AttemptLog;
 pub use demand::{DemandCount, DemandMap, DemandMeter, OnTimeMap, PriorityDemand, level_of};
@@ -103,7 +103,8 @@
 pub use logs::start_logs;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{
-    PathStage, SearchOutcome, StageView, cheapest_path, crossings, first_gap, search_path, stage_at,
+    PathStage, SearchOutcome, StageView, added_crossings, cheapest_path, crossings, first_gap,
+    search_path, stage_at,
 };
 pub use permits::PermitPools;
 pub use poison::{BlamedSuspect, CrashSuspect, PoisonReport, PoisonTable, RequestTag, SendVerdict};
@@ -112,14 +113,14 @@
     host_header,
 };
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
-pub use quota::CrossingQuota;
+pub use quota::{CrossingQuota, LinkQuota};
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
 pub use reach::{HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
-pub use routing::{PathQuery, RoutingView};
+pub use routing::{LinkUse, PathQuery, RoutingView, explain_gap};
 pub use rules::{
     CallerLimits, CardProfile, CustomerRule, EngineProfile, KeyVerdict, RetryPolicy, RouteRule,
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
