Proof of an endpoint's end: only replies of the same service count

A refused connection counted as proof of an endpoint's end once an endpoint of any service had replied. A host that had lost its links to one service and reached another took refused connections for the end of endpoints, and reported that as evidence on prompt parts.

EndClaims::record_reply takes the endpoint's entry, and marks only claims of its service as due.

--- a/crates/entry/src/ends.rs
+++ b/crates/entry/src/ends.rs
@@ -2,7 +2,9 @@
 //!
 //! A refused connection alone proves nothing: a host that is cut off from endpoints may have all of
 //! its connections reset and refused at the same moment. An endpoint counts as ended once a
-//! connection was refused, another endpoint has replied since, and a connection was refused again.
+//! connection was refused, another endpoint of its service has replied since, and a connection was
+//! refused again. An endpoint of another service proves nothing: a host may have lost its links to one
+//! service alone.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -23,7 +25,7 @@
 struct EndClaim {
     entry: EndpointEntry,
     refused_at: Instant,
-    /// Whether another endpoint has replied since.
+    /// Whether another endpoint of the service has replied since.
     is_due: bool,
     /// Whether the second look has begun.
     is_checked: bool,
@@ -55,13 +57,15 @@
         false
     }
 
-    /// Records that an endpoint has replied: it has not ended, and this host reaches endpoints.
-    pub fn record_reply(&mut self, endpoint: EndpointStart<'_>) {
+    /// Records that an endpoint has replied: it has not ended, and this host reaches endpoints of its
+    /// service.
+    pub fn record_reply(&mut self, entry: &EndpointEntry) {
         if self.claims.is_empty() {
             return;
         }
-        self.claims.retain(|_, claim| !claim.is_of(endpoint));
-        self.claims.values_mut().for_each(|claim| claim.is_due = true);
+        self.claims.retain(|_, claim| !claim.is_of(entry.start()));
+        let claims = self.claims.values_mut().filter(|claim| claim.entry.service == entry.service);
+        claims.for_each(|claim| claim.is_due = true);
     }
 
     /// Endpoints that are due for a second look, each of them once.
--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -163,7 +163,7 @@
     if status != StatusCode::MISDIRECTED_REQUEST {
         state.down_table.borrow_mut().record_reply(entry, now);
     }
-    state.end_claims.borrow_mut().record_reply(entry.start());
+    state.end_claims.borrow_mut().record_reply(entry);
     if head.is_leaving && state.notices.borrow_mut().mark_leaving(entry.start(), now) {
         log::info!(
             event = "endpoint_leaving", endpoint = &*entry.name, born = entry.start_unix_ms,
