Forwarded calls: hosts that do not answer are asked last, and calls go on

A host without links sent calls to a host that was frozen, where they waited until their deadline. The choice of the host knew only which hosts report lost services or had no connection.

- reach.rs ranks hosts: heard of within 500 ms, within 1.5 s, not heard of, and last those that have not answered a forwarded call within half of the route's objective (at least 100 ms) in the last second.
While some host reports lost services, relays report when they heard their members, and replies to hosts that report lost services carry ages of at most 32 hosts (`heard`, default empty).
- Hosts that were heard of recently take at most four calls for each of their own, so that the placement holder does not take all calls before ages of other hosts have arrived.
- A call that may be repeated, and a stream without a first event, is also sent to the next host after that time, with a retry from the budget; the first answer ends the other attempt.
A call that must run at most once is never sent a second time.

Before the change, the three new tests with a host that accepts connections and never answers failed: the repeatable call and the stream ended with 504 at their deadline, and calls that must run once went to the silent host while another one was free.

host_of_the_previous_release_is_asked_once: its stand-in does not exchange loads, unlike hosts of that release, and would not be asked while another host is heard of; the test records the exchange. Its checks are unchanged.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -198,7 +198,7 @@
         if self.next_host().is_some() {
             return !self.call.is_doubtful(&self.state)
                 && !self.call.remaining().is_zero()
-                && (self.sends() == 0
+                && ((self.sends() == 0 && reason == RetryReason::Fault)
                     || self.state.has_retry(&self.call.service, self.reserved_share(reason)));
         }
         self.sends() < MAX_SENDS
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,7 @@
 use jacinthrock::{CallRefusal, HostName, MetricName, ResultCode, ServiceName};
 use rand::Rng;
 use rand::seq::IndexedRandom;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::call::AllowedCall;
 use crate::dispatch;
@@ -46,6 +47,9 @@
 const LONG_AVOID_TIME: Duration = Duration::from_secs(10);
 /// Time for which a host without connection gets none.
 const CONNECT_AVOID_TIME: Duration = Duration::from_secs(1);
+/// Shortest time without an answer after which a call is sent to the next host as well; a reply of a
+/// host that is not overloaded takes a few ms more than the endpoint's.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
 /// Endpoints that are probed at a time for a service that may be lost.
 const PROBED_ENDPOINTS: usize = 3;
 /// Part of the sockets for forwarded calls: each takes two, and callers of this host come first.
@@ -111,10 +115,20 @@
     call: &AllowedCall,
     tried: &BTreeSet<HostName>,
 ) -> Option<ForwardHost> {
-    let (reach, now) = (state.reach.borrow(), Instant::now());
-    if call.forwarded().is_some() || !reach.is_lost(&call.service, now) {
+    let is_lost = state.reach.borrow().is_lost(&call.service, Instant::now());
+    if call.forwarded().is_some() || !is_lost {
         return None;
     }
+    choose_host(state, call, tried)
+}
+
+/// A host that a call is passed on to, also while this host reaches the service.
+fn choose_host(
+    state: &EntryState,
+    call: &AllowedCall,
+    tried: &BTreeSet<HostName>,
+) -> Option<ForwardHost> {
+    let (reach, now) = (state.reach.borrow(), Instant::now());
     let peers = state.peers.borrow();
     let options = &state.options;
     let query = HostQuery {
@@ -128,6 +142,97 @@
     Some(ForwardHost { name: name.clone(), address: peers.get(name)?.address })
 }
 
+/// Time without an answer of another host after which a call that may be repeated is also sent to
+/// the next one.
+pub(crate) fn answer_time(call: &AllowedCall) -> Duration {
+    (call.route.objective / 2).max(MIN_ANSWER_TIME)
+}
+
+/// What became of an attempt at another host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum HostOutcome {
+    Answered,
+    NotRun,
+    Unknown,
+}
+
+/// Attempts at other hosts for one call.
+pub(crate) struct HostAttempts<'a> {
+    pub(crate) state: &'a EntryState,
+    pub(crate) call: &'a AllowedCall,
+    pub(crate) tried: &'a mut BTreeSet<HostName>,
+    /// Whether the route allows the call at a further endpoint beside the first host.
+    pub(crate) allows_second: bool,
+}
+
+impl HostAttempts<'_> {
+    /// Makes an attempt at a host. Without an outcome in time, a call that may be repeated is also
+    /// sent to the next host; the first answer ends the other attempt. Returns the outcomes in the
+    /// order in which they came, an answer last.
+    pub(crate) async fn run<T, F: Future<Output = T>>(
+        mut self,
+        host: ForwardHost,
+        attempt: impl Fn(ForwardHost) -> F,
+        outcome: impl Fn(&T) -> HostOutcome,
+    ) -> Vec<T> {
+        self.tried.insert(host.name.clone());
+        let mut first = pin!(attempt(host));
+        tokio::select! {
+            biased;
+            result = &mut first => return vec![result],
+            () = sleep(answer_time(self.call)) => {}
+        }
+        let mut results = Vec::new();
+        let mut next = self.second_host();
+        while let Some(host) = next {
+            let mut second = pin!(attempt(host));
+            let (result, is_first) = tokio::select! {
+                biased;
+                result = &mut first => (result, true),
+                result = &mut second => (result, false),
+            };
+            let last = outcome(&result);
+            results.push(result);
+            if last == HostOutcome::Answered {
+                return results;
+            }
+            if is_first {
+                results.push(second.await);
+                return results;
+            }
+            // A host that has not run the call leaves the retry to the next one.
+            next = (last == HostOutcome::NotRun).then(|| self.next_host()).flatten();
+        }
+        results.push(first.await);
+        results
+    }
+
+    /// The host that the call is also sent to, with a retry from the budget.
+    fn second_host(&mut self) -> Option<ForwardHost> {
+        let Self { state, call, .. } = self;
+        // A request that must run at most once is never sent while another host may run it.
+        let may_send = call.route.retry_policy.is_idempotent()
+            && self.allows_second
+            && !call.is_doubtful(state)
+            && !call.remaining().is_zero();
+        let host = if may_send { self.next_host() } else { None };
+        let host = host.filter(|_| self.state.allow_retry(&self.call.service, "forward", 0.0))?;
+        log::info!(
+            event = "call_forwarded_again", attempt = &*self.call.head.attempt, peer = &*host.name;
+            "a host does not answer; call is also sent to another one"
+        );
+        // The first host may have counted the first attempt.
+        self.call.is_counted.set(true);
+        Some(host)
+    }
+
+    fn next_host(&mut self) -> Option<ForwardHost> {
+        let host = choose_host(self.state, self.call, self.tried)?;
+        self.tried.insert(host.name.clone());
+        Some(host)
+    }
+}
+
 /// Passes a call on to another host, and waits for the head of its answer.
 pub(crate) async fn send_to(
     state: &EntryState,
@@ -143,7 +248,17 @@
         ..SendOptions::within(remaining, MAX_IDLE)
     };
     let sent = match forward_request(state, call, resume_after) {
-        Ok(request) => state.pool.send(host.address, request, options).await,
+        Ok(request) => {
+            let mut sending = pin!(state.pool.send(host.address, request, options));
+            tokio::select! {
+                biased;
+                sent = &mut sending => sent,
+                () = sleep(answer_time(call)) => {
+                    record_unanswered(state, call, host);
+                    sending.await
+                }
+            }
+        }
         Err(error) => return Err(record_error(state, call, host, ForwardError::NotRun(error))),
     };
     count_over_limit(state, "peer", sent.as_ref().is_err_and(SendError::is_over_limit));
@@ -162,6 +277,16 @@
     result.map_err(|error| record_error(state, call, host, error))
 }
 
+/// Records that a host has not answered a forwarded call in time; it is asked last for a while.
+fn record_unanswered(state: &EntryState, call: &AllowedCall, host: &ForwardHost) {
+    state.reach.borrow_mut().record_unanswered(&host.name, Instant::now());
+    log::info!(
+        event = "forward_unanswered", attempt = &*call.head.attempt, peer = &*host.name,
+        service = &*call.service, waited_ms = answer_time(call).as_millis() as u64;
+        "host has not answered a forwarded call; asking it last"
+    );
+}
+
 /// Records that a forwarded call was answered by the other host.
 pub(crate) fn record_answer(state: &EntryState, call: &AllowedCall) {
     count(state, &call.service, "sent", "answered");
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -114,7 +114,7 @@
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::CrossingQuota;
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
-pub use reach::{HostQuery, ReachReport, ReachTable};
+pub use reach::{HeardAges, HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -31,7 +31,7 @@
 use crate::poison::PoisonReport;
 use crate::pool::{SendOptions, build_request};
 use crate::rates::{PermitDraw, PermitGrant, SharedRate};
-use crate::reach::ReachReport;
+use crate::reach::{HeardAges, ReachReport};
 use crate::relay::EXCHANGE_INTERVAL;
 use crate::response::{ResponseBody, full_body};
 use crate::rules::{RulesVersion, ServingRules};
@@ -79,6 +79,9 @@
     /// Services that the host, or one that exchanges through it, cannot reach.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     unreachable: Vec<ReachReport>,
+    /// When a relay has heard its members, while some host cannot reach a service.
+    #[serde(default, skip_serializing_if = "HeardAges::is_empty")]
+    heard: HeardAges,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
@@ -130,6 +133,9 @@
     /// Services that the replying host, or one that has told it, cannot reach.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     unreachable: Vec<ReachReport>,
+    /// When other hosts were heard of, for a host that reports services that it cannot reach.
+    #[serde(default, skip_serializing_if = "HeardAges::is_empty")]
+    heard: HeardAges,
     /// The newest rules that the replying host knows of.
     #[serde(default)]
     rules: Option<RulesReport>,
@@ -343,6 +349,7 @@
         excluded: state.exclusions.borrow().shared(Instant::now()),
         down: down_reports(state, has_members),
         unreachable: reach_reports(state, has_members),
+        heard: if has_members { heard_ages(state, true) } else { HeardAges::new() },
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
         draws,
@@ -356,6 +363,7 @@
             let is_useful = reply.is_useful();
             apply_rates(state, &reply.rates);
             apply_reach(state, host, std::mem::take(&mut reply.unreachable));
+            apply_heard(state, host, std::mem::take(&mut reply.heard));
             take_grants(state, &reply.grants, has_members);
             let position =
                 TablePosition { host: host.clone(), boot: reply.boot, number: reply.number };
@@ -486,6 +494,19 @@
     state.reach.borrow_mut().apply(&state.options.host, from, reports, Instant::now());
 }
 
+/// When this host has heard of others, while some host cannot reach a service.
+fn heard_ages(state: &EntryState, is_direct_only: bool) -> HeardAges {
+    let draw = rand::rng().random_range(0.0..1.0);
+    state.reach.borrow().heard_ages(is_direct_only, draw, Instant::now())
+}
+
+/// Records that `from` has exchanged loads with this host, and takes when it has heard of others.
+fn apply_heard(state: &EntryState, from: &HostName, ages: HeardAges) {
+    let (mut reach, now) = (state.reach.borrow_mut(), Instant::now());
+    reach.record_heard(from, now);
+    reach.apply_heard(&state.options.host, ages, now);
+}
+
 fn apply_poison(state: &EntryState, report: PoisonReport) {
     if !report.is_empty() {
         state.change_poison(|table, now| table.apply(report, now));
@@ -654,7 +675,9 @@
     let is_holder = state.is_holder();
     apply_exclusions(state, report.excluded);
     apply_down_reports(state, report.down);
+    let has_lost_links = !report.unreachable.is_empty();
     apply_reach(state, &report.host, report.unreachable);
+    apply_heard(state, &report.host, report.heard);
     apply_poison(state, report.poison);
     apply_rates(state, &report.rates);
     let grants = draw_permits(state, &report.host, &report.draws);
@@ -694,6 +717,7 @@
         excluded: state.exclusions.borrow().shared(Instant::now()),
         down: down_reports(state, true),
         unreachable: reach_reports(state, true),
+        heard: if has_lost_links { heard_ages(state, false) } else { HeardAges::new() },
         rules: rules_report(state, now),
         poison: state.poison.borrow_mut().report(now),
         rates: state.rates.borrow().shared(now),
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -11,7 +11,7 @@
 
 use crate::call::{AllowedCall, count_outcome, poison_refusal, unknown_outcome};
 use crate::endpoints::EndpointEntry;
-use crate::forward::{self, ForwardError, ForwardHost};
+use crate::forward::{self, ForwardError, ForwardHost, HostAttempts, HostOutcome};
 use crate::health::CallEnd;
 use crate::pool::SendError;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
@@ -45,6 +45,17 @@
     Unknown(Box<str>),
 }
 
+impl AttemptOutcome {
+    /// Outcome of an attempt at another host.
+    fn at_host(&self) -> HostOutcome {
+        match self {
+            Self::Response(_) | Self::Failed(_) => HostOutcome::Answered,
+            Self::NotRun(_) | Self::NotSent(_) => HostOutcome::NotRun,
+            Self::Unknown(_) => HostOutcome::Unknown,
+        }
+    }
+}
+
 /// Serves a call to a plain service; retries on other endpoints, within the retry budget.
 pub(crate) async fn serve(
     state: &Rc<EntryState>,
@@ -69,18 +80,23 @@
             if is_retry && !state.allow_retry(&call.service, "forward", 0.0) {
                 break;
             }
-            tried_hosts.insert(host.name.clone());
-            match attempt_at_host(state, call, &host).await {
-                AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
-                    count_outcome(state, &call.service, "forwarded");
-                    return Ok(response);
-                }
-                AttemptOutcome::NotRun(fault) | AttemptOutcome::NotSent(fault) => {
-                    last_fault = fault;
-                }
-                AttemptOutcome::Unknown(fault) => {
-                    (has_run, last_fault) = (true, fault);
-                    forwarded += 1;
+            let allows_second =
+                tried.len() + forwarded + 1 < call.route.max_attempts.max(1) as usize;
+            let attempts = HostAttempts { state, call, tried: &mut tried_hosts, allows_second };
+            let attempt = |host| async move { attempt_at_host(state, call, &host).await };
+            for outcome in attempts.run(host, attempt, AttemptOutcome::at_host).await {
+                match outcome {
+                    AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
+                        count_outcome(state, &call.service, "forwarded");
+                        return Ok(response);
+                    }
+                    AttemptOutcome::NotRun(fault) | AttemptOutcome::NotSent(fault) => {
+                        last_fault = fault;
+                    }
+                    AttemptOutcome::Unknown(fault) => {
+                        (has_run, last_fault) = (true, fault);
+                        forwarded += 1;
+                    }
                 }
             }
             let may_repeat = !has_run || call.route.retry_policy.is_idempotent();
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -34,6 +34,22 @@
 const REPORT_TIME: Duration = Duration::from_millis(1_500);
 /// Most hosts in a report.
 const MAX_REPORTED_HOSTS: usize = 512;
+/// Time since a host was last heard of within which it is asked first. A host exchanges loads every
+/// 200 ms, and the placement holder passes that on within 200 ms.
+const RECENT_TIME: Duration = Duration::from_millis(500);
+/// Time since a host was last heard of after which it is asked last.
+const SILENCE_TIME: Duration = Duration::from_millis(1_500);
+/// Time for which a host that has not answered a forwarded call is asked last.
+const UNANSWERED_TIME: Duration = Duration::from_secs(1);
+/// Most forwarded calls for each of its own that a host takes for being heard of recently. Right
+/// after a loss, this host knows few such hosts, which must not take the calls of all that have lost
+/// connectivity.
+const MAX_RECENT_LOAD: f64 = 4.0;
+/// Most hosts of which this host remembers when they were heard of.
+const MAX_HEARD_HOSTS: usize = 1_024;
+/// Most hosts in a report of when they were heard of; at about 20 bytes each, five reports a second
+/// stay under the 4 KB a second that control may use.
+const MAX_HEARD_REPORTED: usize = 32;
 /// Most services of one host in a report.
 const MAX_REPORTED_SERVICES: usize = 64;
 /// Most hosts that a call is passed on to, one after another.
@@ -53,6 +69,9 @@
     pub age_ms: u64,
 }
 
+/// When hosts were last heard of, as hosts tell one another: the age in ms by host.
+pub type HeardAges = BTreeMap<HostName, u64>;
+
 /// What a call requires of the host that it is passed on to.
 #[derive(Clone, Copy, Debug)]
 pub struct HostQuery<'a> {
@@ -83,7 +102,39 @@
     at: Instant,
 }
 
-/// Services that this host and others cannot reach, and hosts that take no forwarded calls.
+/// When a host was last heard of.
+#[derive(Clone, Copy, Debug)]
+struct HeardHost {
+    at: Instant,
+    /// Whether this host has heard it itself.
+    is_direct: bool,
+}
+
+/// Order in which hosts are asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum HostRank {
+    /// Heard of within the last 500 ms.
+    HeardRecently,
+    /// Heard of within the last 1.5 s.
+    HeardBefore,
+    NotHeard,
+    /// Has not answered a forwarded call.
+    NotAnswering,
+}
+
+/// Hosts of the same rank that may be asked.
+#[derive(Debug, Default)]
+struct RankedHosts<'a> {
+    own_domain: Vec<(&'a HostName, f64)>,
+    others: Vec<(&'a HostName, f64)>,
+    /// Weight of all of them, with those that were asked before.
+    weight: f64,
+    /// Weight of those in the own failure domain.
+    own_domain_weight: f64,
+}
+
+/// Services that this host and others cannot reach, when hosts were heard of, and hosts that take no
+/// forwarded calls.
 ///
 /// ```
 /// use std::time::Duration;
@@ -106,6 +157,9 @@
     reports: BTreeMap<HostName, HostReach>,
     /// Hosts that take no forwarded calls, with the end of that time.
     avoided: BTreeMap<HostName, Instant>,
+    /// Hosts that have not answered a forwarded call, with the end of the time for which that counts.
+    unanswered: BTreeMap<HostName, Instant>,
+    heard: BTreeMap<HostName, HeardHost>,
 }
 
 impl ReachTable {
@@ -185,6 +239,8 @@
         self.failures.retain(|service, _| is_served(service));
         self.reports.retain(|host, reach| is_known(host) && now < reach.at + REPORT_TIME);
         self.avoided.retain(|host, until| is_known(host) && now < *until);
+        self.unanswered.retain(|host, until| is_known(host) && now < *until);
+        self.heard.retain(|host, heard| is_known(host) && now < heard.at + SILENCE_TIME);
     }
 
     /// Reports for other hosts: of `own`, this host, and with what it has heard if that is to be
@@ -240,8 +296,63 @@
         self.avoided.insert(host.clone(), until);
     }
 
-    /// Chooses the host that a call is passed on to: in the own failure domain if its hosts can take
-    /// one call for each of their own, at random by capacity. `draw` is random in 0..1.
+    /// Asks a host last for some time, since it has not answered a forwarded call.
+    pub fn record_unanswered(&mut self, host: &HostName, now: Instant) {
+        self.unanswered.insert(host.clone(), now + UNANSWERED_TIME);
+    }
+
+    /// Records that this host has heard another one itself.
+    pub fn record_heard(&mut self, host: &HostName, now: Instant) {
+        self.insert_heard(host.clone(), HeardHost { at: now, is_direct: true });
+    }
+
+    /// When hosts were heard of, for another host: at most 32 of them, spread over all by `draw`,
+    /// which is random in 0..1. None while all hosts are known to reach all services. With
+    /// `is_direct_only`, only hosts that this one has heard itself.
+    pub fn heard_ages(&self, is_direct_only: bool, draw: f64, now: Instant) -> HeardAges {
+        let has_loss = self.reports.values().any(|reach| now < reach.at + REPORT_TIME)
+            || self.failures.values().any(|failure| failure.is_lost(now));
+        if !has_loss {
+            return HeardAges::new();
+        }
+        let heard = self.heard.iter().filter(|(_, heard)| {
+            now < heard.at + SILENCE_TIME && (heard.is_direct || !is_direct_only)
+        });
+        let heard: Vec<_> = heard.collect();
+        let step = heard.len().div_ceil(MAX_HEARD_REPORTED).max(1);
+        let offset = ((draw * step as f64) as usize).min(step - 1);
+        let chosen = heard.into_iter().skip(offset).step_by(step);
+        // Rounded up, so that hosts that pass an age back and forth do not make it younger.
+        let age = |heard: &HeardHost| now.saturating_duration_since(heard.at).as_millis() + 1;
+        chosen.map(|(host, heard)| (host.clone(), age(heard) as u64)).collect()
+    }
+
+    /// Takes when another host has last heard of hosts.
+    pub fn apply_heard(&mut self, own: &HostName, ages: HeardAges, now: Instant) {
+        for (host, age_ms) in ages.into_iter().take(MAX_REPORTED_HOSTS) {
+            let at = now.checked_sub(Duration::from_millis(age_ms));
+            let Some(at) = at.filter(|at| now < *at + SILENCE_TIME) else { continue };
+            if host != *own {
+                self.insert_heard(host, HeardHost { at, is_direct: false });
+            }
+        }
+    }
+
+    fn insert_heard(&mut self, host: HostName, heard: HeardHost) {
+        if self.heard.len() >= MAX_HEARD_HOSTS {
+            self.heard.retain(|_, known| heard.at < known.at + SILENCE_TIME);
+        }
+        let is_full = self.heard.len() >= MAX_HEARD_HOSTS;
+        match self.heard.get_mut(&host) {
+            Some(known) if known.at < heard.at => *known = heard,
+            None if !is_full => drop(self.heard.insert(host, heard)),
+            Some(_) | None => {}
+        }
+    }
+
+    /// Chooses the host that a call is passed on to: among those that were heard of recently if there
+    /// are any, in the own failure domain if its hosts can take one call for each of their own, at
+    /// random by capacity. `draw` is random in 0..1.
     pub fn choose_host<'a>(
         &self,
         query: HostQuery<'_>,
@@ -252,36 +363,51 @@
         if query.tried.len() >= MAX_HOSTS {
             return None;
         }
-        let (mut own_domain, mut others) = (Vec::new(), Vec::new());
-        let (mut serving, mut lost) = (0.0, weight(query.capacity));
+        let mut ranks = BTreeMap::<HostRank, RankedHosts<'a>>::new();
+        // Weight of the hosts that pass calls on, and of those in the own domain that take none.
+        let (mut forwarding, mut lost) = (weight(query.capacity), weight(query.capacity));
         let mut tried_own = 0;
         for (name, host) in hosts {
             let is_own_domain = *host.domain == *query.domain;
             let is_tried = query.tried.contains(name);
+            let weight = weight(host.capacity);
             tried_own += usize::from(is_own_domain && is_tried);
-            let is_open =
-                !self.is_avoided(name, now) && !self.cannot_reach(name, query.service, now);
-            if is_own_domain {
-                let sum = if is_open { &mut serving } else { &mut lost };
-                *sum += weight(host.capacity);
+            let cannot_reach = self.cannot_reach(name, query.service, now);
+            if cannot_reach {
+                forwarding += weight;
             }
-            if is_open && !is_tried {
-                let group = if is_own_domain { &mut own_domain } else { &mut others };
-                group.push((name, weight(host.capacity)));
+            if !cannot_reach && !self.is_avoided(name, now) {
+                let ranked = ranks.entry(self.rank(name, now)).or_default();
+                ranked.add((name, weight), is_own_domain, is_tried);
+            } else if is_own_domain {
+                lost += weight;
             }
         }
-        if tried_own >= MAX_OWN_DOMAIN_HOSTS && !others.is_empty() {
-            own_domain.clear();
+        if tried_own >= MAX_OWN_DOMAIN_HOSTS && ranks.values().any(|it| !it.others.is_empty()) {
+            ranks.values_mut().for_each(|ranked| ranked.own_domain.clear());
         }
-        let own_share = match (own_domain.is_empty(), others.is_empty()) {
-            (true, _) => 0.0,
-            (false, true) => 1.0,
-            (false, false) => f64::min(serving / lost, 1.0),
-        };
-        if draw < own_share {
-            pick(&own_domain, draw / own_share)
+        ranks.retain(|_, ranked| !ranked.is_empty());
+        let mut ranks = ranks.into_iter();
+        let (rank, first) = ranks.next()?;
+        let second = ranks.next().filter(|_| rank == HostRank::HeardRecently);
+        let Some((_, second)) = second else { return first.choose(lost, draw) };
+        let share = f64::min(MAX_RECENT_LOAD * first.weight / forwarding, 1.0);
+        if draw < share {
+            first.choose(lost, draw / share)
         } else {
-            pick(&others, (draw - own_share) / (1.0 - own_share))
+            second.choose(lost, (draw - share) / (1.0 - share))
+        }
+    }
+
+    fn rank(&self, host: &str, now: Instant) -> HostRank {
+        if self.unanswered.get(host).is_some_and(|until| now < *until) {
+            return HostRank::NotAnswering;
+        }
+        let age = self.heard.get(host).map(|heard| now.saturating_duration_since(heard.at));
+        match age {
+            Some(age) if age <= RECENT_TIME => HostRank::HeardRecently,
+            Some(age) if age < SILENCE_TIME => HostRank::HeardBefore,
+            Some(_) | None => HostRank::NotHeard,
         }
     }
 
@@ -297,6 +423,38 @@
     }
 }
 
+impl<'a> RankedHosts<'a> {
+    fn add(&mut self, host: (&'a HostName, f64), is_own_domain: bool, is_tried: bool) {
+        self.weight += host.1;
+        if is_own_domain {
+            self.own_domain_weight += host.1;
+        }
+        if !is_tried {
+            let group = if is_own_domain { &mut self.own_domain } else { &mut self.others };
+            group.push(host);
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.own_domain.is_empty() && self.others.is_empty()
+    }
+
+    /// Chooses a host of the own failure domain for the share of calls that is one for each of their
+    /// own. `lost` is the weight of the hosts of that domain that take no calls.
+    fn choose(&self, lost: f64, draw: f64) -> Option<&'a HostName> {
+        let own_share = match (self.own_domain.is_empty(), self.others.is_empty()) {
+            (true, _) => 0.0,
+            (false, true) => 1.0,
+            (false, false) => f64::min(self.own_domain_weight / lost, 1.0),
+        };
+        if draw < own_share {
+            pick(&self.own_domain, draw / own_share)
+        } else {
+            pick(&self.others, (draw - own_share) / (1.0 - own_share))
+        }
+    }
+}
+
 impl LinkFailure {
     /// When the service counts as lost; none before its endpoints were probed.
     fn lost_at(&self) -> Option<Instant> {
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -4,6 +4,7 @@
 //! whether another source is opened beside it.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -22,7 +23,7 @@
 use crate::forward::{self, ForwardError, ForwardHost};
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
-use crate::pool::{ConnectionLease, SendError};
+use crate::pool::{ConnectionLease, PooledReply, SendError};
 use crate::reply::{ReplyBody, is_endless};
 use crate::reroute::reroute;
 use crate::response::{endpoint_response, full_body};
@@ -155,17 +156,22 @@
     async fn open_at_host(&mut self, host: ForwardHost) -> Result<SourceStep, SourceFailure> {
         let context = self.context.clone();
         let (state, call) = (&context.state, &context.call);
-        let is_retry = context.sends() > 0;
+        let is_hedge = self.retry == Some(RetryReason::Hedge);
+        let is_retry = context.sends() > 0 || is_hedge;
         if self.retry.is_some_and(|reason| is_retry && !context.take_retry(reason)) {
             return Err(SourceFailure::NoPath("the retry budget is spent".into()));
         }
+        if is_hedge {
+            // The host that is silent may have counted the first attempt.
+            call.is_counted.set(true);
+        }
         context.record_host(&host);
         log::info!(
             event = "stream_forwarded", attempt = &*call.head.attempt, peer = &*host.name,
             sends = context.sends(), resume_after = self.resume_after.unwrap_or(0);
             "stream is passed on to another host"
         );
-        let reply = match forward::send_to(state, call, &host, self.resume_after).await {
+        let reply = match self.send_to_host(&host).await {
             Ok(reply) => reply,
             Err(ForwardError::NotRun(fault)) => return Err(SourceFailure::NotRun(fault)),
             Err(ForwardError::Unknown(fault)) => {
@@ -194,6 +200,20 @@
         Err(SourceFailure::Unknown(error.into_fault()))
     }
 
+    /// Passes the stream on; reports it as silent if the other host does not answer in time.
+    async fn send_to_host(&self, host: &ForwardHost) -> Result<PooledReply, ForwardError> {
+        let StreamContext { state, call, .. } = &*self.context;
+        let mut sending = pin!(forward::send_to(state, call, host, self.resume_after));
+        tokio::select! {
+            biased;
+            sent = &mut sending => sent,
+            () = sleep(forward::answer_time(call)) => {
+                self.is_silent.set(true);
+                sending.await
+            }
+        }
+    }
+
     /// Waits for the next complete events of another host, or the end of the stream.
     async fn read_forwarded(
         &mut self,
@@ -297,7 +317,7 @@
             resume_after: self.resume_after,
             urgency: Some(urgency),
         };
-        let mut sending = std::pin::pin!(send(&context.state, &context.call, target));
+        let mut sending = pin!(send(&context.state, &context.call, target));
         loop {
             tokio::select! {
                 sent = &mut sending => return match sent {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -306,8 +306,11 @@
 
     /// Opens another source beside a silent one, if that is allowed.
     fn hedge(&mut self) {
+        let silence = self.context.last_event_at.get().elapsed();
+        // A host that has not answered at all counts as silent only after half of the objective.
+        let is_unanswered = self.context.is_forwarded.get() && !self.is_started;
         let is_worthwhile = self.sources.len() < MAX_SOURCES
-            && self.context.last_event_at.get().elapsed() < MAX_HEDGE_SILENCE
+            && (silence < MAX_HEDGE_SILENCE || is_unanswered)
             && self.context.may_resend(RetryReason::Hedge);
         let position = self.resume_position().filter(|_| is_worthwhile);
         if !std::mem::replace(&mut self.is_silence_logged, true) || position.is_some() {
@@ -315,7 +318,7 @@
             log::info!(
                 event = "stream_silent", attempt = &*call.head.attempt, sends = self.context.sends(),
                 hedged = position.is_some(), last_event = self.context.last_event_id.get().unwrap_or(0),
-                silent_ms = self.context.last_event_at.get().elapsed().as_millis() as u64;
+                silent_ms = silence.as_millis() as u64;
                 "stream is silent; waiting for its endpoint"
             );
         }
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use forwarding::{CutForm, EVENT_PAUSE, TestHost, TestSite, all_events, request, serve};
+use forwarding::{
+    CutForm, EVENT_PAUSE, ReceivedAttempts, TestHost, TestSite, all_events, request, serve,
+};
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Response, StatusCode};
@@ -348,6 +350,8 @@
             site.wait_for_hosts(3).await;
             site.lose(1, "desk", CutForm::Refuse).await;
             for number in 0..30 {
+                // Hosts of the previous release exchange loads, which this one does not.
+                record_heard(&site.hosts[1], "previous");
                 let attempt = format!("a{number}");
                 assert_eq!(site.hosts[1].status("/desk/x", &attempt).await, 201);
                 assert_eq!(site.arrivals(&attempt), 1);
@@ -469,3 +473,105 @@
     })
     .await;
 }
+
+/// Route objective of the test's rules; a call goes to the next host after half of it.
+const OBJECTIVE: Duration = Duration::from_millis(500);
+
+/// A site whose second host has lost a service, with a third host that never answers and is the
+/// first to be asked.
+async fn site_with_silent_host(service: &str) -> (TestSite, ReceivedAttempts) {
+    let site = TestSite::start(2).await;
+    let received = site.add_silent_host("silent").await;
+    site.wait_for_hosts(3).await;
+    site.lose(1, service, CutForm::Refuse).await;
+    // Calls that were sent before the loss was known do not count, nor what they left behind.
+    sleep(Duration::from_millis(1_300)).await;
+    (site, received)
+}
+
+/// Makes a host take another one for heard of, as an exchange does.
+fn record_heard(host: &TestHost, other: &str) {
+    host.state.reach.borrow_mut().record_heard(&other.into(), Instant::now());
+}
+
+/// Number of times that a host received an attempt.
+fn count_received(received: &ReceivedAttempts, attempt: &str) -> usize {
+    received.borrow().iter().filter(|of| ***of == *attempt).count()
+}
+
+/// A host that accepted connections and never answered kept repeatable calls until their deadline.
+#[tokio::test]
+async fn repeatable_call_goes_to_the_next_host_if_one_does_not_answer() {
+    run(async {
+        let (site, received) = site_with_silent_host("desk").await;
+        record_heard(&site.hosts[1], "silent");
+        let started = Instant::now();
+        assert_eq!(site.hosts[1].status("/lookup/x", "safe").await, 201);
+        let elapsed = started.elapsed();
+        assert!(elapsed >= OBJECTIVE / 2 && elapsed < OBJECTIVE, "{elapsed:?}");
+        assert_eq!((count_received(&received, "safe"), site.arrivals("safe")), (1, 1));
+        // Without a retry left, the call is not sent twice.
+        sleep(Duration::from_millis(1_300)).await;
+        while site.hosts[1].state.allow_retry("desk", "test", 0.0) {}
+        record_heard(&site.hosts[1], "silent");
+        assert_eq!(site.hosts[1].status("/lookup/x", "spent").await, 504);
+        assert_eq!((count_received(&received, "spent"), site.arrivals("spent")), (1, 0));
+    })
+    .await;
+}
+
+/// A stream without a first event waited for a host that never answered until its deadline.
+#[tokio::test]
+async fn stream_goes_to_the_next_host_if_one_does_not_answer() {
+    run(async {
+        let (site, received) = site_with_silent_host("guide").await;
+        record_heard(&site.hosts[1], "silent");
+        let started = Instant::now();
+        let (status, _, body) = site.hosts[1].call("/guide/x", "stream").await.expect("a stream");
+        let elapsed = started.elapsed();
+        assert_eq!((status, &*body), (200, all_events(20).as_bytes()));
+        assert!(elapsed >= OBJECTIVE / 2, "{elapsed:?}");
+        assert!(elapsed < OBJECTIVE + EVENT_PAUSE * 20, "{elapsed:?}");
+        assert_eq!((count_received(&received, "stream"), site.arrivals("stream")), (1, 1));
+    })
+    .await;
+}
+
+/// A call that must run at most once must not be sent to a second host while the first may still
+/// run it. The others that come meanwhile ask that host last.
+#[tokio::test]
+async fn call_that_must_run_once_is_sent_once_if_a_host_does_not_answer() {
+    run(async {
+        let (site, received) = site_with_silent_host("desk").await;
+        let others = async {
+            sleep(OBJECTIVE / 2 + Duration::from_millis(100)).await;
+            for number in 0..10 {
+                record_heard(&site.hosts[1], "silent");
+                let attempt = format!("other{number}");
+                assert_eq!(site.hosts[1].status("/desk/x", &attempt).await, 201);
+                assert_eq!((count_received(&received, &attempt), site.arrivals(&attempt)), (0, 1));
+            }
+        };
+        record_heard(&site.hosts[1], "silent");
+        let (status, ()) = tokio::join!(site.hosts[1].status("/desk/x", "once"), others);
+        assert!([502, 504].contains(&status), "the outcome is unknown: {status}");
+        assert_eq!((count_received(&received, "once"), site.arrivals("once")), (1, 0));
+    })
+    .await;
+}
+
+/// A host that has not exchanged loads for a while got as many calls as all others, which waited
+/// there until their deadline.
+#[tokio::test]
+async fn host_that_is_not_heard_of_gets_no_calls_while_others_are() {
+    run(async {
+        let (site, received) = site_with_silent_host("desk").await;
+        received.borrow_mut().clear();
+        for number in 0..20 {
+            let path = ["/lookup/x", "/desk/x"][number % 2];
+            assert_eq!(site.hosts[1].status(path, &format!("a{number}")).await, 201);
+        }
+        assert!(received.borrow().is_empty(), "{:?}", received.borrow());
+    })
+    .await;
+}
--- a/crates/entry/tests/reach_decisions.rs
+++ b/crates/entry/tests/reach_decisions.rs
@@ -319,3 +319,149 @@
     }
     assert!((700..800).contains(&strong), "{strong} of 1,000 calls for three quarters");
 }
+
+/// A table that has heard of hosts at a time by the exchange, given with their ages in ms.
+fn table_heard(ages: impl IntoIterator<Item = (usize, u64)>, now: Instant) -> ReachTable {
+    let mut table = ReachTable::default();
+    let ages = ages.into_iter().map(|(number, age_ms)| (host_name(number), age_ms)).collect();
+    table.apply_heard(&"own".into(), ages, now);
+    table
+}
+
+/// Order in which a call asks hosts.
+fn asked_hosts(
+    table: &ReachTable,
+    hosts: &BTreeMap<HostName, PeerHost>,
+    draw: f64,
+    now: Instant,
+) -> Vec<HostName> {
+    let (mut tried, mut asked) = (BTreeSet::new(), Vec::new());
+    while let Some(chosen) = table.choose_host(query(&tried), hosts, draw, now) {
+        tried.insert(chosen.clone());
+        asked.push(chosen.clone());
+    }
+    asked
+}
+
+/// A host that was frozen or cut off got calls like all others, which waited there.
+#[test]
+fn hosts_that_were_heard_of_recently_are_asked_first() {
+    let (hosts, now) = (hosts(3), Instant::now());
+    // The host of the own domain has not been heard of for longest.
+    let table = table_heard([(0, 1_500), (1, 500), (2, 501)], now);
+    for draw in [0.0, 0.3, 0.6, 0.99] {
+        let asked = asked_hosts(&table, &hosts, draw, now);
+        assert_eq!(asked, [1, 2, 0].map(host_name), "draw {draw}");
+    }
+    let mut table = table_heard([(1, 499), (2, 400)], now);
+    table.record_heard(&host_name(0), now);
+    let asked = asked_hosts(&table, &hosts, 0.5, now);
+    assert_eq!(asked[0], host_name(0), "the own domain is first among equals");
+    table.record_heard(&host_name(1), now + ms(400));
+    let asked = asked_hosts(&table, &hosts, 0.5, now + ms(600));
+    assert_eq!(asked[0], host_name(1), "the ages of what was heard grow");
+}
+
+/// Each host has to take its share of calls among those that were heard of recently.
+#[test]
+fn hosts_that_were_heard_of_recently_share_the_calls() {
+    let (hosts, now, tried) = (hosts(63), Instant::now(), BTreeSet::new());
+    let table = table_heard((0..63).filter(|number| number % 2 == 0).map(|it| (it, 300)), now);
+    let mut random = ChaCha8Rng::seed_from_u64(5);
+    let mut taken = BTreeMap::<HostName, u32>::new();
+    for _ in 0..2_000 {
+        let chosen = table.choose_host(query(&tried), &hosts, random.random(), now);
+        *taken.entry(chosen.expect("a host").clone()).or_default() += 1;
+    }
+    // 11 hosts of the own domain were heard of.
+    assert_eq!(taken.len(), 11);
+    assert!(taken.values().all(|count| (91..364).contains(count)), "{taken:?}");
+}
+
+/// Right after a whole domain has lost connectivity, its hosts know of the placement holder alone,
+/// which must not take the calls of all of them.
+#[test]
+fn single_host_that_was_heard_of_does_not_take_all_calls() {
+    let (hosts, now, tried) = (hosts(63), Instant::now(), BTreeSet::new());
+    let mut table = table_without((0..63).filter(|number| number % 3 == 0), now);
+    table.record_heard(&host_name(1), now);
+    let mut random = ChaCha8Rng::seed_from_u64(9);
+    let chosen = (0..2_000).filter(|_| {
+        table.choose_host(query(&tried), &hosts, random.random(), now) == Some(&host_name(1))
+    });
+    // Four calls for each of its own are four of 22 calls.
+    let share = chosen.count() as f64 / 2_000.0;
+    assert!(share < 4.0 / 22.0 + 0.05, "{share} of all calls");
+}
+
+/// A host that does not answer must not get further calls while others may be asked.
+#[test]
+fn host_that_does_not_answer_is_asked_last() {
+    let (hosts, now) = (hosts(3), Instant::now());
+    let mut table = table_heard([(0, 0), (1, 0), (2, 1_000)], now);
+    table.record_unanswered(&host_name(0), now);
+    for draw in [0.0, 0.3, 0.6, 0.99] {
+        let asked = asked_hosts(&table, &hosts, draw, now);
+        assert_eq!(asked, [1, 2, 0].map(host_name), "draw {draw}");
+    }
+    let ages = [0, 1, 2].map(|number| (host_name(number), 0));
+    table.apply_heard(&"own".into(), ages.into(), now + ms(999));
+    assert_eq!(asked_hosts(&table, &hosts, 0.5, now + ms(999))[2], host_name(0));
+    assert_eq!(asked_hosts(&table, &hosts, 0.5, now + ms(1_000))[0], host_name(0));
+}
+
+/// Nothing is added to the exchange while every host reaches every service, and little otherwise.
+#[test]
+fn ages_are_exchanged_only_while_a_host_lacks_connectivity() {
+    let now = Instant::now();
+    let mut table = table_heard((0..300).map(|number| (number, 100)), now);
+    assert!(table.heard_ages(false, 0.5, now).is_empty());
+    table.apply(&"own".into(), &"holder".into(), vec![report(5, 0)], now);
+    let mut seen = BTreeSet::new();
+    for draw in 0..100 {
+        let ages = table.heard_ages(false, f64::from(draw) / 100.0, now);
+        assert!((1..=32).contains(&ages.len()), "{} ages", ages.len());
+        seen.extend(ages.into_keys());
+    }
+    assert_eq!(seen.len(), 300, "every host is named at some time");
+    assert!(table.heard_ages(true, 0.5, now).is_empty(), "no host was heard directly");
+    table.record_heard(&host_name(7), now);
+    assert_eq!(table.heard_ages(true, 0.5, now).into_keys().collect::<Vec<_>>(), [host_name(7)]);
+    assert!(table.heard_ages(false, 0.5, now + ms(1_500)).is_empty(), "reports have expired");
+}
+
+/// Hosts that pass ages back and forth must not make a silent host appear younger.
+#[test]
+fn ages_that_are_passed_on_do_not_shrink() {
+    let (now, hosts, tried) = (Instant::now(), hosts(2), BTreeSet::new());
+    let mut tables = [table_without(9..10, now), table_without(9..10, now)];
+    tables[0].record_heard(&host_name(0), now);
+    let mut at = now;
+    for step in 1..2_600 {
+        at = now + Duration::from_micros(step * 555);
+        let (from, to) = if step % 2 == 0 { (0, 1) } else { (1, 0) };
+        tables[from].apply(&"own".into(), &"holder".into(), vec![report(9, 0)], at);
+        let ages = tables[from].heard_ages(false, 0.5, at);
+        tables[to].apply_heard(&"own".into(), ages, at);
+    }
+    assert!(at > now + ms(1_400));
+    for table in &mut tables {
+        table.apply_heard(&"own".into(), [(host_name(1), 600)].into(), at);
+        let chosen = table.choose_host(query(&tried), &hosts, 0.1, at + ms(60));
+        assert_eq!(chosen, Some(&host_name(1)), "host 0 has been silent for over 1.5 s");
+    }
+}
+
+/// Forged ages: no overflow, no unbounded table, and other hosts are still asked.
+#[test]
+fn invalid_ages_have_bounded_effect() {
+    let (hosts, now) = (hosts(2), Instant::now());
+    let mut table = table_heard([(0, u64::MAX), (1, 0)], now);
+    for round in 0..3 {
+        let forged = (0..2_000).map(|number| (host_name(2_000 * (round + 1) + number), 0));
+        table.apply_heard(&"own".into(), forged.collect(), now);
+    }
+    table.apply(&"own".into(), &"holder".into(), vec![report(5, 0)], now);
+    assert!(table.heard_ages(false, 0.5, now).len() <= 32);
+    assert_eq!(asked_hosts(&table, &hosts, 0.5, now), [1, 0].map(host_name));
+}
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -51,6 +51,8 @@
 /// Time that callers wait for an answer.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Attempts that a host has received.
+pub(crate) type ReceivedAttempts = Rc<RefCell<Vec<Box<str>>>>;
 type TestBody = BoxBody<Bytes, std::io::Error>;
 
 fn body(text: impl Into<Bytes>) -> TestBody {
@@ -535,8 +537,30 @@
 
     /// Registers a host that a test serves itself; returns its address.
     pub(crate) async fn register_host(&self, name: &str) -> SocketAddr {
+        self.register_host_of(name, 250).await
+    }
+
+    /// Adds a host that accepts connections and requests and never answers; returns the attempts of
+    /// the forwarded calls that it receives. Its capacity makes it the first to be asked among hosts
+    /// that are equal otherwise.
+    pub(crate) async fn add_silent_host(&self, name: &str) -> ReceivedAttempts {
+        let address = self.register_host_of(name, 1_000_000).await;
+        let received = ReceivedAttempts::default();
+        let record = received.clone();
+        serve(address, move |request| {
+            if request.uri().path().starts_with("/forward/") {
+                let attempt = text(request.headers(), "attempt").unwrap_or_default();
+                record.borrow_mut().push(attempt.into());
+            }
+            std::future::pending()
+        })
+        .await;
+        received
+    }
+
+    async fn register_host_of(&self, name: &str, capacity: u32) -> SocketAddr {
         let address = SocketAddr::new(own_address(), PORT);
-        let text = format!("{address} north 250").into();
+        let text = format!("{address} north {capacity}").into();
         let client = self.registry.client(name);
         let written = client.write_record(RecordGroup::Hosts, name.into(), None, text).await;
         written.expect("the record is written");
