--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -115,7 +115,7 @@
 pub use queue::{ObjectiveQueue, QueueNumber, QueuePosition, WaitClass, WaitQueue};
 pub use quota::{CrossingQuota, LinkQuota};
 pub use rates::{ObservationId, PermitDraw, PermitGrant, RateChange, RateTable, SharedRate};
-pub use reach::{HostQuery, ReachReport, ReachTable};
+pub use reach::{HeardAges, HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
 pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
