--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod heartbeat;
 mod inflight;
 mod layout;
+mod lease;
 mod levels;
 mod loads;
 mod logs;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -13,7 +13,7 @@
 use crate::adapter::RecordGroup;
 use crate::shutdown::StopPlan;
 use crate::state::EntryState;
-use crate::{follow, forward, front, peers, placement, watchdog};
+use crate::{follow, forward, front, lease, peers, watchdog};
 
 /// Interval at which shutdown checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -60,7 +60,7 @@
     tokio::task::spawn_local(follow::follow_endpoints(state.clone()));
     tokio::task::spawn_local(follow::follow_hosts(state.clone()));
     tokio::task::spawn_local(follow::expire(state.clone()));
-    tokio::task::spawn_local(placement::run(state.clone()));
+    tokio::task::spawn_local(lease::run(state.clone()));
     tokio::task::spawn_local(watchdog::run(state.clone()));
     tokio::task::spawn_local(forward::watch_links(state.clone()));
     tokio::task::spawn_local(peers::exchange_loads(state.clone()));
