Take the placement lease once the holder's process has ended

Cause: after the holder was killed, nothing was placed for up to 5 s while endpoints were empty: a lease counts as expired 2.5 s after its record was last seen to change, hosts look at the record only once they have not heard of the holder for 1.3 s, and a new holder waits 1.3 s before it assigns layers to an empty endpoint.

--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -275,6 +275,7 @@
 pub(crate) fn endpoints_changed(state: &EntryState) {
     state.forget_ended();
     let endpoints = state.endpoints.borrow();
+    state.empty_endpoints.borrow_mut().update(endpoints.entries(), Instant::now());
     state.health.borrow_mut().retain(|name| endpoints.get(name).is_some());
     drop(endpoints);
     state.prune_unlisted();
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -364,6 +364,7 @@
 
 /// Records that an endpoint has replied.
 pub(crate) fn record_reply(state: &EntryState, entry: &EndpointEntry) {
+    state.takeover.borrow_mut().record_endpoint_reply(Instant::now());
     let mut reach = state.reach.borrow_mut();
     if !reach.is_doubtful(&entry.service) {
         return;
@@ -446,7 +447,7 @@
 
 /// Probes some endpoints of a service, chosen at random: those first that are not known to be down,
 /// since one of them may reply.
-fn probe_service(state: &Rc<EntryState>, service: &str) {
+pub(crate) fn probe_service(state: &Rc<EntryState>, service: &str) {
     let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
     let listed = endpoints.entries().filter(|entry| &*entry.service == service);
     let (up, down): (Vec<_>, Vec<_>) = listed.partition(|entry| !health.is_down(&entry.name));
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -4,10 +4,11 @@
 //! Two holders at the same time do no harm: each order states how many orders the endpoint must
 //! have accepted before, so that one of two concurrent orders fails.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jacinthrock::MetricName;
+use jacinthrock::{MetricName, ServiceName};
 use rand::Rng;
 use rand::seq::IteratorRandom;
 use tokio::task::JoinHandle;
@@ -15,68 +16,58 @@
 
 use crate::adapter::{RecordGroup, RegistryError, RegistryRecord};
 use crate::endpoints::LayerSpan;
+use crate::forward::probe_service;
 use crate::peers;
 use crate::placement::run_planner;
 use crate::state::{EntryState, PlacementHolder};
+use crate::takeover::{LeaseInputs, LeaseText, TAKEOVER_AFTER, TakeReason};
 use crate::version::RegistryVersion;
 
 /// Name of the lease and of its record in the registry.
 const PLACEMENT_LEASE: &str = "placement";
 /// Interval between two renewals of the lease.
 const RENEW_INTERVAL: Duration = Duration::from_millis(1_000);
-/// Pause before a renewal is tried again, short enough for several tries before the lease runs out.
+/// Pause before a renewal is tried again, short enough for several tries before the lease runs out,
+/// or before this host looks again at the lease of a process that has ended.
 const RENEW_RETRY_PAUSE: Duration = Duration::from_millis(200);
 /// Interval between two checks that the holder still replies to this host's load reports.
 const HOLDER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Time without a renewal after which another host takes over the lease.
-const TAKEOVER_AFTER: Duration = Duration::from_millis(2_500);
+/// Interval between two checks that the holder still reaches endpoints.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a holder that has lost a service probes services of which it knows nothing.
+const LINK_PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time since the start of its last renewal after which a holder stops placing, shorter than the
 /// time after which others take over.
 const LEASE_TIME: Duration = Duration::from_millis(2_300);
 /// Time over which the weakest hosts spread their attempts to take the lease.
 const TAKE_SPREAD: Duration = Duration::from_millis(500);
-/// Capacity of a host that waits for the whole of `TAKE_SPREAD`: an eighth of a core.
+/// The same for the lease of a holder that has ended. Hosts find that out over 200 ms as they
+/// exchange loads, and the lease must be held within a second of the end.
+const ENDED_TAKE_SPREAD: Duration = Duration::from_millis(150);
+/// Capacity of a host that waits for the whole spread: an eighth of a core.
 const WEAK_CAPACITY: f64 = 125.0;
 /// Most hosts with a lower name, and most with a higher one, that a host asks for the holder before
 /// it acts as holder itself.
 const MAX_ASKED_HOSTS: usize = 3;
 /// Acquires the lease whenever no other host holds it, until the process ends.
 pub(crate) async fn run(state: Rc<EntryState>) {
-    let mut last_seen: Option<(Option<RegistryVersion>, Instant)> = None;
     let mut unavailable_since: Option<Instant> = None;
     // Text of a write whose reply was lost.
     let mut unanswered: Option<Box<str>> = None;
     loop {
-        if state.is_following_holder() {
+        if state.is_following_holder() && !has_holder_ended(&state) {
             // The holder replies, so that no takeover is needed.
-            sleep(HOLDER_CHECK_INTERVAL).await;
-            if state.is_following_holder() {
+            wait_for_holder_end(&state, HOLDER_CHECK_INTERVAL).await;
+            if state.is_following_holder() && !has_holder_ended(&state) {
                 continue;
             }
         }
-        let free_version = match state.registry.records(RecordGroup::Leases).await {
+        let found = match state.registry.records(RecordGroup::Leases).await {
             // A stale reply may show the registry before it was restored.
             Ok((listed, _)) if listed.era < state.registry_era() => None,
             Ok((listed, records)) => {
-                state.record_registry_reply(listed);
-                let record = lease_record(&records);
-                let version = record.map(|record| record.version);
-                let now = Instant::now();
-                let since = match last_seen {
-                    Some((known, since)) if known == version => since,
-                    _ => now,
-                };
-                last_seen = Some((version, since));
                 unavailable_since = None;
-                *state.placement_holder.borrow_mut() =
-                    record.and_then(|record| parse_holder(&record.text));
-                let is_free = record.is_none_or(|record| record.text.is_empty());
-                let is_written =
-                    record.is_some_and(|record| Some(&record.text) == unanswered.as_ref());
-                let may_take = is_written || is_free && !may_be_restored(&state);
-                // A holder that replies without a renewal acts for an outage, and ends by itself.
-                let is_lapsed = now - since >= TAKEOVER_AFTER && !state.has_heard_holder();
-                (may_take || is_lapsed).then_some(version)
+                find_reason(&state, listed, &records, unanswered.as_deref())
             }
             Err(_) => {
                 let outage_start = *unavailable_since.get_or_insert_with(Instant::now);
@@ -89,50 +80,120 @@
                 None
             }
         };
-        let free_version = free_version.filter(|_| !state.is_leaving() && state.rules().is_some());
-        if let Some(version) = free_version
-            && is_still_free(&state, version).await
+        let may_take = !state.is_leaving() && state.rules().is_some() && !is_barred(&state);
+        if let Some((version, reason)) = found.filter(|_| may_take)
+            && is_still_free(&state, version, reason).await
         {
-            let text = record_text(&state, version.unwrap_or_default());
-            let taken = state.registry.write_record(
-                RecordGroup::Leases,
-                PLACEMENT_LEASE.into(),
-                version,
-                text.clone(),
-            );
-            unanswered = None;
-            match taken.await {
-                Ok(version) => {
-                    state.record_registry_reply(version);
-                    let end = hold_lease(&state, version).await;
-                    last_seen = None;
-                    if end == LeaseEnd::Unreachable {
-                        act_as_holder(&state, false).await;
-                    }
-                }
-                Err(RegistryError::Ambiguous(reason)) => {
-                    log::info!(
-                        event = "duty_unconfirmed", duty = PLACEMENT_LEASE, reason = &*reason;
-                        "no reply to the write of the placement lease"
-                    );
-                    unanswered = Some(text);
-                }
-                Err(error) => log::info!(
-                    event = "duty_untaken", duty = PLACEMENT_LEASE, error:% = error;
-                    "could not acquire the placement lease"
-                ),
+            unanswered = take_lease(&state, version, reason).await;
+        }
+        let is_own = found.is_some_and(|(_, reason)| reason == TakeReason::OwnRecord);
+        let is_urgent = is_own || has_holder_ended(&state);
+        // In a longer outage, hosts ask the registry as rarely as they do without an ended holder.
+        let is_away = unavailable_since.is_some_and(|at| at.elapsed() >= RENEW_INTERVAL);
+        let pause = if is_urgent && !is_away { RENEW_RETRY_PAUSE } else { RENEW_INTERVAL };
+        wait_for_holder_end(&state, pause).await;
+    }
+}
+
+/// Whether exchanges show that the process of the placement holder has ended.
+fn has_holder_ended(state: &EntryState) -> bool {
+    let holder = state.placement_holder.borrow();
+    let has_ended = |it: &PlacementHolder| state.takeover.borrow().has_ended(it, Instant::now());
+    holder.as_ref().is_some_and(has_ended)
+}
+
+/// Waits until the process of the placement holder is found to have ended, but not for longer than
+/// a limit.
+async fn wait_for_holder_end(state: &EntryState, limit: Duration) {
+    let _ = timeout(limit, state.holder_ended.notified()).await;
+}
+
+/// Records what the registry lists, and returns whether this host may take the lease: over which
+/// version, and why.
+fn find_reason(
+    state: &EntryState,
+    listed: RegistryVersion,
+    records: &[RegistryRecord],
+    unanswered: Option<&str>,
+) -> Option<(Option<RegistryVersion>, TakeReason)> {
+    state.record_registry_reply(listed);
+    let record = lease_record(records);
+    *state.placement_holder.borrow_mut() = record.and_then(|record| parse_holder(&record.text));
+    let inputs = LeaseInputs {
+        era: listed.era,
+        record,
+        own: &own_holder(state),
+        boot_id: state.boot_id,
+        unanswered,
+        may_be_restored: may_be_restored(state),
+        hears_holder: state.has_heard_holder(),
+    };
+    let reason = state.takeover.borrow_mut().take_reason(inputs, Instant::now());
+    reason.map(|reason| (record.map(|record| record.version), reason))
+}
+
+/// Takes the lease over a version of its record, and holds it until it is lost. Returns the text of
+/// a write whose reply was lost.
+async fn take_lease(
+    state: &Rc<EntryState>,
+    version: Option<RegistryVersion>,
+    reason: TakeReason,
+) -> Option<Box<str>> {
+    // The text names the era, which shows after a restore that the record is of a former one.
+    let first = RegistryVersion { era: state.registry_era(), revision: 0 };
+    let text = record_text(state, version.unwrap_or(first));
+    let taken = state.registry.write_record(
+        RecordGroup::Leases,
+        PLACEMENT_LEASE.into(),
+        version,
+        text.clone(),
+    );
+    match taken.await {
+        Ok(version) => {
+            state.record_registry_reply(version);
+            state.takeover.borrow_mut().record_taken(reason, Instant::now());
+            let end = hold_lease(state, version, reason).await;
+            if end == LeaseEnd::Unreachable {
+                act_as_holder(state, false).await;
             }
+            None
+        }
+        Err(RegistryError::Ambiguous(error)) => {
+            log::info!(
+                event = "duty_unconfirmed", duty = PLACEMENT_LEASE, reason = &*error;
+                "no reply to the write of the placement lease"
+            );
+            Some(text)
+        }
+        Err(error) => {
+            log::info!(
+                event = "duty_untaken", duty = PLACEMENT_LEASE, reason = reason.name(),
+                error:% = error; "could not acquire the placement lease"
+            );
+            None
         }
-        sleep(RENEW_INTERVAL).await;
     }
 }
 
 /// Waits for a random time, shorter on hosts with more capacity, and returns whether no host has
-/// taken the lease meanwhile. All hosts find a lapsed lease at about the same time.
-async fn is_still_free(state: &EntryState, version: Option<RegistryVersion>) -> bool {
+/// taken the lease meanwhile. All hosts find a lapsed lease at about the same time; the record of an
+/// ended process of this host is taken by no other before that.
+async fn is_still_free(
+    state: &EntryState,
+    version: Option<RegistryVersion>,
+    reason: TakeReason,
+) -> bool {
+    let spread = match reason {
+        TakeReason::OwnRecord => return true,
+        TakeReason::HolderEnded => ENDED_TAKE_SPREAD,
+        TakeReason::Free | TakeReason::Lapsed => TAKE_SPREAD,
+    };
     let weakness = (WEAK_CAPACITY / f64::from(state.options.capacity.max(1))).min(1.0);
     let draw = rand::rng().random_range(0.0..1.0);
-    sleep(TAKE_SPREAD.mul_f64(weakness * draw)).await;
+    sleep(spread.mul_f64(weakness * draw)).await;
+    if reason == TakeReason::HolderEnded && !has_holder_ended(state) {
+        return false;
+    }
     match state.registry.records(RecordGroup::Leases).await {
         Ok((_, records)) => {
             let record = lease_record(&records);
@@ -198,12 +259,18 @@
     Failed(RegistryError),
     /// The lease is void, or another host has it.
     Lost,
+    /// This host reaches no endpoint, and another one does.
+    Unreached,
 }
 
 /// Waits for a pause and renews the lease.
-async fn renew(state: &EntryState, version: RegistryVersion, pause: Duration) -> LeaseRenewal {
+async fn renew(state: &Rc<EntryState>, version: RegistryVersion, pause: Duration) -> LeaseRenewal {
     // The rules and endpoints that this host follows may show a restore before a renewal does.
-    let restored = timeout(pause, state.registry_restored.notified()).await.is_ok();
+    let restored = tokio::select! {
+        () = state.registry_restored.notified() => true,
+        () = endpoints_unreached(state) => return LeaseRenewal::Unreached,
+        () = sleep(pause) => false,
+    };
     if restored || state.registry_era() > version.era {
         return LeaseRenewal::Lost;
     }
@@ -241,15 +308,21 @@
 }
 
 /// Holds the lease until it is lost or the process ends.
-async fn hold_lease(state: &Rc<EntryState>, mut version: RegistryVersion) -> LeaseEnd {
+async fn hold_lease(
+    state: &Rc<EntryState>,
+    mut version: RegistryVersion,
+    reason: TakeReason,
+) -> LeaseEnd {
     log::info!(
-        event = "duty_taken", duty = PLACEMENT_LEASE, version:% = version; "acquired the placement lease"
+        event = "duty_taken", duty = PLACEMENT_LEASE, version:% = version, reason = reason.name();
+        "acquired the placement lease"
     );
     state.metrics.set(MetricName::LeaseHeld, &[], 1);
     let guard = HolderGuard::new(state);
     let mut renewed = Instant::now();
     let mut end = LeaseEnd::Lost;
     let mut pause = RENEW_INTERVAL;
+    let mut is_unreached = false;
     while !state.is_leaving() {
         // Without a renewal in time, other hosts take the lease.
         let renewal = timeout_at(renewed + LEASE_TIME, renew(state, version, pause)).await;
@@ -269,10 +342,21 @@
                 error:% = error; "could not renew the placement lease"
             ),
             LeaseRenewal::Lost => break,
+            LeaseRenewal::Unreached => {
+                is_unreached = true;
+                break;
+            }
         }
     }
     guard.planning.abort();
-    if state.is_leaving() {
+    if is_unreached {
+        state.takeover.borrow_mut().record_released();
+        log::warn!(
+            event = "duty_released", duty = PLACEMENT_LEASE, reason = "no_endpoint_reached";
+            "this host reaches no endpoint and another one does; releasing the placement lease"
+        );
+    }
+    if is_unreached || state.is_leaving() {
         let released = state.registry.write_record(
             RecordGroup::Leases,
             PLACEMENT_LEASE.into(),
@@ -291,6 +375,53 @@
     end
 }
 
+/// Waits until this host, as the holder, has reached no endpoint for some time while another host
+/// reaches some.
+async fn endpoints_unreached(state: &Rc<EntryState>) {
+    let mut probed = Instant::now();
+    loop {
+        let is_doubtful = check_links(state);
+        // Without the registry, no other host could take the lease.
+        if state.takeover.borrow().should_release(Instant::now()) && state.can_reach_registry() {
+            return;
+        }
+        if is_doubtful && probed.elapsed() >= LINK_PROBE_INTERVAL {
+            probed = Instant::now();
+            probe_other_services(state);
+        }
+        sleep(LINK_CHECK_INTERVAL).await;
+    }
+}
+
+/// Services that have endpoints.
+fn listed_services(state: &EntryState) -> BTreeSet<ServiceName> {
+    state.endpoints.borrow().entries().map(|entry| entry.service.clone()).collect()
+}
+
+/// Records whether this host has lost all services that have endpoints; returns whether it has lost
+/// any.
+fn check_links(state: &EntryState) -> bool {
+    let (reach, now) = (state.reach.borrow(), Instant::now());
+    let services = listed_services(state);
+    let lost = services.iter().filter(|service| reach.is_lost(service, now)).count();
+    state.takeover.borrow_mut().record_links(lost > 0 && lost == services.len(), now);
+    lost > 0
+}
+
+/// Probes endpoints of services without failed connections. A host without callers of a service does
+/// not know whether it reaches it.
+fn probe_other_services(state: &Rc<EntryState>) {
+    let mut services = listed_services(state);
+    services.retain(|service| !state.reach.borrow().is_doubtful(service));
+    services.iter().for_each(|service| probe_service(state, service));
+}
+
+/// Whether this host has released the lease since it reached no endpoint, and still reaches none.
+fn is_barred(state: &EntryState) -> bool {
+    check_links(state);
+    state.takeover.borrow().is_barred()
+}
+
 /// Plans without the lease while the registry is unavailable to all hosts and no other holder
 /// replies. The host that held the lease goes on; without it, `yields_to_lower` is set, and of the
 /// hosts that reply, the one with the lowest name acts as holder. Two that act at the same time do
@@ -396,14 +527,12 @@
     PlacementHolder { host: state.options.host.clone(), address: state.options.peer }
 }
 
-/// Text of the lease's record. It contains the version so that each renewal changes the record.
+/// Text of the lease's record as this process writes it over the one of a version.
 fn record_text(state: &EntryState, version: RegistryVersion) -> Box<str> {
-    format!("{} {} {version}", state.options.host, state.options.peer).into()
+    LeaseText::format(&own_holder(state), version, state.boot_id)
 }
 
 /// Parses the holder from the text of the lease's record; none if the lease was released.
 fn parse_holder(text: &str) -> Option<PlacementHolder> {
-    let mut words = text.split(' ');
-    let (host, address) = (words.next()?, words.next()?);
-    Some(PlacementHolder { host: host.into(), address: address.parse().ok()? })
+    LeaseText::parse(text).map(|lease| lease.holder)
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
 //! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`, `refusals`,
-//! `reach`.
+//! `reach`, `takeover`, `empty_endpoints`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
@@ -16,6 +16,7 @@
 mod detour;
 mod dispatch;
 mod down_reports;
+mod empty_endpoints;
 mod endpoints;
 mod ends;
 mod events;
@@ -67,6 +68,7 @@
 mod starts;
 mod state;
 mod stream;
+mod takeover;
 mod version;
 mod waiting;
 mod watchdog;
@@ -83,6 +85,7 @@
 pub use demand::{DemandCount, DemandMap, DemandMeter, OnTimeMap, PriorityDemand, level_of};
 pub use detour::detour;
 pub use down_reports::{DownReport, DownTable};
+pub use empty_endpoints::{EmptyEndpoints, StageRoom, short_domains};
 pub use endpoints::{
     ChangeNumber, EndpointChange, EndpointEntry, EndpointTable, EndpointUpdate, LayerSpan,
     PeerUpdate, UnlistedNames,
@@ -130,5 +133,6 @@
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
 pub use starts::{StartChange, StartInputs, StartPlanner};
 pub use state::{EntryOptions, EntryState, PeerHost, PlacementHolder};
+pub use takeover::{BootId, LeaseInputs, LeaseText, TakeReason, TakeoverTable};
 pub use version::{RegistryEra, RegistryRevision, RegistryVersion};
 pub use waiting::{FreeStarts, SiteQueue, WaitOrder, WaitingStream, free_starts};
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,7 +29,7 @@
 use crate::levels::update_levels;
 use crate::loads::LoadSum;
 use crate::poison::PoisonReport;
-use crate::pool::{SendOptions, build_request};
+use crate::pool::{SendError, SendOptions, build_request};
 use crate::rates::{PermitDraw, PermitGrant, SharedRate};
 use crate::reach::ReachReport;
 use crate::relay::EXCHANGE_INTERVAL;
@@ -79,6 +79,10 @@
     /// Services that the host, or one that exchanges through it, cannot reach.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     unreachable: Vec<ReachReport>,
+    /// Time since an endpoint of any service last replied to the host, or to one that exchanges
+    /// through it, in ms; none if that is long ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    reply_age_ms: Option<u64>,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
@@ -219,7 +223,7 @@
         Ok(snapshot) => apply_snapshot(state, snapshot),
         Err(error) => {
             log::info!(
-                event = "peer_silent", peer = &**name, error;
+                event = "peer_silent", peer = &**name, error:% = error;
                 "could not fetch the registry snapshot of a peer"
             );
         }
@@ -343,16 +347,19 @@
         excluded: state.exclusions.borrow().shared(Instant::now()),
         down: down_reports(state, has_members),
         unreachable: reach_reports(state, has_members),
+        reply_age_ms: state.takeover.borrow().reply_age(Instant::now()).map(whole_ms),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
         draws,
     };
+    let partner = PlacementHolder { host: host.clone(), address };
     let reply = match serde_json::to_vec(&report) {
         Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
-        Err(error) => Err(error.to_string()),
+        Err(error) => Err(FetchError::Invalid(error)),
     };
     match reply {
         Ok(mut reply) => {
+            state.takeover.borrow_mut().record_reply(&partner, reply.boot);
             let is_useful = reply.is_useful();
             apply_rates(state, &reply.rates);
             apply_reach(state, host, std::mem::take(&mut reply.unreachable));
@@ -364,14 +371,26 @@
         }
         Err(error) => {
             log::info!(
-                event = "peer_silent", peer = &**host, error;
+                event = "peer_silent", peer = &**host, error:% = error;
                 "could not exchange loads with a peer"
             );
+            if error.is_refused() {
+                record_refused(state, &partner);
+            }
             false
         }
     }
 }
 
+/// Records that the address of a host refused the connection of an exchange; the placement holder
+/// is replaced once that shows that its process has ended.
+fn record_refused(state: &EntryState, partner: &PlacementHolder) {
+    let has_ended = state.takeover.borrow_mut().record_refused(partner, Instant::now());
+    if has_ended && state.placement_holder.borrow().as_ref() == Some(partner) {
+        state.holder_ended.notify_one();
+    }
+}
+
 /// Takes permits that this host has drawn, for itself or as a relay for its group.
 fn take_grants(state: &EntryState, grants: &[PermitGrant], is_for_group: bool) {
     let now = Instant::now();
@@ -579,21 +598,38 @@
     }
 }
 
+/// Why a request to another host failed.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    /// There was no complete reply.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The request or its reply could not be encoded or decoded.
+    #[error(transparent)]
+    Invalid(#[from] serde_json::Error),
+}
+
+impl FetchError {
+    /// Whether nothing listens at the address.
+    fn is_refused(&self) -> bool {
+        matches!(self, Self::Send(SendError::NotSent { is_refused: true, .. }))
+    }
+}
+
 async fn fetch<T: DeserializeOwned>(
     state: &EntryState,
     address: SocketAddr,
     path: &'static str,
     body: Vec<u8>,
-) -> Result<T, String> {
+) -> Result<T, FetchError> {
     let host = HeaderValue::from_static("peer");
     let request = build_request(Method::POST, Uri::from_static(path), host, body);
     let options = SendOptions {
         max_body_bytes: MAX_REPLY_BYTES,
         ..SendOptions::within(PEER_TIMEOUT, MAX_IDLE)
     };
-    let fetched = sending::fetch(state, "peer", address, request, options).await;
-    let (_, body) = fetched.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    let (_, body) = sending::fetch(state, "peer", address, request, options).await?;
+    Ok(serde_json::from_slice(&body)?)
 }
 
 fn apply_snapshot(state: &EntryState, snapshot: RegistrySnapshot) {
@@ -655,6 +691,9 @@
     apply_exclusions(state, report.excluded);
     apply_down_reports(state, report.down);
     apply_reach(state, &report.host, report.unreachable);
+    if let Some(age_ms) = report.reply_age_ms {
+        state.takeover.borrow_mut().record_other_reply(Duration::from_millis(age_ms), now);
+    }
     apply_poison(state, report.poison);
     apply_rates(state, &report.rates);
     let grants = draw_permits(state, &report.host, &report.draws);
--- a/crates/entry/src/placement.rs
+++ b/crates/entry/src/placement.rs
@@ -13,7 +13,8 @@
 use jacinthrock::{DomainName, EndpointName, MetricName, ServiceName};
 use tokio::time::{Instant, sleep};
 
-use crate::endpoints::{EndpointEntry, LayerSpan};
+use crate::empty_endpoints::{StageRoom, short_domains};
+use crate::endpoints::{EndpointEntry, EndpointTable, LayerSpan};
 use crate::follow::endpoints_changed;
 use crate::layout::{CardView, LayoutOrder, LayoutPlanner, ModelShape, StartRate};
 use crate::loads::LoadMap;
@@ -65,8 +66,10 @@
 #[derive(Default)]
 struct OrderTracker {
     pending: BTreeMap<EndpointName, PendingOrder>,
-    /// When each endpoint without layers was first seen empty.
-    empty_since: BTreeMap<EndpointName, Instant>,
+    /// When each endpoint last had layers or a pending order.
+    held_at: BTreeMap<EndpointName, Instant>,
+    /// Empty endpoints that get layers before `IDLE_AFTER`, since their domain is short of room.
+    hastened: BTreeSet<EndpointName>,
 }
 
 /// Plans the layout of every service in rounds and sends the resulting orders.
@@ -105,6 +108,12 @@
             let orders = planner.orders(shape, &cards);
             let by_name: BTreeMap<_, _> = cards.iter().map(|card| (&card.name, card)).collect();
             for order in orders {
+                if tracker.borrow().hastened.contains(&order.name) {
+                    log::info!(
+                        event = "idle_wait_skipped", endpoint = &*order.name;
+                        "layers are short of room; an empty endpoint gets layers without a wait"
+                    );
+                }
                 let held = by_name.get(&order.name).and_then(|card| card.held);
                 let kept = held.filter(|held| held.overlaps(order.span));
                 let new = order.span.count().saturating_sub(kept.map_or(0, LayerSpan::count));
@@ -226,7 +235,11 @@
     let engine = rules.as_ref().and_then(|rules| rules.engine(service));
     let token_layer_mb = engine.map_or(0.0, |engine| engine.token_layer_mb);
     let mut views = Vec::new();
-    tracker.empty_since.retain(|name, _| endpoints.get(name).is_some());
+    tracker.held_at.retain(|name, _| endpoints.get(name).is_some());
+    let short = short_domains_of(state, &endpoints, service, now);
+    let mut empty = state.empty_endpoints.borrow_mut();
+    tracker.hastened.clear();
+    empty.update(endpoints.entries(), now);
     for entry in endpoints.entries().filter(|entry| &*entry.service == service) {
         if !state.accepts_work(entry, now) {
             tracker.pending.remove(&entry.name);
@@ -244,13 +257,17 @@
         }
         let pending = tracker.pending.get(&entry.name);
         let held = pending.map(|order| order.span).or(entry.layers).filter(|s| s.count() > 0);
-        let is_idle = if held.is_some() {
-            tracker.empty_since.remove(&entry.name);
-            false
-        } else {
-            let since = *tracker.empty_since.entry(entry.name.clone()).or_insert(now);
-            now - since >= IDLE_AFTER
-        };
+        if held.is_some() {
+            tracker.held_at.insert(entry.name.clone(), now);
+        }
+        let since = empty.since(&entry.name).max(tracker.held_at.get(&entry.name).copied());
+        let waited =
+            since.filter(|_| held.is_none()).map(|since| now.saturating_duration_since(since));
+        let has_waited = waited.is_some_and(|waited| waited >= IDLE_AFTER);
+        let is_hastened = waited.is_some() && !has_waited && short.contains(&entry.domain);
+        if is_hastened {
+            tracker.hastened.insert(entry.name.clone());
+        }
         views.push(CardView {
             name: entry.name.clone(),
             domain: entry.domain.clone(),
@@ -258,7 +275,7 @@
             step_factor: card.step_factor,
             held,
             loaded: entry.layers.filter(|span| span.count() > 0),
-            is_idle,
+            is_idle: has_waited || is_hastened,
             used_mb: state.total_load(&entry.name).token_layers as f64 * token_layer_mb,
             is_free: pending.is_none(),
             start_rate: start_rate(state, entry, now),
@@ -269,6 +286,36 @@
     views
 }
 
+/// Domains of a service with several priorities in which a layer is short of room, by the latest
+/// total. What this host has added since is left out, since other hosts are assumed to have added as
+/// much, which overstates the load of many hosts.
+fn short_domains_of(
+    state: &EntryState,
+    endpoints: &EndpointTable,
+    service: &str,
+    now: Instant,
+) -> BTreeSet<DomainName> {
+    let Some(rules) = state.rules().filter(|rules| rules.has_priorities(service)) else {
+        return BTreeSet::new();
+    };
+    let Some(engine) = rules.engine(service) else { return BTreeSet::new() };
+    let loads = state.peer_loads.borrow();
+    let entries = endpoints.entries();
+    let entries =
+        entries.filter(|entry| &*entry.service == service && state.accepts_work(entry, now));
+    let stages = entries.filter_map(|entry| {
+        let span = entry.layers.filter(|span| span.count() > 0)?;
+        let card = engine.cards.get(entry.card.as_deref()?)?;
+        Some(StageRoom {
+            domain: &entry.domain,
+            span,
+            token_layers: loads.total_load(&entry.name, now)?.token_layers,
+            kv_capacity: engine.kv_capacity(card, entry.weight_layers()),
+        })
+    });
+    short_domains(engine.layers, &stages.collect::<Vec<_>>())
+}
+
 /// Requests that may start at an endpoint.
 fn start_rate(state: &EntryState, entry: &EndpointEntry, now: Instant) -> StartRate {
     if state.rates.borrow().limit_per_s(entry.start()).is_none() {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use crate::admission::AdmissionTable;
 use crate::demand::DemandMeter;
 use crate::down_reports::DownTable;
+use crate::empty_endpoints::EmptyEndpoints;
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::ends::EndClaims;
 use crate::exclusions::{EXCLUSION_TIME, ExclusionTable};
@@ -41,6 +42,7 @@
 use crate::routing::{accepts_work, is_leaving};
 use crate::rules::{RuleIndex, RulesVersion, ServingRules};
 use crate::shutdown::{StopPlan, StreamTimes};
+use crate::takeover::TakeoverTable;
 use crate::version::{RegistryEra, RegistryVersion};
 
 /// Maximum age of the registry's last confirmation of the holder's endpoint table for hosts to rely
@@ -170,6 +172,12 @@
     pub peers: RefCell<BTreeMap<HostName, PeerHost>>,
     /// Holder of the placement lease, as last read.
     pub placement_holder: RefCell<Option<PlacementHolder>>,
+    /// When this host may take the placement lease.
+    pub takeover: RefCell<TakeoverTable>,
+    /// Notified when the placement holder's process is found to have ended.
+    pub holder_ended: Notify,
+    /// Since when endpoints have had no layers.
+    pub empty_endpoints: RefCell<EmptyEndpoints>,
     /// Random identifier of this process, new after each restart.
     pub boot_id: u64,
     /// When the registry last confirmed this host's endpoint table.
@@ -261,6 +269,9 @@
             path_changed: Notify::new(),
             peers: RefCell::default(),
             placement_holder: RefCell::default(),
+            takeover: RefCell::default(),
+            holder_ended: Notify::new(),
+            empty_endpoints: RefCell::default(),
             boot_id,
             endpoints_confirmed: Cell::new(None),
             holder_confirmed: Cell::new(None),
