Tests of the lease's takeover and of empty endpoints

A host that has released the lease confirms no table and does not claim that it can take the lease, since other hosts looked for no new holder otherwise.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -591,7 +591,8 @@
             .stop_plan
             .get()
             .map(|plan| whole_ms(plan.exit().saturating_duration_since(Instant::now()))),
-        can_reach_registry: state.can_reach_registry(),
+        // A host that has released the lease does not take it, so that others may act as holder.
+        can_reach_registry: state.can_reach_registry() && !state.takeover.borrow().is_barred(),
         holder: holder.map(|holder| (holder.host, holder.address)),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
@@ -705,8 +706,10 @@
     let endpoints = state.endpoints.borrow();
     let seen = report.seen.filter(|(boot, _)| *boot == state.boot_id).map(|(_, number)| number);
     let (number, update) = endpoints.update_since(seen);
-    // Hosts must not rely on the table of one that is shutting down.
-    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving());
+    // Hosts must not rely on the table of one that is shutting down, nor on that of one that has
+    // released the lease: they look for a new holder only once no table is confirmed.
+    let has_released = state.takeover.borrow().is_barred() && !state.is_following_holder();
+    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving() && !has_released);
     let age = confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
     let holder = state.placement_holder.borrow().clone().filter(|_| state.has_heard_holder());
     let heard = state.holder_heard.get().unwrap_or(now);
--- a/crates/entry/src/takeover.rs
+++ b/crates/entry/src/takeover.rs
@@ -32,6 +32,10 @@
 /// Time for which a reply of an endpoint to another host shows that endpoints can be reached.
 /// Reports pass through up to two exchanges of 200 to 400 ms.
 const REACHED_VALIDITY: Duration = Duration::from_millis(1_500);
+/// Time after the loss of all services from which a reply to another host shows that it reaches more
+/// than this host. If all endpoints end at once, the last replies to others are as old as the loss;
+/// two exchanges can make them appear up to 400 ms younger.
+const REACHED_MARGIN: Duration = Duration::from_millis(500);
 
 /// Random identifier of a process, new after each start.
 pub type BootId = u64;
@@ -275,11 +279,12 @@
     /// Whether this host, as the holder, should release the lease: it has reached no endpoint for
     /// some time, and another host reaches some.
     pub fn should_release(&self, now: Instant) -> bool {
-        let is_unreached = self
-            .unreached_since
-            .is_some_and(|since| now.saturating_duration_since(since) >= UNREACHED_TIME);
-        let is_reached_by_others =
-            self.other_reply.is_some_and(|at| now.saturating_duration_since(at) < REACHED_VALIDITY);
+        let Some((since, replied)) = self.unreached_since.zip(self.other_reply) else {
+            return false;
+        };
+        let is_unreached = now.saturating_duration_since(since) >= UNREACHED_TIME;
+        let is_reached_by_others = replied >= since + REACHED_MARGIN
+            && now.saturating_duration_since(replied) < REACHED_VALIDITY;
         is_unreached && is_reached_by_others
     }
 
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -7,8 +7,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -25,7 +27,7 @@
 };
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
-use tokio::task::{JoinHandle, LocalSet};
+use tokio::task::{JoinHandle, JoinSet, LocalSet};
 use tokio::time::{Instant, sleep};
 
 use super::registry::FakeRegistry;
@@ -33,6 +35,8 @@
 
 /// Interval at which endpoints write their entry.
 const BEAT: Duration = Duration::from_millis(1_000);
+/// Interval at which a frozen host checks whether it is thawed.
+const THAW_CHECK: Duration = Duration::from_millis(50);
 /// Port of each server; every host and endpoint has a loopback address of its own.
 const PORT: u16 = 7_100;
 
@@ -60,6 +64,7 @@
     pub(crate) state: Rc<EntryState>,
     address: IpAddr,
     task: Option<JoinHandle<()>>,
+    is_frozen: Rc<Cell<bool>>,
 }
 
 /// An endpoint that holds layers and writes its entry to the registry.
@@ -67,6 +72,7 @@
     pub(crate) name: EndpointName,
     entry: RefCell<EndpointEntry>,
     is_alive: Cell<bool>,
+    server: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Cluster {
@@ -107,6 +113,7 @@
             state: Rc::new(self.state(name, domain, capacity, own_address())),
             address: own_address(),
             task: None,
+            is_frozen: Rc::default(),
         };
         host.start(self, capacity);
         self.hosts.push(host);
@@ -140,6 +147,12 @@
         }
     }
 
+    /// Stops a host's process without ending it: its addresses accept connections and nothing
+    /// answers. It goes on when it is thawed.
+    pub(crate) fn set_frozen(&self, index: usize, is_frozen: bool) {
+        self.hosts[index].is_frozen.set(is_frozen);
+    }
+
     /// Starts a killed host again.
     pub(crate) fn restart_host(&mut self, index: usize) {
         let capacity = self.hosts[index].state.options.capacity;
@@ -160,21 +173,25 @@
             name: name.into(),
             entry: RefCell::new(endpoint_entry(name, domain, address)),
             is_alive: Cell::new(true),
+            server: RefCell::default(),
         });
         let listener = TcpListener::bind(address).await.expect("a free loopback address");
         let (server, orders) = (endpoint.clone(), self.orders.clone());
-        tokio::task::spawn_local(async move {
+        let serving = tokio::task::spawn_local(async move {
+            // Connections end with the server.
+            let mut connections = JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
                 let (endpoint, orders) = (server.clone(), orders.clone());
                 let service = service_fn(move |request| {
                     let (endpoint, orders) = (endpoint.clone(), orders.clone());
                     async move { Ok::<_, Infallible>(endpoint.reply(request, &orders).await) }
                 });
-                tokio::task::spawn_local(
+                connections.spawn_local(
                     http1::Builder::new().serve_connection(TokioIo::new(stream), service),
                 );
             }
         });
+        *endpoint.server.borrow_mut() = Some(serving);
         let (registry, writer) = (self.registry.clone(), endpoint.clone());
         tokio::task::spawn_local(async move {
             while writer.is_alive.get() {
@@ -190,9 +207,24 @@
     fn start(&mut self, cluster: &Cluster, capacity: u32) {
         let state = Rc::new(cluster.state(&self.name, &self.domain, capacity, self.address));
         self.state = state.clone();
+        self.is_frozen = Rc::default();
+        let is_frozen = self.is_frozen.clone();
         self.task = Some(tokio::task::spawn_local(async move {
-            let ended = LocalSet::new().run_until(run_entry(state)).await;
-            ended.expect("the host's addresses are free");
+            let tasks = LocalSet::new();
+            let mut running = std::pin::pin!(tasks.run_until(run_entry(state)));
+            let ended = poll_fn(|context| {
+                if is_frozen.get() {
+                    // Looks again soon, since nothing else wakes the task once it is thawed.
+                    let waker = context.waker().clone();
+                    tokio::task::spawn_local(async move {
+                        sleep(THAW_CHECK).await;
+                        waker.wake();
+                    });
+                    return Poll::Pending;
+                }
+                running.as_mut().poll(context)
+            });
+            ended.await.expect("the host's addresses are free");
         }));
     }
 }
@@ -204,6 +236,13 @@
         registry.write_endpoint(self.entry.borrow().clone());
     }
 
+    /// Ends the endpoint's server without a word; its entry stays listed.
+    pub(crate) fn stop_server(&self) {
+        if let Some(server) = self.server.borrow_mut().take() {
+            server.abort();
+        }
+    }
+
     /// Ends the endpoint; its entry is removed.
     pub(crate) fn leave(&self, registry: &FakeRegistry) {
         self.is_alive.set(false);
