--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -29,7 +29,7 @@
 use crate::levels::update_levels;
 use crate::loads::LoadSum;
 use crate::poison::PoisonReport;
-use crate::pool::{SendOptions, build_request};
+use crate::pool::{SendError, SendOptions, build_request};
 use crate::rates::{PermitDraw, PermitGrant, SharedRate};
 use crate::reach::{HeardAges, ReachReport};
 use crate::relay::EXCHANGE_INTERVAL;
@@ -82,6 +82,10 @@
     /// When a relay has heard its members, while some host cannot reach a service.
     #[serde(default, skip_serializing_if = "HeardAges::is_empty")]
     heard: HeardAges,
+    /// Time since an endpoint of any service last replied to the host, or to one that exchanges
+    /// through it, in ms; none if that is long ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    reply_age_ms: Option<u64>,
     /// Evidence on prompt parts that crash endpoints.
     #[serde(default, skip_serializing_if = "PoisonReport::is_empty")]
     poison: PoisonReport,
@@ -225,7 +229,7 @@
         Ok(snapshot) => apply_snapshot(state, snapshot),
         Err(error) => {
             log::info!(
-                event = "peer_silent", peer = &**name, error;
+                event = "peer_silent", peer = &**name, error:% = error;
                 "could not fetch the registry snapshot of a peer"
             );
         }
@@ -350,16 +354,19 @@
         down: down_reports(state, has_members),
         unreachable: reach_reports(state, has_members),
         heard: if has_members { heard_ages(state, true) } else { HeardAges::new() },
+        reply_age_ms: state.takeover.borrow().reply_age(Instant::now()).map(whole_ms),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
         draws,
     };
+    let partner = PlacementHolder { host: host.clone(), address };
     let reply = match serde_json::to_vec(&report) {
         Ok(body) => fetch::<HolderReply>(state, address, LOADS_PATH, body).await,
-        Err(error) => Err(error.to_string()),
+        Err(error) => Err(FetchError::Invalid(error)),
     };
     match reply {
         Ok(mut reply) => {
+            state.takeover.borrow_mut().record_reply(&partner, reply.boot);
             let is_useful = reply.is_useful();
             apply_rates(state, &reply.rates);
             apply_reach(state, host, std::mem::take(&mut reply.unreachable));
@@ -372,14 +379,26 @@
         }
         Err(error) => {
             log::info!(
-                event = "peer_silent", peer = &**host, error;
+                event = "peer_silent", peer = &**host, error:% = error;
                 "could not exchange loads with a peer"
             );
+            if error.is_refused() {
+                record_refused(state, &partner);
+            }
             false
         }
     }
 }
 
+/// Records that the address of a host refused the connection of an exchange; the placement holder
+/// is replaced once that shows that its process has ended.
+fn record_refused(state: &EntryState, partner: &PlacementHolder) {
+    let has_ended = state.takeover.borrow_mut().record_refused(partner, Instant::now());
+    if has_ended && state.placement_holder.borrow().as_ref() == Some(partner) {
+        state.holder_ended.notify_one();
+    }
+}
+
 /// Takes permits that this host has drawn, for itself or as a relay for its group.
 fn take_grants(state: &EntryState, grants: &[PermitGrant], is_for_group: bool) {
     let now = Instant::now();
@@ -593,28 +612,46 @@
             .stop_plan
             .get()
             .map(|plan| whole_ms(plan.exit().saturating_duration_since(Instant::now()))),
-        can_reach_registry: state.can_reach_registry(),
+        // A host that has released the lease does not take it, so that others may act as holder.
+        can_reach_registry: state.can_reach_registry() && !state.takeover.borrow().is_barred(),
         holder: holder.map(|holder| (holder.host, holder.address)),
         poison: state.poison.borrow_mut().report(Instant::now()),
         rates: state.rates.borrow().shared(Instant::now()),
     }
 }
 
+/// Why a request to another host failed.
+#[derive(Debug, thiserror::Error)]
+enum FetchError {
+    /// There was no complete reply.
+    #[error(transparent)]
+    Send(#[from] SendError),
+    /// The request or its reply could not be encoded or decoded.
+    #[error(transparent)]
+    Invalid(#[from] serde_json::Error),
+}
+
+impl FetchError {
+    /// Whether nothing listens at the address.
+    fn is_refused(&self) -> bool {
+        matches!(self, Self::Send(SendError::NotSent { is_refused: true, .. }))
+    }
+}
+
 async fn fetch<T: DeserializeOwned>(
     state: &EntryState,
     address: SocketAddr,
     path: &'static str,
     body: Vec<u8>,
-) -> Result<T, String> {
+) -> Result<T, FetchError> {
     let host = HeaderValue::from_static("peer");
     let request = build_request(Method::POST, Uri::from_static(path), host, body);
     let options = SendOptions {
         max_body_bytes: MAX_REPLY_BYTES,
         ..SendOptions::within(PEER_TIMEOUT, MAX_IDLE)
     };
-    let fetched = sending::fetch(state, "peer", address, request, options).await;
-    let (_, body) = fetched.map_err(|error| error.to_string())?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    let (_, body) = sending::fetch(state, "peer", address, request, options).await?;
+    Ok(serde_json::from_slice(&body)?)
 }
 
 fn apply_snapshot(state: &EntryState, snapshot: RegistrySnapshot) {
@@ -678,6 +715,9 @@
     let has_lost_links = !report.unreachable.is_empty();
     apply_reach(state, &report.host, report.unreachable);
     apply_heard(state, &report.host, report.heard);
+    if let Some(age_ms) = report.reply_age_ms {
+        state.takeover.borrow_mut().record_other_reply(Duration::from_millis(age_ms), now);
+    }
     apply_poison(state, report.poison);
     apply_rates(state, &report.rates);
     let grants = draw_permits(state, &report.host, &report.draws);
@@ -689,8 +729,10 @@
     let endpoints = state.endpoints.borrow();
     let seen = report.seen.filter(|(boot, _)| *boot == state.boot_id).map(|(_, number)| number);
     let (number, update) = endpoints.update_since(seen);
-    // Hosts must not rely on the table of one that is shutting down.
-    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving());
+    // Hosts must not rely on the table of one that is shutting down, nor on that of one that has
+    // released the lease: they look for a new holder only once no table is confirmed.
+    let has_released = state.takeover.borrow().is_barred() && !state.is_following_holder();
+    let confirmed = state.table_confirmed().filter(|_| !state.is_leaving() && !has_released);
     let age = confirmed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
     let holder = state.placement_holder.borrow().clone().filter(|_| state.has_heard_holder());
     let heard = state.holder_heard.get().unwrap_or(now);
