Bound the size with which one stream counts against the link quota

Callers state the size of their streams, and the whole size was debited: a single call that states 20,000 tokens would have kept its host's other streams from crossing for minutes. A stream counts with at most four mean streams.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -38,6 +38,10 @@
 /// domain had lost endpoints. Link quotas have no such factor: when all domains were short of room,
 /// all hosts used theirs at the same time, and 3.8 times the capacity was in use.
 const QUOTA_OVERCOMMIT_RATIO: f64 = 2.0;
+/// Size, in mean streams of the service, up to which a stream counts against its host's link quota.
+/// Callers state the size: without a bound, one call of 20,000 tokens would keep all streams of its
+/// host from crossing for minutes.
+const MAX_COUNTED_SIZE: u32 = 4;
 /// Maximum share of a stage's KV cache, and of a first stage's slots, that streams may take.
 pub(crate) const MAX_OCCUPANCY: f64 = 0.95;
 
@@ -252,9 +256,14 @@
     engine.link_mbps * QUOTA_OVERCOMMIT_RATIO / stream_mbit / hosts as f64
 }
 
-/// Bytes that a stream with a number of tokens sends at each crossing between failure domains.
+/// Bytes that a stream with a number of tokens sends at each crossing between failure domains, as
+/// its host's link quota counts them.
 pub(crate) fn crossing_bytes(engine: &EngineProfile, tokens: u32) -> u64 {
-    (f64::from(tokens) * engine.activation_bytes) as u64
+    let most = match engine.mean_tokens() {
+        0 => u32::MAX,
+        mean => mean.saturating_mul(MAX_COUNTED_SIZE),
+    };
+    (f64::from(tokens.min(most)) * engine.activation_bytes) as u64
 }
 
 /// Share of the inter-domain link of one of `hosts` hosts, in bytes per second.
--- a/crates/entry/tests/crossing_quota.rs
+++ b/crates/entry/tests/crossing_quota.rs
@@ -6,12 +6,13 @@
 mod registry;
 
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use cluster::{Cluster, rules};
 use jacinthrock_entry::{
-    CrossingQuota, EndpointEntry, LayerSpan, LinkQuota, PathQuery, PathStage, RetryPolicy,
-    RouteRule, added_crossings, crossings,
+    CrossingQuota, EndpointEntry, EntryState, LayerSpan, LinkQuota, PathQuery, PathStage,
+    RetryPolicy, RouteRule, added_crossings, crossings,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -212,9 +213,12 @@
     }
 }
 
-/// Number of paths that a host finds in each of six periods, over a link that carries the crossings
-/// of two streams per period, with three crossings per path.
-async fn paths_by_period(priorities: &[u8]) -> Vec<u32> {
+/// Tokens of a stream.
+const TOKENS: u32 = 100;
+
+/// Host over whose link two streams of its quota can cross per period, and whose paths cross three
+/// times.
+async fn crossing_host(priorities: &[u8]) -> Rc<EntryState> {
     let mut cluster = Cluster::start(&[]).await;
     cluster.add_host("h0", "north", 250);
     let state = cluster.hosts[0].state.clone();
@@ -226,25 +230,32 @@
     engine.expect("an engine").link_mbps = 3.2;
     state.apply_rules(2, rules, "test");
     state.endpoints.borrow_mut().replace(5, alternating_endpoints(), Instant::now());
+    state
+}
+
+fn find_path(state: &EntryState, tokens: u32) -> Option<Rc<[PathStage]>> {
     let avoid = BTreeSet::new();
-    let query = PathQuery {
-        service: "guide",
-        tokens: 100,
-        starts: None,
-        avoid: &avoid,
-        ignores_rates: false,
-    };
+    let query =
+        PathQuery { service: "guide", tokens, starts: None, avoid: &avoid, ignores_rates: false };
+    state.find_path(&query)
+}
+
+/// Starts a stream if it finds a path; returns whether it does.
+fn starts(state: &EntryState, tokens: u32) -> bool {
+    let Some(path) = find_path(state, tokens) else { return false };
+    assert_eq!(crossings(&path), 3);
+    state.consume_crossings(3);
+    state.debit_crossings("guide", tokens, 3);
+    true
+}
+
+/// Number of paths that a host finds in each of six periods.
+async fn paths_by_period(priorities: &[u8]) -> Vec<usize> {
+    let state = crossing_host(priorities).await;
     let mut paths = Vec::new();
     for _ in 0..6 {
-        let mut found = 0;
-        while let Some(path) = state.find_path(&query) {
-            assert_eq!(crossings(&path), 3);
-            state.consume_crossings(3);
-            state.debit_crossings("guide", 100, 3);
-            found += 1;
-            assert!(found < 10, "the quota does not end");
-        }
-        paths.push(found);
+        // The bound ends a test whose quota does not.
+        paths.push((0..10).take_while(|_| starts(&state, TOKENS)).count());
         advance(Duration::from_millis(500)).await;
     }
     paths
@@ -263,6 +274,25 @@
         .await;
 }
 
+/// Callers state the size of a stream. One that states a huge size must not keep the other streams of
+/// its host from crossing for longer than four mean streams do: 3 x 600,000 of 200,000 bytes per
+/// period.
+#[tokio::test(start_paused = true)]
+async fn huge_stream_closes_the_link_for_seconds_only() {
+    LocalSet::new()
+        .run_until(async {
+            let state = crossing_host(&[0, 1]).await;
+            // The quota is granted in streams of the size that asks first.
+            assert!(find_path(&state, TOKENS).is_some());
+            assert!(starts(&state, 20_000));
+            advance(Duration::from_millis(4_000)).await;
+            assert!(!starts(&state, TOKENS));
+            advance(Duration::from_millis(500)).await;
+            assert!(starts(&state, TOKENS));
+        })
+        .await;
+}
+
 /// A detour of a running stream sends its prefill over the crossings that are new to the path, also
 /// if the path has no more crossings than before.
 #[test]
