Test of levels with real hosts when each domain has a full layer

tests/admission_hosts.rs: 4 of 4 pass; with the usage over all endpoints alone, full_layer_in_each_domain_puts_a_level_in_force fails (all streams admitted).

--- a/crates/entry/tests/admission_hosts.rs
+++ b/crates/entry/tests/admission_hosts.rs
@@ -11,7 +11,8 @@
 use cluster::{Cluster, RunningHost, rules};
 use jacinthrock::MetricName;
 use jacinthrock_entry::{
-    EntryState, PathStage, RetryPolicy, RouteRule, RuleIndex, ServingRules, StreamGuard,
+    EndpointEntry, EntryState, PathStage, RetryPolicy, RouteRule, RuleIndex, ServingRules,
+    StreamGuard,
 };
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -161,6 +162,58 @@
         .await;
 }
 
+/// Fills the memory of one endpoint of each domain: of those with the first layer in one domain, of
+/// those with the last one in the others.
+fn fill_one_of_each_domain(cluster: &Cluster) -> Vec<StreamGuard> {
+    let state = &cluster.hosts[0].state;
+    let (endpoints, rules) = (state.endpoints.borrow(), state.rules().expect("rules"));
+    let engine = rules.engine("guide").expect("an engine");
+    let filled = DOMAINS.map(|domain| {
+        let layer = if domain == DOMAINS[0] { 0 } else { engine.layers - 1 };
+        let holds = |entry: &&EndpointEntry| {
+            &*entry.domain == domain && entry.layers.is_some_and(|span| span.holds(layer))
+        };
+        let entry = endpoints.entries().find(holds).expect("a holder of the layer");
+        let span = entry.layers.expect("layers");
+        let capacity = engine.kv_capacity(&engine.cards["k"], span.count());
+        let stage = PathStage {
+            name: entry.name.clone(),
+            start_unix_ms: entry.start_unix_ms,
+            address: entry.address,
+            domain: entry.domain.clone(),
+            span,
+        };
+        let tokens = (capacity / f64::from(span.count())) as u32;
+        let inflight = cluster.hosts[1].state.inflight.clone();
+        StreamGuard::new(inflight, Rc::new([stage]), tokens, Instant::now())
+    });
+    filled.into()
+}
+
+/// In each domain, a layer is full, and over all domains each layer has room. Hosts must refuse
+/// streams of less urgent kinds although nothing waits yet.
+#[tokio::test(start_paused = true)]
+async fn full_layer_in_each_domain_puts_a_level_in_force() {
+    LocalSet::new()
+        .run_until(async {
+            let cluster = start_hosts([0, 1]).await;
+            let guards = fill_one_of_each_domain(&cluster);
+            run_demand(&cluster, 120).await;
+            for host in cluster.running() {
+                let [urgent, other] = shares(host);
+                // 540 of 800 streams per second are admitted, 0.4 of the less urgent ones.
+                assert!((urgent - 0.95).abs() < 0.05, "{}: {urgent}", host.name);
+                assert!((other - 0.4).abs() < 0.01, "{}: {other}", host.name);
+            }
+            drop(guards);
+            sleep(Duration::from_secs(15)).await;
+            for host in cluster.running() {
+                assert!(shares(host).into_iter().all(|share| share > 0.99), "{:?}", shares(host));
+            }
+        })
+        .await;
+}
+
 /// A deployment whose streams all have the same priority is served as before.
 #[tokio::test(start_paused = true)]
 async fn streams_of_equal_priority_have_no_level() {
