--- a/crates/entry/tests/uneven_demand.rs
+++ b/crates/entry/tests/uneven_demand.rs
@@ -247,7 +247,8 @@
     fn exchange(&mut self, step: u32) {
         let now = self.start + STEP * step;
         let host_count = self.hosts.len();
-        let due = (0..host_count).filter(|host| *host as u32 % EXCHANGE_STEPS == step % 10);
+        let due =
+            (0..host_count).filter(|host| *host as u32 % EXCHANGE_STEPS == step % EXCHANGE_STEPS);
         for host in due.collect::<Vec<_>>() {
             let own = self.hosts[host].own_load();
             let group = self.hosts[host].relay_loads.group_total(&own, now);
@@ -345,7 +346,7 @@
         if step >= SETTLE_STEPS {
             self.outcome.link_share = self.outcome.link_share.max(share);
         }
-        if (step + 1) % EXCHANGE_STEPS == 0 {
+        if (step + 1).is_multiple_of(EXCHANGE_STEPS) {
             let (started, remote) = std::mem::take(&mut self.started);
             if step >= SETTLE_STEPS && started > 0 {
                 self.outcome.remote_shares.push(f64::from(remote) / f64::from(started));
