Test of a spent retry budget: spends what an exchange of loads adds

The test spent the retries once, 200 ms after the stream began. The host's share of the budget is 0.5 without streams and rises to 0.8 with the first exchange that counts the stream as the only one; smoothing takes 0.1 s with two hosts. If that exchange came after the retries were spent, some were left for the resumption.

The test now spends retries from the stream's arrival until its end, and requires that the stream is in progress at the cut; the checks are unchanged.

--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -459,14 +459,30 @@
         let is_regained = || !site.hosts[1].is_lost("guide");
         wait_until(Duration::from_secs(1), "connectivity is back", is_regained).await;
         let state = &site.hosts[1].state;
+        // The host's share of the budget grows from 0.5 to 0.8 with the first exchange of loads in
+        // which it has the only stream; retries taken before that leave some after it.
+        let spend = async {
+            while site.arrivals("spent") == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+            loop {
+                while state.allow_retry("guide", "test", 0.0) {}
+                sleep(Duration::from_millis(1)).await;
+            }
+        };
         let cut = async {
             sleep(EVENT_PAUSE * 10).await;
-            while state.allow_retry("guide", "test", 0.0) {}
+            assert_eq!(site.arrivals("spent"), 1, "the stream is in progress");
             site.hosts[1].cut("guide", CutForm::Reset).await;
             Instant::now()
         };
-        let (answer, cut_at) = tokio::join!(site.hosts[1].call("/guide/x", "spent"), cut);
-        assert!(answer.is_err(), "the stream is not complete");
+        let both = async { tokio::join!(site.hosts[1].call("/guide/x", "spent"), cut) };
+        let (answer, cut_at) = tokio::select! {
+            ended = both => ended,
+            () = spend => unreachable!("retries are spent until the stream ends"),
+        };
+        let arrivals = site.arrivals("spent");
+        assert!(answer.is_err(), "the stream is not complete; it arrived {arrivals} times");
         assert!(cut_at.elapsed() < Duration::from_secs(1), "{:?}", cut_at.elapsed());
         assert_eq!(site.arrivals("spent"), 1);
         assert_eq!(site.hosts[1].status("/guide/x", "next").await, 200, "others are passed on");
