Choice of the host: one that answers late goes before one that may be frozen

Such a host came after hosts that had not been heard of for 1.5 s, so that calls would have gone to a frozen host first.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -240,7 +240,7 @@
     host: &ForwardHost,
     resume_after: Option<u64>,
 ) -> Result<PooledReply, ForwardError> {
-    let remaining = call.remaining();
+    let (sent_at, remaining) = (Instant::now(), call.remaining());
     let is_idempotent = call.route.retry_policy.is_idempotent();
     let options = SendOptions {
         max_idle: if is_idempotent { MAX_IDLE } else { AT_MOST_ONCE_MAX_IDLE },
@@ -254,7 +254,7 @@
                 biased;
                 sent = &mut sending => sent,
                 () = sleep(answer_time(call)) => {
-                    record_unanswered(state, call, host);
+                    record_unanswered(state, call, host, sent_at);
                     sending.await
                 }
             }
@@ -278,8 +278,8 @@
 }
 
 /// Records that a host has not answered a forwarded call in time; it is asked last for a while.
-fn record_unanswered(state: &EntryState, call: &AllowedCall, host: &ForwardHost) {
-    state.reach.borrow_mut().record_unanswered(&host.name, Instant::now());
+fn record_unanswered(state: &EntryState, call: &AllowedCall, host: &ForwardHost, sent_at: Instant) {
+    state.reach.borrow_mut().record_unanswered(&host.name, sent_at, Instant::now());
     log::info!(
         event = "forward_unanswered", attempt = &*call.head.attempt, peer = &*host.name,
         service = &*call.service, waited_ms = answer_time(call).as_millis() as u64;
--- a/crates/entry/src/reach.rs
+++ b/crates/entry/src/reach.rs
@@ -117,11 +117,23 @@
     HeardRecently,
     /// Heard of within the last 1.5 s.
     HeardBefore,
+    /// Has not answered a forwarded call, but was heard of since that was sent, within the last 500 ms:
+    /// it is slow, while a host that was not heard of may be frozen.
+    AnsweringLate,
     NotHeard,
-    /// Has not answered a forwarded call.
+    /// Has not answered a forwarded call and was not heard of since.
     NotAnswering,
 }
 
+/// A host that has not answered forwarded calls in time.
+#[derive(Clone, Copy, Debug)]
+struct UnansweredCall {
+    /// When the first of these calls was sent.
+    sent_at: Instant,
+    /// End of the time for which they count.
+    until: Instant,
+}
+
 /// Hosts of the same rank that may be asked.
 #[derive(Debug, Default)]
 struct RankedHosts<'a> {
@@ -157,8 +169,7 @@
     reports: BTreeMap<HostName, HostReach>,
     /// Hosts that take no forwarded calls, with the end of that time.
     avoided: BTreeMap<HostName, Instant>,
-    /// Hosts that have not answered a forwarded call, with the end of the time for which that counts.
-    unanswered: BTreeMap<HostName, Instant>,
+    unanswered: BTreeMap<HostName, UnansweredCall>,
     heard: BTreeMap<HostName, HeardHost>,
 }
 
@@ -239,7 +250,7 @@
         self.failures.retain(|service, _| is_served(service));
         self.reports.retain(|host, reach| is_known(host) && now < reach.at + REPORT_TIME);
         self.avoided.retain(|host, until| is_known(host) && now < *until);
-        self.unanswered.retain(|host, until| is_known(host) && now < *until);
+        self.unanswered.retain(|host, call| is_known(host) && now < call.until);
         self.heard.retain(|host, heard| is_known(host) && now < heard.at + SILENCE_TIME);
     }
 
@@ -296,9 +307,12 @@
         self.avoided.insert(host.clone(), until);
     }
 
-    /// Asks a host last for some time, since it has not answered a forwarded call.
-    pub fn record_unanswered(&mut self, host: &HostName, now: Instant) {
-        self.unanswered.insert(host.clone(), now + UNANSWERED_TIME);
+    /// Asks a host last for some time, since it has not answered a forwarded call of `sent_at`.
+    pub fn record_unanswered(&mut self, host: &HostName, sent_at: Instant, now: Instant) {
+        let known = self.unanswered.get(host).filter(|call| now < call.until);
+        let sent_at = known.map_or(sent_at, |call| call.sent_at);
+        let call = UnansweredCall { sent_at, until: now + UNANSWERED_TIME };
+        self.unanswered.insert(host.clone(), call);
     }
 
     /// Records that this host has heard another one itself.
@@ -400,12 +414,15 @@
     }
 
     fn rank(&self, host: &str, now: Instant) -> HostRank {
-        if self.unanswered.get(host).is_some_and(|until| now < *until) {
-            return HostRank::NotAnswering;
+        let heard = self.heard.get(host);
+        let age = heard.map(|heard| now.saturating_duration_since(heard.at));
+        let is_recent = age.is_some_and(|age| age <= RECENT_TIME);
+        if let Some(call) = self.unanswered.get(host).filter(|call| now < call.until) {
+            let is_late = is_recent && heard.is_some_and(|heard| heard.at > call.sent_at);
+            return if is_late { HostRank::AnsweringLate } else { HostRank::NotAnswering };
         }
-        let age = self.heard.get(host).map(|heard| now.saturating_duration_since(heard.at));
         match age {
-            Some(age) if age <= RECENT_TIME => HostRank::HeardRecently,
+            Some(_) if is_recent => HostRank::HeardRecently,
             Some(age) if age < SILENCE_TIME => HostRank::HeardBefore,
             Some(_) | None => HostRank::NotHeard,
         }
--- a/crates/entry/tests/reach_decisions.rs
+++ b/crates/entry/tests/reach_decisions.rs
@@ -399,7 +399,7 @@
 fn host_that_does_not_answer_is_asked_last() {
     let (hosts, now) = (hosts(3), Instant::now());
     let mut table = table_heard([(0, 0), (1, 0), (2, 1_000)], now);
-    table.record_unanswered(&host_name(0), now);
+    table.record_unanswered(&host_name(0), now, now);
     for draw in [0.0, 0.3, 0.6, 0.99] {
         let asked = asked_hosts(&table, &hosts, draw, now);
         assert_eq!(asked, [1, 2, 0].map(host_name), "draw {draw}");
@@ -410,6 +410,29 @@
     assert_eq!(asked_hosts(&table, &hosts, 0.5, now + ms(1_000))[0], host_name(0));
 }
 
+/// A host that answers late during a shortage must not come after one that may be frozen, on which
+/// calls would wait until their deadline.
+#[test]
+fn host_that_answers_late_is_asked_before_one_that_is_not_heard_of() {
+    let (hosts, now) = (hosts(2), Instant::now());
+    let mut table = table_heard([(1, 0)], now);
+    // Each further call that waits must not hide that the host was heard of meanwhile.
+    for step in 0..40 {
+        let at = now + ms(50 * step);
+        if step % 4 == 0 {
+            table.record_heard(&host_name(1), at);
+        }
+        table.record_unanswered(&host_name(1), at.max(now + ms(150)) - ms(150), at);
+        if step > 4 {
+            assert_eq!(asked_hosts(&table, &hosts, 0.5, at)[0], host_name(1), "step {step}");
+        }
+    }
+    // The host freezes: it is not heard of any more.
+    let at = now + ms(1_800 + 501);
+    table.record_unanswered(&host_name(1), at - ms(150), at);
+    assert_eq!(asked_hosts(&table, &hosts, 0.5, at)[0], host_name(0));
+}
+
 /// Nothing is added to the exchange while every host reaches every service, and little otherwise.
 #[test]
 fn ages_are_exchanged_only_while_a_host_lacks_connectivity() {
