--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -171,6 +171,12 @@
             && self.next_host().is_some()
     }
 
+    /// Whether the route allows the stream at a further endpoint beside that of a host which does not
+    /// answer.
+    pub(crate) fn allows_second_host(&self) -> bool {
+        self.sends() + 1 < self.call.route.max_attempts.max(1)
+    }
+
     /// Number of times that the request was sent or tried to be sent.
     pub(crate) fn sends(&self) -> u32 {
         self.sends.get()
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -311,6 +311,7 @@
         let is_unanswered = self.context.is_forwarded.get() && !self.is_started;
         let is_worthwhile = self.sources.len() < MAX_SOURCES
             && (silence < MAX_HEDGE_SILENCE || is_unanswered)
+            && (!is_unanswered || self.context.allows_second_host())
             && self.context.may_resend(RetryReason::Hedge);
         let position = self.resume_position().filter(|_| is_worthwhile);
         if !std::mem::replace(&mut self.is_silence_logged, true) || position.is_some() {
