--- a/src/trail.rs
+++ b/src/trail.rs
@@ -16,7 +16,7 @@
 /// are part of the trail: exclusions of endpoints last for three seconds.
 const LEAD_TIME_MS: i64 = 4_000;
 /// Events of a host that change what it believes, other than about an endpoint.
-const HOST_EVENTS: [&str; 16] = [
+const HOST_EVENTS: [&str; 17] = [
     "start",
     "stop",
     "listener_closed",
@@ -29,6 +29,7 @@
     "peer_silent",
     "duty_taken",
     "duty_left",
+    "duty_released",
     "duty_void",
     "duty_acting",
     "connection_refused",
