Decide the order of plain calls by priority and deadline

Cause: a plain call of any priority takes the last free slot of an endpoint, and waits for 200 ms at most, whatever its objective.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,13 +4,14 @@
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
 //! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`, `refusals`,
-//! `reach`.
+//! `reach`, `call_line`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
 mod admission;
 mod attempts;
 mod call;
+mod call_line;
 mod context;
 mod demand;
 mod detour;
@@ -79,6 +80,10 @@
     admitted_shares, queue_usage, service_usage,
 };
 pub use attempts::AttemptLog;
+pub use call_line::{
+    CallEndpoint, CallLine, CallNumber, CallRoom, CountedCalls, LineInputs, LineRefusal, LineStep,
+    WaitingCall,
+};
 pub use demand::{DemandCount, DemandMap, DemandMeter, OnTimeMap, PriorityDemand, level_of};
 pub use detour::detour;
 pub use down_reports::{DownReport, DownTable};
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -202,6 +202,8 @@
     /// Services whose stream routes have different priorities, with the shortest objective of these
     /// routes.
     prioritized: BTreeMap<ServiceName, Duration>,
+    /// Services of plain calls whose routes have different priorities.
+    plain_prioritized: BTreeSet<ServiceName>,
 }
 
 impl RuleIndex {
@@ -218,8 +220,10 @@
         for (index, customer) in rules.customers.iter().enumerate() {
             by_key.extend(customer.keys.iter().map(|key| (key.clone(), index)));
         }
-        let prioritized = prioritized_services(&rules);
-        Self { rules, by_host, by_key, prioritized }
+        let prioritized = prioritized_services(&rules, true);
+        let plain = prioritized_services(&rules, false).into_keys();
+        let plain_prioritized = plain.filter(|service| is_plain(&rules, service)).collect();
+        Self { rules, by_host, by_key, prioritized, plain_prioritized }
     }
 
     /// The indexed rules.
@@ -276,6 +280,17 @@
         self.prioritized.contains_key(service)
     }
 
+    /// Whether the plain routes of a service have different priorities, so that urgent calls go
+    /// first in a shortage. Services with an engine are not meant, whose endpoints run streams.
+    pub fn has_plain_priorities(&self, service: &str) -> bool {
+        self.plain_prioritized.contains(service)
+    }
+
+    /// Whether the plain routes of any service have different priorities.
+    pub(crate) fn has_any_plain_priorities(&self) -> bool {
+        !self.plain_prioritized.is_empty()
+    }
+
     /// Services whose stream routes have different priorities.
     pub fn prioritized_services(&self) -> impl Iterator<Item = &ServiceName> {
         self.prioritized.keys()
@@ -293,11 +308,19 @@
     }
 }
 
-/// Services whose stream routes have two or more different priorities, with the shortest objective
-/// of these routes. A target of weight 0 gets no requests and does not count.
-fn prioritized_services(rules: &ServingRules) -> BTreeMap<ServiceName, Duration> {
+/// Whether a service has no engine, and no stream is sent to it.
+fn is_plain(rules: &ServingRules, service: &str) -> bool {
+    let mut streams = rules.routes.iter().filter(|route| route.is_stream);
+    let has_streams = streams.any(|route| route.targets.iter().any(|(it, _)| **it == *service));
+    let has_engine = rules.services.get(service).is_some_and(|rule| rule.engine.is_some());
+    !has_streams && !has_engine
+}
+
+/// Services whose stream routes, or plain routes, have two or more different priorities, with the
+/// shortest objective of these routes. A target of weight 0 gets no requests and does not count.
+fn prioritized_services(rules: &ServingRules, is_stream: bool) -> BTreeMap<ServiceName, Duration> {
     let mut routes: BTreeMap<&ServiceName, (BTreeSet<u8>, Duration)> = BTreeMap::new();
-    for route in rules.routes.iter().filter(|route| route.is_stream) {
+    for route in rules.routes.iter().filter(|route| route.is_stream == is_stream) {
         for (service, _) in route.targets.iter().filter(|(_, weight)| *weight > 0) {
             let known = routes.entry(service).or_insert((BTreeSet::new(), Duration::MAX));
             known.0.insert(route.priority);
--- a/crates/entry/tests/rules_routes.rs
+++ b/crates/entry/tests/rules_routes.rs
@@ -86,3 +86,33 @@
         assert!(!index.has_priorities(service), "{service} has one priority at most");
     }
 }
+
+/// Guards against an order of calls for services that need none, and against one for engines, which
+/// order their streams.
+#[test]
+fn services_of_plain_calls_have_priorities_if_their_routes_differ() {
+    let to = |name: &str, service: &str, priority| RouteRule {
+        targets: vec![(service.into(), 1)],
+        priority,
+        ..route(name, "a.example", &format!("/{name}/"))
+    };
+    let stream = |route: RouteRule| RouteRule { is_stream: true, ..route };
+    let unused = RouteRule { targets: vec![("same".into(), 0)], ..to("unused", "same", 9) };
+    let routes = vec![
+        to("near", "desk", 0),
+        to("far", "desk", 1),
+        to("one", "same", 1),
+        to("two", "same", 1),
+        unused,
+        to("plain", "mixed", 0),
+        to("other", "mixed", 2),
+        stream(to("stream", "mixed", 1)),
+        stream(to("short", "guide", 0)),
+        stream(to("long", "guide", 2)),
+    ];
+    let index = RuleIndex::new(ServingRules { routes, ..ServingRules::default() });
+    let plain = ["desk", "same", "mixed", "guide", "none"].map(|it| index.has_plain_priorities(it));
+    assert_eq!(plain, [true, false, false, false, false]);
+    assert!(index.has_priorities("guide") && !index.has_priorities("desk"));
+    assert!(!index.has_priorities("mixed"), "streams of one priority");
+}
