Serve plain calls of services with several priorities in order

Cause: plain calls were sent in the order of their arrival, and one that an endpoint refused as full was refused although its time was not over.

Change: call_wait.rs waits for the turn that call_line.rs decides. Hosts report the calls that they have open at plain endpoints of these services, and how many arrive by priority. A refusal as full does not eject such an endpoint. Counters tell the calls that waited, were served after a wait, and were refused. Services whose plain routes have one priority take none of these branches.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 mod attempts;
 mod call;
 mod call_line;
+mod call_wait;
 mod context;
 mod demand;
 mod detour;
--- a/crates/entry/src/loads.rs
+++ b/crates/entry/src/loads.rs
@@ -325,6 +325,14 @@
         Some(load)
     }
 
+    /// Load of the other hosts on an endpoint, as the last total says, and the age of that; none if
+    /// it is too old.
+    pub fn other_load(&self, name: &str, now: Instant) -> Option<(StageLoad, Duration)> {
+        let snapshot = self.fresh_snapshot(now)?;
+        let load = snapshot.others.loads.get(name).copied().unwrap_or_default();
+        Some((load, snapshot.total_age + now.saturating_duration_since(snapshot.at)))
+    }
+
     /// Whether the last total is recent enough to use.
     pub fn is_fresh(&self, now: Instant) -> bool {
         self.fresh_snapshot(now).is_some()
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -10,7 +10,8 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::call::{AllowedCall, count_outcome, poison_refusal, unknown_outcome};
-use crate::endpoints::EndpointEntry;
+use crate::call_wait::{CallTurn, LineCall};
+use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::forward::{self, ForwardError, ForwardHost};
 use crate::health::CallEnd;
 use crate::pool::SendError;
@@ -39,6 +40,8 @@
     Failed(Response<ResponseBody>),
     /// The endpoint refused the request without running it.
     NotRun(Box<str>),
+    /// The endpoint of a service with several priorities refused the request as full.
+    Full(Box<str>),
     /// The request was not sent.
     NotSent(Box<str>),
     /// The request may have run.
@@ -59,13 +62,18 @@
     let mut last_response: Option<Response<ResponseBody>> = None;
     let mut last_fault: Box<str> = "no endpoint is registered".into();
     let mut retry_after = BUSY_RETRY_AFTER;
-    let wait_end = Instant::now() + MAX_WAIT.min(call.remaining());
+    let line = LineCall::new(state, call);
+    // Sends that endpoints refused as full; the call may be sent there again.
+    let mut full_refusals = 0;
+    let mut line_refusal = None;
+    let max_wait = line.as_ref().map_or(MAX_WAIT, LineCall::max_wait);
+    let wait_end = Instant::now() + max_wait.min(call.remaining());
     state.record_held_back(&call.service, None);
-    while tried.len() + forwarded < call.route.max_attempts.max(1) as usize
+    while tried.len() + forwarded + full_refusals < call.route.max_attempts.max(1) as usize
         && connect_failures < MAX_CONNECT_FAILURES
     {
         if let Some(host) = forward::next_host(state, call, &tried_hosts) {
-            let is_retry = !tried.is_empty() || forwarded > 0;
+            let is_retry = !tried.is_empty() || forwarded + full_refusals > 0;
             if is_retry && !state.allow_retry(&call.service, "forward", 0.0) {
                 break;
             }
@@ -75,9 +83,9 @@
                     count_outcome(state, &call.service, "forwarded");
                     return Ok(response);
                 }
-                AttemptOutcome::NotRun(fault) | AttemptOutcome::NotSent(fault) => {
-                    last_fault = fault;
-                }
+                AttemptOutcome::NotRun(fault)
+                | AttemptOutcome::Full(fault)
+                | AttemptOutcome::NotSent(fault) => last_fault = fault,
                 AttemptOutcome::Unknown(fault) => {
                     (has_run, last_fault) = (true, fault);
                     forwarded += 1;
@@ -94,7 +102,22 @@
             break;
         }
         call.count_first(state);
-        let Some(entry) = pick_endpoint(state, &call.service, &tried) else {
+        let is_retry = !tried.is_empty() || full_refusals > 0;
+        let turn = match &line {
+            Some(line) if is_retry && !line.has_retry() => break,
+            Some(line) => line.next_endpoint(&tried).await,
+            None => CallTurn::NoEndpoint,
+        };
+        let picked = match turn {
+            CallTurn::Send(entry) => Some(entry),
+            CallTurn::NoEndpoint => pick_endpoint(state, &call.service, &tried),
+            CallTurn::Refuse(refusal) => {
+                last_fault = refusal.to_string().into();
+                line_refusal = Some(refusal);
+                break;
+            }
+        };
+        let Some(entry) = picked else {
             let ahead = state.waiting_calls.get();
             let opening = |is_wanted: &dyn Fn(&EndpointEntry) -> bool| {
                 state.first_opening(&call.service, ahead, is_wanted)
@@ -121,14 +144,20 @@
             last_fault = blamed.to_string().into();
             break;
         }
-        if !tried.is_empty() && !state.allow_retry(&call.service, "plain", 0.0) {
+        let allow_retry = || match &line {
+            Some(line) => line.allow_retry(),
+            None => state.allow_retry(&call.service, "plain", 0.0),
+        };
+        if is_retry && !allow_retry() {
             break;
         }
-        let outcome = attempt(state, call, &entry).await;
-        let is_sent = !matches!(outcome, AttemptOutcome::NotSent(_));
+        let outcome = attempt(state, call, &entry, line.as_ref()).await;
+        let is_sent = !matches!(outcome, AttemptOutcome::NotSent(_) | AttemptOutcome::Full(_));
+        let is_connected = !matches!(outcome, AttemptOutcome::NotSent(_));
         match outcome {
             AttemptOutcome::Response(response) => {
                 count_outcome(state, &call.service, "answered");
+                line.inspect(|line| line.count_end(false));
                 return Ok(response);
             }
             AttemptOutcome::Failed(response) => {
@@ -136,6 +165,10 @@
                 last_response = Some(response);
             }
             AttemptOutcome::NotRun(fault) => last_fault = fault,
+            AttemptOutcome::Full(fault) => {
+                last_fault = fault;
+                full_refusals += 1;
+            }
             AttemptOutcome::NotSent(fault) => {
                 last_fault = fault;
                 connect_failures += 1;
@@ -147,7 +180,7 @@
         }
         if is_sent {
             tried.insert(entry.name.clone());
-        } else {
+        } else if !is_connected {
             state.health.borrow_mut().mark_down(&entry.name);
             state.down_table.borrow_mut().record_down(&entry, Instant::now());
         }
@@ -164,6 +197,12 @@
     }
     if !has_run {
         count_outcome(state, &call.service, "not_run");
+        line.inspect(|line| line.count_end(true));
+        if let Some(refusal) = line_refusal {
+            let delay = refusal.retry_after(call.remaining());
+            let refusal = CallRefusal::not_run(ResultCode::NoEndpoint, last_fault);
+            return Err(refusal.with_retry_after(delay));
+        }
         return Err(not_run_refusal(ResultCode::NoEndpoint, last_fault, retry_after));
     }
     Err(unknown_outcome(state, call, last_fault))
@@ -182,10 +221,11 @@
     state: &Rc<EntryState>,
     call: &AllowedCall,
     entry: &EndpointEntry,
+    line: Option<&LineCall<'_>>,
 ) -> AttemptOutcome {
     let started = Instant::now();
     state.health.borrow_mut().begin_call(&entry.name);
-    let _open_call = OpenCall { state, name: &entry.name };
+    let open_call = OpenCall { state, name: &entry.name };
     let target = SendTarget { endpoint: entry, path: &[], resume_after: None, urgency: None };
     let sent = timeout_at(call.deadline, send(state, call, target)).await;
     let (outcome, call_end) = match sent {
@@ -202,8 +242,25 @@
         Err(_) => (AttemptOutcome::Unknown("the request's time is over".into()), CallEnd::Broken),
     };
     let now = Instant::now();
-    state.health.borrow_mut().record_outcome(&entry.name, call_end, now - started, now);
+    let outcome = match (outcome, line) {
+        (AttemptOutcome::Full(fault), None) => AttemptOutcome::NotRun(fault),
+        (outcome, _) => outcome,
+    };
+    // An endpoint that is full is not ejected: it takes the next call as soon as a slot is free.
+    if !matches!(outcome, AttemptOutcome::Full(_)) {
+        state.health.borrow_mut().record_outcome(&entry.name, call_end, now - started, now);
+    }
+    let open = state.health.borrow().open_calls(&entry.name);
+    drop(open_call);
+    if let Some(line) = line {
+        if matches!(outcome, AttemptOutcome::Full(_)) {
+            line.record_refusal(entry);
+        }
+        let is_answered = matches!(call_end, CallEnd::Succeeded | CallEnd::Failed);
+        line.record_end(entry, is_answered.then(|| now - started));
+    }
     if let AttemptOutcome::NotRun(fault)
+    | AttemptOutcome::Full(fault)
     | AttemptOutcome::NotSent(fault)
     | AttemptOutcome::Unknown(fault) = &outcome
     {
@@ -211,7 +268,7 @@
             event = "attempt_failed", attempt = &*call.head.attempt,
             request:% = call.fingerprint(), endpoint = &*entry.name,
             service = &*call.service, fault = &**fault,
-            open = state.health.borrow().open_calls(&entry.name),
+            open,
             age_ms = call.arrived.elapsed().as_millis() as u64; "attempt at an endpoint failed"
         );
     }
@@ -259,8 +316,14 @@
     let status = sent.reply.parts.status;
     if sent.is_not_run() {
         let fault = format!("endpoint refused with {status}");
+        let is_busy_status = matches!(
+            sent.reply.parts.status,
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        let is_full = is_busy_status && !sent.head.is_leaving;
         sent.reply.lease.return_to_pool();
-        return (AttemptOutcome::NotRun(fault.into()), CallEnd::Refused);
+        let outcome = if is_full { AttemptOutcome::Full } else { AttemptOutcome::NotRun };
+        return (outcome(fault.into()), CallEnd::Refused);
     }
     if !sent.is_genuine() {
         return (AttemptOutcome::Unknown("answer is not the endpoint's".into()), CallEnd::Broken);
@@ -311,8 +374,25 @@
     service: &str,
     tried: &BTreeSet<EndpointName>,
 ) -> Option<EndpointEntry> {
+    let endpoints = state.endpoints.borrow();
+    let (healthy, suspect) = split_endpoints(state, &endpoints, service, tried);
+    if healthy.is_empty() {
+        // No endpoint is healthy: a call to a random one shows whether it replies again.
+        return suspect.choose(&mut rand::rng()).map(|entry| (*entry).clone());
+    }
+    let cost = |entry: &&EndpointEntry| call_cost(state, entry);
+    healthy.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+}
+
+/// Endpoints that take requests and have not been tried: the healthy ones, and the others.
+pub(crate) fn split_endpoints<'a>(
+    state: &EntryState,
+    endpoints: &'a EndpointTable,
+    service: &str,
+    tried: &BTreeSet<EndpointName>,
+) -> (Vec<&'a EndpointEntry>, Vec<&'a EndpointEntry>) {
     let now = Instant::now();
-    let (endpoints, health) = (state.endpoints.borrow(), state.health.borrow());
+    let health = state.health.borrow();
     let (notices, rates) = (state.notices.borrow(), state.rates.borrow());
     let down_table = state.down_table.borrow();
     let candidates = endpoints.entries().filter(|entry| {
@@ -322,22 +402,17 @@
             && rates.may_send(entry.start(), now)
             && !tried.contains(&entry.name)
     });
-    let (mut healthy, mut suspect) = (Vec::new(), Vec::new());
-    for entry in candidates {
-        let is_healthy = !health.is_down(&entry.name)
+    candidates.partition(|entry| {
+        !health.is_down(&entry.name)
             && !health.is_ejected(&entry.name, now)
-            && !down_table.is_reported(entry, now);
-        if is_healthy { healthy.push(entry) } else { suspect.push(entry) }
-    }
-    if healthy.is_empty() {
-        // No endpoint is healthy: a call to a random one shows whether it replies again.
-        return suspect.choose(&mut rand::rng()).map(|entry| (*entry).clone());
-    }
-    let cost = |entry: &&EndpointEntry| {
-        let domain_factor = if entry.domain == state.options.domain { 1.0 } else { 1.05 };
-        health.call_cost(&entry.name) * domain_factor
-    };
-    healthy.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b))).cloned()
+            && !down_table.is_reported(entry, now)
+    })
+}
+
+/// Expected cost of another call to an endpoint; one in another failure domain costs a little more.
+pub(crate) fn call_cost(state: &EntryState, entry: &EndpointEntry) -> f64 {
+    let domain_factor = if entry.domain == state.options.domain { 1.0 } else { 1.05 };
+    state.health.borrow().call_cost(&entry.name) * domain_factor
 }
 
 /// Counts a call as waiting until this guard is dropped.
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::admission::AdmissionTable;
+use crate::call_wait::{ServiceLines, add_open_calls};
 use crate::demand::DemandMeter;
 use crate::down_reports::DownTable;
 use crate::endpoints::{EndpointEntry, EndpointTable};
@@ -185,6 +186,8 @@
     pub relay_picker: RefCell<RelayPicker>,
     /// Plain calls that wait for an endpoint to take a request again.
     pub waiting_calls: Cell<u32>,
+    /// Plain calls that wait for a slot, by service with several priorities.
+    pub(crate) call_lines: RefCell<ServiceLines>,
     /// Queue of streams that wait for a path.
     pub path_queue: RefCell<WaitQueue>,
     /// Queues of streams that wait for a path, by service with several priorities.
@@ -271,6 +274,7 @@
             registry_restored: Notify::new(),
             peer_loads: RefCell::default(),
             waiting_calls: Cell::new(0),
+            call_lines: RefCell::default(),
             path_queue: RefCell::default(),
             objective_queues: RefCell::default(),
             demand: RefCell::default(),
@@ -393,13 +397,15 @@
         self.era_since.get().elapsed()
     }
 
-    /// Load of this host's streams.
+    /// Load of this host's streams, and of its plain calls to services with several priorities.
     pub fn own_load(&self) -> LoadSum {
         let (inflight, queues) = (self.inflight.borrow(), self.objective_queues.borrow());
         let now = Instant::now();
         let on_time = queues.iter().map(|(service, queue)| (service.clone(), queue.on_time(now)));
+        let mut loads = inflight.loads().clone();
+        add_open_calls(self, &mut loads);
         LoadSum {
-            loads: inflight.loads().clone(),
+            loads,
             crossing_tokens_per_s: inflight.crossing_tokens_per_s(),
             demands: self.demand.borrow_mut().counts(now),
             on_time: on_time.collect(),
@@ -514,8 +520,9 @@
         self.is_placing.get()
     }
 
-    /// Wakes waiting streams to search for a path again.
+    /// Wakes waiting streams to search for a path again, and waiting calls to look for a slot.
     pub fn wake_queue(&self) {
+        self.call_lines.borrow().wake();
         if !self.path_queue.borrow().is_empty() || !self.objective_queues.borrow().is_empty() {
             self.path_changed.notify_waiters();
         }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -64,6 +64,7 @@
     OversizedReplies = "jacinthrock_oversized_replies_total", Counter, ["source"], "Replies given up because they were over a limit, by source: answer, report, order or peer.";
     ForwardedCalls = "jacinthrock_forwarded_calls_total", Counter, ["service", "end", "outcome"], "Calls passed on to another host because this one could not reach the service, by service, end and outcome. Sent: answered, not_run or unknown, once for each host asked; received: served, or refused as stopping, unreachable or busy.";
     LateStreams = "jacinthrock_late_streams_total", Counter, ["service", "cause"], "Streams that were complete but late, by service and cause: the caller had returned, the wait for a path, the first event, or a pause between events.";
+    PlainCalls = "jacinthrock_plain_calls_total", Counter, ["service", "level", "outcome"], "Plain calls of services with several priorities, by priority level: waited for a slot, served_after_wait, or refused.";
     ConfigRevision = "jacinthrock_config_revision", Gauge, [], "Configuration revision in force.";
     ConfigUnconfirmed = "jacinthrock_config_unconfirmed", Gauge, [], "1 while the platform has not answered lately and the host serves with the revision it has.";
     ConfigChanges = "jacinthrock_config_changes_total", Counter, ["source"], "Configuration revisions taken, by source.";
