Test: a stream that must run at most once, at a host that does not answer

The repeat of a stream is decided elsewhere than that of a plain call, and no route of the test's rules had streams that must not be repeated. With the checks of the retry policy removed in forward.rs and stream.rs (trial), the test for the call and the one for the stream both failed; as committed both pass.

--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -576,6 +576,19 @@
     .await;
 }
 
+/// A stream that must run at most once must not be sent to a second host either.
+#[tokio::test]
+async fn stream_that_must_run_once_is_sent_once_if_a_host_does_not_answer() {
+    run(async {
+        let (site, received) = site_with_silent_host("guide").await;
+        record_heard(&site.hosts[1], "silent");
+        let status = site.hosts[1].status("/talk/x", "talk").await;
+        assert!([502, 504].contains(&status), "the outcome is unknown: {status}");
+        assert_eq!((count_received(&received, "talk"), site.arrivals("talk")), (1, 0));
+    })
+    .await;
+}
+
 /// A host that has not exchanged loads for a while got as many calls as all others, which waited
 /// there until their deadline.
 #[tokio::test]
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -622,7 +622,7 @@
 }
 
 /// Rules with the routes `/desk/` (must run at most once) and `/lookup/` to a plain service, and
-/// `/guide/` to a service of streams.
+/// `/guide/` and `/talk/` (must run at most once) to a service of streams.
 fn rules() -> ServingRules {
     let route = |name: &str, retry_policy, service: &str| RouteRule {
         name: name.into(),
@@ -664,6 +664,7 @@
             route("desk", RetryPolicy::Once, "desk"),
             route("lookup", RetryPolicy::Safe, "desk"),
             route("guide", RetryPolicy::Resumable, "guide"),
+            route("talk", RetryPolicy::Once, "guide"),
         ],
         services: BTreeMap::from([
             ("desk".into(), service(None)),
