Takeover: state why a host does not wait for its own record

Cause: the comment on the wait before a takeover was wrong about a host's own record. Change: the comment only.

--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -176,8 +176,8 @@
 }
 
 /// Waits for a random time, shorter on hosts with more capacity, and returns whether no host has
-/// taken the lease meanwhile. All hosts find a lapsed lease at about the same time; the record of an
-/// ended process of this host is taken by no other before that.
+/// taken the lease meanwhile. All hosts find a lapsed lease at about the same time. A host does not
+/// wait before it takes its own record, since its write fails if another host was faster.
 async fn is_still_free(
     state: &EntryState,
     version: Option<RegistryVersion>,
