--- a/crates/entry/tests/plain_priorities.rs
+++ b/crates/entry/tests/plain_priorities.rs
@@ -137,8 +137,8 @@
     LocalSet::new().run_until(check_calls(LOSS)).await;
 }
 
-/// Guards against calls that use up their sends at once at several full endpoints, as 9 to 17 of 120
-/// did before a second send waited.
+/// Guards against calls that use up their sends at several full endpoints with most of their wait
+/// left. 9 to 17 of 120 urgent calls failed before a second send waited.
 #[tokio::test]
 async fn urgent_calls_are_on_time_in_a_sudden_burst() {
     LocalSet::new().run_until(check_calls(BURST)).await;
