--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -5,15 +5,17 @@
 use std::time::Duration;
 
 use hyper::{Response, StatusCode};
-use jacinthrock::{CallRefusal, EndpointName, ResultCode};
+use jacinthrock::{CallRefusal, EndpointName, HostName, ResultCode};
 use rand::seq::IndexedRandom;
 use tokio::time::{Instant, timeout_at};
 
 use crate::call::{AllowedCall, count_outcome, poison_refusal, unknown_outcome};
+use crate::call_line::LineRefusal;
 use crate::call_wait::{CallTurn, LineCall};
 use crate::endpoints::{EndpointEntry, EndpointTable};
 use crate::forward::{self, ForwardError, ForwardHost, HostAttempts, HostOutcome};
 use crate::health::CallEnd;
+use crate::poison::BlamedSuspect;
 use crate::pool::SendError;
 use crate::response::{ResponseBody, endpoint_response, full_body, not_run_refusal};
 use crate::sending::{SendTarget, SentReply, probe_entry, read_answer, send};
@@ -64,168 +66,273 @@
     state: &Rc<EntryState>,
     call: &AllowedCall,
 ) -> Result<Response<ResponseBody>, CallRefusal> {
-    let mut tried = BTreeSet::new();
-    let mut tried_hosts = BTreeSet::new();
-    // Attempts at other hosts that may have run the request.
-    let mut forwarded = 0;
-    let mut connect_failures = 0;
-    let mut has_run = false;
-    let mut last_response: Option<Response<ResponseBody>> = None;
-    let mut last_fault: Box<str> = "no endpoint is registered".into();
-    let mut retry_after = BUSY_RETRY_AFTER;
-    let line = LineCall::new(state, call);
-    // Sends that endpoints refused as full; the call may be sent there again.
-    let mut full_refusals = 0;
-    let mut line_refusal = None;
-    let max_wait = line.as_ref().map_or(MAX_WAIT, LineCall::max_wait);
-    let wait_end = Instant::now() + max_wait.min(call.remaining());
     state.record_held_back(&call.service, None);
-    while tried.len() + forwarded + full_refusals < call.route.max_attempts.max(1) as usize
-        && connect_failures < MAX_CONNECT_FAILURES
-    {
-        if let Some(host) = forward::next_host(state, call, &tried_hosts) {
-            let is_retry = !tried.is_empty() || forwarded + full_refusals > 0;
-            if is_retry && !state.allow_retry(&call.service, "forward", 0.0) {
-                break;
+    let mut attempts = CallAttempts::new(state, call);
+    while attempts.may_go_on() {
+        let step = match forward::next_host(state, call, &attempts.tried_hosts) {
+            Some(host) => attempts.try_host(host).await,
+            None => attempts.try_endpoint().await,
+        };
+        match step {
+            AttemptStep::Again => {}
+            AttemptStep::Answer(response) => return Ok(response),
+            AttemptStep::Blamed(blamed) => {
+                count_outcome(state, &call.service, "not_run");
+                return Err(poison_refusal(&blamed));
             }
-            let attempts_made = tried.len() + forwarded + full_refusals;
-            let allows_second = attempts_made + 1 < call.route.max_attempts.max(1) as usize;
-            let attempts = HostAttempts { state, call, tried: &mut tried_hosts, allows_second };
-            let attempt = |host| async move { attempt_at_host(state, call, &host).await };
-            for outcome in attempts.run(host, attempt, AttemptOutcome::at_host).await {
-                match outcome {
-                    AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
-                        count_outcome(state, &call.service, "forwarded");
-                        return Ok(response);
-                    }
-                    AttemptOutcome::NotRun(fault)
-                    | AttemptOutcome::Full(fault)
-                    | AttemptOutcome::NotSent(fault) => last_fault = fault,
-                    AttemptOutcome::Unknown(fault) => {
-                        (has_run, last_fault) = (true, fault);
-                        forwarded += 1;
-                    }
+            AttemptStep::End => break,
+        }
+    }
+    attempts.finish()
+}
+
+/// What follows an attempt.
+enum AttemptStep {
+    /// Another attempt, if the route allows one.
+    Again,
+    Answer(Response<ResponseBody>),
+    /// The request, which has not run, is known to crash endpoints.
+    Blamed(BlamedSuspect),
+    End,
+}
+
+/// Endpoint for the next attempt.
+enum PickedEndpoint {
+    Entry(EndpointEntry),
+    /// None takes a request at present; the call has waited for one that soon may.
+    Waited,
+    None,
+}
+
+/// Attempts at endpoints and other hosts for one call, and what became of them.
+struct CallAttempts<'a> {
+    state: &'a Rc<EntryState>,
+    call: &'a AllowedCall,
+    /// The call in the line of its service, if that has several priorities.
+    line: Option<LineCall<'a>>,
+    /// Until when the call waits for endpoints that take no request at present.
+    wait_end: Instant,
+    tried: BTreeSet<EndpointName>,
+    tried_hosts: BTreeSet<HostName>,
+    /// Attempts at other hosts that may have run the request.
+    forwarded: usize,
+    /// Sends that endpoints refused as full; the call may be sent there again.
+    full_refusals: usize,
+    connect_failures: u32,
+    has_run: bool,
+    last_response: Option<Response<ResponseBody>>,
+    last_fault: Box<str>,
+    line_refusal: Option<LineRefusal>,
+    retry_after: Duration,
+}
+
+impl<'a> CallAttempts<'a> {
+    fn new(state: &'a Rc<EntryState>, call: &'a AllowedCall) -> Self {
+        let line = LineCall::new(state, call);
+        let max_wait = line.as_ref().map_or(MAX_WAIT, LineCall::max_wait);
+        Self {
+            state,
+            call,
+            line,
+            wait_end: Instant::now() + max_wait.min(call.remaining()),
+            tried: BTreeSet::new(),
+            tried_hosts: BTreeSet::new(),
+            forwarded: 0,
+            full_refusals: 0,
+            connect_failures: 0,
+            has_run: false,
+            last_response: None,
+            last_fault: "no endpoint is registered".into(),
+            line_refusal: None,
+            retry_after: BUSY_RETRY_AFTER,
+        }
+    }
+
+    /// Attempts that count against the route's maximum.
+    fn count(&self) -> usize {
+        self.tried.len() + self.forwarded + self.full_refusals
+    }
+
+    fn max_count(&self) -> usize {
+        self.call.route.max_attempts.max(1) as usize
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.count() < self.max_count() && self.connect_failures < MAX_CONNECT_FAILURES
+    }
+
+    /// Whether the request may be sent once more after what has become of the attempts so far.
+    fn may_repeat(&self) -> bool {
+        (!self.has_run || self.call.route.retry_policy.is_idempotent())
+            && !self.call.remaining().is_zero()
+            && !self.call.is_doubtful(self.state)
+    }
+
+    fn next_step(&self) -> AttemptStep {
+        if self.may_repeat() { AttemptStep::Again } else { AttemptStep::End }
+    }
+
+    /// Passes the call on to another host.
+    async fn try_host(&mut self, host: ForwardHost) -> AttemptStep {
+        let Self { state, call, .. } = *self;
+        if self.count() > 0 && !state.allow_retry(&call.service, "forward", 0.0) {
+            return AttemptStep::End;
+        }
+        let allows_second = self.count() + 1 < self.max_count();
+        let attempts = HostAttempts { state, call, tried: &mut self.tried_hosts, allows_second };
+        let attempt = |host| async move { attempt_at_host(state, call, &host).await };
+        for outcome in attempts.run(host, attempt, AttemptOutcome::at_host).await {
+            match outcome {
+                AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
+                    count_outcome(state, &call.service, "forwarded");
+                    return AttemptStep::Answer(response);
+                }
+                AttemptOutcome::NotRun(fault)
+                | AttemptOutcome::Full(fault)
+                | AttemptOutcome::NotSent(fault) => self.last_fault = fault,
+                AttemptOutcome::Unknown(fault) => {
+                    (self.has_run, self.last_fault) = (true, fault);
+                    self.forwarded += 1;
                 }
             }
-            let may_repeat = !has_run || call.route.retry_policy.is_idempotent();
-            if !may_repeat || call.remaining().is_zero() || call.is_doubtful(state) {
-                break;
-            }
-            continue;
         }
+        self.next_step()
+    }
+
+    /// Sends the call to an endpoint.
+    async fn try_endpoint(&mut self) -> AttemptStep {
+        let Self { state, call, .. } = *self;
+        let is_lost = || state.reach.borrow().is_lost(&call.service, Instant::now());
         // No further host takes the call, and this one cannot reach the service.
-        if !tried_hosts.is_empty() && state.reach.borrow().is_lost(&call.service, Instant::now()) {
-            break;
+        if !self.tried_hosts.is_empty() && is_lost() {
+            return AttemptStep::End;
         }
         call.count_first(state);
-        let is_retry = !tried.is_empty() || full_refusals > 0;
-        let turn = match &line {
-            Some(line) if is_retry && !line.has_retry() => break,
-            Some(line) => line.next_endpoint(&tried).await,
+        let is_retry = !self.tried.is_empty() || self.full_refusals > 0;
+        let entry = match self.pick_endpoint(is_retry).await {
+            PickedEndpoint::Entry(entry) => entry,
+            PickedEndpoint::Waited => return AttemptStep::Again,
+            PickedEndpoint::None => return AttemptStep::End,
+        };
+        if let Err(blamed) = call.check_poison(state) {
+            if !self.has_run {
+                return AttemptStep::Blamed(blamed);
+            }
+            self.last_fault = blamed.to_string().into();
+            return AttemptStep::End;
+        }
+        if is_retry && !self.allow_retry() {
+            return AttemptStep::End;
+        }
+        let outcome = attempt(state, call, &entry, self.line.as_ref()).await;
+        self.record(&entry, outcome)
+    }
+
+    /// Picks the endpoint for the next attempt, or waits for one that soon takes a request.
+    async fn pick_endpoint(&mut self, is_retry: bool) -> PickedEndpoint {
+        let turn = match &self.line {
+            Some(line) if is_retry && !line.has_retry() => return PickedEndpoint::None,
+            Some(line) => line.next_endpoint(&self.tried).await,
             None => CallTurn::NoEndpoint,
         };
-        let picked = match turn {
+        let entry = match turn {
             CallTurn::Send(entry) => Some(entry),
-            CallTurn::NoEndpoint => pick_endpoint(state, &call.service, &tried),
+            CallTurn::NoEndpoint => pick_endpoint(self.state, &self.call.service, &self.tried),
             CallTurn::Refuse(refusal) => {
-                last_fault = refusal.to_string().into();
-                line_refusal = Some(refusal);
-                break;
+                self.last_fault = refusal.to_string().into();
+                self.line_refusal = Some(refusal);
+                return PickedEndpoint::None;
             }
         };
-        let Some(entry) = picked else {
-            let ahead = state.waiting_calls.get();
-            let opening = |is_wanted: &dyn Fn(&EndpointEntry) -> bool| {
-                state.first_opening(&call.service, ahead, is_wanted)
-            };
-            let Some(first) = opening(&|_| true) else { break };
-            let untried = opening(&|entry| !tried.contains(&entry.name));
-            let delay = first.saturating_duration_since(Instant::now());
-            // Two estimates of the same delay are taken at slightly different times.
-            let is_untried =
-                untried.is_some_and(|at| at.saturating_duration_since(first) < SAME_TIME);
-            if is_untried && first < wait_end {
-                wait_for_opening(state, first).await;
-                continue;
-            }
-            last_fault = "no endpoint takes requests at present".into();
-            retry_after = delay + RETURN_SPREAD.mul_f64(rand::random());
-            break;
+        match entry {
+            Some(entry) => PickedEndpoint::Entry(entry),
+            None => self.wait_for_opening().await,
+        }
+    }
+
+    /// Waits if an endpoint that has not been tried is expected to take a request soon enough.
+    async fn wait_for_opening(&mut self) -> PickedEndpoint {
+        let Self { state, call, .. } = *self;
+        let ahead = state.waiting_calls.get();
+        let opening = |is_wanted: &dyn Fn(&EndpointEntry) -> bool| {
+            state.first_opening(&call.service, ahead, is_wanted)
         };
-        if let Err(blamed) = call.check_poison(state) {
-            if !has_run {
-                count_outcome(state, &call.service, "not_run");
-                return Err(poison_refusal(&blamed));
-            }
-            last_fault = blamed.to_string().into();
-            break;
+        let Some(first) = opening(&|_| true) else { return PickedEndpoint::None };
+        let untried = opening(&|entry| !self.tried.contains(&entry.name));
+        let delay = first.saturating_duration_since(Instant::now());
+        // Two estimates of the same delay are taken at slightly different times.
+        let is_untried = untried.is_some_and(|at| at.saturating_duration_since(first) < SAME_TIME);
+        if is_untried && first < self.wait_end {
+            wait_for_opening(state, first).await;
+            return PickedEndpoint::Waited;
         }
-        let allow_retry = || match &line {
+        self.last_fault = "no endpoint takes requests at present".into();
+        self.retry_after = delay + RETURN_SPREAD.mul_f64(rand::random());
+        PickedEndpoint::None
+    }
+
+    /// Takes a retry from the budget.
+    fn allow_retry(&self) -> bool {
+        match &self.line {
             Some(line) => line.allow_retry(),
-            None => state.allow_retry(&call.service, "plain", 0.0),
-        };
-        if is_retry && !allow_retry() {
-            break;
+            None => self.state.allow_retry(&self.call.service, "plain", 0.0),
         }
-        let outcome = attempt(state, call, &entry, line.as_ref()).await;
-        let is_sent = !matches!(outcome, AttemptOutcome::NotSent(_) | AttemptOutcome::Full(_));
-        let is_connected = !matches!(outcome, AttemptOutcome::NotSent(_));
+    }
+
+    /// Records the outcome of an attempt at an endpoint.
+    fn record(&mut self, entry: &EndpointEntry, outcome: AttemptOutcome) -> AttemptStep {
+        let Self { state, call, .. } = *self;
+        let mut is_tried = true;
         match outcome {
             AttemptOutcome::Response(response) => {
                 count_outcome(state, &call.service, "answered");
-                line.inspect(|line| line.count_end(false));
-                return Ok(response);
+                self.line.as_ref().inspect(|line| line.count_end(false));
+                return AttemptStep::Answer(response);
             }
             AttemptOutcome::Failed(response) => {
-                has_run = true;
-                last_response = Some(response);
+                (self.has_run, self.last_response) = (true, Some(response));
             }
-            AttemptOutcome::NotRun(fault) => last_fault = fault,
+            AttemptOutcome::Unknown(fault) => (self.has_run, self.last_fault) = (true, fault),
+            AttemptOutcome::NotRun(fault) => self.last_fault = fault,
             AttemptOutcome::Full(fault) => {
-                last_fault = fault;
-                full_refusals += 1;
+                is_tried = false;
+                self.last_fault = fault;
+                self.full_refusals += 1;
             }
             AttemptOutcome::NotSent(fault) => {
-                last_fault = fault;
-                connect_failures += 1;
-            }
-            AttemptOutcome::Unknown(fault) => {
-                has_run = true;
-                last_fault = fault;
+                is_tried = false;
+                self.last_fault = fault;
+                self.connect_failures += 1;
+                state.health.borrow_mut().mark_down(&entry.name);
+                state.down_table.borrow_mut().record_down(entry, Instant::now());
             }
         }
-        if is_sent {
-            tried.insert(entry.name.clone());
-        } else if !is_connected {
-            state.health.borrow_mut().mark_down(&entry.name);
-            state.down_table.borrow_mut().record_down(&entry, Instant::now());
+        if is_tried {
+            self.tried.insert(entry.name.clone());
         }
-        if has_run && !call.route.retry_policy.is_idempotent() {
-            break;
+        self.next_step()
+    }
+
+    /// The result of a call that no attempt has answered.
+    fn finish(self) -> Result<Response<ResponseBody>, CallRefusal> {
+        let Self { state, call, line, last_fault, .. } = self;
+        if let Some(response) = self.last_response {
+            count_outcome(state, &call.service, "endpoint_failed");
+            return Ok(response);
         }
-        if call.remaining().is_zero() || call.is_doubtful(state) {
-            break;
+        if self.has_run {
+            return Err(unknown_outcome(state, call, last_fault));
         }
-    }
-    if let Some(response) = last_response {
-        count_outcome(state, &call.service, "endpoint_failed");
-        return Ok(response);
-    }
-    if !has_run {
         count_outcome(state, &call.service, "not_run");
-        if let Some(refusal) = line_refusal {
+        line.as_ref().inspect(|line| line.count_end(true));
+        if let Some(refusal) = self.line_refusal {
             let delay = refusal.retry_after(call.remaining());
             let refusal = CallRefusal::not_run(ResultCode::NoEndpoint, last_fault);
-            line.inspect(|line| line.count_end(true));
             return Err(refusal.with_retry_after(delay));
         }
-        if let Some(line) = line {
-            last_fault = line.describe_refusal(&last_fault);
-            line.count_end(true);
-        }
-        return Err(not_run_refusal(ResultCode::NoEndpoint, last_fault, retry_after));
+        let fault = line.map_or(last_fault.clone(), |line| line.describe_refusal(&last_fault));
+        Err(not_run_refusal(ResultCode::NoEndpoint, fault, self.retry_after))
     }
-    Err(unknown_outcome(state, call, last_fault))
 }
 
 /// Waits until an endpoint is expected to take a request again, or a permit arrives.
