--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -214,6 +214,17 @@
             && (reason == RetryReason::Fault || self.may_hedge())
     }
 
+    /// Why [`may_resend`](Self::may_resend) does not allow another send, for logs.
+    pub(crate) fn resend_obstacle(&self, reason: RetryReason) -> &'static str {
+        let has_retry = self.state.has_retry(&self.call.service, self.reserved_share(reason));
+        match self.next_host() {
+            _ if self.call.is_doubtful(&self.state) => "doubtful",
+            _ if !has_retry => "retry_budget",
+            None if self.sends() >= MAX_SENDS => "sends",
+            _ => "other",
+        }
+    }
+
     /// Whether there is an endpoint to start at other than those on which sources wait.
     fn may_hedge(&self) -> bool {
         let limits = self.start_limits();
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -250,6 +250,21 @@
         }
     }
 
+    /// Why the stream does not go on after a failure, for logs.
+    fn break_reason(&self, failure: &SourceFailure) -> &'static str {
+        match failure {
+            SourceFailure::Response(_) => "answered",
+            SourceFailure::Poison(_) => "poison",
+            SourceFailure::DeadlinePassed => "deadline",
+            _ if self.context.last_event_at.get().elapsed() >= CALLER_TIMEOUT => "caller_gone",
+            _ if self.resume_position().is_none() => "not_resumable",
+            SourceFailure::NoPath(_) => "no_path",
+            SourceFailure::NotRun(_) | SourceFailure::Unknown(_) => {
+                self.context.resend_obstacle(RetryReason::Fault)
+            }
+        }
+    }
+
     fn record_failure(&mut self, failure: &SourceFailure) {
         match failure {
             SourceFailure::NotRun(reason) => self.fault = reason.clone(),
@@ -349,7 +364,7 @@
             return None;
         }
         loop {
-            match self.next_events().await {
+            let reason = match self.next_events().await {
                 Ok(Some(bytes)) => return Some(Ok(Frame::data(bytes))),
                 Ok(None) => {
                     self.is_finished = true;
@@ -366,6 +381,10 @@
                     | SourceFailure::Unknown(_)
                     | SourceFailure::NoPath(_)),
                 ) => {
+                    let reason = self.break_reason(&failure);
+                    if let SourceFailure::NoPath(obstacle) = &failure {
+                        self.fault = obstacle.clone();
+                    }
                     let position = self.resume_position();
                     let may_resend = !matches!(failure, SourceFailure::NoPath(_))
                         && self.context.may_resend(RetryReason::Fault);
@@ -381,19 +400,20 @@
                         self.add_source(resume_after, Some(RetryReason::Fault));
                         continue;
                     }
+                    reason
                 }
                 Err(
-                    SourceFailure::Response(_)
+                    failure @ (SourceFailure::Response(_)
                     | SourceFailure::Poison(_)
-                    | SourceFailure::DeadlinePassed,
-                ) => {}
-            }
+                    | SourceFailure::DeadlinePassed),
+                ) => self.break_reason(&failure),
+            };
             self.is_finished = true;
             let StreamContext { state, call, .. } = &*self.context;
             count_outcome(state, &call.service, "broken_off");
             log::warn!(
-                event = "stream_broken", attempt = &*call.head.attempt,
-                sends = self.context.sends(),
+                event = "stream_broken", attempt = &*call.head.attempt, reason,
+                fault = &*self.fault, sends = self.context.sends(),
                 last_event = self.context.last_event_id.get().unwrap_or(0),
                 age_ms = call.arrived.elapsed().as_millis() as u64;
                 "stream interrupted and not resumed"
