A forwarded stream returns at once when its host loses the service

Callers of hosts whose links were back lost their streams 2 s after another host, which served them, was reset. Cause: that host looked for a path of its own until the caller would have given up, since a forwarded call is not passed on again; the host that had passed it on learned of it when it was too late to resume.

A stream of another host that waits for a path ends once this host has lost the service.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -163,6 +163,15 @@
         }
     }
 
+    /// Waits until this host has lost connectivity to the service of a stream that another host has
+    /// passed on; that host can resume it at once. Does not end for other streams.
+    pub(crate) async fn return_due(&self) {
+        if self.call.forwarded().is_none() {
+            std::future::pending::<()>().await;
+        }
+        forward::lost(&self.state, &self.call.service).await;
+    }
+
     /// Whether the stream can go on at another host, once it is known whether this one has lost
     /// connectivity; waits only if connections to the service have just failed.
     pub(crate) async fn may_go_on_elsewhere(&self) -> bool {
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -268,6 +268,9 @@
             biased;
             path = context.wait_for_path() => path?,
             host = context.host_due() => return self.open_at_host(host).await,
+            () = context.return_due() => {
+                return Err(SourceFailure::NoPath("this host cannot reach the service".into()));
+            }
         };
         if !is_trial {
             context.check_poison()?;
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -22,6 +22,8 @@
 
 /// Events of a stream that is in progress when a test cuts links.
 const LONG_STREAM: u64 = 60;
+/// Longest pause between two events at which a stream is on time, in the rules of the test site.
+const EVENT_GAP: Duration = Duration::from_millis(500);
 const FORMS: [CutForm; 3] = [CutForm::Hang, CutForm::Refuse, CutForm::Reset];
 
 async fn run(test: impl Future<Output = ()>) {
@@ -490,6 +492,40 @@
     .await;
 }
 
+/// A host that serves a stream of another one and loses its own links kept the stream until its
+/// caller had given up, although the other host had its links back.
+#[tokio::test]
+async fn forwarded_stream_returns_when_its_host_loses_connectivity() {
+    run(async {
+        let site = TestSite::start(3).await;
+        for endpoint in &site.endpoints {
+            endpoint.events.set(LONG_STREAM);
+        }
+        let [idle, serving, host] = &site.hosts[..] else { panic!("three hosts") };
+        site.lose(2, "guide", CutForm::Reset).await;
+        let avoided = idle.state.options.host.clone();
+        let until = Instant::now() + Duration::from_secs(60);
+        host.state.reach.borrow_mut().avoid_host(&avoided, until);
+        let change = async {
+            sleep(EVENT_PAUSE * 10).await;
+            host.mend();
+            let is_regained = || !host.is_lost("guide");
+            wait_until(Duration::from_millis(600), "connectivity is back", is_regained).await;
+            assert_eq!(serving.state.forwarded_calls.get(), 1, "the stream is in progress");
+            serving.cut("guide", CutForm::Reset).await;
+        };
+        let started = Instant::now();
+        let (answer, ()) = tokio::join!(host.call("/guide/x", "s"), change);
+        let (status, _, body) = answer.expect("a complete stream");
+        assert_eq!((status, &*body), (200, all_events(LONG_STREAM).as_bytes()));
+        let own_time = EVENT_PAUSE * LONG_STREAM as u32;
+        let pause = started.elapsed().saturating_sub(own_time);
+        assert!(pause < EVENT_GAP, "resumed after {pause:?}");
+        assert_eq!(site.arrivals("s"), 2);
+    })
+    .await;
+}
+
 /// Route objective of the test's rules; a call goes to the next host after half of it.
 const OBJECTIVE: Duration = Duration::from_millis(500);
 
