Retries are counted by the host that sends, and only for what is sent

Callers of hosts whose connections are all reset at once lost their streams, while other hosts could resume them and had retries left.

Cause: a resumption at another host took a retry from the share of the host that passes the stream on. That share follows the streams that a host serves, so that it is smallest at a host without links.

A retry of a send that did not happen is given back. An interrupted stream for which this host has no retry uses one of the host that resumes it, asked for by a path that earlier releases refuse. Every share keeps its bound, and so does the sum.

The test of a spent budget spends the retries of both hosts now, since those of one alone no longer end the stream; its checks are the same. The two new tests fail without the change.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -14,13 +14,13 @@
 use crate::demand::DemandMeter;
 use crate::endpoints::EndpointEntry;
 use crate::failure::SourceFailure;
-use crate::forward::{self, ForwardHost};
+use crate::forward::{self, ForwardHost, ForwardRetry};
 use crate::path::{PathStage, crossings};
 use crate::queue::{QueuePosition, WaitClass};
 use crate::returns::{MIN_RETURN_DELAY, ReturnSchedule};
 use crate::routing::PathQuery;
 use crate::sending::probe_entry;
-use crate::state::EntryState;
+use crate::state::{EntryState, RetryPermit};
 use crate::waiting::CALLER_TIMEOUT;
 
 /// Maximum wait for a path when none has room: most of the delay of the first event that callers
@@ -214,6 +214,7 @@
             return !self.call.is_doubtful(&self.state)
                 && !self.call.remaining().is_zero()
                 && ((self.sends() == 0 && reason == RetryReason::Fault)
+                    || self.is_interrupted(reason)
                     || self.state.has_retry(&self.call.service, self.reserved_share(reason)));
         }
         self.sends() < MAX_SENDS
@@ -246,13 +247,26 @@
 
     /// Part of the retry budget that a retry must leave for interrupted streams.
     fn reserved_share(&self, reason: RetryReason) -> f64 {
-        let is_interrupted = reason == RetryReason::Fault && self.last_event_id.get().is_some();
-        if is_interrupted { 0.0 } else { RESUME_RESERVED_SHARE }
+        let is_resumed_for = self.call.forwarded().is_some_and(|forwarded| forwarded.takes_retry);
+        if self.is_interrupted(reason) || is_resumed_for { 0.0 } else { RESUME_RESERVED_SHARE }
     }
 
-    /// Takes a retry from the budget.
-    pub(crate) fn take_retry(&self, reason: RetryReason) -> bool {
-        self.state.allow_retry(&self.call.service, reason.label(), self.reserved_share(reason))
+    /// Whether another send would resume the stream after an event.
+    fn is_interrupted(&self, reason: RetryReason) -> bool {
+        reason == RetryReason::Fault && self.last_event_id.get().is_some()
+    }
+
+    /// Takes a retry from this host's share of the budget.
+    pub(crate) fn take_retry(&self, reason: RetryReason) -> Option<RetryPermit> {
+        let reserved = self.reserved_share(reason);
+        self.state.take_retry(&self.call.service, reason.label(), reserved)
+    }
+
+    /// Takes a retry for a send to another host: from this host's share, or else from that of the
+    /// other host if the stream is interrupted.
+    pub(crate) fn take_forward_retry(&self, reason: RetryReason) -> Option<ForwardRetry> {
+        let own = self.take_retry(reason).map(ForwardRetry::Own);
+        own.or_else(|| self.is_interrupted(reason).then_some(ForwardRetry::OfReceiver))
     }
 
     /// Fails if the request or a part of its prompt is known to crash endpoints. Returns whether it
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -57,7 +57,7 @@
         Ok(call) => call,
         Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
     };
-    if let Some(ForwardedCall { service, is_retry }) = &forwarded {
+    if let Some(ForwardedCall { service, is_retry, .. }) = &forwarded {
         let targets = call.route.targets.iter().map(|(target, _)| target);
         if let Some(service) = targets.into_iter().find(|target| Some(*target) == service.as_ref())
         {
@@ -69,10 +69,15 @@
         return refuse(&state, &call.head.attempt, refusal);
     }
     let service = call.service.clone();
-    if let Some(refusal) = forward::unreachable_refusal(&state, &call) {
-        let mut response = refuse(&state, &call.head.attempt, refusal);
-        forward::mark_refusal(&state, &service, &mut response);
-        return response;
+    let refuse_forwarded = |attempt: &str, refusal| {
+        let mut response = refuse(&state, attempt, refusal);
+        if let Some(forwarded) = &forwarded {
+            forward::mark_refusal(&state, &service, forwarded, &mut response);
+        }
+        response
+    };
+    if let Some(refusal) = forward::early_refusal(&state, &call) {
+        return refuse_forwarded(&call.head.attempt, refusal);
     }
     if forward::next_host(&state, &call, &BTreeSet::new()).is_none() {
         call.count_first(&state);
@@ -85,13 +90,7 @@
     };
     match outcome {
         Ok(response) => response,
-        Err(refusal) => {
-            let mut response = refuse(&state, &attempt, refusal);
-            if forwarded.is_some() {
-                forward::mark_refusal(&state, &service, &mut response);
-            }
-            response
-        }
+        Err(refusal) => refuse_forwarded(&attempt, refusal),
     }
 }
 
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -26,10 +26,13 @@
 use crate::sending::{
     AT_MOST_ONCE_MAX_IDLE, CONNECT_TIMEOUT, count_over_limit, probe, probe_links,
 };
-use crate::state::EntryState;
+use crate::state::{EntryState, RetryPermit};
 
 /// Prefix of the paths of forwarded calls.
 const FORWARD_PATH: &str = "/forward";
+/// Prefix of the paths of forwarded calls for which the receiving host takes a retry from its share of
+/// the budget. Hosts of earlier releases, which would take none, refuse them.
+const FORWARD_RETRY_PATH: &str = "/forward-retry";
 /// Name of the host that forwards a call.
 const FORWARDED_BY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-by");
 /// Service that the forwarding host has picked from the targets of the route.
@@ -71,6 +74,17 @@
     pub(crate) service: Option<ServiceName>,
     /// Whether the first attempt of the call is counted already.
     pub(crate) is_retry: bool,
+    /// Whether this host takes a retry from its share of the budget for the call.
+    pub(crate) takes_retry: bool,
+}
+
+/// The retry that a forwarded call uses.
+#[derive(Debug)]
+pub(crate) enum ForwardRetry {
+    /// From the share of the host that forwards the call.
+    Own(RetryPermit),
+    /// From the share of the host that receives it.
+    OfReceiver,
 }
 
 /// Why a host refuses a forwarded call, which has not run.
@@ -239,7 +253,9 @@
     call: &AllowedCall,
     host: &ForwardHost,
     resume_after: Option<u64>,
+    retry: Option<&ForwardRetry>,
 ) -> Result<PooledReply, ForwardError> {
+    let takes_retry = matches!(retry, Some(ForwardRetry::OfReceiver));
     let (sent_at, remaining) = (Instant::now(), call.remaining());
     let is_idempotent = call.route.retry_policy.is_idempotent();
     let options = SendOptions {
@@ -247,7 +263,8 @@
         connect_timeout: CONNECT_TIMEOUT.min(remaining),
         ..SendOptions::within(remaining, MAX_IDLE)
     };
-    let sent = match forward_request(state, call, resume_after) {
+    let prefix = if takes_retry { FORWARD_RETRY_PATH } else { FORWARD_PATH };
+    let sent = match forward_request(state, call, prefix, resume_after) {
         Ok(request) => {
             let mut sending = pin!(state.pool.send(host.address, request, options));
             tokio::select! {
@@ -263,7 +280,7 @@
     };
     count_over_limit(state, "peer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let result = match sent {
-        Ok(reply) => check_reply(state, call, host, reply),
+        Ok(reply) => check_reply(state, call, host, takes_retry, reply),
         Err(error @ SendError::NotSent { .. }) => {
             avoid(state, host, CONNECT_AVOID_TIME);
             Err(ForwardError::NotRun(error.to_string().into()))
@@ -315,10 +332,11 @@
 fn forward_request(
     state: &EntryState,
     call: &AllowedCall,
+    prefix: &str,
     resume_after: Option<u64>,
 ) -> Result<Request<Full<Bytes>>, Box<str>> {
     let target = call.parts.uri.path_and_query().map_or("/", |target| target.as_str());
-    let uri = format!("{FORWARD_PATH}{target}").parse::<Uri>();
+    let uri = format!("{prefix}{target}").parse::<Uri>();
     let uri = uri.map_err(|error| Box::<str>::from(error.to_string()))?;
     let caller_headers = end_to_end_headers(&call.parts.headers);
     let mut headers = state.codec.forward_headers(&caller_headers, call.remaining(), resume_after);
@@ -348,11 +366,15 @@
     state: &EntryState,
     call: &AllowedCall,
     host: &ForwardHost,
+    takes_retry: bool,
     mut reply: PooledReply,
 ) -> Result<PooledReply, ForwardError> {
     let status = reply.parts.status;
     let Some(verdict) = reply.parts.headers.remove(FORWARDED) else {
-        avoid(state, host, LONG_AVOID_TIME);
+        // A host of an earlier release may take calls with a retry of this host.
+        if !takes_retry {
+            avoid(state, host, LONG_AVOID_TIME);
+        }
         return Err(ForwardError::NotRun(format!("host takes no calls: {status}").into()));
     };
     if verdict == SERVED {
@@ -377,7 +399,14 @@
 
 /// Whether a request from another host is a forwarded call.
 pub(crate) fn is_forwarded(request: &Request<Incoming>) -> bool {
-    request.uri().path().strip_prefix(FORWARD_PATH).is_some_and(|path| path.starts_with('/'))
+    strip_prefix(request.uri().path()).is_some()
+}
+
+/// The caller's target in the target of a forwarded call, and whether this host takes a retry for it.
+fn strip_prefix(target: &str) -> Option<(&str, bool)> {
+    let with = |prefix| target.strip_prefix(prefix).filter(|rest| rest.starts_with('/'));
+    let own = with(FORWARD_RETRY_PATH).map(|rest| (rest, true));
+    own.or_else(|| with(FORWARD_PATH).map(|rest| (rest, false)))
 }
 
 /// Serves a call that another host has passed on.
@@ -402,11 +431,11 @@
     } else {
         None
     };
-    let mut response = match (refusal, strip_prefix(request.uri())) {
+    let mut response = match (refusal, caller_target(request.uri())) {
         (Some(refusal), _) => refuse_call(refusal),
-        (None, Ok(uri)) => {
+        (None, Ok((uri, takes_retry))) => {
             *request.uri_mut() = uri;
-            request.extensions_mut().insert(ForwardedCall { service, is_retry });
+            request.extensions_mut().insert(ForwardedCall { service, is_retry, takes_retry });
             dispatch::serve(state.clone(), request).await
         }
         (None, Err(error)) => {
@@ -430,14 +459,12 @@
     response
 }
 
-/// The caller's path and query.
-fn strip_prefix(uri: &Uri) -> Result<Uri, String> {
+/// The caller's path and query, and whether this host takes a retry for the call.
+fn caller_target(uri: &Uri) -> Result<(Uri, bool), String> {
     let target = uri.path_and_query().map_or("", |target| target.as_str());
-    target
-        .strip_prefix(FORWARD_PATH)
-        .unwrap_or(target)
-        .parse()
-        .map_err(|error: hyper::http::uri::InvalidUri| error.to_string())
+    let (target, takes_retry) = strip_prefix(target).unwrap_or((target, false));
+    let uri = target.parse::<Uri>().map_err(|error| error.to_string())?;
+    Ok((uri, takes_retry))
 }
 
 fn refuse_call(refusal: ForwardRefusal) -> Response<ResponseBody> {
@@ -447,24 +474,35 @@
     response
 }
 
-/// Refuses a forwarded call whose service this host cannot reach either; it is not passed on again.
-pub(crate) fn unreachable_refusal(state: &EntryState, call: &AllowedCall) -> Option<CallRefusal> {
-    let is_lost = state.reach.borrow().is_lost(&call.service, Instant::now());
-    (call.forwarded().is_some() && is_lost).then(|| {
-        CallRefusal::not_run(ResultCode::NoEndpoint, "this host cannot reach the service either")
-    })
+/// Refuses a forwarded call that this host cannot serve: one whose service it does not reach either,
+/// which is not passed on again, or one that takes a retry when none is left.
+pub(crate) fn early_refusal(state: &EntryState, call: &AllowedCall) -> Option<CallRefusal> {
+    let forwarded = call.forwarded()?;
+    let detail = if state.reach.borrow().is_lost(&call.service, Instant::now()) {
+        "this host cannot reach the service either"
+    } else if forwarded.takes_retry && !state.has_retry(&call.service, 0.0) {
+        "no retry is left for a stream of another host"
+    } else {
+        return None;
+    };
+    Some(CallRefusal::not_run(ResultCode::NoEndpoint, detail))
 }
 
-/// Marks the refusal of a forwarded call if this host may have lost its connectivity too, so that
-/// the call is passed on to another host.
+/// Marks the refusal of a forwarded call that another host may serve: this host may have lost its
+/// connectivity too, or the call needs a retry or room, and its caller can't be refused any more.
 pub(crate) fn mark_refusal(
     state: &EntryState,
     service: &str,
+    forwarded: &ForwardedCall,
     response: &mut Response<ResponseBody>,
 ) {
-    let is_doubtful = state.reach.borrow().is_doubtful(service);
-    if is_doubtful && response.status() == StatusCode::SERVICE_UNAVAILABLE {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return;
+    }
+    if state.reach.borrow().is_doubtful(service) {
         response.extensions_mut().insert(ForwardRefusal::Unreachable);
+    } else if forwarded.takes_retry {
+        response.extensions_mut().insert(ForwardRefusal::Busy);
     }
 }
 
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -175,9 +175,14 @@
     /// Passes the call on to another host.
     async fn try_host(&mut self, host: ForwardHost) -> AttemptStep {
         let Self { state, call, .. } = *self;
-        if self.count() > 0 && !state.allow_retry(&call.service, "forward", 0.0) {
-            return AttemptStep::End;
-        }
+        let retry = if self.count() > 0 {
+            let permit = state.take_retry(&call.service, "forward", 0.0);
+            let Some(permit) = permit else { return AttemptStep::End };
+            Some(permit)
+        } else {
+            None
+        };
+        let forwarded_before = self.forwarded;
         let allows_second = self.count() + 1 < self.max_count();
         let attempts = HostAttempts { state, call, tried: &mut self.tried_hosts, allows_second };
         let attempt = |host| async move { attempt_at_host(state, call, &host).await };
@@ -196,6 +201,9 @@
                 }
             }
         }
+        if let Some(permit) = retry.filter(|_| self.forwarded == forwarded_before) {
+            state.give_back_retry(&permit);
+        }
         self.next_step()
     }
 
@@ -408,17 +416,18 @@
     call: &AllowedCall,
     host: &ForwardHost,
 ) -> AttemptOutcome {
-    let reply = match timeout_at(call.deadline, forward::send_to(state, call, host, None)).await {
-        Ok(Ok(reply)) => reply,
-        Ok(Err(ForwardError::NotRun(fault))) => return AttemptOutcome::NotRun(fault),
-        Ok(Err(ForwardError::Unknown(fault))) => return AttemptOutcome::Unknown(fault),
-        Err(_) => {
-            let error = ForwardError::Unknown("the request's time is over".into());
-            return AttemptOutcome::Unknown(
-                forward::record_error(state, call, host, error).into_fault(),
-            );
-        }
-    };
+    let reply =
+        match timeout_at(call.deadline, forward::send_to(state, call, host, None, None)).await {
+            Ok(Ok(reply)) => reply,
+            Ok(Err(ForwardError::NotRun(fault))) => return AttemptOutcome::NotRun(fault),
+            Ok(Err(ForwardError::Unknown(fault))) => return AttemptOutcome::Unknown(fault),
+            Err(_) => {
+                let error = ForwardError::Unknown("the request's time is over".into());
+                return AttemptOutcome::Unknown(
+                    forward::record_error(state, call, host, error).into_fault(),
+                );
+            }
+        };
     let status = reply.parts.status;
     let read = timeout_at(call.deadline, read_answer(state, reply)).await;
     let fault = match read {
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -20,7 +20,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
 use crate::failure::SourceFailure;
-use crate::forward::{self, ForwardError, ForwardHost};
+use crate::forward::{self, ForwardError, ForwardHost, ForwardRetry};
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
 use crate::pool::{ConnectionLease, PooledReply, SendError};
@@ -31,6 +31,7 @@
     SendTarget, SentReply, check_refusal, exclude_endpoint, probe, read_answer, send,
 };
 use crate::stall::MIN_SILENCE;
+use crate::state::RetryPermit;
 
 /// Urgency of a resent stream, whose caller may be waiting in the middle of an answer.
 const RESUMED_URGENCY: u8 = 0;
@@ -47,6 +48,9 @@
 /// detour and a second path of its own within this time.
 const FORWARDED_SILENCE: Duration = Duration::from_millis(600);
 
+/// Why a source is not opened if the budget grants no retry.
+const NO_RETRY: &str = "the retry budget is spent";
+
 /// Head of the reply with which a source opened.
 #[derive(Default)]
 pub(crate) struct SourceHead {
@@ -158,9 +162,13 @@
         let (state, call) = (&context.state, &context.call);
         let is_hedge = self.retry == Some(RetryReason::Hedge);
         let is_retry = context.sends() > 0 || is_hedge;
-        if self.retry.is_some_and(|reason| is_retry && !context.take_retry(reason)) {
-            return Err(SourceFailure::NoPath("the retry budget is spent".into()));
-        }
+        let retry = match self.retry.filter(|_| is_retry) {
+            Some(reason) => {
+                let retry = context.take_forward_retry(reason);
+                Some(retry.ok_or_else(|| SourceFailure::NoPath(NO_RETRY.into()))?)
+            }
+            None => None,
+        };
         if is_hedge {
             // The host that is silent may have counted the first attempt.
             call.is_counted.set(true);
@@ -168,12 +176,18 @@
         context.record_host(&host);
         log::info!(
             event = "stream_forwarded", attempt = &*call.head.attempt, peer = &*host.name,
-            sends = context.sends(), resume_after = self.resume_after.unwrap_or(0);
+            sends = context.sends(), resume_after = self.resume_after.unwrap_or(0),
+            is_retry_of_receiver = matches!(retry, Some(ForwardRetry::OfReceiver));
             "stream is passed on to another host"
         );
-        let reply = match self.send_to_host(&host).await {
+        let reply = match self.send_to_host(&host, retry.as_ref()).await {
             Ok(reply) => reply,
-            Err(ForwardError::NotRun(fault)) => return Err(SourceFailure::NotRun(fault)),
+            Err(ForwardError::NotRun(fault)) => {
+                if let Some(ForwardRetry::Own(permit)) = &retry {
+                    state.give_back_retry(permit);
+                }
+                return Err(SourceFailure::NotRun(fault));
+            }
             Err(ForwardError::Unknown(fault)) => {
                 context.record_forwarded_send();
                 return Err(SourceFailure::Unknown(fault));
@@ -201,9 +215,13 @@
     }
 
     /// Passes the stream on; reports it as silent if the other host does not answer in time.
-    async fn send_to_host(&self, host: &ForwardHost) -> Result<PooledReply, ForwardError> {
+    async fn send_to_host(
+        &self,
+        host: &ForwardHost,
+        retry: Option<&ForwardRetry>,
+    ) -> Result<PooledReply, ForwardError> {
         let StreamContext { state, call, .. } = &*self.context;
-        let mut sending = pin!(forward::send_to(state, call, host, self.resume_after));
+        let mut sending = pin!(forward::send_to(state, call, host, self.resume_after, retry));
         tokio::select! {
             biased;
             sent = &mut sending => sent,
@@ -278,9 +296,13 @@
         let Some(first) = state.endpoint(&path[0].name) else {
             return Err(SourceFailure::NotRun("first stage has left".into()));
         };
-        if self.retry.is_some_and(|reason| !context.take_retry(reason)) {
-            return Err(SourceFailure::NoPath("the retry budget is spent".into()));
-        }
+        let permit = match self.retry {
+            Some(reason) => {
+                let permit = context.take_retry(reason);
+                Some(permit.ok_or_else(|| SourceFailure::NoPath(NO_RETRY.into()))?)
+            }
+            None => None,
+        };
         let urgency = match context.sends() {
             0 => (NEW_URGENCY + context.call.priority).min(LOWEST_URGENCY),
             _ => RESUMED_URGENCY,
@@ -295,7 +317,7 @@
         let inflight = state.inflight.clone();
         let guard = StreamGuard::new(inflight, path, context.expected_tokens(), Instant::now());
         let mut silence = SilenceHandler::new(&self.is_silent);
-        let sent = self.send(&guard, &first, urgency, &mut silence).await?;
+        let sent = self.send(&guard, &first, urgency, permit, &mut silence).await?;
         let parts = sent.reply.parts;
         let lease = sent.reply.lease;
         let body = lease.meter(sent.reply.body);
@@ -310,6 +332,7 @@
         guard: &StreamGuard,
         first: &EndpointEntry,
         urgency: u8,
+        permit: Option<RetryPermit>,
         silence: &mut SilenceHandler,
     ) -> Result<SentReply, SourceFailure> {
         let context = &self.context;
@@ -325,7 +348,12 @@
             tokio::select! {
                 sent = &mut sending => return match sent {
                     Ok(sent) => self.check_reply(guard, first, sent).await,
-                    Err(error) => Err(self.send_failure(guard, first, &error)),
+                    Err(error) => {
+                        if let (Some(permit), SendError::NotSent { .. }) = (&permit, &error) {
+                            context.state.give_back_retry(permit);
+                        }
+                        Err(self.send_failure(guard, first, &error))
+                    }
                 },
                 () = silence.search_due(guard.record()) => {
                     if let Err(failure) = silence.handle(context, guard, first).await {
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -467,6 +467,16 @@
     /// part `reserved_share` of it remains, which is reserved for other requests. `reason` labels
     /// the retry in metrics.
     pub fn allow_retry(&self, service: &str, reason: &str, reserved_share: f64) -> bool {
+        self.take_retry(service, reason, reserved_share).is_some()
+    }
+
+    /// The same; the retry can be given back if the request is not sent.
+    pub(crate) fn take_retry(
+        &self,
+        service: &str,
+        reason: &str,
+        reserved_share: f64,
+    ) -> Option<RetryPermit> {
         let now = Instant::now();
         let share = self.retry_share.borrow().latest().unwrap_or_else(|| self.present_share(now));
         let mut budget = self.retry_budget.borrow_mut();
@@ -479,7 +489,14 @@
             (false, false) => "budget_spent",
         };
         self.metrics.count(MetricName::Retries, &[label]);
-        allowed
+        allowed.then(|| RetryPermit { service: service.into(), taken: now })
+    }
+
+    /// Gives back a retry of a request that no endpoint has received.
+    pub(crate) fn give_back_retry(&self, permit: &RetryPermit) {
+        let RetryPermit { service, taken } = permit;
+        self.retry_budget.borrow_mut().give_back(*taken, service, service);
+        self.metrics.count(MetricName::Retries, &["given_back"]);
     }
 
     /// Adds the present share of the retry budget to its average, once the other hosts are known.
@@ -750,6 +767,13 @@
     }
 }
 
+/// A retry that was taken from the budget.
+#[derive(Debug)]
+pub(crate) struct RetryPermit {
+    service: ServiceName,
+    taken: Instant,
+}
+
 /// Logs the suspects that are blamed since the last call.
 pub(crate) fn log_blames(table: &mut PoisonTable, now: Instant) {
     for blamed in table.take_new_blames(now) {
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -68,7 +68,8 @@
     if relay.context.next_host().is_none() {
         admit(&relay.context)?;
     }
-    relay.add_source(call.head.resume_after, None);
+    let takes_retry = call.forwarded().is_some_and(|forwarded| forwarded.takes_retry);
+    relay.add_source(call.head.resume_after, takes_retry.then_some(RetryReason::Fault));
     loop {
         match relay.next_events().await {
             Ok(first) => {
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -16,6 +16,7 @@
 use futures::future::join_all;
 use http_body_util::{BodyExt, Full};
 use hyper::{HeaderMap, Response, StatusCode};
+use jacinthrock::MetricName;
 use jacinthrock_entry::StopPlan;
 use tokio::task::LocalSet;
 use tokio::time::{Instant, sleep};
@@ -448,46 +449,119 @@
     .await;
 }
 
-/// Without a retry left, an interrupted stream must break off, instead of trying again and again.
+/// A site of two hosts, the second of which serves a stream, has just been reset and regained its
+/// links before, so that it is quick to notice the next loss.
+async fn site_with_past_loss() -> TestSite {
+    let site = TestSite::start(2).await;
+    for endpoint in &site.endpoints {
+        endpoint.events.set(LONG_STREAM);
+    }
+    site.lose(1, "guide", CutForm::Reset).await;
+    site.hosts[1].mend();
+    let is_regained = || !site.hosts[1].is_lost("guide");
+    wait_until(Duration::from_secs(1), "connectivity is back", is_regained).await;
+    site
+}
+
+/// Spends the retries of some hosts as soon as there are any, once the endpoints have received an
+/// attempt. Retries taken before that would leave some after it: a host's share of the budget grows
+/// with the first exchange of loads in which it has the only stream.
+async fn spend_retries(site: &TestSite, hosts: &[usize], attempt: &str) {
+    while site.arrivals(attempt) == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
+    loop {
+        for host in hosts {
+            while site.hosts[*host].state.allow_retry("guide", "test", 0.0) {}
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Answer to a stream whose links are reset in its course while the retries of some hosts are spent,
+/// with the moment of the reset.
+async fn interrupt_stream(
+    site: &TestSite,
+    without_retries: &[usize],
+) -> (Result<(u16, HeaderMap, Bytes), String>, Instant) {
+    let cut = async {
+        sleep(EVENT_PAUSE * 10).await;
+        assert_eq!(site.arrivals("spent"), 1, "the stream is in progress");
+        site.hosts[1].cut("guide", CutForm::Reset).await;
+        Instant::now()
+    };
+    let both = async { tokio::join!(site.hosts[1].call("/guide/x", "spent"), cut) };
+    tokio::select! {
+        ended = both => ended,
+        () = spend_retries(site, without_retries, "spent") => {
+            unreachable!("retries are spent until the stream ends")
+        }
+    }
+}
+
+/// Without a retry left at any host, an interrupted stream must break off, instead of trying again
+/// and again.
 #[tokio::test]
 async fn interrupted_stream_breaks_off_if_the_retry_budget_is_spent() {
     run(async {
-        let site = TestSite::start(2).await;
+        let site = site_with_past_loss().await;
+        let (answer, cut_at) = interrupt_stream(&site, &[0, 1]).await;
+        let arrivals = site.arrivals("spent");
+        assert!(answer.is_err(), "the stream is not complete; it arrived {arrivals} times");
+        assert!(cut_at.elapsed() < Duration::from_secs(1), "{:?}", cut_at.elapsed());
+        assert_eq!(site.arrivals("spent"), 1);
+        assert_eq!(site.hosts[1].status("/guide/x", "next").await, 200, "others are passed on");
+    })
+    .await;
+}
+
+/// A host whose connections are all reset has more streams to resume than its own share of the retry
+/// budget covers, while the hosts that resume them have retries left.
+#[tokio::test]
+async fn interrupted_stream_is_resumed_with_a_retry_of_the_host_that_serves_it() {
+    run(async {
+        let site = site_with_past_loss().await;
+        let retries = |host: &TestHost| host.state.metrics.value(MetricName::Retries, &["stream"]);
+        let (own, other) = (retries(&site.hosts[1]), retries(&site.hosts[0]));
+        let (answer, _) = interrupt_stream(&site, &[1]).await;
+        let (status, _, body) = answer.expect("a complete stream");
+        assert_eq!((status, &*body), (200, all_events(LONG_STREAM).as_bytes()));
+        assert_eq!(site.arrivals("spent"), 2);
+        assert_eq!(retries(&site.hosts[1]), own);
+        assert_eq!(retries(&site.hosts[0]), other + 1, "each arrival is counted once");
+    })
+    .await;
+}
+
+/// Interrupted streams that hosts refuse as not run, or that get no connection, used up the retries
+/// of the streams after them.
+#[tokio::test]
+async fn send_that_no_endpoint_receives_uses_no_retry() {
+    const STREAMS: usize = 8;
+    run(async {
+        let site = TestSite::start(3).await;
         for endpoint in &site.endpoints {
             endpoint.events.set(LONG_STREAM);
         }
-        site.lose(1, "guide", CutForm::Reset).await;
-        site.hosts[1].mend();
-        let is_regained = || !site.hosts[1].is_lost("guide");
-        wait_until(Duration::from_secs(1), "connectivity is back", is_regained).await;
-        let state = &site.hosts[1].state;
-        // The host's share of the budget grows from 0.5 to 0.8 with the first exchange of loads in
-        // which it has the only stream; retries taken before that leave some after it.
-        let spend = async {
-            while site.arrivals("spent") == 0 {
-                sleep(Duration::from_millis(1)).await;
-            }
-            loop {
-                while state.allow_retry("guide", "test", 0.0) {}
-                sleep(Duration::from_millis(1)).await;
-            }
-        };
+        let [holder, _, host] = &site.hosts[..] else { panic!("three hosts") };
+        let streams = join_all(
+            (0..STREAMS)
+                .map(|number| async move { host.call("/guide/x", &format!("s{number}")).await }),
+        );
         let cut = async {
             sleep(EVENT_PAUSE * 10).await;
-            assert_eq!(site.arrivals("spent"), 1, "the stream is in progress");
-            site.hosts[1].cut("guide", CutForm::Reset).await;
-            Instant::now()
+            // The placement holder is asked first, as the only host that was heard of recently.
+            holder.state.forwarded_calls.set(1_000);
+            host.cut("guide", CutForm::Reset).await;
         };
-        let both = async { tokio::join!(site.hosts[1].call("/guide/x", "spent"), cut) };
-        let (answer, cut_at) = tokio::select! {
-            ended = both => ended,
-            () = spend => unreachable!("retries are spent until the stream ends"),
-        };
-        let arrivals = site.arrivals("spent");
-        assert!(answer.is_err(), "the stream is not complete; it arrived {arrivals} times");
-        assert!(cut_at.elapsed() < Duration::from_secs(1), "{:?}", cut_at.elapsed());
-        assert_eq!(site.arrivals("spent"), 1);
-        assert_eq!(site.hosts[1].status("/guide/x", "next").await, 200, "others are passed on");
+        let (answers, ()) = tokio::join!(streams, cut);
+        for answer in answers {
+            let (status, _, body) = answer.expect("a complete stream");
+            assert_eq!((status, &*body), (200, all_events(LONG_STREAM).as_bytes()));
+        }
+        assert!(host.forwarded("sent", "not_run") > 0, "the holder has refused streams");
+        let count = |label| host.state.metrics.value(MetricName::Retries, &[label]);
+        assert_eq!(count("stream") - count("given_back"), STREAMS as i64);
     })
     .await;
 }
--- a/src/budget.rs
+++ b/src/budget.rs
@@ -121,6 +121,24 @@
         true
     }
 
+    /// Gives back a retry that was allowed at `taken` and was not sent.
+    ///
+    /// ```
+    /// use jacinthrock::{BudgetOptions, RetryBudget};
+    /// use tokio::time::Instant;
+    ///
+    /// let mut budget = RetryBudget::new(BudgetOptions { slack: 1, ..BudgetOptions::default() });
+    /// let now = Instant::now();
+    /// assert!(budget.allow(now, "studio", "booking-1"));
+    /// budget.give_back(now, "studio", "booking-1");
+    /// assert!(budget.allow(now, "studio", "booking-1"));
+    /// ```
+    pub fn give_back(&mut self, taken: Instant, customer: &str, endpoint: &str) {
+        let index = self.bucket_index(taken);
+        window_mut(&mut self.customers, customer).give_back(index);
+        window_mut(&mut self.endpoints, endpoint).give_back(index);
+    }
+
     /// Remaining fraction of the customer's budget, from 0 to 1.
     ///
     /// ```
@@ -170,6 +188,12 @@
         self.buckets.back_mut().expect("the bucket was just added")
     }
 
+    fn give_back(&mut self, index: u64) {
+        if let Some(bucket) = self.buckets.iter_mut().find(|bucket| bucket.index == index) {
+            bucket.retries = bucket.retries.saturating_sub(1);
+        }
+    }
+
     fn has_room(&mut self, index: u64, options: BudgetOptions) -> bool {
         let (retries, allowed) = self.usage(index, options);
         (retries + 1) as f64 <= allowed
