A refusal of another request is not taken for the one that is due

Callers were told that their request had not run, and to try again, while an endpoint ran it: a faulty endpoint wrote an earlier refusal once more on a kept connection, where the next reply was due.

Cause: any reply with the not-run header, or 421, counted as a refusal of the request that was sent; whether it names this request was asked only afterwards. The refusal was also believed about the endpoint, and the connection, on which the true reply was still to come, was kept.

A refusal counts only if it names the request; otherwise the outcome is unknown and the connection is closed. A request without an attempt gets replies without one. Such replies are logged ('reply_foreign') and counted. Refusals of other hosts carry no attempt and are not concerned: hosts send them themselves.

--- a/crates/entry/src/sending.rs
+++ b/crates/entry/src/sending.rs
@@ -60,10 +60,12 @@
 }
 
 impl SentReply {
-    /// Whether the endpoint guarantees that the request has not run.
+    /// Whether the endpoint guarantees that the request has not run. A refusal of another request,
+    /// which may arrive late on a kept connection, guarantees nothing.
     pub(crate) fn is_not_run(&self) -> bool {
         let status = self.reply.parts.status;
-        self.head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST
+        let is_refusal = self.head.is_not_run || status == StatusCode::MISDIRECTED_REQUEST;
+        is_refusal && self.head.is_for_attempt
     }
 
     /// Whether the reply is from the endpoint itself, belongs to this request and is not encoded.
@@ -120,7 +122,14 @@
     let head = state.codec.read_reply(&call.head.attempt, &reply.parts.headers);
     let sent = SentReply { reply, head };
     // What belongs to another request, or comes from another endpoint at the address, says nothing.
-    if sent.head.is_for_attempt || sent.is_not_run() {
+    if !sent.head.is_for_attempt {
+        state.metrics.count(MetricName::ForeignReplies, &[&call.service]);
+        log::info!(
+            event = "reply_foreign", attempt = &*call.head.attempt,
+            endpoint = &*target.endpoint.name, status = sent.reply.parts.status.as_u16();
+            "reply belongs to another request"
+        );
+    } else {
         note_reply(state, target.endpoint, sent.reply.parts.status, &sent.head);
     }
     if sent.head.is_for_attempt && sent.reply.parts.status != StatusCode::MISDIRECTED_REQUEST {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -61,6 +61,7 @@
     Attempts = "jacinthrock_attempts_total", Counter, ["end"], "Attempts at answers, by how they ended.";
     Ejections = "jacinthrock_ejections_total", Counter, ["reason"], "Endpoints taken out of the choice, by reason.";
     RatePermits = "jacinthrock_rate_permits_total", Counter, ["event"], "Permits for requests to endpoints with a rate limit: granted to the host or its group, lacking at a send; and requests held_back by a limit.";
+    ForeignReplies = "jacinthrock_foreign_replies_total", Counter, ["service"], "Replies of endpoints that belong to another request than the one sent.";
     OversizedReplies = "jacinthrock_oversized_replies_total", Counter, ["source"], "Replies given up because they were over a limit, by source: answer, report, order or peer.";
     ForwardedCalls = "jacinthrock_forwarded_calls_total", Counter, ["service", "end", "outcome"], "Calls passed on to another host because this one could not reach the service, by service, end and outcome. Sent: answered, not_run or unknown, once for each host asked, but for attempts that end because another host has answered first or the caller has left; received: served, or refused as stopping, unreachable or busy.";
     LateStreams = "jacinthrock_late_streams_total", Counter, ["service", "cause"], "Streams that were complete but late, by service and cause: the caller had returned, the wait for a path, the first event, or a pause between events.";
