Only the rest of a stream follows its beginning

A stream had begun and broke off, and the next endpoint answered with something else: callers found the text of an error in the middle of their stream, or events twice or with a gap, and the stream ended as complete.

Cause: a resumed source was a stream by its status 200 alone. Errors with another status did end the stream, with and without a length; text and documents with status 200, events from the beginning or after a gap did not, at this host as well as through another one.

The reply that continues a stream must have the content type of its first one, and its first event must come after the last one, by no more than events of this stream have followed each other; otherwise the source has failed, and the next is tried. A reply of the right type without any event still ends the stream: an endpoint says so when only the end was lost.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -92,12 +92,21 @@
 
     fn record_last_id(&mut self, events: &[u8]) {
         let start = match memmem::rfind(events, b"\nid:") {
-            Some(start) => start + b"\nid:".len(),
-            None if events.starts_with(b"id:") => b"id:".len(),
-            None => return,
+            Some(start) => start + 1,
+            None => 0,
         };
-        let line = events[start..].split(|byte| *byte == b'\n').next().unwrap_or_default();
-        let id = std::str::from_utf8(line).ok().and_then(|text| text.trim().parse().ok());
-        self.last_event_id = id.or(self.last_event_id);
+        self.last_event_id = id_line(&events[start..]).or(self.last_event_id);
     }
 }
+
+/// `id` of the first of some complete events.
+pub(crate) fn first_event_id(events: &[u8]) -> Option<u64> {
+    let end = memmem::find(events, EVENT_END).unwrap_or(events.len());
+    events[..end].split(|byte| *byte == b'\n').find_map(id_line)
+}
+
+/// The `id` that a text begins with.
+fn id_line(text: &[u8]) -> Option<u64> {
+    let line = text.strip_prefix(b"id:")?.split(|byte| *byte == b'\n').next()?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -76,6 +76,8 @@
 pub(crate) struct StreamSource {
     /// Head of the reply, once the source has opened.
     pub(crate) head: Option<SourceHead>,
+    /// Whether events of this source have become part of the stream.
+    pub(crate) has_events: bool,
     steps: LocalBoxStream<'static, SourceStep>,
     is_silent: Rc<Cell<bool>>,
 }
@@ -104,7 +106,7 @@
             let is_last = matches!(step, SourceStep::Ended | SourceStep::Failed(_));
             Some((step, (!is_last).then_some(reader)))
         });
-        Self { head: None, steps: steps.boxed_local(), is_silent }
+        Self { head: None, has_events: false, steps: steps.boxed_local(), is_silent }
     }
 
     /// Polls for the next step; there is none after `Ended` or `Failed`.
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -14,11 +14,13 @@
 use http_body_util::StreamBody;
 use hyper::Response;
 use hyper::body::Frame;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
 use jacinthrock::{CallRefusal, MetricName, ResultCode};
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::call::{AllowedCall, OpenRequest, count_outcome, poison_refusal, unknown_outcome};
 use crate::context::{RetryReason, StreamContext};
+use crate::events::first_event_id;
 use crate::failure::SourceFailure;
 use crate::forward;
 use crate::levels::{admit, count_stream};
@@ -40,6 +42,10 @@
     sources: Vec<StreamSource>,
     /// Head of the reply with which the first events came.
     head: Option<SourceHead>,
+    /// Type of the content that the caller receives.
+    content_type: Option<HeaderValue>,
+    /// Largest difference between the identifiers of two events that followed each other.
+    widest_step: Option<u64>,
     /// Whether a source failed that may have run the request.
     may_have_run: bool,
     /// Reason of the latest failure.
@@ -146,6 +152,8 @@
             context: Rc::new(context),
             sources: Vec::new(),
             head: None,
+            content_type: None,
+            widest_step: None,
             may_have_run: false,
             fault: "".into(),
             is_started: false,
@@ -202,10 +210,18 @@
                 }
             };
             match step {
-                SourceStep::Opened(head) => self.sources[index].head = Some(head),
+                SourceStep::Opened(head) if self.is_of_stream(&head) => {
+                    self.sources[index].head = Some(head);
+                }
+                SourceStep::Opened(_) => self.reject_source(index, "reply is no stream")?,
                 SourceStep::Events(bytes, last) => {
+                    let first = first_event_id(&bytes);
+                    if !self.sources[index].has_events && !self.may_go_on_with(first) {
+                        self.reject_source(index, "events do not follow those before")?;
+                        continue;
+                    }
                     self.keep_source(index);
-                    self.record_events(last);
+                    self.record_events(first, last);
                     return Ok(Some(bytes));
                 }
                 SourceStep::Ended => {
@@ -214,29 +230,61 @@
                     return Ok(None);
                 }
                 SourceStep::Silent => self.hedge(),
-                SourceStep::Failed(failure) => {
-                    drop(self.sources.remove(index));
-                    self.record_failure(&failure);
-                    if self.sources.is_empty() {
-                        return Err(failure);
-                    }
-                }
+                SourceStep::Failed(failure) => self.drop_source(index, failure)?,
             }
         }
     }
 
+    /// Drops a source that has failed; returns its failure if no other source is left.
+    fn drop_source(&mut self, index: usize, failure: SourceFailure) -> Result<(), SourceFailure> {
+        drop(self.sources.remove(index));
+        self.record_failure(&failure);
+        if self.sources.is_empty() { Err(failure) } else { Ok(()) }
+    }
+
+    /// Drops a source whose reply is not the rest of the stream.
+    fn reject_source(&mut self, index: usize, fault: &str) -> Result<(), SourceFailure> {
+        self.context.log_fault(&[], fault);
+        self.drop_source(index, SourceFailure::Unknown(fault.into()))
+    }
+
+    /// Whether a reply may bring the rest of the stream, if that has begun.
+    fn is_of_stream(&self, head: &SourceHead) -> bool {
+        !self.is_started || head.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
+    /// Whether the stream may go on with an event, the first of a source: it must come after the last
+    /// one, and by no more than events have followed each other.
+    fn may_go_on_with(&self, first: Option<u64>) -> bool {
+        let Some(position) = self.position() else { return true };
+        let step = first.and_then(|first| first.checked_sub(position));
+        step.is_some_and(|step| step > 0 && self.widest_step.is_none_or(|widest| step <= widest))
+    }
+
+    /// Event after which the stream goes on; none at its beginning, or if it cannot be resumed.
+    fn position(&self) -> Option<u64> {
+        let StreamContext { call, last_event_id, .. } = &*self.context;
+        let is_resumable = call.route.retry_policy.is_idempotent();
+        last_event_id.get().or(call.head.resume_after).filter(|_| is_resumable)
+    }
+
     /// Drops all sources but one, with which the stream goes on.
     fn keep_source(&mut self, index: usize) {
         if self.sources.len() > 1 {
             let kept = self.sources.swap_remove(index);
             self.sources = vec![kept];
         }
+        if let Some(source) = self.sources.first_mut() {
+            source.has_events = true;
+        }
         if self.head.is_none() {
             self.head = self.sources[0].head.take();
         }
     }
 
-    fn record_events(&mut self, last: Option<u64>) {
+    fn record_events(&mut self, first: Option<u64>, last: Option<u64>) {
+        let step = first.and_then(|first| first.checked_sub(self.position().unwrap_or(0)));
+        self.widest_step = self.widest_step.max(step);
         let now = Instant::now();
         if self.is_started {
             self.lateness.record_pause(now - self.context.last_event_at.get());
@@ -350,6 +398,7 @@
             self.is_finished = true;
         }
         let head = self.head.take().unwrap_or_default();
+        self.content_type = head.headers.get(CONTENT_TYPE).cloned();
         let later = stream::unfold(self, |mut relay| async move {
             let item = relay.next_frame().await?;
             Some((item, relay))
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -582,6 +582,39 @@
     .await;
 }
 
+/// Another host that passes on an error, or a stream from its beginning, as the rest of a stream.
+#[tokio::test]
+async fn only_the_rest_of_a_stream_is_taken_from_another_host() {
+    run(async {
+        let replies = [("text/plain", "error\n\n".to_owned()), ("", all_events(LONG_STREAM))];
+        for (content_type, text) in replies {
+            let site = site_with_past_loss().await;
+            let received = Rc::new(Cell::new(0));
+            let (count, answer) = (received.clone(), text.clone());
+            serve(site.register_host("odd").await, move |request| {
+                let is_forwarded = request.uri().path().starts_with("/forward");
+                count.set(count.get() + u32::from(is_forwarded));
+                let mut reply = Response::builder().header("jacinthrock-forwarded", "served");
+                if !content_type.is_empty() {
+                    reply = reply.header("content-type", content_type);
+                }
+                let reply =
+                    reply.body(Full::from(answer.clone()).map_err(|it| match it {}).boxed());
+                async move { reply.expect("a valid reply") }
+            })
+            .await;
+            let knows_host = || site.hosts[1].state.host_count() == 3;
+            wait_until(Duration::from_secs(20), "the host is known", knows_host).await;
+            // The other host is asked first, and refuses.
+            site.hosts[0].state.forwarded_calls.set(1_000);
+            let (answer, _) = interrupt_stream(&site, &[]).await;
+            assert!(received.get() > 0, "the host was asked");
+            assert!(answer.is_err(), "{text:?} was taken for the rest: {answer:?}");
+        }
+    })
+    .await;
+}
+
 /// A host that serves a stream of another one and loses its own links kept the stream until its
 /// caller had given up, although the other host had its links back.
 #[tokio::test]
