--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -84,6 +84,47 @@
     run(check_plain_calls(CutForm::Reset)).await;
 }
 
+/// New connections are refused while open ones go on: replies over these end the loss, and calls that
+/// must run at most once, which need new connections, are refused.
+#[tokio::test]
+async fn calls_that_need_new_connections_are_served_while_open_ones_go_on() {
+    /// Time after which the calls count, and time for which they go on.
+    const DETECTION_TIME: Duration = Duration::from_secs(1);
+    const CALL_TIME: Duration = Duration::from_secs(3);
+    run(async {
+        let site = TestSite::start(2).await;
+        let host = &site.hosts[1];
+        let is_over = &Cell::new(false);
+        // Repeatable calls one after another keep connections in use.
+        let repeatable = (0..6).map(|caller| async move {
+            let mut number = 0;
+            while !is_over.get() {
+                number += 1;
+                host.status("/lookup/x", &format!("safe{caller}-{number}")).await;
+            }
+        });
+        let once = async {
+            sleep(Duration::from_millis(300)).await;
+            host.cut("desk", CutForm::Refuse).await;
+            let (cut_at, mut served, mut count) = (Instant::now(), 0, 0);
+            while cut_at.elapsed() < CALL_TIME {
+                let attempt = format!("c{}", cut_at.elapsed().as_millis());
+                let is_counted = cut_at.elapsed() > DETECTION_TIME;
+                let status = host.status("/desk/x", &attempt).await;
+                count += u32::from(is_counted);
+                served += u32::from(is_counted && status == 201);
+                assert!(site.arrivals(&attempt) <= 1, "{attempt} must not run twice");
+                sleep(Duration::from_millis(20)).await;
+            }
+            is_over.set(true);
+            (served, count)
+        };
+        let (_, (served, count)) = tokio::join!(join_all(repeatable), once);
+        assert!(f64::from(served) >= 0.95 * f64::from(count), "{served} of {count} calls served");
+    })
+    .await;
+}
+
 /// Streams that begin while the host reaches no endpoint of their service.
 #[tokio::test]
 async fn streams_are_served_by_another_host() {
