--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -490,8 +490,8 @@
     .await;
 }
 
-/// A site of two hosts, the second of which serves a stream, has just been reset and regained its
-/// links before, so that it is quick to notice the next loss.
+/// A site of two hosts with long streams. The second host has lost the streams' service once and
+/// reaches it again.
 async fn site_with_past_loss() -> TestSite {
     let site = TestSite::start(2).await;
     for endpoint in &site.endpoints {
