--- a/review/standins/src/record.rs
+++ b/review/standins/src/record.rs
@@ -59,9 +59,10 @@
         let _ = writeln!(self.file.lock().unwrap(), "{at:9.4} {line}");
     }
 
-    pub fn arrived(&self, replica: &str, attempt: &str, ran: bool) {
-        let at = self.now();
-        self.line(&format!("at replica {replica}: {attempt} ran={ran}"));
+    /// Records a request that reached a replica at a time, and whether it ran.
+    pub fn arrived(&self, at: Duration, replica: &str, attempt: &str, ran: bool) {
+        let reached = at.as_secs_f64();
+        self.line(&format!("at replica {replica}: {attempt} reached it {reached:.4} ran={ran}"));
         let (replica, attempt) = (replica.to_owned(), attempt.to_owned());
         self.arrivals.lock().unwrap().push(Arrival { at, replica, attempt, ran });
     }
