Name TROUBLE in the scripts of the review

Cause: only the shared stand-ins read TROUBLE, which a reader of a case's folder did not see. Change: each run.sh sets it, to 1 if it is not given, and says what it does. Result: the stand-ins and what they check are the same.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 it
+# does the same without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/release/review-case odd-entry review/1/record.txt
+TROUBLE="${TROUBLE:-1}" exec target/review/release/review-case odd-entry review/1/record.txt
