--- /dev/null
+++ b/review/play-2.sh
@@ -0,0 +1,21 @@
+#!/usr/bin/env bash
+# Plays the script of a case of the second review, given its number: starts the driver, which starts
+# the entry processes and the replicas, and ends what is left of them if the driver runs too long.
+set -u
+cd "$(dirname "$0")/.." || exit 2
+driver=target/review-2/release/review-case
+if [[ ! -x $driver || ! -x target/release/jacinthrock-entry ]]; then
+    echo "run the build of deploy/system.toml and review/build-2.sh first" >&2
+    exit 2
+fi
+folder=$(mktemp -d) || exit 2
+trap 'rm -rf "$folder"' EXIT
+timeout 112 "$driver" "case$1" "$folder" "review/$1/record.txt"
+code=$?
+if ((code > 1)); then
+    while read -r id; do
+        kill -KILL "$id" 2>/dev/null
+    done <"$folder/processes"
+    exit 2
+fi
+exit "$code"
