Review, case 7: bodies of requests have no common bound in memory

Each request's body is bounded by the configuration, their sum is not, and a body is kept until its answer has ended. 78 users at a host who send the allowed 4 MiB each at 8.4 Mbit/s take it over its 260 MB; the platform kills it, and bookings of other clients in progress end without an answer.

--- a/review/standins-2/src/case6.rs
+++ b/review/standins-2/src/case6.rs
@@ -28,7 +28,10 @@
 const CLIENTS: usize = 4;
 
 fn routes(desk: &str, look: &str) -> Vec<crate::json::Json> {
-    vec![route("desk", "/desk/", "unsafe", desk), route("look", "/look/", "safe", look)]
+    vec![
+        route("desk", "/desk/", "unsafe", desk, 1_500),
+        route("look", "/look/", "safe", look, 1_500),
+    ]
 }
 
 /// Plays the case; returns whether the rule was broken.
@@ -52,7 +55,7 @@
         hosts.push(host);
     }
     for host in &mut hosts {
-        host.start(&setting.root)?;
+        host.start(setting)?;
     }
     if !hosts.iter().all(EntryHost::wait_until_ready) {
         return Err(io::Error::other("a host is not ready"));
@@ -70,7 +73,8 @@
         .map(|client| {
             let (record, is_over) = (record.clone(), is_over.clone());
             let (to, front) = (called.name.clone(), called.front);
-            let (method, path) = if client % 2 == 0 { ("POST", "/desk/x") } else { ("GET", "/look/x") };
+            let (method, path) =
+                if client % 2 == 0 { ("POST", "/desk/x") } else { ("GET", "/look/x") };
             thread::spawn(move || {
                 let mut connection = None;
                 for number in 0.. {
--- a/review/standins-2/src/json.rs
+++ b/review/standins-2/src/json.rs
@@ -177,7 +177,8 @@
             }
             _ => {
                 let rest = &self.bytes[self.at..];
-                let is_end = |byte: &u8| !matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
+                let is_end =
+                    |byte: &u8| !matches!(byte, b'0'..=b'9' | b'-' | b'+' | b'.' | b'e' | b'E');
                 let length = rest.iter().position(is_end).unwrap_or(rest.len());
                 let text = std::str::from_utf8(&rest[..length]).ok()?;
                 let number = text.parse().ok()?;
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,6 +3,7 @@
 //! with 2 if the case could not run.
 
 mod case6;
+mod case7;
 mod http;
 mod json;
 mod replica;
@@ -16,6 +17,7 @@
 use crate::site::Record;
 
 /// What a case is given.
+#[derive(Clone)]
 pub struct Setting {
     /// Root of the repository.
     pub root: PathBuf,
@@ -57,6 +59,7 @@
     };
     match case {
         "case6" => case6::play(&setting),
+        "case7" => case7::play(&setting),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/standins-2/src/replica.rs
+++ b/review/standins-2/src/replica.rs
@@ -24,7 +24,13 @@
 }
 
 /// Runs a replica until the process is killed.
-pub fn run(id: &str, service: &str, address: SocketAddr, born: u64, record: &Path) -> io::Result<()> {
+pub fn run(
+    id: &str,
+    service: &str,
+    address: SocketAddr,
+    born: u64,
+    record: &Path,
+) -> io::Result<()> {
     let record = Record::open(record, false)?;
     let load = Arc::new((Mutex::new(Load::default()), Condvar::new()));
     let (id, service) = (id.to_owned(), service.to_owned());
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -80,9 +80,8 @@
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().subsec_nanos();
     for number in 0..200_u32 {
         let first = 15_000 + ((seed / 1_000 + number * 97) % 160) as u16 * 100;
-        let is_free = |port: u16| {
-            (1..30).all(|last| TcpListener::bind(address(last, port)).is_ok())
-        };
+        let is_free =
+            |port: u16| (1..30).all(|last| TcpListener::bind(address(last, port)).is_ok());
         if (first..first + count).all(is_free) {
             return first;
         }
@@ -108,7 +107,9 @@
                 let opened = epoch.load(Ordering::SeqCst);
                 let drops = {
                     let (is_silent, epoch) = (is_silent.clone(), epoch.clone());
-                    move || is_silent.load(Ordering::SeqCst) || epoch.load(Ordering::SeqCst) > opened
+                    move || {
+                        is_silent.load(Ordering::SeqCst) || epoch.load(Ordering::SeqCst) > opened
+                    }
                 };
                 let pairs = [
                     (caller.try_clone(), server.try_clone()),
@@ -242,18 +243,21 @@
     }
 
     /// Starts the process with the command of the deploy file.
-    pub fn start(&mut self, root: &Path) -> io::Result<()> {
+    pub fn start(&mut self, setting: &Setting) -> io::Result<()> {
+        let root = &setting.root;
         let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
         let process = Command::new(root.join("target/release/jacinthrock-entry"))
             .current_dir(root)
             .env_clear()
-            .envs(["PATH", "HOME", "LANG"].iter().filter_map(|name| Some((name, env::var_os(name)?))))
+            .envs(
+                ["PATH", "HOME", "LANG"].iter().filter_map(|name| Some((name, env::var_os(name)?))),
+            )
             .env("JACINTHROCK_CONFIG", &self.settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        list_process(self.settings.parent().unwrap_or(Path::new(".")), &process)?;
+        list_process(&setting.folder, &process)?;
         self.process = Some(process);
         Ok(())
     }
@@ -273,11 +277,11 @@
         false
     }
 
-    /// Memory that the process holds, in MB.
-    pub fn memory_mb(&self) -> Option<f64> {
+    /// Memory that the process holds, in bytes.
+    pub fn memory_bytes(&self) -> Option<f64> {
         let id = self.process.as_ref()?.id();
         let pages = fs::read_to_string(format!("/proc/{id}/statm")).ok()?;
-        Some(pages.split(' ').nth(1)?.parse::<f64>().ok()? * 4_096.0 / 1e6)
+        Some(pages.split(' ').nth(1)?.parse::<f64>().ok()? * 4_096.0)
     }
 
     pub fn kill(&mut self) {
@@ -355,13 +359,13 @@
 }
 
 /// A route of a configuration.
-pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Json {
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str, timeout_ms: u64) -> Json {
     Json::map([
         ("name", name.into()),
         ("host", HOST.into()),
         ("pathPrefix", prefix.into()),
         ("routeKind", kind.into()),
-        ("timeoutMs", 1_500.into()),
+        ("timeoutMs", timeout_ms.into()),
         ("sloMs", 300.into()),
         ("priority", 2.into()),
         ("service", service.into()),
@@ -407,6 +411,7 @@
     body: &[u8],
 ) -> Option<u16> {
     let limit = Duration::from_millis(3_500);
+    let is_kept = connection.is_some();
     if connection.is_none() {
         *connection = Connection::open(front, limit).ok();
     }
@@ -417,7 +422,10 @@
         ("X-Jacinthrock-Deadline-Ms", "3000"),
         ("Authorization", &key),
     ];
-    record.note(&format!("sent attempt={attempt} to={to} path={path} bytes={}", body.len()));
+    record.note(&format!(
+        "sent attempt={attempt} to={to} path={path} bytes={} kept={is_kept}",
+        body.len()
+    ));
     let answer = match connection {
         Some(open) => open.request(method, path, &headers, body).ok(),
         None => None,
--- a/review/standins-2/src/store.rs
+++ b/review/standins-2/src/store.rs
@@ -120,13 +120,7 @@
         }
     }
 
-    fn write(
-        &self,
-        is_new: bool,
-        kind: &str,
-        name: Option<&str>,
-        body: &Json,
-    ) -> (u16, Json) {
+    fn write(&self, is_new: bool, kind: &str, name: Option<&str>, body: &Json) -> (u16, Json) {
         let metadata = body.get("metadata");
         let named = metadata.and_then(|metadata| metadata.get("name")?.text());
         let Some(name) = name.or(named) else { return (400, Json::map([])) };
