--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -4,6 +4,7 @@
 
 mod case6;
 mod case7;
+mod case8;
 mod http;
 mod json;
 mod replica;
@@ -60,6 +61,7 @@
     match case {
         "case6" => case6::play(&setting),
         "case7" => case7::play(&setting),
+        "case8" => case8::play(&setting),
         _ => Err(io::Error::other("no such case")),
     }
 }
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::Setting;
 use crate::http::Connection;
@@ -284,6 +284,19 @@
         Some(pages.split(' ').nth(1)?.parse::<f64>().ok()? * 4_096.0)
     }
 
+    /// Tells the process to stop, waits for its end, and kills it after the grace.
+    pub fn stop(&mut self, grace: Duration) -> io::Result<()> {
+        let Some(process) = &mut self.process else { return Ok(()) };
+        let command = format!("kill -TERM {}", process.id());
+        Command::new("sh").args(["-c", &command]).status()?;
+        let end = Instant::now() + grace;
+        while process.try_wait()?.is_none() && Instant::now() < end {
+            thread::sleep(Duration::from_millis(10));
+        }
+        self.kill();
+        Ok(())
+    }
+
     pub fn kill(&mut self) {
         end(&mut self.process);
     }
