Review, case 10: streams are cut at the replica that takes them up again

A stream that is resumed must go on with a step between event ids no wider than any before. Ids need only increase, and an event may hold more tokens than those before it: the right event of a sound replica is rejected.

--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -2,9 +2,11 @@
 //! case in the repository's root; it exits with 1 if the rule was broken, with 0 if it held, and
 //! with 2 if the case could not run.
 
+mod case10;
 mod case6;
 mod case7;
 mod case8;
+mod engine;
 mod http;
 mod json;
 mod replica;
@@ -36,7 +38,11 @@
         ["replica", id, service, address, born, record] => {
             let address = address.parse().expect("an address");
             let born = born.parse().expect("a time");
-            replica::run(id, service, address, born, Path::new(record)).map(|()| false)
+            let record = Path::new(record);
+            match service {
+                "guide" => engine::run(id, address, born, record).map(|()| false),
+                _ => replica::run(id, service, address, born, record).map(|()| false),
+            }
         }
         [case, folder, record] => play(case, Path::new(folder), Path::new(record)),
         _ => Err(io::Error::other("usage: review-case CASE FOLDER RECORD")),
@@ -60,6 +66,7 @@
     };
     match case {
         "case6" => case6::play(&setting),
+        "case10" => case10::play(&setting),
         "case7" => case7::play(&setting),
         "case8" => case8::play(&setting),
         _ => Err(io::Error::other("no such case")),
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -1,6 +1,7 @@
 //! A small deployment on loopback addresses: entry hosts with a link to the store each, replicas as
 //! processes of their own, and the record of what was sent, answered and run.
 
+use std::collections::BTreeMap;
 use std::env;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Write};
@@ -13,6 +14,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::Setting;
+use crate::engine::LAYERS;
 use crate::http::Connection;
 use crate::json::Json;
 use crate::store::Store;
@@ -344,7 +346,7 @@
             .stdin(Stdio::null())
             .spawn()?;
         list_process(&setting.folder, &process)?;
-        let entry = Json::map([
+        let mut entry = BTreeMap::from([
             ("service", service.into()),
             ("address", Json::Text(address.to_string())),
             ("zone", "zone-1".into()),
@@ -355,7 +357,16 @@
             ("sequence", 1.into()),
             ("born", born.into()),
         ]);
-        store.put("servers", &id, entry);
+        if service == "guide" {
+            let layers =
+                Json::map([("from", 0.into()), ("to", LAYERS.into()), ("version", 1.into())]);
+            let model = [("name", "m".into()), ("version", 1.into()), ("layers", layers)];
+            entry.insert("slots", 192.into());
+            entry.insert("routeKind", "k".into());
+            entry.insert("models", vec![Json::map(model)].into());
+        }
+        let entry = entry.into_iter().map(|(name, value)| (name.to_owned(), value));
+        store.put("servers", &id, Json::Map(entry.collect()));
         Ok(Replica { id, process: Some(process) })
     }
 
