A stopping process ends only after its answers are written

Cause: a plain request counted as open until its response was returned to the HTTP library, not until its body was written. Change: an answer counts as open until its connection has flushed it; the process ends early once neither requests nor answers are open. Answers to other hosts count too.

--- /dev/null
+++ b/crates/entry/src/answers.rs
@@ -0,0 +1,161 @@
+//! Answers that this process has not handed to the kernel yet, so that it does not exit before.
+
+use std::cell::{Cell, RefCell};
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+
+use bytes::Bytes;
+use hyper::Response;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::response::{AbortedResponse, ResponseBody};
+
+/// Number of answers that are not written yet. Clones share the same count.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OpenAnswers {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenAnswers {
+    /// Number of answers that are not written yet.
+    pub(crate) fn count(&self) -> usize {
+        self.count.get()
+    }
+}
+
+/// Counts an answer as open until it is dropped.
+#[derive(Debug)]
+struct AnswerGuard {
+    answers: OpenAnswers,
+}
+
+impl AnswerGuard {
+    fn new(answers: &OpenAnswers) -> Self {
+        answers.count.set(answers.count.get() + 1);
+        Self { answers: answers.clone() }
+    }
+}
+
+impl Drop for AnswerGuard {
+    fn drop(&mut self) {
+        self.answers.count.set(self.answers.count.get() - 1);
+    }
+}
+
+/// Answers on one connection. Clones are of the same connection.
+#[derive(Clone, Debug)]
+pub(crate) struct ConnectionAnswers {
+    answers: OpenAnswers,
+    /// Answers whose bodies the HTTP library has taken as a whole.
+    buffered: Rc<RefCell<Vec<AnswerGuard>>>,
+}
+
+impl ConnectionAnswers {
+    pub(crate) fn new(answers: &OpenAnswers) -> Self {
+        Self { answers: answers.clone(), buffered: Rc::default() }
+    }
+
+    /// Runs a request and counts its answer until the connection has written it.
+    pub(crate) async fn track<E>(
+        &self,
+        answer: impl Future<Output = Result<Response<ResponseBody>, E>>,
+    ) -> Result<Response<ResponseBody>, E> {
+        let guard = AnswerGuard::new(&self.answers);
+        let response = answer.await?;
+        Ok(response.map(|body| -> ResponseBody {
+            Box::pin(TrackedBody { body, guard: Some(guard), buffered: self.buffered.clone() })
+        }))
+    }
+}
+
+/// Body of an answer that is counted until its connection has written it.
+struct TrackedBody {
+    body: ResponseBody,
+    guard: Option<AnswerGuard>,
+    buffered: Rc<RefCell<Vec<AnswerGuard>>>,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = AbortedResponse;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AbortedResponse>>> {
+        self.body.as_mut().poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for TrackedBody {
+    fn drop(&mut self) {
+        self.buffered.borrow_mut().extend(self.guard.take());
+    }
+}
+
+/// A connection that records when it has written its answers.
+pub(crate) struct AnswerStream {
+    stream: TcpStream,
+    answers: ConnectionAnswers,
+}
+
+impl AnswerStream {
+    pub(crate) fn new(stream: TcpStream, answers: &ConnectionAnswers) -> Self {
+        Self { stream, answers: answers.clone() }
+    }
+}
+
+impl AsyncRead for AnswerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for AnswerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP library flushes once it has written all that it buffers.
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.answers.buffered.borrow_mut().clear();
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -18,6 +18,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::answers::{AnswerStream, ConnectionAnswers, OpenAnswers};
 use crate::dispatch;
 use crate::pool::set_socket_options;
 use crate::response::{ResponseBody, full_body};
@@ -82,9 +83,12 @@
     set_socket_options(&stream);
     let is_closing = *closing.borrow();
     let limits = state.rules().map(|rules| rules.rules().limits).unwrap_or_default();
+    let answers = ConnectionAnswers::new(&state.open_answers);
+    let stream = AnswerStream::new(stream, &answers);
     let service = service_fn(move |request: Request<Incoming>| {
-        let state = state.clone();
-        async move { Ok::<_, Infallible>(dispatch::serve(state, request).await) }
+        let (state, answers) = (state.clone(), answers.clone());
+        let answer = async move { Ok::<_, Infallible>(dispatch::serve(state, request).await) };
+        async move { answers.track(answer).await }
     });
     let mut builder = http1::Builder::new();
     // The HTTP library's head timeout also runs while a connection is idle.
@@ -120,7 +124,7 @@
 /// Serves the readiness check.
 pub(crate) async fn serve_ready(state: Rc<EntryState>, listener: TcpListener) {
     let was_ready = Rc::new(Cell::new(false));
-    serve_internal(listener, "check", move |_request| {
+    serve_internal(listener, "check", OpenAnswers::default(), move |_request| {
         // Once ready, the host stays ready without a usable path: such requests are refused, and
         // leaving the load balancer's rotation would not help.
         was_ready.set(was_ready.get() || state.is_ready());
@@ -136,7 +140,7 @@
 
 /// Serves metrics to `GET` requests.
 pub(crate) async fn serve_metrics(state: Rc<EntryState>, listener: TcpListener) {
-    serve_internal(listener, "metrics", move |request| {
+    serve_internal(listener, "metrics", OpenAnswers::default(), move |request| {
         let mut response = Response::new(full_body(""));
         if request.method() == Method::GET {
             *response.body_mut() = full_body(state.metrics.render());
@@ -148,10 +152,12 @@
     .await;
 }
 
-/// Serves a listener for the platform, operators or other hosts; `what` names it in logs.
+/// Serves a listener for the platform, operators or other hosts; `what` names it in logs, and
+/// `open` counts its answers.
 pub(crate) async fn serve_internal<F, E>(
     listener: TcpListener,
     what: &'static str,
+    open: OpenAnswers,
     handler: impl Fn(Request<Incoming>) -> F + 'static,
 ) where
     F: Future<Output = Result<Response<ResponseBody>, E>> + 'static,
@@ -165,7 +171,12 @@
         };
         set_socket_options(&stream);
         let handler = handler.clone();
-        let service = service_fn(move |request: Request<Incoming>| handler(request));
+        let answers = ConnectionAnswers::new(&open);
+        let stream = AnswerStream::new(stream, &answers);
+        let service = service_fn(move |request: Request<Incoming>| {
+            let (answer, answers) = (handler(request), answers.clone());
+            async move { answers.track(answer).await }
+        });
         tokio::task::spawn_local(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
             if let Err(error) = connection.await {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod adapter;
 mod admission;
+mod answers;
 mod attempts;
 mod call;
 mod call_line;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -679,7 +679,8 @@
 
 /// Serves requests from other hosts.
 pub(crate) async fn serve(state: Rc<EntryState>, listener: TcpListener) {
-    serve_internal(listener, "peer", move |request| respond(state.clone(), request)).await;
+    let open = state.open_answers.clone();
+    serve_internal(listener, "peer", open, move |request| respond(state.clone(), request)).await;
 }
 
 async fn respond(
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -17,8 +17,7 @@
 
 /// Interval at which shutdown checks for open requests.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Checks in a row without open requests after which the process exits; the last response is still
-/// written after its request has ended.
+/// Checks in a row without open requests and answers after which the process exits.
 const IDLE_CHECKS: u32 = 2;
 /// Interval at which a stopping host asks others whether they take calls.
 const ASK_INTERVAL: Duration = Duration::from_millis(300);
@@ -108,7 +107,8 @@
             );
             accepting.abort();
         }
-        idle_checks = if state.open_requests.get() == 0 { idle_checks + 1 } else { 0 };
+        let is_idle = state.open_requests.get() == 0 && state.open_answers.count() == 0;
+        idle_checks = if is_idle { idle_checks + 1 } else { 0 };
         if plan.may_exit(Instant::now()) && idle_checks >= IDLE_CHECKS {
             break;
         }
@@ -116,7 +116,7 @@
     }
     asking.abort();
     log::info!(
-        event = "end", open = state.open_requests.get(),
+        event = "end", open = state.open_requests.get(), unwritten = state.open_answers.count(),
         after_ms = started.elapsed().as_millis() as u64; "entry process exiting"
     );
 }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -15,6 +15,7 @@
 
 use crate::adapter::{CallCodec, RegistryClient};
 use crate::admission::AdmissionTable;
+use crate::answers::OpenAnswers;
 use crate::call_wait::{ServiceLines, add_open_calls};
 use crate::demand::DemandMeter;
 use crate::down_reports::DownTable;
@@ -233,6 +234,8 @@
     pub heartbeat: LoopHeartbeat,
     /// Number of open requests.
     pub open_requests: Cell<usize>,
+    /// Answers that are not written yet.
+    pub(crate) open_answers: OpenAnswers,
     /// Endpoints that are suspected to be down.
     pub(crate) suspected: RefCell<ExpiringFlags>,
     /// Endpoints that have just refused a stream.
@@ -309,6 +312,7 @@
             stream_times: RefCell::default(),
             heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
+            open_answers: OpenAnswers::default(),
             suspected: RefCell::default(),
             overloaded: RefCell::default(),
             crossing_quota: RefCell::default(),
