A stopping host refuses streams and calls that it can't end

Cause: streams were judged by the longest of the last ones, whatever length the request named; all plain services were expected to answer within 0.6 s.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -83,10 +83,15 @@
         call.count_first(&state);
     }
     let attempt = call.head.attempt.clone();
+    let began = Instant::now();
     let outcome = if call.route.is_stream {
         stream::serve(&state, Rc::new(call), open).await
     } else {
-        plain::serve(&state, &call).await
+        let outcome = plain::serve(&state, &call).await;
+        if outcome.is_ok() {
+            state.call_times.borrow_mut().record(&service, began.elapsed());
+        }
+        outcome
     };
     match outcome {
         Ok(response) => response,
@@ -99,16 +104,19 @@
 fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
     let plan = state.stop_plan.get()?;
     let now = Instant::now();
-    let longest = state.stream_times.borrow().longest(&call.service, now);
-    let is_accepted = if call.route.is_stream {
-        plan.accepts_stream(now, longest, call.route.retry_policy.is_idempotent())
+    let (longest, is_accepted) = if call.route.is_stream {
+        let tokens = call.head.output_tokens().unwrap_or(0);
+        let longest = state.stream_times.borrow().longest_sized(&call.service, tokens, now);
+        let is_resumable = call.route.retry_policy.is_idempotent();
+        (longest, plan.accepts_stream(now, longest, is_resumable))
     } else {
-        plan.accepts_call(now)
+        let longest = state.call_times.borrow().longest(&call.service);
+        (longest, plan.accepts_call(now, longest))
     };
     if !is_accepted {
         let left = plan.last_answer().saturating_duration_since(now).as_millis();
         let detail =
-            format!("the host stops in {left} ms; streams take {} ms", longest.as_millis());
+            format!("the host stops in {left} ms; this may take {} ms", longest.as_millis());
         let delay = plan.return_delay(now, rand::rng().random_range(0.0..1.0));
         return Some(CallRefusal::not_run(ResultCode::Draining, detail).with_retry_after(delay));
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -137,7 +137,7 @@
     RuleIndex, RulesVersion, ServiceRule, ServingRules,
 };
 pub use run::{EntryError, run_entry};
-pub use shutdown::{OtherHosts, StopPlan, StreamTimes};
+pub use shutdown::{CallTimes, OtherHosts, StopPlan, StreamTimes};
 pub use stall::{StallFindings, StreamNumber, StreamView, detect_stalls};
 pub use starts::{StartChange, StartInputs, StartPlanner};
 pub use state::{EntryOptions, EntryState, PeerHost, PlacementHolder};
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -43,7 +43,7 @@
 use crate::returns::ReturnSchedules;
 use crate::routing::{accepts_work, is_leaving};
 use crate::rules::{RuleIndex, RulesVersion, ServingRules};
-use crate::shutdown::{StopPlan, StreamTimes};
+use crate::shutdown::{CallTimes, StopPlan, StreamTimes};
 use crate::takeover::TakeoverTable;
 use crate::version::{RegistryEra, RegistryVersion};
 
@@ -230,6 +230,8 @@
     pub stop_plan: Cell<Option<StopPlan>>,
     /// Times of the latest streams.
     pub stream_times: RefCell<StreamTimes>,
+    /// Times of the latest calls to plain services.
+    pub call_times: RefCell<CallTimes>,
     /// Beats of the thread that runs all tasks.
     pub heartbeat: LoopHeartbeat,
     /// Number of open requests.
@@ -310,6 +312,7 @@
             return_schedules: RefCell::default(),
             stop_plan: Cell::new(None),
             stream_times: RefCell::default(),
+            call_times: RefCell::default(),
             heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
             open_answers: OpenAnswers::default(),
--- a/crates/entry/src/stream.rs
+++ b/crates/entry/src/stream.rs
@@ -421,7 +421,10 @@
                     let StreamContext { state, call, .. } = &*self.context;
                     let now = Instant::now();
                     let time = now - call.arrived;
-                    state.stream_times.borrow_mut().record(&call.service, time, now);
+                    let tokens = call.head.output_tokens().unwrap_or(0);
+                    let mut times = state.stream_times.borrow_mut();
+                    times.record_sized(&call.service, time, tokens, now);
+                    drop(times);
                     count_outcome(state, &call.service, self.outcome("answered"));
                     self.log_lateness();
                     return None;
