Name the budget of buffered bodies for what it bounds

Cause: the bodies of requests need the same bound as replies, and its names say replies. Change: ReplyBudget and ReplyBuffer are BufferBudget and BodyBuffer; nothing else. Result: no behaviour changes.

--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use memchr::memmem;
 
-use crate::reply::{ReplyBudget, ReplyBuffer};
+use crate::reply::{BodyBuffer, BufferBudget};
 
 /// Maximum size of a buffered partial event, in bytes; events of models take a few hundred.
 const MAX_PENDING_BYTES: usize = 64 << 10;
@@ -24,21 +24,21 @@
 /// ```
 #[derive(Debug)]
 pub struct EventFramer {
-    pending: ReplyBuffer,
+    pending: BodyBuffer,
     last_event_id: Option<u64>,
     is_over_limit: bool,
 }
 
 impl Default for EventFramer {
     fn default() -> Self {
-        Self::new(&ReplyBudget::unlimited())
+        Self::new(&BufferBudget::unlimited())
     }
 }
 
 impl EventFramer {
     /// Creates a framer whose partial event counts toward a budget.
-    pub fn new(budget: &ReplyBudget) -> Self {
-        Self { pending: ReplyBuffer::new(budget), last_event_id: None, is_over_limit: false }
+    pub fn new(budget: &BufferBudget) -> Self {
+        Self { pending: BodyBuffer::new(budget), last_event_id: None, is_over_limit: false }
     }
 
     /// Adds received bytes; returns all bytes up to the end of the last complete event, if any.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -129,7 +129,7 @@
 pub use reach::{HeardAges, HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
-pub use reply::{ReplyBody, ReplyBudget, ReplyError, collect_body};
+pub use reply::{ReplyBody, BufferBudget, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
 pub use routing::{LinkUse, PathQuery, RoutingView, explain_gap};
 pub use rules::{
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -21,7 +21,7 @@
 use tokio::time::{Instant, timeout};
 
 use crate::reply::{
-    MeteredStream, ReplyBody, ReplyBudget, ReplyError, ReplyProgress, collect_body, error_chain,
+    BufferBudget, MeteredStream, ReplyBody, ReplyError, ReplyProgress, collect_body, error_chain,
     is_endless,
 };
 
@@ -91,12 +91,12 @@
 #[derive(Clone)]
 pub struct ConnectionPool {
     idle: Rc<RefCell<BTreeMap<SocketAddr, Vec<IdleConnection>>>>,
-    budget: ReplyBudget,
+    budget: BufferBudget,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
-        Self::new(ReplyBudget::new(MAX_BUFFERED_BYTES))
+        Self::new(BufferBudget::new(MAX_BUFFERED_BYTES))
     }
 }
 
@@ -208,12 +208,12 @@
 
 impl ConnectionPool {
     /// Creates a pool without connections, whose buffered replies stay within a budget.
-    pub fn new(budget: ReplyBudget) -> Self {
+    pub fn new(budget: BufferBudget) -> Self {
         Self { idle: Rc::default(), budget }
     }
 
     /// Budget of the replies that are buffered.
-    pub fn budget(&self) -> &ReplyBudget {
+    pub fn budget(&self) -> &BufferBudget {
         &self.budget
     }
 
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -65,12 +65,12 @@
 /// many bytes as are left for all others, so that large ones always leave room for small ones.
 /// Clones share the same limit.
 #[derive(Clone, Debug)]
-pub struct ReplyBudget {
+pub struct BufferBudget {
     used: Arc<AtomicUsize>,
     total: usize,
 }
 
-impl ReplyBudget {
+impl BufferBudget {
     /// Creates a budget of some bytes.
     pub fn new(total: usize) -> Self {
         Self { used: Arc::default(), total }
@@ -103,15 +103,15 @@
 
 /// Bytes of one reply, charged to a budget until they are dropped.
 #[derive(Debug)]
-pub(crate) struct ReplyBuffer {
+pub(crate) struct BodyBuffer {
     bytes: Vec<u8>,
-    budget: ReplyBudget,
+    budget: BufferBudget,
     /// Capacity that the budget has granted.
     charged: usize,
 }
 
-impl ReplyBuffer {
-    pub(crate) fn new(budget: &ReplyBudget) -> Self {
+impl BodyBuffer {
+    pub(crate) fn new(budget: &BufferBudget) -> Self {
         Self { bytes: Vec::new(), budget: budget.clone(), charged: 0 }
     }
 
@@ -141,13 +141,13 @@
     }
 }
 
-impl AsRef<[u8]> for ReplyBuffer {
+impl AsRef<[u8]> for BodyBuffer {
     fn as_ref(&self) -> &[u8] {
         &self.bytes
     }
 }
 
-impl Drop for ReplyBuffer {
+impl Drop for BodyBuffer {
     fn drop(&mut self) {
         self.budget.release(self.charged);
     }
@@ -158,10 +158,10 @@
 /// ```
 /// use bytes::Bytes;
 /// use http_body_util::Full;
-/// use jacinthrock_entry::{ReplyBudget, collect_body};
+/// use jacinthrock_entry::{BufferBudget, collect_body};
 ///
 /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
-/// let budget = ReplyBudget::new(1 << 20);
+/// let budget = BufferBudget::new(1 << 20);
 /// let body = Full::new(Bytes::from_static(b"booked"));
 /// assert_eq!(collect_body(body.clone(), 100, &budget).await.unwrap(), "booked");
 /// assert!(collect_body(body, 5, &budget).await.unwrap_err().is_over_limit());
@@ -171,7 +171,7 @@
 pub async fn collect_body<B>(
     body: B,
     limit: usize,
-    budget: &ReplyBudget,
+    budget: &BufferBudget,
 ) -> Result<Bytes, ReplyError>
 where
     B: Body<Data = Bytes>,
@@ -183,7 +183,7 @@
     }
     // Parts are copied: they share the connection's buffers, so that small ones would hold far more
     // memory than their size.
-    let mut buffer = ReplyBuffer::new(budget);
+    let mut buffer = BodyBuffer::new(budget);
     let mut parts = 0;
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| ReplyError::from_error(&error))?;
--- a/crates/entry/tests/events_cut.rs
+++ b/crates/entry/tests/events_cut.rs
@@ -1,7 +1,7 @@
 //! Framing of event streams that arrive split at arbitrary bytes.
 
 use bytes::Bytes;
-use jacinthrock_entry::{EventFramer, ReplyBudget};
+use jacinthrock_entry::{BufferBudget, EventFramer};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -72,7 +72,7 @@
 #[test]
 fn events_without_end_share_a_budget() {
     const BUDGET: usize = 1 << 20;
-    let budget = ReplyBudget::new(BUDGET);
+    let budget = BufferBudget::new(BUDGET);
     let mut framers: Vec<_> = (0..300).map(|_| EventFramer::new(&budget)).collect();
     let part = Bytes::from(vec![b'x'; 4096]);
     for _ in 0..12 {
@@ -91,7 +91,7 @@
 /// An event whose bytes were not all buffered is neither forwarded nor taken for the stream's end.
 #[test]
 fn event_over_the_budget_never_completes() {
-    let mut framer = EventFramer::new(&ReplyBudget::new(100));
+    let mut framer = EventFramer::new(&BufferBudget::new(100));
     let complete = framer.push(Bytes::from_static(b"id: 1\ndata: a\n\nid: 2\nda"));
     assert_eq!(complete.unwrap().len(), 15);
     assert!(framer.is_over_limit() && framer.has_partial());
