Divide a host's memory among what callers make it hold

Clients that only waited kept all others out. Cause: each body was bounded, their sum was not; parts of bodies kept the read buffers that they came in, and were copied once more at the end; bodies were read before route, key and announced length were looked at; the kernel received megabytes for each connection. Change: memory.rs divides memoryMb among the bodies of requests, replies and callers' connections. Bodies are collected as replies are, in one buffer that is charged to a common budget: large ones always leave room for small ones. With all connections taken, the one that has waited longest for its caller gives way. Receive buffers of callers' connections have 16 KiB. New code 2007, host_memory: 503, not run.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -12,6 +12,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::connections::RequestPhase;
 use crate::response::{AbortedResponse, ResponseBody};
 
 /// Number of answers that are not written yet. Clones share the same count.
@@ -31,12 +32,14 @@
 #[derive(Debug)]
 struct AnswerGuard {
     answers: OpenAnswers,
+    /// The request that is answered, if it is a caller's.
+    _phase: Option<Rc<RequestPhase>>,
 }
 
 impl AnswerGuard {
-    fn new(answers: &OpenAnswers) -> Self {
+    fn new(answers: &OpenAnswers, phase: Option<Rc<RequestPhase>>) -> Self {
         answers.count.set(answers.count.get() + 1);
-        Self { answers: answers.clone() }
+        Self { answers: answers.clone(), _phase: phase }
     }
 }
 
@@ -62,9 +65,10 @@
     /// Runs a request and counts its answer until the connection has written it.
     pub(crate) async fn track<E>(
         &self,
+        phase: Option<Rc<RequestPhase>>,
         answer: impl Future<Output = Result<Response<ResponseBody>, E>>,
     ) -> Result<Response<ResponseBody>, E> {
-        let guard = AnswerGuard::new(&self.answers);
+        let guard = AnswerGuard::new(&self.answers, phase);
         let response = answer.await?;
         Ok(response.map(|body| -> ResponseBody {
             Box::pin(TrackedBody { body, guard: Some(guard), buffered: self.buffered.clone() })
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -29,7 +29,7 @@
 pub(crate) struct AllowedCall {
     /// Request head as received.
     pub(crate) parts: Parts,
-    /// Complete body.
+    /// Complete body; empty until it has been received.
     pub(crate) body: Bytes,
     /// Fields decoded from the head.
     pub(crate) head: CallHead,
@@ -174,11 +174,10 @@
     }
 }
 
-/// Checks a request against the rules, and picks its service.
+/// Checks the head of a request against the rules, and picks its service.
 pub(crate) fn allow(
     rules: &RuleIndex,
     parts: Parts,
-    body: Bytes,
     head: CallHead,
     arrived: Instant,
 ) -> Result<AllowedCall, (Box<str>, CallRefusal)> {
@@ -209,7 +208,7 @@
         level: level_of(priority, route.priority),
         deadline: arrived + time_limit,
         parts,
-        body,
+        body: Bytes::new(),
         head,
         arrived,
         is_counted: Cell::new(false),
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
@@ -13,19 +14,25 @@
 
 use crate::call::{AllowedCall, OpenRequest, allow};
 use crate::forward::{self, ForwardedCall};
+use crate::reply::{ReplyError, collect_parts};
 use crate::response::{ResponseBody, not_run_refusal, refuse};
 use crate::state::EntryState;
 use crate::{plain, stream};
 
 /// Retry-After while this host has no rules: it reads them within a few ms of its start.
 const NO_RULES_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Least Retry-After of a request for whose body no memory is left; unfinished ones are given up
+/// after `BODY_TIMEOUT`.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Timeout for receiving a request's body; callers send it right after the head.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Serves one request: receives its body, checks it against the rules and calls the service.
+/// Serves one request: checks it against the rules, receives its body and calls the service.
+/// `on_received` is called once the request has arrived as a whole.
 pub(crate) async fn serve(
     state: Rc<EntryState>,
     request: Request<Incoming>,
+    on_received: impl FnOnce(),
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let forwarded = request.extensions().get::<ForwardedCall>().cloned();
@@ -37,26 +44,19 @@
             not_run_refusal(ResultCode::NotReady, "no rules are known yet", NO_RULES_RETRY_AFTER);
         return refuse(&state, &head.attempt, refusal);
     };
-    let body = Limited::new(body, rules.rules().limits.body_bytes);
-    let body = match timeout(BODY_TIMEOUT, body.collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) => {
-            let code = if error.is::<http_body_util::LengthLimitError>() {
-                ResultCode::BodyTooLarge
-            } else {
-                ResultCode::MalformedRequest
-            };
-            return refuse(&state, &head.attempt, CallRefusal::not_run(code, error.to_string()));
-        }
-        Err(_) => {
-            let refusal = CallRefusal::not_run(ResultCode::RequestTimeout, "body not received");
-            return refuse(&state, &head.attempt, refusal);
-        }
-    };
-    let mut call = match allow(&rules, parts, body, head, arrived) {
+    let body_limit = rules.rules().limits.body_bytes;
+    let mut call = match allow(&rules, parts, head, arrived) {
         Ok(call) => call,
-        Err((attempt, refusal)) => return refuse(&state, &attempt, refusal),
+        Err((attempt, refusal)) => {
+            discard_body(body, body_limit).await;
+            return refuse(&state, &attempt, refusal);
+        }
     };
+    match receive_body(&state, body, body_limit).await {
+        Ok(body) => call.body = body,
+        Err(refusal) => return refuse(&state, &call.head.attempt, refusal),
+    }
+    on_received();
     if let Some(ForwardedCall { service, is_retry, .. }) = &forwarded {
         let targets = call.route.targets.iter().map(|(target, _)| target);
         if let Some(service) = targets.into_iter().find(|target| Some(*target) == service.as_ref())
@@ -99,6 +99,40 @@
     }
 }
 
+/// Receives the body of a request within the memory that all of them share.
+async fn receive_body(
+    state: &EntryState,
+    body: Incoming,
+    limit: usize,
+) -> Result<Bytes, CallRefusal> {
+    // Callers may send any number of parts.
+    let received = collect_parts(body, limit, &state.request_budget, usize::MAX);
+    match timeout(BODY_TIMEOUT, received).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error @ ReplyError::OverBudget { .. })) => {
+            Err(not_run_refusal(ResultCode::HostMemory, error.to_string(), MEMORY_RETRY_AFTER))
+        }
+        Ok(Err(error)) => {
+            let code = match error {
+                ReplyError::TooLarge { .. } => ResultCode::BodyTooLarge,
+                _ => ResultCode::MalformedRequest,
+            };
+            Err(CallRefusal::not_run(code, error.to_string()))
+        }
+        Err(_) => Err(CallRefusal::not_run(ResultCode::RequestTimeout, "body not received")),
+    }
+}
+
+/// Reads the body of a request that is refused by its head, since closing a connection with unread
+/// bytes resets it and the refusal may be lost.
+async fn discard_body(body: Incoming, limit: usize) {
+    let mut body = Limited::new(body, limit);
+    let reading = async { while let Some(Ok(_)) = body.frame().await {} };
+    if timeout(BODY_TIMEOUT, reading).await.is_err() {
+        log::debug!(event = "body_unfinished"; "body of a refused request was not received");
+    }
+}
+
 /// While the host stops: refuses a call that would not be whole before its end, and limits the time
 /// of others to it.
 fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -436,7 +436,7 @@
         (None, Ok((uri, takes_retry))) => {
             *request.uri_mut() = uri;
             request.extensions_mut().insert(ForwardedCall { service, is_retry, takes_retry });
-            dispatch::serve(state.clone(), request).await
+            dispatch::serve(state.clone(), request, || {}).await
         }
         (None, Err(error)) => {
             log::info!(event = "forward_unreadable", by:?, error; "forwarded call has no valid path");
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -14,12 +14,15 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::answers::{AnswerStream, ConnectionAnswers, OpenAnswers};
+use crate::connections::{CallerConnection, CallerTable};
 use crate::dispatch;
+use crate::memory::RECEIVE_BUFFER_BYTES;
 use crate::pool::set_socket_options;
 use crate::response::{ResponseBody, full_body};
 use crate::state::EntryState;
@@ -42,6 +45,14 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Limits what the kernel receives for each connection of a listener that is accepted from now on.
+pub(crate) fn limit_receive_buffers(listener: &TcpListener) {
+    let limited = SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES);
+    if let Err(error) = limited {
+        log::debug!(error:% = error; "cannot limit the receive buffers of callers");
+    }
+}
+
 /// Accepts callers' connections until the process ends. Once `closing` is true, connections close
 /// after the response to their current request, and new ones after that to their first.
 pub(crate) async fn serve_callers(
@@ -49,7 +60,8 @@
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    let open = Rc::new(Cell::new(0_usize));
+    let callers = CallerTable::default();
+    let max_connections = state.memory.connections.min(state.options.max_sockets / 2);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -59,25 +71,32 @@
                 continue;
             }
         };
-        if open.get() >= state.options.max_sockets / 2 {
-            log::warn!(
-                event = "connection_refused", open = open.get();
-                "connection closed: too many connections"
+        if callers.count() >= max_connections {
+            let Some(waited) = callers.evict(Instant::now()) else {
+                log::warn!(
+                    event = "connection_refused", open = callers.count();
+                    "connection closed: too many connections"
+                );
+                continue;
+            };
+            log::info!(
+                event = "connection_evicted", open = callers.count(),
+                waited_ms = waited.as_millis() as u64;
+                "closed a connection that waited for its caller: too many connections"
             );
-            continue;
         }
-        open.set(open.get() + 1);
-        let (state, closing, open) = (state.clone(), closing.clone(), open.clone());
-        tokio::task::spawn_local(async move {
-            serve_connection(state, stream, closing).await;
-            open.set(open.get() - 1);
-        });
+        let connection = callers.add();
+        let number = connection.number();
+        let serving = serve_connection(state.clone(), stream, connection, closing.clone());
+        let task = tokio::task::spawn_local(serving);
+        callers.set_task(number, task.abort_handle());
     }
 }
 
 async fn serve_connection(
     state: Rc<EntryState>,
     stream: TcpStream,
+    connection: CallerConnection,
     mut closing: watch::Receiver<bool>,
 ) {
     set_socket_options(&stream);
@@ -87,8 +106,13 @@
     let stream = AnswerStream::new(stream, &answers);
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, answers) = (state.clone(), answers.clone());
-        let answer = async move { Ok::<_, Infallible>(dispatch::serve(state, request).await) };
-        async move { answers.track(answer).await }
+        let phase = Rc::new(connection.begin_request());
+        let received = phase.clone();
+        let answer = async move {
+            let on_received = || received.set_received();
+            Ok::<_, Infallible>(dispatch::serve(state, request, on_received).await)
+        };
+        async move { answers.track(Some(phase), answer).await }
     });
     let mut builder = http1::Builder::new();
     // The HTTP library's head timeout also runs while a connection is idle.
@@ -97,12 +121,12 @@
         .header_read_timeout(limits.idle_timeout.max(limits.head_timeout))
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .keep_alive(!is_closing);
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let mut serving = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
     let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
+        ended = serving.as_mut() => ended,
         () = closed(&mut closing), if !is_closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            serving.as_mut().graceful_shutdown();
+            serving.await
         }
     };
     if let Err(error) = ended {
@@ -175,7 +199,7 @@
         let stream = AnswerStream::new(stream, &answers);
         let service = service_fn(move |request: Request<Incoming>| {
             let (answer, answers) = (handler(request), answers.clone());
-            async move { answers.track(answer).await }
+            async move { answers.track(None, answer).await }
         });
         tokio::task::spawn_local(async move {
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod call;
 mod call_line;
 mod call_wait;
+mod connections;
 mod context;
 mod demand;
 mod detour;
@@ -39,6 +40,7 @@
 mod levels;
 mod loads;
 mod logs;
+mod memory;
 mod notices;
 mod objective_wait;
 mod orders;
@@ -112,6 +114,7 @@
     LoadAggregator, LoadMap, LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share,
 };
 pub use logs::start_logs;
+pub use memory::MemoryPlan;
 pub use notices::{EndpointNotices, EndpointStart};
 pub use path::{
     PathStage, SearchOutcome, StageView, added_crossings, cheapest_path, crossings, first_gap,
@@ -129,7 +132,7 @@
 pub use reach::{HeardAges, HostQuery, ReachReport, ReachTable};
 pub use refusals::{RefusalMemory, RefusedFilter, RequestKey};
 pub use relay::{RelayCandidate, RelayPicker, host_capacity, spread_time};
-pub use reply::{ReplyBody, BufferBudget, ReplyError, collect_body};
+pub use reply::{BufferBudget, ReplyBody, ReplyError, collect_body};
 pub use returns::{ReturnSchedule, ReturnSchedules};
 pub use routing::{LinkUse, PathQuery, RoutingView, explain_gap};
 pub use rules::{
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -33,12 +33,12 @@
         /// Maximum size in bytes.
         limit: usize,
     },
-    /// Other replies take most of the memory for replies, and this one takes too much of the rest.
-    #[error("reply of over {held} bytes exceeds what is left of {total} bytes for all replies")]
+    /// Other bodies take most of the memory for bodies, and this one takes too much of the rest.
+    #[error("body of over {held} bytes exceeds what is left of {total} bytes for all bodies")]
     OverBudget {
-        /// Bytes that the reply held.
+        /// Bytes that the body held.
         held: usize,
-        /// Bytes that all replies may hold.
+        /// Bytes that all bodies may hold.
         total: usize,
     },
     /// The connection received too many bytes that did not become part of the body.
@@ -61,8 +61,8 @@
     }
 }
 
-/// Limit on the bytes of replies that are buffered at the same time. A reply may hold at most as
-/// many bytes as are left for all others, so that large ones always leave room for small ones.
+/// Limit on the bytes of bodies that are buffered at the same time. A body may hold at most as many
+/// bytes as are left for all others, so that large ones always leave room for small ones.
 /// Clones share the same limit.
 #[derive(Clone, Debug)]
 pub struct BufferBudget {
@@ -101,7 +101,7 @@
     }
 }
 
-/// Bytes of one reply, charged to a budget until they are dropped.
+/// Bytes of one body, charged to a budget until they are dropped.
 #[derive(Debug)]
 pub(crate) struct BodyBuffer {
     bytes: Vec<u8>,
@@ -173,14 +173,31 @@
     limit: usize,
     budget: &BufferBudget,
 ) -> Result<Bytes, ReplyError>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Error + 'static,
+{
+    collect_parts(body, limit, budget, limit.max(MIN_PART_BYTES) / MIN_PART_BYTES).await
+}
+
+/// Reads a body of at most `limit` bytes in at most `max_parts` parts.
+pub(crate) async fn collect_parts<B>(
+    body: B,
+    limit: usize,
+    budget: &BufferBudget,
+    max_parts: usize,
+) -> Result<Bytes, ReplyError>
 where
     B: Body<Data = Bytes>,
     B::Error: Error + 'static,
 {
     let mut body = std::pin::pin!(body);
-    if body.size_hint().lower() > limit as u64 {
+    let size = body.size_hint();
+    if size.lower() > limit as u64 {
         return Err(ReplyError::TooLarge { limit });
     }
+    // The buffer of a body of known size is no larger than the body.
+    let capacity = size.exact().map_or(limit, |size| limit.min(size as usize));
     // Parts are copied: they share the connection's buffers, so that small ones would hold far more
     // memory than their size.
     let mut buffer = BodyBuffer::new(budget);
@@ -189,10 +206,10 @@
         let frame = frame.map_err(|error| ReplyError::from_error(&error))?;
         if let Some(bytes) = frame.data_ref() {
             parts += 1;
-            if parts * MIN_PART_BYTES > limit.max(MIN_PART_BYTES) {
+            if parts > max_parts {
                 return Err(ReplyError::TooLarge { limit });
             }
-            buffer.push(bytes, limit)?;
+            buffer.push(bytes, capacity)?;
         }
     }
     Ok(Bytes::from_owner(buffer))
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -47,6 +47,7 @@
     let bind =
         |address| front::bind(address).map_err(|source| EntryError::Bind { address, source });
     let callers = bind(state.options.front)?;
+    front::limit_receive_buffers(&callers);
     let ready = bind(state.options.ready)?;
     let peer = bind(state.options.peer)?;
     let metrics = state.options.metrics.map(bind).transpose()?;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -29,6 +29,7 @@
 use crate::heartbeat::LoopHeartbeat;
 use crate::inflight::StreamTable;
 use crate::loads::{LoadSum, PeerLoads, RelayLoads, SmoothedShare, retry_share};
+use crate::memory::MemoryPlan;
 use crate::notices::{EndpointNotices, EndpointStart};
 use crate::path::PathStage;
 use crate::permits::PermitPools;
@@ -40,6 +41,7 @@
 use crate::reach::ReachTable;
 use crate::refusals::RefusalMemory;
 use crate::relay::{RelayCandidate, RelayPicker};
+use crate::reply::BufferBudget;
 use crate::returns::ReturnSchedules;
 use crate::routing::{accepts_work, is_leaving};
 use crate::rules::{RuleIndex, RulesVersion, ServingRules};
@@ -124,6 +126,8 @@
     pub heartbeat_interval: Duration,
     /// Maximum number of sockets that the process may open.
     pub max_sockets: usize,
+    /// Memory that the process may take, in bytes.
+    pub memory: usize,
 }
 
 impl EntryOptions {
@@ -142,6 +146,10 @@
     pub codec: Box<dyn CallCodec>,
     /// The platform's registry.
     pub registry: Box<dyn RegistryClient>,
+    /// Shares of the host's memory.
+    pub memory: MemoryPlan,
+    /// Budget of the bodies of requests.
+    pub request_budget: BufferBudget,
     /// Connection pool for endpoints and other hosts.
     pub pool: ConnectionPool,
     /// Metrics.
@@ -264,12 +272,15 @@
         registry: Box<dyn RegistryClient>,
     ) -> Self {
         let budget = RetryBudget::new(budget_options(&options, 1.0));
+        let memory = MemoryPlan::new(options.memory);
         let boot_id = rand::random();
         Self {
             options,
             codec,
             registry,
-            pool: ConnectionPool::default(),
+            memory,
+            request_budget: BufferBudget::new(memory.requests),
+            pool: ConnectionPool::new(BufferBudget::new(memory.replies)),
             metrics: MetricRegistry::new(),
             endpoints: RefCell::default(),
             health: RefCell::default(),
--- a/crates/entry/tests/support/cluster.rs
+++ b/crates/entry/tests/support/cluster.rs
@@ -136,6 +136,7 @@
             retry_window: Duration::from_secs(10),
             heartbeat_interval: Duration::from_millis(1_200),
             max_sockets: 1_000,
+            memory: 160_000_000,
         };
         let codec = Box::new(FakeCodec { host: name.into() });
         EntryState::new(options, codec, self.registry.client(name))
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -509,6 +509,7 @@
             retry_window: Duration::from_secs(10),
             heartbeat_interval: Duration::from_millis(1_200),
             max_sockets: 1_000,
+            memory: 160_000_000,
         };
         let state = Rc::new(EntryState::new(options, Box::new(TestCodec), registry));
         let running = state.clone();
--- a/src/codes.rs
+++ b/src/codes.rs
@@ -73,6 +73,7 @@
     Draining = 2004, "draining", 503, true, "The host is shutting down.";
     NotReady = 2005, "not_ready", 503, true, "The host has no current configuration yet.";
     RetryBudgetSpent = 2006, "retry_budget_spent", 503, true, "The retry budget is spent.";
+    HostMemory = 2007, "host_memory", 503, true, "The host has no memory left for the request.";
     // 3xxx: endpoints and answers.
     NoChain = 3001, "no_chain", 503, true, "No chain of endpoints covers every layer.";
     NoEndpoint = 3002, "no_endpoint", 503, true, "No endpoint of the service takes calls.";
