One wrapper for connections whose progress is observed

Cause: the connections of callers and those to endpoints each had a wrapper that passed all calls on but one. Change: ObservedStream takes an observer; ReplyProgress limits what is read, ConnectionAnswers counts what is written. Result: no behaviour changes; reply_limits, endless and late_stops pass.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -1,18 +1,16 @@
 //! Answers that this process has not handed to the kernel yet, so that it does not exit before.
 
 use std::cell::{Cell, RefCell};
-use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 use crate::connections::RequestPhase;
+use crate::observed::StreamObserver;
 use crate::response::{AbortedResponse, ResponseBody};
 
 /// Number of answers that are not written yet. Clones share the same count.
@@ -109,57 +107,9 @@
     }
 }
 
-/// A connection that records when it has written its answers.
-pub(crate) struct AnswerStream {
-    stream: TcpStream,
-    answers: ConnectionAnswers,
-}
-
-impl AnswerStream {
-    pub(crate) fn new(stream: TcpStream, answers: &ConnectionAnswers) -> Self {
-        Self { stream, answers: answers.clone() }
-    }
-}
-
-impl AsyncRead for AnswerStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
-    }
-}
-
-impl AsyncWrite for AnswerStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    /// The HTTP library flushes once it has written all that it buffers.
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
-        self.answers.buffered.borrow_mut().clear();
-        Poll::Ready(Ok(()))
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+/// Counts answers as written once their connection has flushed them.
+impl StreamObserver for ConnectionAnswers {
+    fn on_flush(&self) {
+        self.buffered.borrow_mut().clear();
     }
 }
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -19,10 +19,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::answers::{AnswerStream, ConnectionAnswers, OpenAnswers};
+use crate::answers::{ConnectionAnswers, OpenAnswers};
 use crate::connections::{CallerConnection, CallerTable};
 use crate::dispatch;
 use crate::memory::RECEIVE_BUFFER_BYTES;
+use crate::observed::ObservedStream;
 use crate::pool::set_socket_options;
 use crate::response::{ResponseBody, full_body};
 use crate::state::EntryState;
@@ -103,7 +104,7 @@
     let is_closing = *closing.borrow();
     let limits = state.rules().map(|rules| rules.rules().limits).unwrap_or_default();
     let answers = ConnectionAnswers::new(&state.open_answers);
-    let stream = AnswerStream::new(stream, &answers);
+    let stream = ObservedStream::new(stream, answers.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, answers) = (state.clone(), answers.clone());
         let phase = Rc::new(connection.begin_request());
@@ -196,7 +197,7 @@
         set_socket_options(&stream);
         let handler = handler.clone();
         let answers = ConnectionAnswers::new(&open);
-        let stream = AnswerStream::new(stream, &answers);
+        let stream = ObservedStream::new(stream, answers.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let (answer, answers) = (handler(request), answers.clone());
             async move { answers.track(None, answer).await }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -43,6 +43,7 @@
 mod memory;
 mod notices;
 mod objective_wait;
+mod observed;
 mod orders;
 mod partials;
 mod path;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -20,9 +20,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::observed::ObservedStream;
 use crate::reply::{
-    BufferBudget, MeteredStream, ReplyBody, ReplyError, ReplyProgress, collect_body, error_chain,
-    is_endless,
+    BufferBudget, ReplyBody, ReplyError, ReplyProgress, collect_body, error_chain, is_endless,
 };
 
 /// Time after which a connection with unacknowledged data is closed, so that an unreachable host is
@@ -359,7 +359,7 @@
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_HEAD_BYTES);
     let progress = ReplyProgress::default();
-    let stream = MeteredStream::new(stream, progress.clone());
+    let stream = ObservedStream::new(stream, progress.clone());
     let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string().into()))?;
     let task = tokio::task::spawn_local(async move {
--- a/crates/entry/src/reply.rs
+++ b/crates/entry/src/reply.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::error::Error;
-use std::io::{self, IoSlice};
+use std::io;
 use std::iter;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -13,8 +13,8 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
+
+use crate::observed::StreamObserver;
 
 /// Bytes that a connection may receive without completing a head or a part of a body. The HTTP
 /// library buffers far fewer; more are interim replies or framing without end.
@@ -261,8 +261,11 @@
     pub(crate) fn suspend(&self) {
         self.state.is_limited.set(false);
     }
+}
 
-    fn add(&self, bytes: usize) -> io::Result<()> {
+/// Fails the connection when its reply makes no progress although bytes arrive.
+impl StreamObserver for ReplyProgress {
+    fn on_read(&self, bytes: usize) -> io::Result<()> {
         let unread = self.state.unread.get() + bytes;
         self.state.unread.set(unread);
         if self.state.is_limited.get() && unread > MAX_UNREAD_BYTES {
@@ -314,57 +317,3 @@
         self.progress.suspend();
     }
 }
-
-/// A connection that fails when its reply makes no progress although bytes arrive.
-pub(crate) struct MeteredStream {
-    stream: TcpStream,
-    progress: ReplyProgress,
-}
-
-impl MeteredStream {
-    pub(crate) fn new(stream: TcpStream, progress: ReplyProgress) -> Self {
-        Self { stream, progress }
-    }
-}
-
-impl AsyncRead for MeteredStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.progress.add(buffer.filled().len() - before))
-    }
-}
-
-impl AsyncWrite for MeteredStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        slices: &[IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-}
