Budgets for bodies hold a body of the usual limit on small machines too

Cause: on a machine of less than 42 MB, a single body of 4 MiB would have been refused in calm. Change: both budgets have 8 MiB at least.

--- a/crates/entry/src/memory.rs
+++ b/crates/entry/src/memory.rs
@@ -6,6 +6,8 @@
 /// Receive buffer of a caller's connection. Bytes that have not been read count as memory of the
 /// process.
 pub(crate) const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// Smallest budget for bodies: one of the usual limit, 4 MiB, may take half of it.
+const MIN_BUDGET_BYTES: usize = 8 << 20;
 /// Largest budget for replies.
 const MAX_REPLY_BYTES: usize = 24 << 20;
 
@@ -33,8 +35,8 @@
     /// ```
     pub fn new(memory: usize) -> Self {
         Self {
-            requests: memory / 5,
-            replies: (memory / 20 * 3).min(MAX_REPLY_BYTES),
+            requests: (memory / 5).max(MIN_BUDGET_BYTES),
+            replies: (memory / 20 * 3).clamp(MIN_BUDGET_BYTES, MAX_REPLY_BYTES),
             connections: memory / 5 * 2 / CONNECTION_BYTES,
         }
     }
