--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,7 +4,7 @@
 //! endpoints. The modules that make decisions do no I/O: `layout`, `path`, `partials`, `routing`,
 //! `detour`, `stall`, `relay`, `returns`, `demand`, `admission`, `waiting`, `health`, `attempts`,
 //! `freshness`, `shutdown`, `notices`, `poison`, `ends`, `starts`, `down_reports`, `refusals`,
-//! `reach`, `takeover`, `empty_endpoints`, `call_line`.
+//! `reach`, `takeover`, `empty_endpoints`, `call_line`, `memory`.
 //! docs/design/platform.md describes the design.
 
 mod adapter;
