A forwarded call is decided once, by the host that took it

Cause: a host that cannot reach a service passes its calls on; the receiver decided them anew by its own rules, however old, and the sender took what came for the service's answer. A receiver whose other rules decide otherwise refuses it as not run, as outdated or newer; the sender asks the next host. Either side that is behind learns of the newer version. Calls of hosts of the release before, which name none of these, are handled as before.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -20,7 +20,7 @@
 use crate::poison::{BlamedSuspect, CrashSuspect, SendVerdict, is_request, request_suspect};
 use crate::refusals::RequestKey;
 use crate::response::unknown_refusal;
-use crate::rules::{KeyVerdict, RouteRule, RuleIndex};
+use crate::rules::{KeyVerdict, RouteRule, RuleIndex, RulesVersion};
 use crate::state::{EntryState, log_blames};
 use crate::times::StreamLength;
 
@@ -34,6 +34,8 @@
     pub(crate) body: Bytes,
     /// Fields decoded from the head.
     pub(crate) head: CallHead,
+    /// Version of the rules that allow it.
+    pub(crate) rules: RulesVersion,
     /// Matching route.
     pub(crate) route: RouteRule,
     /// Service, picked from the route's targets by weight.
@@ -214,6 +216,7 @@
     let time_limit = head.deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
     Ok(AllowedCall {
         service: service.clone(),
+        rules: rules.rules().version,
         route: route.clone(),
         customer,
         priority,
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -45,7 +45,17 @@
         return refuse(&state, &head.attempt, refusal);
     };
     let body_limit = rules.rules().limits.body_bytes;
-    let mut call = match allow(&rules, parts, head, arrived) {
+    let decision = forwarded.as_ref().and_then(|forwarded| forwarded.decision.as_ref());
+    let version = rules.rules().version;
+    let other_decision = decision.filter(|decision| decision.rules != version);
+    let allowed = allow(&rules, parts, head, arrived);
+    if let Some(decision) = other_decision
+        && !allowed.as_ref().is_ok_and(|call| decision.is_shared_by(call))
+    {
+        discard_body(body, body_limit).await;
+        return forward::refuse_other_rules(&state, decision, version);
+    }
+    let mut call = match allowed {
         Ok(call) => call,
         Err((attempt, refusal)) => {
             discard_body(body, body_limit).await;
@@ -54,10 +64,17 @@
     };
     match receive_body(&state, body, body_limit).await {
         Ok(body) => call.body = body,
-        Err(refusal) => return refuse(&state, &call.head.attempt, refusal),
+        Err(refusal) => {
+            // The limits of the rules by which the call was decided may be higher.
+            return match other_decision.filter(|_| refusal.code == ResultCode::BodyTooLarge) {
+                Some(decision) => forward::refuse_other_rules(&state, decision, version),
+                None => refuse(&state, &call.head.attempt, refusal),
+            };
+        }
     }
     on_received();
     if let Some(ForwardedCall { service, is_retry, .. }) = &forwarded {
+        // Hosts of earlier releases do not say by which rules they have picked it.
         let targets = call.route.targets.iter().map(|(target, _)| target);
         if let Some(service) = targets.into_iter().find(|target| Some(*target) == service.as_ref())
         {
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -18,15 +18,17 @@
 use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::call::AllowedCall;
-use crate::dispatch;
+use crate::decision::CallDecision;
 use crate::endpoints::EndpointEntry;
 use crate::pool::{PooledReply, SendError, SendOptions};
 use crate::reach::HostQuery;
 use crate::response::{ResponseBody, end_to_end_headers, full_body};
+use crate::rules::RulesVersion;
 use crate::sending::{
     AT_MOST_ONCE_MAX_IDLE, CONNECT_TIMEOUT, count_over_limit, probe, probe_links,
 };
 use crate::state::{EntryState, RetryPermit};
+use crate::{decision, dispatch};
 
 /// Prefix of the paths of forwarded calls.
 const FORWARD_PATH: &str = "/forward";
@@ -35,8 +37,6 @@
 const FORWARD_RETRY_PATH: &str = "/forward-retry";
 /// Name of the host that forwards a call.
 const FORWARDED_BY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-by");
-/// Service that the forwarding host has picked from the targets of the route.
-const FORWARDED_SERVICE: HeaderName = HeaderName::from_static("jacinthrock-forwarded-service");
 /// Present if the first attempt of the call is counted already.
 const FORWARDED_RETRY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-retry");
 /// In each reply to a forwarded call: `served`, or why it was refused. Hosts of earlier releases do
@@ -48,6 +48,9 @@
 const MAX_IDLE: Duration = Duration::from_secs(1);
 /// Time for which a host of an earlier release, or one that stops, gets no forwarded calls.
 const LONG_AVOID_TIME: Duration = Duration::from_secs(10);
+/// Time for which a host gets none after it has refused one since its rules are older. It learns of
+/// newer ones from the call.
+const OUTDATED_AVOID_TIME: Duration = Duration::from_millis(500);
 /// Time for which a host without connection gets none.
 const CONNECT_AVOID_TIME: Duration = Duration::from_secs(1);
 /// Shortest time without an answer after which a call is sent to the next host as well. Plain calls
@@ -72,6 +75,8 @@
 pub(crate) struct ForwardedCall {
     /// Service that the other host has picked.
     pub(crate) service: Option<ServiceName>,
+    /// What the other host has decided; hosts of earlier releases name the service alone.
+    pub(crate) decision: Option<CallDecision>,
     /// Whether the first attempt of the call is counted already.
     pub(crate) is_retry: bool,
     /// Whether this host takes a retry from its share of the budget for the call.
@@ -93,6 +98,10 @@
     Stopping,
     Unreachable,
     Busy,
+    /// The rules of this host are older and decide otherwise.
+    Outdated,
+    /// The rules of this host are newer and decide otherwise.
+    Newer,
 }
 
 impl ForwardRefusal {
@@ -101,6 +110,8 @@
             Self::Stopping => "stopping",
             Self::Unreachable => "unreachable",
             Self::Busy => "busy",
+            Self::Outdated => "outdated",
+            Self::Newer => "newer",
         }
     }
 }
@@ -348,7 +359,7 @@
         HeaderValue::from_str(value).map_err(|error| Box::<str>::from(error.to_string()))
     };
     headers.insert(FORWARDED_BY, text(&state.options.host)?);
-    headers.insert(FORWARDED_SERVICE, text(&call.service)?);
+    CallDecision::write(call, &mut headers)?;
     headers.remove(FORWARDED_RETRY);
     if call.is_counted.get() {
         headers.insert(FORWARDED_RETRY, HeaderValue::from_static("1"));
@@ -385,6 +396,12 @@
     } else if verdict == ForwardRefusal::Unreachable.name() {
         let mut reach = state.reach.borrow_mut();
         reach.record_unreachable(&host.name, &call.service, Instant::now());
+    } else if verdict == ForwardRefusal::Outdated.name() {
+        avoid(state, host, OUTDATED_AVOID_TIME);
+    } else if verdict == ForwardRefusal::Newer.name()
+        && let Some(rules) = decision::read_rules(&reply.parts.headers)
+    {
+        state.record_newer_rules(rules);
     }
     let fault = format!("host refused with {status}: {}", verdict.to_str().unwrap_or_default());
     if state.codec.read_reply(&call.head.attempt, &reply.parts.headers).is_not_run {
@@ -415,8 +432,7 @@
     mut request: Request<Incoming>,
 ) -> Response<ResponseBody> {
     let by = request.headers_mut().remove(FORWARDED_BY);
-    let service = request.headers_mut().remove(FORWARDED_SERVICE);
-    let service = service.as_ref().and_then(|value| value.to_str().ok()).map(ServiceName::from);
+    let (service, decision) = CallDecision::take(request.headers_mut());
     let is_retry = request.headers_mut().remove(FORWARDED_RETRY).is_some();
     // Labels of metrics are limited to services that the rules name.
     let label = service.clone().filter(|service| {
@@ -435,7 +451,12 @@
         (Some(refusal), _) => refuse_call(refusal),
         (None, Ok((uri, takes_retry))) => {
             *request.uri_mut() = uri;
-            request.extensions_mut().insert(ForwardedCall { service, is_retry, takes_retry });
+            request.extensions_mut().insert(ForwardedCall {
+                service,
+                decision,
+                is_retry,
+                takes_retry,
+            });
             dispatch::serve(state.clone(), request, || {}).await
         }
         (None, Err(error)) => {
@@ -467,6 +488,21 @@
     Ok((uri, takes_retry))
 }
 
+/// Refuses a forwarded call of which the rules of this host, of the given version, decide otherwise
+/// than those of the host that took it from its caller.
+pub(crate) fn refuse_other_rules(
+    state: &EntryState,
+    decision: &CallDecision,
+    rules: RulesVersion,
+) -> Response<ResponseBody> {
+    let refusal =
+        if decision.rules > rules { ForwardRefusal::Outdated } else { ForwardRefusal::Newer };
+    state.record_newer_rules(decision.rules);
+    let mut response = refuse_call(refusal);
+    decision::write_rules(rules, response.headers_mut());
+    response
+}
+
 fn refuse_call(refusal: ForwardRefusal) -> Response<ResponseBody> {
     let mut response = Response::new(full_body(""));
     *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,6 +16,7 @@
 mod call_wait;
 mod connections;
 mod context;
+mod decision;
 mod demand;
 mod detour;
 mod dispatch;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -358,6 +358,16 @@
         self.rules.borrow().rules().version
     }
 
+    /// Records the version of the rules by which another host has decided a call, if it is newer: a
+    /// watch that does not bring it in time is taken for lost.
+    pub(crate) fn record_newer_rules(&self, version: RulesVersion) {
+        let in_force = self.rules_number();
+        if version > in_force {
+            let mut freshness = self.rules_freshness.borrow_mut();
+            freshness.record_peer(in_force, version, None, Instant::now());
+        }
+    }
+
     /// Registry version of the rules in force, 0 before the first.
     pub fn rules_version(&self) -> RegistryVersion {
         self.rules_version.get().unwrap_or_default()
--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -319,7 +319,7 @@
 /// Calls that a host has sent to others or received from them.
 fn forwarded_in_total(host: &TestHost) -> i64 {
     let sent = ["answered", "not_run", "unknown"].map(|outcome| host.forwarded("sent", outcome));
-    let received = ["served", "stopping", "unreachable", "busy"]
+    let received = ["served", "stopping", "unreachable", "busy", "outdated", "newer"]
         .map(|outcome| host.forwarded("received", outcome));
     sent.iter().chain(&received).sum()
 }
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -430,7 +430,8 @@
         let (registry, endpoints) = (Rc::default(), Vec::new());
         let (hosts_started, own_registries) = (Vec::new(), Vec::new());
         let mut site = Self { registry, endpoints, hosts: hosts_started, own_registries, rules };
-        for service in ["desk", "guide"] {
+        let services: Vec<_> = site.rules.services.keys().cloned().collect();
+        for service in &services {
             for number in 0..3 {
                 let endpoint =
                     TestEndpoint::start(&format!("{service}-{number}"), service, slots).await;
