A stopping host judges streams once more after their wait for a path

Cause: the time was judged when the request arrived. Change: before a stream without an event is sent, it is judged again and refused as not run if it no longer fits. Streams of the first 2.9 s stay taken; that is decided by the time at which the request was complete, as before.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -48,6 +48,8 @@
     pub(crate) level: u8,
     /// Time at which the head was received.
     pub(crate) arrived: Instant,
+    /// Time at which the request was complete; that of the head until then.
+    pub(crate) received: Instant,
     /// End of the caller's deadline or of the route's timeout, whichever is earlier.
     pub(crate) deadline: Instant,
     /// Whether the retry budget has counted the first attempt, of this host or of another one.
@@ -145,6 +147,23 @@
         }
     }
 
+    /// Why the call may not be whole before the end of this host, if the host stops.
+    pub(crate) fn stop_obstacle(&self, state: &EntryState) -> Option<String> {
+        let (plan, now) = (state.stop_plan.get()?, Instant::now());
+        let (longest, is_accepted) = if self.route.is_stream {
+            let length = self.stream_length(state);
+            let longest = state.stream_times.borrow().longest(&self.service, length, now);
+            let is_resumable = self.route.retry_policy.is_idempotent();
+            (longest, plan.accepts_stream(self.received, now, longest, is_resumable))
+        } else {
+            let longest = state.call_times.borrow().longest(&self.service);
+            (longest, plan.accepts_call(now, longest))
+        };
+        let left = plan.last_answer().saturating_duration_since(now).as_millis();
+        let longest = longest.as_millis();
+        (!is_accepted).then(|| format!("the host stops in {left} ms; this may take {longest} ms"))
+    }
+
     /// What is known of the length of the stream that the request asks for.
     pub(crate) fn stream_length(&self, state: &EntryState) -> StreamLength {
         let rules = state.rules();
@@ -226,6 +245,7 @@
         body: Bytes::new(),
         head,
         arrived,
+        received: arrived,
         is_counted: Cell::new(false),
         fingerprint: OnceCell::new(),
     })
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -72,6 +72,7 @@
             };
         }
     }
+    call.received = Instant::now();
     on_received();
     if let Some(ForwardedCall { service, is_retry, .. }) = &forwarded {
         // Hosts of earlier releases do not say by which rules they have picked it.
@@ -154,21 +155,8 @@
 /// of others to it.
 fn limit_to_stop(state: &EntryState, call: &mut AllowedCall) -> Option<CallRefusal> {
     let plan = state.stop_plan.get()?;
-    let now = Instant::now();
-    let (longest, is_accepted) = if call.route.is_stream {
-        let length = call.stream_length(state);
-        let longest = state.stream_times.borrow().longest(&call.service, length, now);
-        let is_resumable = call.route.retry_policy.is_idempotent();
-        (longest, plan.accepts_stream(now, longest, is_resumable))
-    } else {
-        let longest = state.call_times.borrow().longest(&call.service);
-        (longest, plan.accepts_call(now, longest))
-    };
-    if !is_accepted {
-        let left = plan.last_answer().saturating_duration_since(now).as_millis();
-        let detail =
-            format!("the host stops in {left} ms; this may take {} ms", longest.as_millis());
-        let delay = plan.return_delay(now, rand::rng().random_range(0.0..1.0));
+    if let Some(detail) = call.stop_obstacle(state) {
+        let delay = plan.return_delay(Instant::now(), rand::rng().random_range(0.0..1.0));
         return Some(CallRefusal::not_run(ResultCode::Draining, detail).with_retry_after(delay));
     }
     if !call.route.is_stream {
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -89,9 +89,16 @@
         now + longest <= self.last_answer()
     }
 
-    /// Whether to take a stream that lasts `longest` at most.
-    pub fn accepts_stream(&self, now: Instant, longest: Duration, is_resumable: bool) -> bool {
-        let is_early = is_resumable && now <= self.started + RESUMABLE_TIME;
+    /// Whether to take a stream that lasts `longest` at most from now on and whose request was
+    /// received at a time.
+    pub fn accepts_stream(
+        &self,
+        received: Instant,
+        now: Instant,
+        longest: Duration,
+        is_resumable: bool,
+    ) -> bool {
+        let is_early = is_resumable && received <= self.started + RESUMABLE_TIME;
         is_early || now + longest <= self.last_answer()
     }
 
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -295,6 +295,12 @@
         if !is_trial {
             context.check_poison()?;
         }
+        // While the stream waited for its path, the end of a host that stops came closer.
+        if context.last_event_id.get().is_none()
+            && let Some(obstacle) = context.call.stop_obstacle(state)
+        {
+            return Err(SourceFailure::NoPath(obstacle.into()));
+        }
         let Some(first) = state.endpoint(&path[0].name) else {
             return Err(SourceFailure::NotRun("first stage has left".into()));
         };
--- a/crates/entry/tests/stop_plan.rs
+++ b/crates/entry/tests/stop_plan.rs
@@ -16,9 +16,24 @@
 fn streams_that_outlast_the_grace_are_taken_only_right_after_the_signal() {
     let now = Instant::now();
     let plan = StopPlan::new(now, GRACE);
-    assert!(plan.accepts_stream(now + seconds(2.8), seconds(9.0), true));
-    assert!(!plan.accepts_stream(now + seconds(3.0), seconds(9.0), true));
-    assert!(!plan.accepts_stream(now + seconds(1.0), seconds(9.0), false), "cannot be resumed");
+    let accepts = |after, longest, is_resumable| {
+        let received = now + seconds(after);
+        plan.accepts_stream(received, received, longest, is_resumable)
+    };
+    assert!(accepts(2.8, seconds(9.0), true));
+    assert!(!accepts(3.0, seconds(9.0), true));
+    assert!(!accepts(1.0, seconds(9.0), false), "cannot be resumed");
+}
+
+/// A stream that was taken early stays so while it waits for a path.
+#[test]
+fn streams_are_early_by_when_they_were_received() {
+    let now = Instant::now();
+    let plan = StopPlan::new(now, GRACE);
+    let later = now + seconds(3.2);
+    assert!(plan.accepts_stream(now + seconds(2.8), later, seconds(9.0), true));
+    assert!(!plan.accepts_stream(now + seconds(2.8), later, seconds(9.0), false));
+    assert!(!plan.accepts_stream(now + seconds(3.0), later, seconds(4.5), true));
 }
 
 /// Hosts that are all out of rotation still get calls.
@@ -26,8 +41,12 @@
 fn short_work_is_taken_for_as_long_as_it_ends_in_time() {
     let now = Instant::now();
     let plan = StopPlan::new(now, GRACE);
-    assert!(plan.accepts_stream(now + seconds(6.9), seconds(0.5), true));
-    assert!(!plan.accepts_stream(now + seconds(7.1), seconds(0.5), true));
+    let accepts = |after, longest, is_resumable| {
+        let received = now + seconds(after);
+        plan.accepts_stream(received, received, longest, is_resumable)
+    };
+    assert!(accepts(6.9, seconds(0.5), true));
+    assert!(!accepts(7.1, seconds(0.5), true));
     assert!(plan.accepts_call(now + seconds(6.8), seconds(0.6)));
     assert!(!plan.accepts_call(now + seconds(7.0), seconds(0.6)));
     assert!(!plan.accepts_call(now + seconds(5.1), seconds(2.5)));
