A stopping host expects streams to be as slow as the last ones

Cause: the time per event is that of nine in ten of the last 256 streams. When engines turn slower, streams are taken by how fast they were until a tenth of those kept have been slow. Evidence: streams_are_expected_to_be_as_slow_as_the_last_ones fails without the change. Change: the same quantile over the last eight streams counts if it is larger. Result: the test passes.

--- a/crates/entry/src/times.rs
+++ b/crates/entry/src/times.rs
@@ -14,6 +14,8 @@
 const TIME_MARGIN: f64 = 1.25;
 /// Streams of a service that must have ended before any conclusion is drawn from them.
 const MIN_KNOWN_STREAMS: usize = 8;
+/// Latest streams that show whether the service has just turned slower.
+const RECENT_STREAMS: usize = 8;
 /// Quantile of the times per event that streams are expected to take.
 const EVENT_TIME_QUANTILE: f64 = 0.9;
 /// Longest time of a stream until streams have ended for as long: those that end in the first
@@ -147,22 +149,29 @@
         Some(first_event + self.event_time()?.mul_f64(left))
     }
 
-    /// Time per event of streams of the mean length or more; a late event counts for more in short
-    /// ones.
+    /// Time per event that streams are expected to take at most: by all that are kept, and by the last
+    /// few, since the service may have turned slower.
     fn event_time(&self) -> Option<Duration> {
         let timed: Vec<_> = self.latest.iter().filter(|it| it.events() > 1).collect();
-        let (total, count) = (timed.iter().map(|it| it.events()).sum::<u64>(), timed.len() as u64);
-        let long = timed.iter().filter(|it| it.events() * count >= total);
-        let mut times: Vec<_> = long
-            .map(|it| it.time.saturating_sub(it.first_event).div_f64((it.events() - 1) as f64))
-            .collect();
-        times.sort_unstable();
-        let last = times.len().saturating_sub(1);
-        let index = (last as f64 * EVENT_TIME_QUANTILE).round() as usize;
-        times.get(index).copied()
+        let recent = &timed[timed.len().saturating_sub(RECENT_STREAMS)..];
+        long_event_time(&timed).max(long_event_time(recent))
     }
 }
 
+/// Time per event of those streams that have the mean length or more; a late event counts for more
+/// in short ones.
+fn long_event_time(streams: &[&EndedStream]) -> Option<Duration> {
+    let (total, count) = (streams.iter().map(|it| it.events()).sum::<u64>(), streams.len() as u64);
+    let long = streams.iter().filter(|it| it.events() * count >= total);
+    let mut times: Vec<_> = long
+        .map(|it| it.time.saturating_sub(it.first_event).div_f64((it.events() - 1) as f64))
+        .collect();
+    times.sort_unstable();
+    let last = times.len().saturating_sub(1);
+    let index = (last as f64 * EVENT_TIME_QUANTILE).round() as usize;
+    times.get(index).copied()
+}
+
 /// Times of the latest calls to each plain service.
 #[derive(Debug, Default)]
 pub struct CallTimes {
--- a/crates/entry/tests/request_times.rs
+++ b/crates/entry/tests/request_times.rs
@@ -96,6 +96,18 @@
     assert!(times.longest("guide", named(110), now) > seconds(4.9));
 }
 
+/// The engines have just turned slower; a host took streams by how fast they had been.
+#[test]
+fn streams_are_expected_to_be_as_slow_as_the_last_ones() {
+    let (mut times, now) = after_streams(named(40), 20);
+    assert!(times.longest("guide", named(60), now) < seconds(1.8));
+    for _ in 0..4 {
+        let fast = ended(named(40), 20);
+        times.record("guide", EndedStream { time: fast.time * 2, ..fast }, now);
+    }
+    assert!(times.longest("guide", named(60), now) > seconds(2.7));
+}
+
 #[test]
 fn resumed_stream_is_expected_to_take_the_time_of_what_is_left() {
     let (times, now) = after_streams(named(220), 110);
