A stopping host takes no late call to a service that it has not seen

Callers saw: 504 for a call of 1.5 s, sent 6.4 s after SIGTERM to a host that had seen no call to its service; it must run at most once and had run in part. Cause: without any time of the service, a call was expected to take 0.6 s. CallTimes::longest says that it knows nothing.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -157,6 +157,8 @@
             (longest, plan.accepts_stream(self.received, now, longest, is_resumable))
         } else {
             let longest = state.call_times.borrow().longest(&self.service);
+            let unknown = plan.unknown_call_time().min(self.remaining());
+            let longest = longest.unwrap_or(unknown);
             (longest, plan.accepts_call(now, longest))
         };
         let left = plan.last_answer().saturating_duration_since(now).as_millis();
--- a/crates/entry/src/shutdown.rs
+++ b/crates/entry/src/shutdown.rs
@@ -84,6 +84,12 @@
         self.exit - ANSWER_MARGIN
     }
 
+    /// Time that a call to a plain service must have left if nothing is known of how long it takes:
+    /// all are taken until the host is out of rotation.
+    pub fn unknown_call_time(&self) -> Duration {
+        self.last_answer().saturating_duration_since(self.closing())
+    }
+
     /// Whether to take a call to a plain service that takes `longest` at most.
     pub fn accepts_call(&self, now: Instant, longest: Duration) -> bool {
         now + longest <= self.last_answer()
--- a/crates/entry/src/times.rs
+++ b/crates/entry/src/times.rs
@@ -188,20 +188,20 @@
         }
     }
 
-    /// Longest time that a call is expected to take.
+    /// Longest time that a call is expected to take; none if this host has seen no call to its service.
     ///
     /// ```
     /// use std::time::Duration;
     /// use jacinthrock_entry::CallTimes;
     ///
     /// let mut times = CallTimes::default();
-    /// assert_eq!(times.longest("desk"), Duration::from_millis(600));
+    /// assert_eq!(times.longest("desk"), None);
     /// times.record("desk", Duration::from_secs(2));
-    /// assert_eq!(times.longest("desk"), Duration::from_millis(2_500));
+    /// assert_eq!(times.longest("desk"), Some(Duration::from_millis(2_500)));
     /// ```
-    pub fn longest(&self, service: &str) -> Duration {
-        let longest = self.by_service.get(service).and_then(|latest| latest.iter().max());
-        longest.map_or(MIN_CALL_TIME, |time| time.mul_f64(TIME_MARGIN).max(MIN_CALL_TIME))
+    pub fn longest(&self, service: &str) -> Option<Duration> {
+        let longest = self.by_service.get(service)?.iter().max()?;
+        Some(longest.mul_f64(TIME_MARGIN).max(MIN_CALL_TIME))
     }
 }
 
--- a/crates/entry/tests/request_times.rs
+++ b/crates/entry/tests/request_times.rs
@@ -150,10 +150,11 @@
     for _ in 0..200 {
         times.record("registry", seconds(0.1));
     }
-    assert_eq!(times.longest("desk"), seconds(0.6));
-    assert_eq!(times.longest("registry"), seconds(2.5));
+    assert_eq!(times.longest("desk"), Some(seconds(0.6)));
+    assert_eq!(times.longest("registry"), Some(seconds(2.5)));
     for _ in 0..256 {
         times.record("registry", seconds(0.8));
     }
-    assert_eq!(times.longest("registry"), seconds(1.0));
+    assert_eq!(times.longest("registry"), Some(seconds(1.0)));
+    assert_eq!(times.longest("other"), None);
 }
