--- a/crates/entry/src/times.rs
+++ b/crates/entry/src/times.rs
@@ -28,7 +28,7 @@
 /// count, since they are often far off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StreamLength {
-    /// Maximum number of output tokens that the request names.
+    /// Maximum number of output tokens that the request names, if any.
     pub max_tokens: Option<u32>,
     /// Number of tokens in an event.
     pub event_tokens: u32,
@@ -64,8 +64,7 @@
 
     /// Ratio of the events of the whole stream to the most that were expected.
     fn excess(&self) -> Option<f64> {
-        let max_events = self.length.max_events().filter(|events| *events > 0.0)?;
-        Some(self.last_event as f64 / max_events)
+        Some(self.last_event as f64 / self.length.max_events()?.max(1.0))
     }
 }
 
