Callers that read slowly get whole answers

Cause: TCP_USER_TIMEOUT of 1.5 s, meant for unreachable hosts, was set on callers' connections too. Linux applies it to a closed window as well. Change: callers' connections have keepalive probes alone. One that takes no bytes of its answer is closed once the deadline of its request has passed, and gives way to a new connection if all are taken. Other connections are as before.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hyper::Response;
 use hyper::body::{Body, Frame, SizeHint};
+use tokio::time::Instant;
 
 use crate::connections::RequestPhase;
 use crate::observed::StreamObserver;
@@ -47,17 +48,21 @@
     }
 }
 
+/// Since when the other end of a connection takes no bytes, if it does not.
+pub(crate) type StalledSince = Rc<Cell<Option<Instant>>>;
+
 /// Answers on one connection. Clones are of the same connection.
 #[derive(Clone, Debug)]
 pub(crate) struct ConnectionAnswers {
     answers: OpenAnswers,
+    stalled: StalledSince,
     /// Answers whose bodies the HTTP library has taken as a whole.
     buffered: Rc<RefCell<Vec<AnswerGuard>>>,
 }
 
 impl ConnectionAnswers {
-    pub(crate) fn new(answers: &OpenAnswers) -> Self {
-        Self { answers: answers.clone(), buffered: Rc::default() }
+    pub(crate) fn new(answers: &OpenAnswers, stalled: StalledSince) -> Self {
+        Self { answers: answers.clone(), stalled, buffered: Rc::default() }
     }
 
     /// Runs a request and counts its answer until the connection has written it.
@@ -109,6 +114,11 @@
 
 /// Counts answers as written once their connection has flushed them.
 impl StreamObserver for ConnectionAnswers {
+    fn on_write(&self, is_stalled: bool) {
+        let since = self.stalled.get().filter(|_| is_stalled);
+        self.stalled.set(since.or_else(|| is_stalled.then(Instant::now)));
+    }
+
     fn on_flush(&self) {
         self.buffered.borrow_mut().clear();
     }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -8,26 +8,37 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Time for which a connection may wait before it gives way to a new one.
+use crate::answers::StalledSince;
+
+/// Time for which a connection may wait for its caller before it gives way to a new one.
 const MIN_WAIT: Duration = Duration::from_millis(500);
 
 /// What a caller's connection does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionPhase {
     /// Its first request, or the body of a later one, has not arrived.
     Unfinished(Instant),
     /// It is kept for another request.
     Kept(Instant),
-    /// A request is being answered.
-    Answering,
+    /// A request is being answered, until its deadline.
+    Answering(Instant),
 }
 
 impl ConnectionPhase {
-    /// Since when the connection waits for its caller.
+    /// The order in which connections give way.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Unfinished(_) => 0,
+            Self::Kept(_) => 1,
+            Self::Answering(_) => 2,
+        }
+    }
+
+    /// Since when the connection waits for its caller's next bytes.
     fn waiting_since(self) -> Option<Instant> {
         match self {
             Self::Unfinished(since) | Self::Kept(since) => Some(since),
-            Self::Answering => None,
+            Self::Answering(_) => None,
         }
     }
 }
@@ -41,6 +52,7 @@
 #[derive(Debug)]
 struct ConnectionEntry {
     phase: SharedPhase,
+    stalled: StalledSince,
     task: Option<AbortHandle>,
 }
 
@@ -61,9 +73,10 @@
     pub(crate) fn add(&self) -> CallerConnection {
         let number = self.next.replace(self.next.get() + 1);
         let phase = Rc::new(Cell::new((0, ConnectionPhase::Unfinished(Instant::now()))));
-        let entry = ConnectionEntry { phase: phase.clone(), task: None };
+        let stalled = StalledSince::default();
+        let entry = ConnectionEntry { phase: phase.clone(), stalled: stalled.clone(), task: None };
         self.entries.borrow_mut().insert(number, entry);
-        CallerConnection { table: self.clone(), number, phase }
+        CallerConnection { table: self.clone(), number, phase, stalled }
     }
 
     /// Sets the task that serves a connection.
@@ -73,20 +86,38 @@
         }
     }
 
-    /// Closes a connection that waits for its caller, one with an unfinished request before one that
-    /// is kept, and the one that has waited longest; returns for how long it has.
+    /// Closes a connection that waits for its caller: one with an unfinished request before one that
+    /// is kept, then one whose caller does not read its answer; of these, the one that has waited
+    /// longest. Returns for how long it has.
     pub(crate) fn evict(&self, now: Instant) -> Option<Duration> {
         let mut entries = self.entries.borrow_mut();
         let waiting = entries.iter().filter_map(|(number, entry)| {
             let (_, phase) = entry.phase.get();
-            let wait = now.saturating_duration_since(phase.waiting_since()?);
-            (wait >= MIN_WAIT && entry.task.is_some()).then_some((phase, *number, wait))
+            let since = phase.waiting_since().or(entry.stalled.get())?;
+            let wait = now.saturating_duration_since(since);
+            let rank = (phase.rank(), since);
+            (wait >= MIN_WAIT && entry.task.is_some()).then_some((rank, *number, wait))
         });
         let (_, number, wait) = waiting.min()?;
         let task = entries.remove(&number)?.task?;
         task.abort();
         Some(wait)
     }
+
+    /// Closes connections whose callers do not read an answer, once its deadline has passed; returns
+    /// their number.
+    pub(crate) fn close_overdue(&self, now: Instant) -> usize {
+        let mut entries = self.entries.borrow_mut();
+        let before = entries.len();
+        entries.retain(|_, entry| {
+            let (_, phase) = entry.phase.get();
+            let is_overdue =
+                matches!(phase, ConnectionPhase::Answering(deadline) if deadline <= now);
+            let task = entry.task.as_ref().filter(|_| is_overdue && entry.stalled.get().is_some());
+            task.inspect(|task| task.abort()).is_none()
+        });
+        before - entries.len()
+    }
 }
 
 /// An open connection of a caller.
@@ -95,9 +126,15 @@
     table: CallerTable,
     number: ConnectionNumber,
     phase: SharedPhase,
+    stalled: StalledSince,
 }
 
 impl CallerConnection {
+    /// Where it is recorded that the caller takes no bytes.
+    pub(crate) fn stalled(&self) -> StalledSince {
+        self.stalled.clone()
+    }
+
     pub(crate) fn number(&self) -> ConnectionNumber {
         self.number
     }
@@ -124,9 +161,9 @@
 }
 
 impl RequestPhase {
-    /// Records that the request has arrived as a whole.
-    pub(crate) fn set_received(&self) {
-        self.phase.set((self.number, ConnectionPhase::Answering));
+    /// Records that the request, which has a deadline, has arrived as a whole.
+    pub(crate) fn set_received(&self, deadline: Instant) {
+        self.phase.set((self.number, ConnectionPhase::Answering(deadline)));
     }
 }
 
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -28,11 +28,11 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Serves one request: checks it against the rules, receives its body and calls the service.
-/// `on_received` is called once the request has arrived as a whole.
+/// `on_received` is called with its deadline once the request has arrived as a whole.
 pub(crate) async fn serve(
     state: Rc<EntryState>,
     request: Request<Incoming>,
-    on_received: impl FnOnce(),
+    on_received: impl FnOnce(Instant),
 ) -> Response<ResponseBody> {
     let arrived = Instant::now();
     let forwarded = request.extensions().get::<ForwardedCall>().cloned();
@@ -73,7 +73,7 @@
         }
     }
     call.received = Instant::now();
-    on_received();
+    on_received(call.deadline);
     if let Some(ForwardedCall { service, is_retry, .. }) = &forwarded {
         // Hosts of earlier releases do not say by which rules they have picked it.
         let targets = call.route.targets.iter().map(|(target, _)| target);
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -56,7 +56,7 @@
 const MANY_HOSTS_INTERVAL: Duration = Duration::from_secs(9);
 /// Time over which hosts spread their first calls after a restore of the registry.
 const RESTORE_SPREAD: Duration = Duration::from_secs(1);
-/// Interval between two removals of expired endpoints and idle connections.
+/// Interval between two removals of expired endpoints, and of idle and overdue connections.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(250);
 /// Idle time after which a connection is closed.
 const MAX_IDLE: Duration = Duration::from_secs(3);
@@ -301,6 +301,13 @@
     loop {
         sleep(EXPIRY_INTERVAL).await;
         state.pool.prune(MAX_IDLE);
+        let overdue = state.callers.close_overdue(Instant::now());
+        if overdue > 0 {
+            log::info!(
+                event = "callers_overdue", connections = overdue;
+                "closed connections whose callers did not read their answers in time"
+            );
+        }
         let gone = state.endpoints.borrow_mut().expire(Instant::now());
         if !gone.is_empty() {
             log::info!(
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -457,7 +457,7 @@
                 is_retry,
                 takes_retry,
             });
-            dispatch::serve(state.clone(), request, || {}).await
+            dispatch::serve(state.clone(), request, |_| {}).await
         }
         (None, Err(error)) => {
             log::info!(event = "forward_unreadable", by:?, error; "forwarded call has no valid path");
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -19,12 +19,12 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::answers::{ConnectionAnswers, OpenAnswers};
-use crate::connections::{CallerConnection, CallerTable};
+use crate::answers::{ConnectionAnswers, OpenAnswers, StalledSince};
+use crate::connections::CallerConnection;
 use crate::dispatch;
 use crate::memory::RECEIVE_BUFFER_BYTES;
 use crate::observed::ObservedStream;
-use crate::pool::set_socket_options;
+use crate::pool::{set_caller_options, set_socket_options};
 use crate::response::{ResponseBody, full_body};
 use crate::state::EntryState;
 
@@ -61,7 +61,7 @@
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    let callers = CallerTable::default();
+    let callers = state.callers.clone();
     let max_connections = state.memory.connections.min(state.options.max_sockets / 2);
     loop {
         let stream = match listener.accept().await {
@@ -100,17 +100,17 @@
     connection: CallerConnection,
     mut closing: watch::Receiver<bool>,
 ) {
-    set_socket_options(&stream);
+    set_caller_options(&stream);
     let is_closing = *closing.borrow();
     let limits = state.rules().map(|rules| rules.rules().limits).unwrap_or_default();
-    let answers = ConnectionAnswers::new(&state.open_answers);
+    let answers = ConnectionAnswers::new(&state.open_answers, connection.stalled());
     let stream = ObservedStream::new(stream, answers.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let (state, answers) = (state.clone(), answers.clone());
         let phase = Rc::new(connection.begin_request());
         let received = phase.clone();
         let answer = async move {
-            let on_received = || received.set_received();
+            let on_received = |deadline| received.set_received(deadline);
             Ok::<_, Infallible>(dispatch::serve(state, request, on_received).await)
         };
         async move { answers.track(Some(phase), answer).await }
@@ -196,7 +196,7 @@
         };
         set_socket_options(&stream);
         let handler = handler.clone();
-        let answers = ConnectionAnswers::new(&open);
+        let answers = ConnectionAnswers::new(&open, StalledSince::default());
         let stream = ObservedStream::new(stream, answers.clone());
         let service = service_fn(move |request: Request<Incoming>| {
             let (answer, answers) = (handler(request), answers.clone());
--- a/crates/entry/src/observed.rs
+++ b/crates/entry/src/observed.rs
@@ -14,6 +14,9 @@
         Ok(())
     }
 
+    /// Called when bytes were to be written; the connection takes none at present if `is_stalled`.
+    fn on_write(&self, _is_stalled: bool) {}
+
     /// Called when the connection was flushed. The HTTP library does so once it has written all that
     /// it buffers.
     fn on_flush(&self) {}
@@ -49,7 +52,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.observer.on_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -57,7 +62,9 @@
         context: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.observer.on_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -369,17 +369,28 @@
     Ok(Connection { sender, task: task.abort_handle(), progress })
 }
 
-/// Disables Nagle's algorithm and sets the TCP options that detect an unreachable peer.
+/// Disables Nagle's algorithm and sets the TCP options that detect an unreachable host.
 pub(crate) fn set_socket_options(stream: &TcpStream) {
-    let socket = SockRef::from(stream);
+    let timeout = SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
+    log_socket_error(timeout.and_then(|()| set_common_options(stream)));
+}
+
+/// The same for a caller's connection, without the limit on unacknowledged data: it would also end
+/// connections of callers that read slowly, whose windows are closed for a while.
+pub(crate) fn set_caller_options(stream: &TcpStream) {
+    log_socket_error(set_common_options(stream));
+}
+
+fn set_common_options(stream: &TcpStream) -> io::Result<()> {
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
-    let result = stream
-        .set_nodelay(true)
-        .and_then(|()| socket.set_tcp_keepalive(&keepalive))
-        .and_then(|()| socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT)));
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+fn log_socket_error(result: io::Result<()>) {
     if let Err(error) = result {
         log::debug!(error:% = error; "cannot set socket options; request timeouts still apply");
     }
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -17,6 +17,7 @@
 use crate::admission::AdmissionTable;
 use crate::answers::OpenAnswers;
 use crate::call_wait::{ServiceLines, add_open_calls};
+use crate::connections::CallerTable;
 use crate::demand::DemandMeter;
 use crate::down_reports::DownTable;
 use crate::empty_endpoints::EmptyEndpoints;
@@ -247,6 +248,8 @@
     pub open_requests: Cell<usize>,
     /// Answers that are not written yet.
     pub(crate) open_answers: OpenAnswers,
+    /// Open connections of callers.
+    pub(crate) callers: CallerTable,
     /// Endpoints that are suspected to be down.
     pub(crate) suspected: RefCell<ExpiringFlags>,
     /// Endpoints that have just refused a stream.
@@ -328,6 +331,7 @@
             heartbeat: LoopHeartbeat::default(),
             open_requests: Cell::new(0),
             open_answers: OpenAnswers::default(),
+            callers: CallerTable::default(),
             suspected: RefCell::default(),
             overloaded: RefCell::default(),
             crossing_quota: RefCell::default(),
