Simpler: when connections give way, and the tokens of an event

Cause: on reading the change again. Two functions matched the phase of a connection for one order, answers.rs and connections.rs imported each other, and three places guarded an unknown number of tokens per event. Change: waiting_since returns the place in the order with the time; StalledSince stands with the connections; 0 tokens mean unknown, and StreamLength alone takes them for one. Behaviour stays.

--- a/crates/entry/src/answers.rs
+++ b/crates/entry/src/answers.rs
@@ -10,7 +10,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Instant;
 
-use crate::connections::RequestPhase;
+use crate::connections::{RequestPhase, StalledSince};
 use crate::observed::StreamObserver;
 use crate::response::{AbortedResponse, ResponseBody};
 
@@ -48,9 +48,6 @@
     }
 }
 
-/// Since when the other end of a connection takes no bytes, if it does not.
-pub(crate) type StalledSince = Rc<Cell<Option<Instant>>>;
-
 /// Answers on one connection. Clones are of the same connection.
 #[derive(Clone, Debug)]
 pub(crate) struct ConnectionAnswers {
@@ -115,8 +112,11 @@
 /// Counts answers as written once their connection has flushed them.
 impl StreamObserver for ConnectionAnswers {
     fn on_write(&self, is_stalled: bool) {
-        let since = self.stalled.get().filter(|_| is_stalled);
-        self.stalled.set(since.or_else(|| is_stalled.then(Instant::now)));
+        if !is_stalled {
+            self.stalled.set(None);
+        } else if self.stalled.get().is_none() {
+            self.stalled.set(Some(Instant::now()));
+        }
     }
 
     fn on_flush(&self) {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -172,7 +172,7 @@
         let engine = rules.as_ref().and_then(|rules| rules.engine(&self.service));
         StreamLength {
             max_tokens: self.head.max_output_tokens.filter(|tokens| *tokens > 0),
-            event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+            event_tokens: engine.map_or(0, |engine| engine.event_tokens),
             resume_after: self.head.resume_after.unwrap_or(0),
         }
     }
--- a/crates/entry/src/connections.rs
+++ b/crates/entry/src/connections.rs
@@ -8,8 +8,6 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-use crate::answers::StalledSince;
-
 /// Time for which a connection may wait for its caller before it gives way to a new one.
 const MIN_WAIT: Duration = Duration::from_millis(500);
 
@@ -25,20 +23,13 @@
 }
 
 impl ConnectionPhase {
-    /// The order in which connections give way.
-    fn rank(self) -> u8 {
-        match self {
-            Self::Unfinished(_) => 0,
-            Self::Kept(_) => 1,
-            Self::Answering(_) => 2,
-        }
-    }
-
-    /// Since when the connection waits for its caller's next bytes.
-    fn waiting_since(self) -> Option<Instant> {
+    /// Since when the connection waits for its caller, after its place in the order in which
+    /// connections give way.
+    fn waiting_since(self, stalled: Option<Instant>) -> Option<(u8, Instant)> {
         match self {
-            Self::Unfinished(since) | Self::Kept(since) => Some(since),
-            Self::Answering(_) => None,
+            Self::Unfinished(since) => Some((0, since)),
+            Self::Kept(since) => Some((1, since)),
+            Self::Answering(_) => Some((2, stalled?)),
         }
     }
 }
@@ -49,6 +40,9 @@
 /// Phase of a connection and the number of its latest request.
 type SharedPhase = Rc<Cell<(u64, ConnectionPhase)>>;
 
+/// Since when the other end of a connection takes no bytes, if it does not.
+pub(crate) type StalledSince = Rc<Cell<Option<Instant>>>;
+
 #[derive(Debug)]
 struct ConnectionEntry {
     phase: SharedPhase,
@@ -93,10 +87,9 @@
         let mut entries = self.entries.borrow_mut();
         let waiting = entries.iter().filter_map(|(number, entry)| {
             let (_, phase) = entry.phase.get();
-            let since = phase.waiting_since().or(entry.stalled.get())?;
-            let wait = now.saturating_duration_since(since);
-            let rank = (phase.rank(), since);
-            (wait >= MIN_WAIT && entry.task.is_some()).then_some((rank, *number, wait))
+            let order = phase.waiting_since(entry.stalled.get())?;
+            let wait = now.saturating_duration_since(order.1);
+            (wait >= MIN_WAIT && entry.task.is_some()).then_some((order, *number, wait))
         });
         let (_, number, wait) = waiting.min()?;
         let task = entries.remove(&number)?.task?;
--- a/crates/entry/src/front.rs
+++ b/crates/entry/src/front.rs
@@ -19,8 +19,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use crate::answers::{ConnectionAnswers, OpenAnswers, StalledSince};
-use crate::connections::CallerConnection;
+use crate::answers::{ConnectionAnswers, OpenAnswers};
+use crate::connections::{CallerConnection, StalledSince};
 use crate::dispatch;
 use crate::memory::RECEIVE_BUFFER_BYTES;
 use crate::observed::ObservedStream;
--- a/crates/entry/src/rules.rs
+++ b/crates/entry/src/rules.rs
@@ -117,17 +117,14 @@
     /// Mean number of tokens of an answer.
     #[serde(rename = "usual_answer")]
     pub mean_output_tokens: u32,
-    /// Number of tokens in an event of a stream. Hosts of earlier releases do not send it.
-    #[serde(default = "one_token")]
+    /// Number of tokens in an event of a stream, 0 if unknown. Hosts of earlier releases do not send
+    /// it.
+    #[serde(default)]
     pub event_tokens: u32,
     /// Accelerator types by name.
     pub cards: BTreeMap<Box<str>, CardProfile>,
 }
 
-fn one_token() -> u32 {
-    1
-}
-
 impl EngineProfile {
     /// Mean number of tokens of a stream, with its prompt.
     pub(crate) fn mean_tokens(&self) -> u32 {
--- a/crates/entry/src/times.rs
+++ b/crates/entry/src/times.rs
@@ -30,7 +30,7 @@
 pub struct StreamLength {
     /// Maximum number of output tokens that the request names, if any.
     pub max_tokens: Option<u32>,
-    /// Number of tokens in an event.
+    /// Number of tokens in an event; 0, if unknown, counts as one.
     pub event_tokens: u32,
     /// Identifier of the event after which the stream resumes, 0 at its beginning.
     pub resume_after: u64,
