--- a/crates/entry/tests/forwarded_calls.rs
+++ b/crates/entry/tests/forwarded_calls.rs
@@ -306,16 +306,6 @@
     .await;
 }
 
-/// Makes a host forget that others refuse its calls, so that it asks them again.
-fn forget_refusals(sender: &TestHost, others: [&TestHost; 2]) {
-    let (mut reach, now) = (sender.state.reach.borrow_mut(), Instant::now());
-    for other in others {
-        let name = &other.state.options.host;
-        reach.apply(&sender.state.options.host, name, Vec::new(), now);
-        reach.avoid_host(name, now);
-    }
-}
-
 /// Calls that a host has sent to others or received from them.
 fn forwarded_in_total(host: &TestHost) -> i64 {
     let sent = ["answered", "not_run", "unknown"].map(|outcome| host.forwarded("sent", outcome));
@@ -334,7 +324,7 @@
         let sender = &site.hosts[2];
         let refusing = [("unreachable", 1), ("stopping", 1), ("busy", 0)];
         for (reason, refusing) in refusing {
-            let (host, other) = (&site.hosts[refusing], &site.hosts[1 - refusing]);
+            let host = &site.hosts[refusing];
             match reason {
                 "unreachable" => site.lose(refusing, "desk", CutForm::Reset).await,
                 "stopping" => {
@@ -349,7 +339,7 @@
             // What the hosts tell one another must not keep the call from the host.
             let before = host.forwarded("received", reason);
             for number in 0..40 {
-                forget_refusals(sender, [host, other]);
+                site.forget_refusals(2);
                 let attempt = format!("{reason}{number}");
                 assert_eq!(sender.status("/desk/x", &attempt).await, 201, "{reason}");
                 assert_eq!(site.arrivals(&attempt), 1, "{reason}");
--- a/crates/entry/tests/forwarded_rules.rs
+++ b/crates/entry/tests/forwarded_rules.rs
@@ -12,10 +12,12 @@
 use jacinthrock::CustomerName;
 use jacinthrock_entry::{CustomerRule, RetryPolicy, RulesVersion, ServingRules};
 use tokio::task::LocalSet;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 /// Calls of a case; the first may go to either of two hosts.
 const CALLS: usize = 20;
+/// Slots of an endpoint.
+const SLOTS: u32 = 50;
 
 async fn run(test: impl Future<Output = ()>) {
     LocalSet::new().run_until(test).await;
@@ -36,12 +38,11 @@
     assert_eq!(host.state.rules_number(), version);
 }
 
-/// Makes a host ask others again that have refused its calls.
-fn forget_refusals(sender: &TestHost, site: &TestSite) {
-    let (mut reach, now) = (sender.state.reach.borrow_mut(), Instant::now());
-    for other in &site.hosts[..2] {
-        reach.avoid_host(&other.state.options.host, now);
-    }
+/// A site whose last host has lost connectivity to the first service.
+async fn site_with_loss(hosts: usize) -> TestSite {
+    let site = TestSite::start_with(hosts, SLOTS, site_rules()).await;
+    site.lose(hosts - 1, "desk", CutForm::Refuse).await;
+    site
 }
 
 /// Number of calls that ran at a service's endpoints.
@@ -87,8 +88,7 @@
 #[tokio::test]
 async fn call_is_not_run_by_a_host_whose_older_rules_decide_otherwise() {
     run(async {
-        let site = TestSite::start_with(3, 50, site_rules()).await;
-        site.lose(2, "desk", CutForm::Refuse).await;
+        let site = site_with_loss(3).await;
         let [behind, current, sender] = [&site.hosts[0], &site.hosts[1], &site.hosts[2]];
         for (number, (case, older)) in other_decisions().iter().enumerate() {
             let version = 10 * (number as RulesVersion + 1);
@@ -96,7 +96,7 @@
             [current, sender].iter().for_each(|host| apply(host, version + 1, &site_rules()));
             let before = behind.forwarded("received", "outdated");
             for number in 0..CALLS {
-                forget_refusals(sender, &site);
+                site.forget_refusals(2);
                 let attempt = format!("{case}-{number}");
                 assert_eq!(sender.status("/desk/x", &attempt).await, 201, "{case}");
                 assert_eq!(site.arrivals(&attempt), 1, "{case}");
@@ -113,13 +113,12 @@
 #[tokio::test]
 async fn call_is_refused_if_all_other_hosts_have_older_rules() {
     run(async {
-        let site = TestSite::start_with(3, 50, site_rules()).await;
-        site.lose(2, "desk", CutForm::Refuse).await;
+        let site = site_with_loss(3).await;
         let older = &other_decisions()[0].1;
         site.hosts[..2].iter().for_each(|host| apply(host, 10, older));
         apply(&site.hosts[2], 11, &site_rules());
         for number in 0..4 {
-            forget_refusals(&site.hosts[2], &site);
+            site.forget_refusals(2);
             let attempt = format!("old-{number}");
             let answer = site.hosts[2].call("/desk/x", &attempt).await;
             let (status, headers, _) = answer.expect("an answer");
@@ -137,12 +136,11 @@
 #[tokio::test]
 async fn host_with_older_rules_is_avoided_and_catches_up() {
     run(async {
-        let site = TestSite::start_with(2, 50, site_rules()).await;
-        site.lose(1, "desk", CutForm::Refuse).await;
+        let site = site_with_loss(2).await;
         let [behind, sender] = [&site.hosts[0], &site.hosts[1]];
         apply(behind, 10, &other_decisions()[0].1);
         apply(sender, 11, &site_rules());
-        forget_refusals(sender, &site);
+        site.forget_refusals(1);
         for number in 0..10 {
             assert_eq!(sender.status("/desk/x", &format!("avoided-{number}")).await, 503);
         }
@@ -156,14 +154,13 @@
 #[tokio::test]
 async fn call_decided_by_older_rules_is_not_run_by_a_host_with_newer_ones() {
     run(async {
-        let site = TestSite::start_with(2, 50, site_rules()).await;
-        site.lose(1, "desk", CutForm::Refuse).await;
+        let site = site_with_loss(2).await;
         let [newer, sender] = [&site.hosts[0], &site.hosts[1]];
         for (number, (case, rules)) in other_decisions().iter().enumerate() {
             let version = 10 * (number as RulesVersion + 1);
             apply(sender, version, &site_rules());
             apply(newer, version + 1, rules);
-            forget_refusals(sender, &site);
+            site.forget_refusals(1);
             let attempt = format!("{case}-x");
             assert_eq!(sender.status("/desk/x", &attempt).await, 503, "{case}");
             assert_eq!(site.arrivals(&attempt), 0, "{case}");
@@ -179,7 +176,7 @@
 #[tokio::test]
 async fn call_is_served_by_hosts_whose_other_rules_decide_the_same() {
     run(async {
-        let site = TestSite::start_with(2, 50, site_rules()).await;
+        let site = TestSite::start_with(2, SLOTS, site_rules()).await;
         for service in ["desk", "guide"] {
             site.lose(1, service, CutForm::Refuse).await;
         }
@@ -206,7 +203,7 @@
 #[tokio::test]
 async fn stream_is_not_run_by_a_host_whose_older_rules_decide_otherwise() {
     run(async {
-        let site = TestSite::start_with(3, 50, site_rules()).await;
+        let site = TestSite::start_with(3, SLOTS, site_rules()).await;
         let [behind, current, sender] = [&site.hosts[0], &site.hosts[1], &site.hosts[2]];
         let mut older = site_rules();
         older.routes.retain(|route| &*route.name != "guide");
@@ -228,7 +225,7 @@
         [current, sender].iter().for_each(|host| apply(host, 21, &site_rules()));
         let before = behind.forwarded("received", "outdated");
         for number in 0..4 {
-            forget_refusals(sender, &site);
+            site.forget_refusals(2);
             let answer = sender.call("/guide/x", &format!("passed-{number}")).await;
             let (status, _, body) = answer.expect("a complete answer");
             assert_eq!((status, &*body), (200, all_events(60).as_bytes()));
--- a/crates/entry/tests/stop_plan.rs
+++ b/crates/entry/tests/stop_plan.rs
@@ -11,18 +11,19 @@
     Duration::from_secs_f64(seconds)
 }
 
+/// Whether a plan takes a stream whose request has just been received.
+fn accepts_at(plan: &StopPlan, now: Instant, longest: Duration, is_resumable: bool) -> bool {
+    plan.accepts_stream(now, now, longest, is_resumable)
+}
+
 /// Streams last up to 9 s and the grace is 8 s: none can be taken for certain.
 #[test]
 fn streams_that_outlast_the_grace_are_taken_only_right_after_the_signal() {
     let now = Instant::now();
     let plan = StopPlan::new(now, GRACE);
-    let accepts = |after, longest, is_resumable| {
-        let received = now + seconds(after);
-        plan.accepts_stream(received, received, longest, is_resumable)
-    };
-    assert!(accepts(2.8, seconds(9.0), true));
-    assert!(!accepts(3.0, seconds(9.0), true));
-    assert!(!accepts(1.0, seconds(9.0), false), "cannot be resumed");
+    assert!(accepts_at(&plan, now + seconds(2.8), seconds(9.0), true));
+    assert!(!accepts_at(&plan, now + seconds(3.0), seconds(9.0), true));
+    assert!(!accepts_at(&plan, now + seconds(1.0), seconds(9.0), false), "cannot be resumed");
 }
 
 /// A stream that was taken early stays so while it waits for a path.
@@ -41,12 +42,8 @@
 fn short_work_is_taken_for_as_long_as_it_ends_in_time() {
     let now = Instant::now();
     let plan = StopPlan::new(now, GRACE);
-    let accepts = |after, longest, is_resumable| {
-        let received = now + seconds(after);
-        plan.accepts_stream(received, received, longest, is_resumable)
-    };
-    assert!(accepts(6.9, seconds(0.5), true));
-    assert!(!accepts(7.1, seconds(0.5), true));
+    assert!(accepts_at(&plan, now + seconds(6.9), seconds(0.5), true));
+    assert!(!accepts_at(&plan, now + seconds(7.1), seconds(0.5), true));
     assert!(plan.accepts_call(now + seconds(6.8), seconds(0.6)));
     assert!(!plan.accepts_call(now + seconds(7.0), seconds(0.6)));
     assert!(!plan.accepts_call(now + seconds(5.1), seconds(2.5)));
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -550,6 +550,17 @@
         }
     }
 
+    /// Makes a host forget that others refuse its calls, so that it asks them again.
+    pub(crate) fn forget_refusals(&self, sender: usize) {
+        let sender = &self.hosts[sender].state;
+        let (mut reach, now) = (sender.reach.borrow_mut(), Instant::now());
+        let others = self.hosts.iter().map(|host| &host.state.options.host);
+        for other in others.filter(|other| **other != sender.options.host) {
+            reach.apply(&sender.options.host, other, Vec::new(), now);
+            reach.avoid_host(other, now);
+        }
+    }
+
     /// Number of times that the endpoints received an attempt.
     pub(crate) fn arrivals(&self, attempt: &str) -> usize {
         let count = |endpoint: &Rc<TestEndpoint>| {
