A forwarded plain call runs at no more endpoints than its route allows

What callers saw: a repeatable call that was passed on to a second host, since the first had not answered in time, ran at up to four endpoints where its route allows two. Where the maximum had just been lowered, a receiver with older rules went by the old one.

Cause: each host that a call is passed on to used the whole maximum of the route, by its own rules. The maximum was decided twice, as route, key and service were before.

Change: the sender says how many endpoints may run the call: what the route still allows, less one for a second host if the call may be repeated and there is one. What was handed over counts as used unless it is refused as not run. A call that fails at its endpoint goes to the next host, with a retry, since its first host has less to use. A send to an endpoint after another host may have run the call takes a retry too. Endpoints that refuse a call do not count, so that refusals are handled as before.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -39,6 +39,9 @@
 const FORWARDED_BY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-by");
 /// Present if the first attempt of the call is counted already.
 const FORWARDED_RETRY: HeaderName = HeaderName::from_static("jacinthrock-forwarded-retry");
+/// Most endpoints of the receiving host that may run a plain call. Hosts of earlier releases do not
+/// send it.
+const FORWARDED_RUNS: HeaderName = HeaderName::from_static("jacinthrock-forwarded-runs");
 /// In each reply to a forwarded call: `served`, or why it was refused. Hosts of earlier releases do
 /// not send it.
 const FORWARDED: HeaderName = HeaderName::from_static("jacinthrock-forwarded");
@@ -56,6 +59,8 @@
 /// Shortest time without an answer after which a call is sent to the next host as well. Plain calls
 /// take about 60 ms at their endpoint, so that most would be sent twice after less.
 const MIN_ANSWER_TIME: Duration = Duration::from_millis(100);
+/// Endpoints that may run a call through a second host while the first does not answer.
+const SECOND_RUNS: u32 = 1;
 /// Endpoints that are probed at a time for a service that may be lost.
 const PROBED_ENDPOINTS: usize = 3;
 /// Part of the sockets for forwarded calls: each takes two, and callers of this host come first.
@@ -77,6 +82,8 @@
     pub(crate) service: Option<ServiceName>,
     /// What the other host has decided; hosts of earlier releases name the service alone.
     pub(crate) decision: Option<CallDecision>,
+    /// Most endpoints that may run the call; hosts of earlier releases leave that to the route.
+    pub(crate) max_runs: Option<u32>,
     /// Whether the first attempt of the call is counted already.
     pub(crate) is_retry: bool,
     /// Whether this host takes a retry from its share of the budget for the call.
@@ -186,31 +193,32 @@
     pub(crate) state: &'a EntryState,
     pub(crate) call: &'a AllowedCall,
     pub(crate) tried: &'a mut BTreeSet<HostName>,
-    /// Whether the route allows the call at a further endpoint beside the first host.
-    pub(crate) allows_second: bool,
+    /// Endpoints that may still run the call.
+    pub(crate) runs_left: u32,
 }
 
 impl HostAttempts<'_> {
-    /// Makes an attempt at a host. Without an outcome in time, a call that may be repeated is also
-    /// sent to the next host; the first answer ends the other attempt. Returns the outcomes in the
-    /// order in which they came, an answer last.
+    /// Makes an attempt at a host, at which a number of endpoints may run the call. Without an outcome
+    /// in time, a call that may be repeated is also sent to the next host; the first answer ends the
+    /// other attempt. Returns the outcomes in the order in which they came, an answer last.
     pub(crate) async fn run<T, F: Future<Output = T>>(
         mut self,
         host: ForwardHost,
-        attempt: impl Fn(ForwardHost) -> F,
+        attempt: impl Fn(ForwardHost, u32) -> F,
         outcome: impl Fn(&T) -> HostOutcome,
     ) -> Vec<T> {
         self.tried.insert(host.name.clone());
-        let mut first = pin!(attempt(host));
+        let reserved = self.second_runs();
+        let mut first = pin!(attempt(host, self.runs_left - reserved));
         tokio::select! {
             biased;
             result = &mut first => return vec![result],
             () = sleep(answer_time(self.call)) => {}
         }
         let mut results = Vec::new();
-        let mut next = self.second_host();
+        let mut next = if reserved > 0 { self.second_host() } else { None };
         while let Some(host) = next {
-            let mut second = pin!(attempt(host));
+            let mut second = pin!(attempt(host, reserved));
             let (result, is_first) = tokio::select! {
                 biased;
                 result = &mut first => (result, true),
@@ -232,14 +240,20 @@
         results
     }
 
+    /// Endpoints that are left to a second host: before the first one answers, it does not tell how
+    /// many may have run the call.
+    fn second_runs(&self) -> u32 {
+        // A request that must run at most once is never sent while another host may run it.
+        let allows_second = self.call.route.retry_policy.is_idempotent()
+            && self.runs_left > SECOND_RUNS
+            && self.state.host_count() > 1 + self.tried.len();
+        if allows_second { SECOND_RUNS } else { 0 }
+    }
+
     /// The host that the call is also sent to, with a retry from the budget.
     fn second_host(&mut self) -> Option<ForwardHost> {
         let Self { state, call, .. } = self;
-        // A request that must run at most once is never sent while another host may run it.
-        let may_send = call.route.retry_policy.is_idempotent()
-            && self.allows_second
-            && !call.is_doubtful(state)
-            && !call.remaining().is_zero();
+        let may_send = !call.is_doubtful(state) && !call.remaining().is_zero();
         let host = if may_send { self.next_host() } else { None };
         let host = host.filter(|_| self.state.allow_retry(&self.call.service, "forward", 0.0))?;
         log::info!(
@@ -258,15 +272,30 @@
     }
 }
 
+/// What a host passes on beside a call.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ForwardOptions<'a> {
+    /// Last event that the caller of a stream has.
+    pub(crate) resume_after: Option<u64>,
+    /// Most endpoints that may run a plain call there.
+    pub(crate) max_runs: Option<u32>,
+    pub(crate) retry: Option<&'a ForwardRetry>,
+}
+
+impl ForwardOptions<'_> {
+    /// Whether the other host takes a retry from its share of the budget.
+    fn takes_retry(&self) -> bool {
+        matches!(self.retry, Some(ForwardRetry::OfReceiver))
+    }
+}
+
 /// Passes a call on to another host, and waits for the head of its answer.
 pub(crate) async fn send_to(
     state: &EntryState,
     call: &AllowedCall,
     host: &ForwardHost,
-    resume_after: Option<u64>,
-    retry: Option<&ForwardRetry>,
+    forward: ForwardOptions<'_>,
 ) -> Result<PooledReply, ForwardError> {
-    let takes_retry = matches!(retry, Some(ForwardRetry::OfReceiver));
     let (sent_at, remaining) = (Instant::now(), call.remaining());
     let is_idempotent = call.route.retry_policy.is_idempotent();
     let options = SendOptions {
@@ -274,8 +303,7 @@
         connect_timeout: CONNECT_TIMEOUT.min(remaining),
         ..SendOptions::within(remaining, MAX_IDLE)
     };
-    let prefix = if takes_retry { FORWARD_RETRY_PATH } else { FORWARD_PATH };
-    let sent = match forward_request(state, call, prefix, resume_after) {
+    let sent = match forward_request(state, call, forward) {
         Ok(request) => {
             let mut sending = pin!(state.pool.send(host.address, request, options));
             tokio::select! {
@@ -291,7 +319,7 @@
     };
     count_over_limit(state, "peer", sent.as_ref().is_err_and(SendError::is_over_limit));
     let result = match sent {
-        Ok(reply) => check_reply(state, call, host, takes_retry, reply),
+        Ok(reply) => check_reply(state, call, host, forward.takes_retry(), reply),
         Err(error @ SendError::NotSent { .. }) => {
             avoid(state, host, CONNECT_AVOID_TIME);
             Err(ForwardError::NotRun(error.to_string().into()))
@@ -343,14 +371,15 @@
 fn forward_request(
     state: &EntryState,
     call: &AllowedCall,
-    prefix: &str,
-    resume_after: Option<u64>,
+    forward: ForwardOptions<'_>,
 ) -> Result<Request<Full<Bytes>>, Box<str>> {
+    let prefix = if forward.takes_retry() { FORWARD_RETRY_PATH } else { FORWARD_PATH };
     let target = call.parts.uri.path_and_query().map_or("/", |target| target.as_str());
     let uri = format!("{prefix}{target}").parse::<Uri>();
     let uri = uri.map_err(|error| Box::<str>::from(error.to_string()))?;
     let caller_headers = end_to_end_headers(&call.parts.headers);
-    let mut headers = state.codec.forward_headers(&caller_headers, call.remaining(), resume_after);
+    let mut headers =
+        state.codec.forward_headers(&caller_headers, call.remaining(), forward.resume_after);
     headers.remove(CONTENT_LENGTH);
     if !call.body.is_empty() {
         headers.insert(CONTENT_LENGTH, HeaderValue::from(call.body.len()));
@@ -360,6 +389,10 @@
     };
     headers.insert(FORWARDED_BY, text(&state.options.host)?);
     CallDecision::write(call, &mut headers)?;
+    headers.remove(FORWARDED_RUNS);
+    if let Some(max_runs) = forward.max_runs {
+        headers.insert(FORWARDED_RUNS, HeaderValue::from(max_runs));
+    }
     headers.remove(FORWARDED_RETRY);
     if call.is_counted.get() {
         headers.insert(FORWARDED_RETRY, HeaderValue::from_static("1"));
@@ -433,6 +466,8 @@
 ) -> Response<ResponseBody> {
     let by = request.headers_mut().remove(FORWARDED_BY);
     let (service, decision) = CallDecision::take(request.headers_mut());
+    let max_runs = request.headers_mut().remove(FORWARDED_RUNS);
+    let max_runs = max_runs.and_then(|value| value.to_str().ok()?.parse().ok());
     let is_retry = request.headers_mut().remove(FORWARDED_RETRY).is_some();
     // Labels of metrics are limited to services that the rules name.
     let label = service.clone().filter(|service| {
@@ -454,6 +489,7 @@
             request.extensions_mut().insert(ForwardedCall {
                 service,
                 decision,
+                max_runs,
                 is_retry,
                 takes_retry,
             });
--- a/crates/entry/src/plain.rs
+++ b/crates/entry/src/plain.rs
@@ -13,7 +13,7 @@
 use crate::call_line::LineRefusal;
 use crate::call_wait::{CallTurn, LineCall};
 use crate::endpoints::{EndpointEntry, EndpointTable};
-use crate::forward::{self, ForwardError, ForwardHost, HostAttempts, HostOutcome};
+use crate::forward::{self, ForwardError, ForwardHost, ForwardOptions, HostAttempts, HostOutcome};
 use crate::health::CallEnd;
 use crate::poison::BlamedSuspect;
 use crate::pool::SendError;
@@ -54,9 +54,9 @@
     /// Outcome of an attempt at another host.
     fn at_host(&self) -> HostOutcome {
         match self {
-            Self::Response(_) | Self::Failed(_) => HostOutcome::Answered,
+            Self::Response(_) => HostOutcome::Answered,
             Self::NotRun(_) | Self::Full(_) | Self::NotSent(_) => HostOutcome::NotRun,
-            Self::Unknown(_) => HostOutcome::Unknown,
+            Self::Failed(_) | Self::Unknown(_) => HostOutcome::Unknown,
         }
     }
 }
@@ -114,8 +114,10 @@
     wait_end: Instant,
     tried: BTreeSet<EndpointName>,
     tried_hosts: BTreeSet<HostName>,
-    /// Attempts at other hosts that may have run the request.
+    /// Endpoints of other hosts that may have run the request.
     forwarded: usize,
+    /// Endpoints of this host that may have run it.
+    runs: usize,
     /// Sends that endpoints refused as full; the call may be sent there again.
     full_refusals: usize,
     connect_failures: u32,
@@ -138,6 +140,7 @@
             tried: BTreeSet::new(),
             tried_hosts: BTreeSet::new(),
             forwarded: 0,
+            runs: 0,
             full_refusals: 0,
             connect_failures: 0,
             has_run: false,
@@ -157,8 +160,17 @@
         self.call.route.max_attempts.max(1) as usize
     }
 
+    /// Endpoints of this host that may run the request at most. Another host that has passed it on
+    /// may leave some of the route's maximum to a further one.
+    fn max_runs(&self) -> usize {
+        let max_runs = self.call.forwarded().and_then(|forwarded| forwarded.max_runs);
+        max_runs.map_or(self.max_count(), |max_runs| max_runs as usize)
+    }
+
     fn may_go_on(&self) -> bool {
-        self.count() < self.max_count() && self.connect_failures < MAX_CONNECT_FAILURES
+        self.count() < self.max_count()
+            && self.runs < self.max_runs()
+            && self.connect_failures < MAX_CONNECT_FAILURES
     }
 
     /// Whether the request may be sent once more after what has become of the attempts so far.
@@ -183,21 +195,27 @@
             None
         };
         let forwarded_before = self.forwarded;
-        let allows_second = self.count() + 1 < self.max_count();
-        let attempts = HostAttempts { state, call, tried: &mut self.tried_hosts, allows_second };
-        let attempt = |host| async move { attempt_at_host(state, call, &host).await };
-        for outcome in attempts.run(host, attempt, AttemptOutcome::at_host).await {
+        let runs_left = self.max_count().saturating_sub(self.count()) as u32;
+        let attempts = HostAttempts { state, call, tried: &mut self.tried_hosts, runs_left };
+        let attempt = |host, max_runs| async move {
+            (attempt_at_host(state, call, &host, max_runs).await, max_runs as usize)
+        };
+        for (outcome, max_runs) in attempts.run(host, attempt, |it| it.0.at_host()).await {
             match outcome {
-                AttemptOutcome::Response(response) | AttemptOutcome::Failed(response) => {
+                AttemptOutcome::Response(response) => {
                     count_outcome(state, &call.service, "forwarded");
                     return AttemptStep::Answer(response);
                 }
                 AttemptOutcome::NotRun(fault)
                 | AttemptOutcome::Full(fault)
                 | AttemptOutcome::NotSent(fault) => self.last_fault = fault,
+                AttemptOutcome::Failed(response) => {
+                    (self.has_run, self.last_response) = (true, Some(response));
+                    self.forwarded += max_runs;
+                }
                 AttemptOutcome::Unknown(fault) => {
                     (self.has_run, self.last_fault) = (true, fault);
-                    self.forwarded += 1;
+                    self.forwarded += max_runs;
                 }
             }
         }
@@ -216,7 +234,7 @@
             return AttemptStep::End;
         }
         call.count_first(state);
-        let is_retry = !self.tried.is_empty() || self.full_refusals > 0;
+        let is_retry = self.count() > 0;
         let entry = match self.pick_endpoint(is_retry).await {
             PickedEndpoint::Entry(entry) => entry,
             PickedEndpoint::Waited => return AttemptStep::Again,
@@ -299,8 +317,12 @@
             }
             AttemptOutcome::Failed(response) => {
                 (self.has_run, self.last_response) = (true, Some(response));
+                self.runs += 1;
+            }
+            AttemptOutcome::Unknown(fault) => {
+                (self.has_run, self.last_fault) = (true, fault);
+                self.runs += 1;
             }
-            AttemptOutcome::Unknown(fault) => (self.has_run, self.last_fault) = (true, fault),
             AttemptOutcome::NotRun(fault) => self.last_fault = fault,
             AttemptOutcome::Full(fault) => {
                 is_tried = false;
@@ -415,26 +437,32 @@
     state: &EntryState,
     call: &AllowedCall,
     host: &ForwardHost,
+    max_runs: u32,
 ) -> AttemptOutcome {
-    let reply =
-        match timeout_at(call.deadline, forward::send_to(state, call, host, None, None)).await {
-            Ok(Ok(reply)) => reply,
-            Ok(Err(ForwardError::NotRun(fault))) => return AttemptOutcome::NotRun(fault),
-            Ok(Err(ForwardError::Unknown(fault))) => return AttemptOutcome::Unknown(fault),
-            Err(_) => {
-                let error = ForwardError::Unknown("the request's time is over".into());
-                return AttemptOutcome::Unknown(
-                    forward::record_error(state, call, host, error).into_fault(),
-                );
-            }
-        };
+    let options = ForwardOptions { resume_after: None, max_runs: Some(max_runs), retry: None };
+    let sent = timeout_at(call.deadline, forward::send_to(state, call, host, options)).await;
+    let reply = match sent {
+        Ok(Ok(reply)) => reply,
+        Ok(Err(ForwardError::NotRun(fault))) => return AttemptOutcome::NotRun(fault),
+        Ok(Err(ForwardError::Unknown(fault))) => return AttemptOutcome::Unknown(fault),
+        Err(_) => {
+            let error = ForwardError::Unknown("the request's time is over".into());
+            let error = forward::record_error(state, call, host, error);
+            return AttemptOutcome::Unknown(error.into_fault());
+        }
+    };
     let status = reply.parts.status;
     let read = timeout_at(call.deadline, read_answer(state, reply)).await;
     let fault = match read {
         Ok(Ok((parts, body))) => {
             forward::record_answer(state, call);
             let response = endpoint_response(status, &parts.headers, full_body(body));
-            return AttemptOutcome::Response(response);
+            // A refusal is for lack of capacity; an error may be that of the host's last endpoint.
+            let has_failed = status.is_server_error() && status != StatusCode::SERVICE_UNAVAILABLE;
+            return match has_failed {
+                true => AttemptOutcome::Failed(response),
+                false => AttemptOutcome::Response(response),
+            };
         }
         Ok(Err(error)) => error.to_string().into(),
         Err(_) => "the request's time is over".into(),
--- a/crates/entry/src/source.rs
+++ b/crates/entry/src/source.rs
@@ -20,7 +20,7 @@
 use crate::endpoints::EndpointEntry;
 use crate::events::EventFramer;
 use crate::failure::SourceFailure;
-use crate::forward::{self, ForwardError, ForwardHost, ForwardRetry};
+use crate::forward::{self, ForwardError, ForwardHost, ForwardOptions, ForwardRetry};
 use crate::inflight::{StreamGuard, StreamRecord};
 use crate::path::stage_at;
 use crate::pool::{ConnectionLease, PooledReply, SendError};
@@ -223,7 +223,8 @@
         retry: Option<&ForwardRetry>,
     ) -> Result<PooledReply, ForwardError> {
         let StreamContext { state, call, .. } = &*self.context;
-        let mut sending = pin!(forward::send_to(state, call, host, self.resume_after, retry));
+        let options = ForwardOptions { resume_after: self.resume_after, max_runs: None, retry };
+        let mut sending = pin!(forward::send_to(state, call, host, options));
         tokio::select! {
             biased;
             sent = &mut sending => sent,
--- a/crates/entry/tests/support/forwarding.rs
+++ b/crates/entry/tests/support/forwarding.rs
@@ -192,6 +192,8 @@
     pub(crate) runs: RefCell<Vec<Box<str>>>,
     /// Time that a plain call takes.
     pub(crate) call_time: Cell<Duration>,
+    /// Plain calls that it runs and answers with an error, before it answers others as it should.
+    pub(crate) failures: Cell<u32>,
     pub(crate) events: Cell<u64>,
 }
 
@@ -237,6 +239,7 @@
             max_open: Cell::new(u32::MAX),
             runs: RefCell::default(),
             call_time: Cell::new(CALL_TIME),
+            failures: Cell::default(),
             events: Cell::new(20),
         });
         let server = endpoint.clone();
@@ -272,6 +275,10 @@
         if &*self.entry.service == "desk" {
             sleep(self.call_time.get()).await;
             drop(open);
+            if let Some(left) = self.failures.get().checked_sub(1) {
+                self.failures.set(left);
+                return response.status(500).body(body("failed")).expect("a valid response");
+            }
             return response.status(201).body(body("booked")).expect("a valid response");
         }
         let last = number(&parts.headers, "last-event-id").unwrap_or(0);
