Review case 11: the same as a script

Change: review/11/run.sh plays the fault with stand-ins: replicas that hold half of the layers (fleet.rs), one of which leaves as planned while a machine is stopped as planned, six times (cut.rs). The store's and hosts' stand-ins are those of case 12; sites may have other zones, and answers are read in parts.

--- a/review/standins-3/src/drain.rs
+++ b/review/standins-3/src/drain.rs
@@ -92,7 +92,15 @@
     let mut hosts = Vec::new();
     for number in 1..=HOSTS {
         let zone = if number % 2 == 0 { "north" } else { "south" };
-        hosts.push(Host::new(root, folder, block, number, zone, store_address)?);
+        hosts.push(Host::new(
+            root,
+            folder,
+            block,
+            number,
+            zone,
+            &["north", "south"],
+            store_address,
+        )?);
     }
     let site = Arc::new(Site {
         rotation: hosts.iter().map(|_| AtomicBool::new(false)).collect(),
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -42,9 +42,23 @@
         Self::new(stream)
     }
 
-
     /// Reads a whole message; none if the other end has closed the connection before it.
     pub fn read(&mut self) -> io::Result<Option<Message>> {
+        let Some(mut message) = self.read_head()? else { return Ok(None) };
+        if message.header("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+            while let Some(part) = self.read_chunk()? {
+                message.body.extend(part);
+            }
+        } else if let Some(size) = message.header("content-length") {
+            let size = size.parse().map_err(|_| io::ErrorKind::InvalidData)?;
+            message.body = vec![0; size];
+            self.reader.read_exact(&mut message.body)?;
+        }
+        Ok(Some(message))
+    }
+
+    /// Reads a message up to its body; none if the other end has closed the connection before it.
+    pub fn read_head(&mut self) -> io::Result<Option<Message>> {
         let Some(first_line) = self.line()? else { return Ok(None) };
         let mut headers = Vec::new();
         loop {
@@ -55,26 +69,32 @@
             let (name, value) = line.split_once(':').ok_or(io::ErrorKind::InvalidData)?;
             headers.push((name.trim().to_ascii_lowercase(), value.trim().to_owned()));
         }
-        let mut message = Message { first_line, headers, body: Vec::new() };
-        if message.header("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
-            loop {
-                let line = self.line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
-                let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
-                let size = size.map_err(|_| io::ErrorKind::InvalidData)?;
-                let mut part = vec![0; size];
-                self.reader.read_exact(&mut part)?;
-                message.body.extend(part);
-                self.line()?;
-                if size == 0 {
-                    break;
-                }
-            }
-        } else if let Some(size) = message.header("content-length") {
-            let size = size.parse().map_err(|_| io::ErrorKind::InvalidData)?;
-            message.body = vec![0; size];
-            self.reader.read_exact(&mut message.body)?;
+        Ok(Some(Message { first_line, headers, body: Vec::new() }))
+    }
+
+    /// Reads the next chunk of a body; none at its end.
+    pub fn read_chunk(&mut self) -> io::Result<Option<Vec<u8>>> {
+        let line = self.line()?.ok_or(io::ErrorKind::UnexpectedEof)?;
+        let size = usize::from_str_radix(line.split(';').next().unwrap_or("").trim(), 16);
+        let size = size.map_err(|_| io::ErrorKind::InvalidData)?;
+        let mut part = vec![0; size];
+        self.reader.read_exact(&mut part)?;
+        self.line()?;
+        Ok((size > 0).then_some(part))
+    }
+
+    /// Whether the other end has closed the connection.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.reader.get_ref();
+        if stream.set_nonblocking(true).is_err() {
+            return true;
+        }
+        let peeked = stream.peek(&mut [0]);
+        let _ = stream.set_nonblocking(false);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
-        Ok(Some(message))
     }
 
     fn line(&mut self) -> io::Result<Option<String>> {
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,7 +1,9 @@
 //! Plays one case of this review: `review-standins-3 CASE FOLDER`, in the repository's root. Exits with
 //! 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
+mod cut;
 mod drain;
+mod fleet;
 mod http;
 mod json;
 mod replica;
@@ -19,6 +21,7 @@
     };
     let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let played = match &**case {
+        "cut" => cut::play(&PathBuf::from(folder), has_trouble),
         "drain" => drain::play(&PathBuf::from(folder), has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
--- a/review/standins-3/src/site.rs
+++ b/review/standins-3/src/site.rs
@@ -77,14 +77,17 @@
         block: [u8; 2],
         number: u8,
         zone: &str,
+        zones: &[&str],
         store: SocketAddr,
     ) -> std::io::Result<Self> {
         let name = format!("edge-{zone}-{number}");
         let ip = address_in(block, number, 0).ip();
         let [first, last] = INTERNAL_PORTS;
+        let zones: Vec<_> = zones.iter().map(|zone| format!("\"{zone}\": \"region\"")).collect();
+        let zones = zones.join(", ");
         let settings = format!(
             r#"{{"nodeName": "{name}", "role": "entry", "machineClass": "edge", "serves": ["edge"],
- "ip": "{ip}", "zone": "{zone}", "region": "region", "zones": {{"north": "region", "south": "region"}},
+ "ip": "{ip}", "zone": "{zone}", "region": "region", "zones": {{{zones}}},
  "listen": {{"frontAddr": "{ip}:{FRONT_PORT}", "readyAddr": "{ip}:{READY_PORT}"}},
  "internalPorts": [{first}, {last}], "seeds": [], "isBootstrap": false, "inTolerance": false,
  "limits": {{"cpuShare": 0.25, "cores": 1, "memoryMb": 260, "maxFds": 4200, "linkMbps": 1000.0,
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -41,7 +41,9 @@
     }
 
     fn delete(&mut self, kind: &str, name: &str) -> bool {
-        let Some((_, spec)) = self.objects.remove(&(kind.into(), name.into())) else { return false };
+        let Some((_, spec)) = self.objects.remove(&(kind.into(), name.into())) else {
+            return false;
+        };
         self.revision += 1;
         let object = object_text(name, self.revision, &spec);
         let (revision, kind) = (self.revision, kind.into());
@@ -51,8 +53,8 @@
 
     fn events(&self, kind: &str, after: u64) -> Vec<String> {
         let changes = self.changes.iter().filter(|it| it.revision > after && it.kind == kind);
-        let events = changes
-            .map(|it| format!("{{\"object\":{},\"deleted\":{}}}", it.object, it.is_deleted));
+        let events =
+            changes.map(|it| format!("{{\"object\":{},\"deleted\":{}}}", it.object, it.is_deleted));
         events.collect()
     }
 }
@@ -127,7 +129,8 @@
         let metadata = spec.as_ref().and_then(|body| body.get("metadata")).cloned();
         let wanted = metadata.as_ref().and_then(|it| it.get("revision")?.number());
         let wanted = wanted.or_else(|| field("revision")?.parse().ok());
-        let content = spec.as_ref().and_then(|body| body.get("spec")).cloned().unwrap_or(Json::Null);
+        let content =
+            spec.as_ref().and_then(|body| body.get("spec")).cloned().unwrap_or(Json::Null);
         let mut objects = self.objects.0.lock().unwrap();
         let known = |objects: &Objects, name: &str| {
             objects.objects.get(&(kind.to_owned(), name.to_owned())).cloned()
@@ -147,7 +150,9 @@
                     let (items, revision) = (items.join(","), objects.revision);
                     (
                         200,
-                        format!("{{\"items\":[{items}],\"hasMore\":false,\"currentRev\":{revision}}}"),
+                        format!(
+                            "{{\"items\":[{items}],\"hasMore\":false,\"currentRev\":{revision}}}"
+                        ),
                     )
                 }
             },
